--- /dev/null
+++ b/src/clock.ts
@@ -0,0 +1,65 @@
+/** Seconds of a steady clock. Injected wherever time decides something. */
+export interface Clock {
+  now(): number;
+}
+
+export const steadyClock: Clock = { now: () => performance.now() / 1000 };
+
+export const sleep = (seconds: number): Promise<void> =>
+  new Promise((resolve) => setTimeout(resolve, Math.max(0, seconds * 1000)));
+
+/** Upper bound of how far two steady clocks drift apart (protocol: 0.05 %), taken twice over. */
+export const DRIFT = 0.001;
+
+/** A bucket that holds one second's worth, as the limits of the outside services do. */
+export class Budget {
+  private level: number;
+  private at: number;
+  constructor(
+    private rate: number,
+    private readonly clock: Clock,
+    private readonly burst_s = 1,
+  ) {
+    this.level = Math.max(1, rate * burst_s);
+    this.at = clock.now();
+  }
+
+  private fill(): void {
+    const now = this.clock.now();
+    this.level = Math.min(
+      Math.max(1, this.rate * this.burst_s),
+      this.level + (now - this.at) * this.rate,
+    );
+    this.at = now;
+  }
+
+  setRate(rate: number): void {
+    this.fill();
+    this.rate = rate;
+  }
+
+  /** What is there now. */
+  get available(): number {
+    this.fill();
+    return this.level;
+  }
+
+  take(n: number): boolean {
+    this.fill();
+    if (this.level < n) return false;
+    this.level -= n;
+    return true;
+  }
+
+  /** Takes even what is not there yet, for what cannot wait: later takers make up for it. */
+  force(n: number): void {
+    this.fill();
+    this.level -= n;
+  }
+
+  /** Seconds until n could be taken. */
+  wait(n: number): number {
+    this.fill();
+    return this.level >= n ? 0 : (n - this.level) / this.rate;
+  }
+}
--- /dev/null
+++ b/src/cloud/client.ts
@@ -0,0 +1,82 @@
+import { Budget, sleep, type Clock } from '../clock.js';
+import { HttpClient, type Response } from '../http/client.js';
+import type { Settings } from '../config/settings.js';
+import type { MachineType } from '../jobs/types.js';
+import * as wire from '../wire/cloud.js';
+
+export type RentResult =
+  | { how: 'rented'; ids: string[] }
+  | { how: 'none' }
+  /** Nobody knows; the same request may be sent again under the same name. */
+  | { how: 'unknown' }
+  | { how: 'refused'; status: number };
+
+export class CloudClient {
+  private readonly http: HttpClient;
+  private readonly budget: Budget;
+
+  constructor(settings: Settings, clock: Clock) {
+    this.http = new HttpClient(settings.cloudAddr, 4);
+    // A tenth stays for what other nodes ask at their start.
+    this.budget = new Budget(settings.cloud.rps * 0.9, clock, 1.5);
+  }
+
+  private async call(method: string, path: string, body?: string): Promise<Response> {
+    while (!this.budget.take(1)) await sleep(this.budget.wait(1));
+    return this.http.request(method, path, body, 5);
+  }
+
+  private static json(r: Response): unknown {
+    if (r.status !== 200) throw new Error(`cloud answered ${r.status}`);
+    return JSON.parse(r.body.toString('utf8'));
+  }
+
+  async types(): Promise<MachineType[]> {
+    return wire.parseTypes(CloudClient.json(await this.call('GET', wire.TYPES_PATH)));
+  }
+
+  async list(): Promise<wire.ListedMachine[]> {
+    const all: wire.ListedMachine[] = [];
+    let after = '';
+    for (;;) {
+      const r = await this.call('GET', wire.listPath(after));
+      const page = wire.parseList(CloudClient.json(r));
+      all.push(...page.machines);
+      if (!page.more || page.machines.length === 0) return all;
+      after = page.machines[page.machines.length - 1]!.id;
+    }
+  }
+
+  async rent(request: wire.RentRequest): Promise<RentResult> {
+    let r: Response;
+    try {
+      r = await this.call('POST', wire.RENT_PATH, wire.encodeRent(request));
+    } catch {
+      return { how: 'unknown' };
+    }
+    const text = r.body.toString('utf8');
+    if (r.status === 200) {
+      try {
+        return { how: 'rented', ids: wire.parseRented(JSON.parse(text)) };
+      } catch {
+        return { how: 'unknown' };
+      }
+    }
+    if (r.status === 503 && text.includes('no capacity')) return { how: 'none' };
+    return { how: 'refused', status: r.status };
+  }
+
+  /** True: they and all that was on them are gone. */
+  async giveBack(ids: string[]): Promise<boolean> {
+    try {
+      const r = await this.call('POST', wire.RETURN_PATH, wire.encodeReturn(ids));
+      return r.status === 200;
+    } catch {
+      return false;
+    }
+  }
+
+  close(): void {
+    this.http.close();
+  }
+}
--- /dev/null
+++ b/src/cloud/fleet.ts
@@ -0,0 +1,213 @@
+import { sleep, type Clock } from '../clock.js';
+import type { Log } from '../log.js';
+import type { MachineType } from '../jobs/types.js';
+import { RENT_MAX, RETURN_MAX, type ListedMachine, type RentRequest } from '../wire/cloud.js';
+import type { CloudClient } from './client.js';
+import type { Wanted } from './plan.js';
+
+/** A machine that is rented but has not reported yet. */
+export interface Coming {
+  id: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+  since: number;
+  listed: boolean;
+  running: boolean;
+}
+
+export interface FleetHost {
+  entitled(): boolean;
+  /** What to rent now. */
+  wanted(): Wanted[];
+  /** Machines to give back now, their records already marked. */
+  toReturn(): string[];
+  returned(ids: string[]): void;
+  known(id: string): boolean;
+  listed(all: ListedMachine[]): void;
+  onTypes(types: MachineType[]): void;
+}
+
+/** Renting and returning for the leader. Request names carry the incarnation: they never recur. */
+export class Fleet {
+  readonly coming = new Map<string, Coming>();
+  private readonly shortUntil = new Map<string, { until: number; fails: number }>();
+  private readonly unanswered: { request: RentRequest; since: number }[] = [];
+  /** What the cloud confirmed as gone; lists may still name them. */
+  private readonly gone = new Map<string, number>();
+  private counter = 0;
+  private stopped = false;
+  private listAt = -Infinity;
+  private typesAt = -Infinity;
+  private wake: (() => void) | null = null;
+  listedOnce = false;
+
+  constructor(
+    private readonly name: string,
+    private readonly cloud: CloudClient,
+    private readonly host: FleetHost,
+    private readonly lagS: number,
+    private readonly bootS: (type: string) => number,
+    private readonly clock: Clock,
+    private readonly log: Log,
+  ) {}
+
+  short(type: string, zone: string, spot: boolean): boolean {
+    const s = this.shortUntil.get(`${type} ${zone} ${spot}`);
+    return s !== undefined && s.until > this.clock.now();
+  }
+
+  private noteShort(r: { type: string; zone: string; spot: boolean }): void {
+    const key = `${r.type} ${r.zone} ${r.spot}`;
+    const s = this.shortUntil.get(key);
+    const fails = s === undefined || this.clock.now() - s.until > 60 ? 0 : s.fails + 1;
+    const pause = Math.min(this.bootS(r.type), 5 * 2 ** fails);
+    this.shortUntil.set(key, { until: this.clock.now() + pause, fails });
+  }
+
+  heard(id: string): void {
+    this.coming.delete(id);
+  }
+
+  nudge(): void {
+    this.wake?.();
+  }
+
+  private pause(s: number): Promise<void> {
+    return new Promise((resolve) => {
+      const t = setTimeout(resolve, s * 1000);
+      this.wake = () => {
+        clearTimeout(t);
+        resolve();
+      };
+    });
+  }
+
+  async run(): Promise<void> {
+    while (!this.stopped) {
+      try {
+        if (this.host.entitled()) await this.round();
+      } catch (e) {
+        this.log.debug({ err: String(e) }, 'cloud round failed');
+        await sleep(0.5 + Math.random() * 0.5);
+      }
+      await this.pause(0.5);
+    }
+  }
+
+  private async round(): Promise<void> {
+    const now = this.clock.now();
+    if (now - this.typesAt > 120) {
+      this.host.onTypes(await this.cloud.types());
+      this.typesAt = now;
+    }
+    const every = this.coming.size > 0 ? this.lagS / 2 : this.lagS;
+    if (!this.listedOnce || now - this.listAt > every) {
+      this.listAt = now;
+      this.list(await this.cloud.list());
+    }
+    if (this.stopped || !this.host.entitled()) return;
+    const back = this.host.toReturn().slice(0, RETURN_MAX);
+    if (back.length > 0 && (await this.cloud.giveBack(back))) {
+      const at = this.clock.now();
+      for (const id of back) {
+        this.gone.set(id, at);
+        this.coming.delete(id);
+      }
+      this.log.info({ machines: back }, 'returned');
+      this.host.returned(back);
+    }
+    await this.retryRents();
+    for (const w of this.host.wanted()) {
+      for (let left = w.count; left > 0; left -= RENT_MAX) {
+        if (this.stopped || !this.host.entitled()) return;
+        const request: RentRequest = {
+          name: `${this.name}-${this.counter++}`,
+          type: w.type,
+          zone: w.zone,
+          spot: w.spot,
+          count: Math.min(left, RENT_MAX),
+        };
+        await this.rent(request, this.clock.now());
+      }
+    }
+  }
+
+  private async retryRents(): Promise<void> {
+    const again = this.unanswered.splice(0, this.unanswered.length);
+    for (const u of again) {
+      // Given up after a while: whatever it rented shows up in the list and by its reports.
+      if (this.clock.now() - u.since < 30) await this.rent(u.request, u.since);
+    }
+  }
+
+  private async rent(request: RentRequest, since: number): Promise<void> {
+    const r = await this.cloud.rent(request);
+    this.log.info({ request, result: r.how }, 'rent');
+    switch (r.how) {
+      case 'rented': {
+        const now = this.clock.now();
+        for (const id of r.ids) {
+          if (this.host.known(id)) continue;
+          const { type, zone, spot } = request;
+          this.coming.set(id, { id, type, zone, spot, since: now, listed: false, running: false });
+        }
+        if (r.ids.length < request.count) this.noteShort(request);
+        break;
+      }
+      case 'none':
+        this.noteShort(request);
+        break;
+      case 'unknown':
+        this.unanswered.push({ request, since });
+        break;
+      case 'refused':
+        // An outage, or too many calls: nothing was rented.
+        throw new Error(`rent refused: ${r.status}`);
+    }
+  }
+
+  /** Whether requests are under way whose outcome is open. */
+  get unsure(): RentRequest[] {
+    return this.unanswered.map((u) => u.request);
+  }
+
+  private list(all: ListedMachine[]): void {
+    const now = this.clock.now();
+    this.listedOnce = true;
+    const names = new Set<string>();
+    for (const m of all) {
+      names.add(m.id);
+      if (this.gone.has(m.id) || this.host.known(m.id) || m.state === 'failed') {
+        this.coming.delete(m.id);
+        continue;
+      }
+      const c = this.coming.get(m.id);
+      if (c !== undefined) {
+        c.listed = true;
+        c.running ||= m.state === 'running';
+      } else {
+        this.coming.set(m.id, {
+          id: m.id,
+          type: m.type,
+          zone: m.zone,
+          spot: m.spot,
+          since: now - m.ageS,
+          listed: true,
+          running: m.state === 'running',
+        });
+      }
+    }
+    for (const c of [...this.coming.values()]) {
+      if (!names.has(c.id) && now - c.since > this.lagS * (c.listed ? 2 : 4))
+        this.coming.delete(c.id);
+    }
+    for (const [id, at] of [...this.gone]) if (now - at > this.lagS * 20) this.gone.delete(id);
+    this.host.listed(all.filter((m) => !this.gone.has(m.id)));
+  }
+
+  stop(): void {
+    this.stopped = true;
+    this.wake?.();
+  }
+}
--- /dev/null
+++ b/src/cloud/plan.ts
@@ -0,0 +1,109 @@
+import type { JobSpec, MachineType } from '../jobs/types.js';
+import { fits } from '../jobs/types.js';
+import { allowed, bestRoom, take, zoneAllowed, type Room, type Weights } from '../sched/place.js';
+
+/** Tasks that found no room, in the order in which they are wanted. */
+export interface Demand {
+  spec: JobSpec;
+  tasks: number;
+  /** Tasks of the job in each zone at present. */
+  zones: Map<string, number>;
+}
+
+/** Where the cloud had nothing, and until when not to ask again. */
+export type Shortage = (type: string, zone: string, spot: boolean) => boolean;
+
+export interface Wanted {
+  type: string;
+  zone: string;
+  spot: boolean;
+  count: number;
+}
+
+export interface PlanInput {
+  demand: Demand[];
+  /** Machines on their way, and room that is free. They are used up. */
+  rooms: Room[];
+  types: MachineType[];
+  zones: string[];
+  short: Shortage;
+  /** Machines in each zone, to spread new ones. */
+  perZone: Map<string, number>;
+  weights: Weights;
+  most: number;
+}
+
+let serial = 0;
+
+function emptyRoom(t: MachineType, zone: string, spot: boolean): Room {
+  return {
+    id: `planned-${serial++}`,
+    type: t.name,
+    zone,
+    spot,
+    cores: t.cores,
+    gpus: t.gpus,
+    memGb: t.memGb,
+    whole: t,
+    penaltyS: 0,
+    imageWaitS: (_image, gb) => gb / Math.max(t.fetchGbPerS, 1e-9),
+  };
+}
+
+/** The cheapest kind of machine that one task of the job may have now; null: none to be had. */
+function choose(
+  spec: JobSpec,
+  zones: Map<string, number>,
+  input: PlanInput,
+): { type: MachineType; zone: string; spot: boolean } | null {
+  let best: { type: MachineType; zone: string; spot: boolean } | null = null;
+  let bestCost = Infinity;
+  for (const type of input.types) {
+    if (!fits(spec, type)) continue;
+    for (const spot of spec.spot ? [true, false] : [false]) {
+      const price = spot ? type.spotPrice : type.price;
+      if (spot && type.spotPrice <= 0) continue;
+      for (const zone of type.zones) {
+        if (!allowed(spec, { type: type.name, zone, spot })) continue;
+        if (!zoneAllowed(spec, zone, zones) || input.short(type.name, zone, spot)) continue;
+        const share = type.gpus > 0 ? type.gpus : Math.max(type.cores, 1e-9);
+        // Zones are evened out, but not at the price of a dearer kind of machine.
+        const c = (price / share) * (1 + 0.001 * (input.perZone.get(zone) ?? 0));
+        if (c < bestCost) {
+          bestCost = c;
+          best = { type, zone, spot };
+        }
+      }
+    }
+  }
+  return best;
+}
+
+/** What to rent so that all demand finds room. Pure: the rooms given are used up. */
+export function planRent(input: PlanInput): Wanted[] {
+  const wanted = new Map<string, Wanted>();
+  let count = 0;
+  for (const d of input.demand) {
+    const zones = new Map(d.zones);
+    for (let i = 0; i < d.tasks; i++) {
+      let room = bestRoom(d.spec, input.rooms, { zones }, input.weights);
+      if (room === null) {
+        if (count >= input.most) break;
+        const kind = choose(d.spec, zones, input);
+        if (kind === null) break;
+        room = emptyRoom(kind.type, kind.zone, kind.spot);
+        input.rooms.push(room);
+        count++;
+        input.perZone.set(kind.zone, (input.perZone.get(kind.zone) ?? 0) + 1);
+        const key = `${kind.type.name} ${kind.zone} ${kind.spot}`;
+        const w = wanted.get(key);
+        if (w === undefined) {
+          wanted.set(key, { type: kind.type.name, zone: kind.zone, spot: kind.spot, count: 1 });
+        } else w.count++;
+      }
+      take(d.spec, room);
+      zones.set(room.zone, (zones.get(room.zone) ?? 0) + 1);
+    }
+  }
+  return [...wanted.values()];
+}
--- /dev/null
+++ b/src/cluster/election.ts
@@ -0,0 +1,266 @@
+import { DRIFT, sleep, type Clock } from '../clock.js';
+import type { Log } from '../log.js';
+import { Refused, type StateClient } from '../state/client.js';
+import type { Follower } from '../state/follow.js';
+import type { Replica } from '../state/replica.js';
+import * as records from '../state/records.js';
+import type { PeerNet } from './peers.js';
+
+/**
+ * Who leads. The leader's key hangs on a lease; its revision is the token, so tokens only rise.
+ *
+ *   following -> standing -> leading <-> enduring -> following
+ *
+ * `leading`: entitled by the lease. `enduring`: the state service refuses this node, and a majority
+ * of controllers (this one among them) has just been refused too, which only an outage does; leases
+ * stand still in one. Whatever the state, `entitled` is what counts for every answer and command.
+ */
+export type Role = 'following' | 'standing' | 'leading' | 'enduring';
+
+const ALLOWED: Record<Role, Role[]> = {
+  following: ['standing'],
+  standing: ['leading', 'following'],
+  leading: ['enduring', 'following'],
+  enduring: ['leading', 'following'],
+};
+
+export interface ElectionEvents {
+  onElected(token: number): void;
+  onDeposed(): void;
+}
+
+export class Election {
+  role: Role = 'following';
+  token = 0;
+  private lease = 0;
+  private validUntil = -Infinity;
+  private promisedUntil = -Infinity;
+  private stopped = false;
+  private wake: (() => void) | null = null;
+  readonly lifeS: number;
+
+  constructor(
+    private readonly node: string,
+    private readonly incarnation: string,
+    private readonly nodes: number,
+    leaseS: number,
+    private readonly state: StateClient,
+    private readonly follower: Follower,
+    private readonly replica: Replica,
+    private readonly peers: () => PeerNet,
+    private readonly clock: Clock,
+    private readonly log: Log,
+    private readonly events: ElectionEvents,
+  ) {
+    // A third of the workers' lease: the successor has two thirds to reach them all.
+    this.lifeS = leaseS * 0.3;
+  }
+
+  private become(role: Role): void {
+    if (role === this.role) return;
+    if (!ALLOWED[this.role].includes(role)) throw new Error(`${this.role} -> ${role}`);
+    this.log.info({ from: this.role, to: role, token: this.token }, 'role');
+    const led = this.role === 'leading' || this.role === 'enduring';
+    this.role = role;
+    if (role === 'following' && led) {
+      this.validUntil = -Infinity;
+      this.state.setRole('follower');
+      this.events.onDeposed();
+    }
+  }
+
+  /** Whether this node may act for the controllers at this moment. */
+  get entitled(): boolean {
+    return (
+      (this.role === 'leading' || this.role === 'enduring') && this.clock.now() < this.validUntil
+    );
+  }
+
+  /** Entitled, and commits can be expected to go through. */
+  get writing(): boolean {
+    return this.role === 'leading' && this.entitled;
+  }
+
+  nudge(): void {
+    this.wake?.();
+  }
+
+  private pause(s: number): Promise<void> {
+    return new Promise((resolve) => {
+      const t = setTimeout(done, s * 1000);
+      const self = this;
+      function done(): void {
+        clearTimeout(t);
+        if (self.wake === done) self.wake = null;
+        resolve();
+      }
+      this.wake = done;
+    });
+  }
+
+  async run(): Promise<void> {
+    while (!this.stopped) {
+      try {
+        if (this.role === 'following') await this.followStep();
+        else await this.leadStep();
+      } catch (e) {
+        this.log.info({ err: String(e), role: this.role }, 'election step failed');
+        if (this.role === 'standing') this.become('following');
+        await sleep(0.2);
+      }
+    }
+  }
+
+  private async followStep(): Promise<void> {
+    const leader = this.replica.leader;
+    if (!this.follower.ready) {
+      await sleep(0.05);
+      return;
+    }
+    if (this.clock.now() < this.promisedUntil) {
+      await sleep(0.1);
+      return;
+    }
+    // My own former process is dead for certain: nothing to wait for.
+    const mine = leader !== null && leader.node === this.node;
+    if (leader !== null && !mine) {
+      await this.pause(0.5);
+      return;
+    }
+    if (!mine) {
+      // Apart from one another, so that a single node stands as a rule.
+      await sleep(Math.random() * 0.05 * this.lifeS);
+      if (this.replica.leader !== null) return;
+    }
+    this.become('standing');
+    const won = await this.stand(leader?.revision ?? 0);
+    if (!won) {
+      this.become('following');
+      await sleep(0.1 + Math.random() * 0.2);
+    }
+  }
+
+  private async stand(guard: number): Promise<boolean> {
+    const grantSentAt = this.clock.now();
+    const lease = await this.state.grant(this.lifeS, 1);
+    let token = 0;
+    try {
+      const r = await this.state.commit(
+        [{ key: records.LEADER, revision: guard }],
+        [
+          {
+            put: records.LEADER,
+            value: records.encodeLeader({ node: this.node, incarnation: this.incarnation }),
+            lease,
+          },
+        ],
+        1,
+      );
+      if (!r.ok) return false;
+      token = r.revision;
+    } catch (e) {
+      if (e instanceof Refused) return false;
+      // Not answered: read it back.
+      const item = await this.state.get(records.LEADER, 1);
+      if (item === null || records.decodeLeader(item.value).incarnation !== this.incarnation) {
+        return false;
+      }
+      token = item.revision;
+    }
+    this.lease = lease;
+    this.token = token;
+    this.validUntil = this.until(grantSentAt);
+    this.state.setRole('leader');
+    // Everything that former leaders stored must be in the picture before anything is decided.
+    while (this.replica.applied < token) {
+      if (this.clock.now() >= this.validUntil) {
+        this.state.setRole('follower');
+        return false;
+      }
+      if (!(await this.follower.sync())) await sleep(0.05);
+    }
+    this.become('leading');
+    this.events.onElected(token);
+    return true;
+  }
+
+  /** The lease ends a life after its renewal was carried out, which is no earlier than it was sent. */
+  private until(sentAt: number): number {
+    return sentAt + this.lifeS * (1 - 2 * DRIFT) - 0.02;
+  }
+
+  private async leadStep(): Promise<void> {
+    const sentAt = this.clock.now();
+    const left = this.validUntil - sentAt;
+    let refused = false;
+    try {
+      if (await this.state.extend(this.lease, Math.max(0.3, Math.min(1, left / 2)))) {
+        this.validUntil = Math.max(this.validUntil, this.until(sentAt));
+        if (this.role === 'enduring') this.become('leading');
+      } else {
+        this.log.info({ token: this.token }, 'lease has ended');
+        this.become('following');
+        return;
+      }
+    } catch (e) {
+      refused = e instanceof Refused && e.status === 503;
+      this.log.debug({ err: String(e), left }, 'lease not renewed');
+    }
+    const l = this.replica.leader;
+    if (l !== null && l.revision > this.token) {
+      this.become('following');
+      return;
+    }
+    if (refused) await this.endure(sentAt);
+    if (this.clock.now() >= this.validUntil) {
+      this.log.info({ token: this.token }, 'entitlement has run out');
+      this.become('following');
+      return;
+    }
+    await sleep(this.role === 'enduring' || refused ? this.lifeS / 12 : this.lifeS / 5);
+  }
+
+  /**
+   * Refused by the state service: an outage, or this node alone? Only in an outage do leases stand
+   * still. A node that is served says so, and then this one yields when its time is up.
+   */
+  private async endure(askedAt: number): Promise<void> {
+    const forS = this.lifeS / 2;
+    const question = { q: 'refused', token: this.token, forMs: Math.ceil(forS * 1000) } as const;
+    const net = this.peers();
+    const answers = await Promise.all(
+      net.names.map((n) => net.ask(n, question, Math.min(0.8, forS / 2))),
+    );
+    const refused = 1 + answers.filter((a) => a?.refused === true).length;
+    const served = answers.some((a) => a?.refused === false);
+    if (served || refused * 2 <= this.nodes) return;
+    // The promises count from when they were given, which is after the question was sent.
+    this.validUntil = Math.max(this.validUntil, askedAt + forS * (1 - 2 * DRIFT));
+    if (this.role === 'leading') this.become('enduring');
+  }
+
+  /** Asked by another node: looks at the state service now, not at what it said before. */
+  async answerRefused(token: number, forMs: number): Promise<Record<string, unknown>> {
+    const known = this.replica.leader;
+    if (known !== null && known.revision > token) return { refused: false };
+    if (this.role !== 'following') return { refused: false };
+    const promise =
+      this.clock.now() + (Math.min(forMs, this.lifeS * 1000) / 1000) * (1 + 2 * DRIFT);
+    const before = this.promisedUntil;
+    this.promisedUntil = Math.max(before, promise);
+    try {
+      await this.state.get(records.LEADER, 0.5);
+      this.promisedUntil = before;
+      return { refused: false };
+    } catch (e) {
+      if (e instanceof Refused && e.status === 503) return { refused: true };
+      this.promisedUntil = before;
+      return {};
+    }
+  }
+
+  stop(): void {
+    this.stopped = true;
+    this.wake?.();
+  }
+}
--- /dev/null
+++ b/src/config/settings.ts
@@ -0,0 +1,149 @@
+import { readFileSync } from 'node:fs';
+import { parse } from 'smol-toml';
+import * as v from 'valibot';
+
+/** The platform's settings file, checked. Fields that are not listed here are ignored. */
+
+const positive = v.pipe(v.number(), v.finite(), v.gtValue(0));
+const amount = v.pipe(v.number(), v.finite(), v.minValue(0));
+const whole = v.pipe(v.number(), v.integer(), v.minValue(1));
+const address = v.pipe(
+  v.string(),
+  v.regex(/^[^\s:]+:\d{1,5}$/, 'must be HOST:PORT'),
+  v.check((s) => Number(s.slice(s.lastIndexOf(':') + 1)) <= 65535, 'port is over 65535'),
+);
+const name = v.pipe(v.string(), v.minLength(1), v.maxLength(100), v.regex(/^\S+$/, 'has spaces'));
+
+const schema = v.object({
+  host_name: name,
+  domain: name,
+  bind: address,
+  peer_bind: address,
+  seeds: v.optional(v.array(v.object({ host_name: name, domain: name, addr: address })), []),
+  endpoints: v.object({ cloud: address, state: address }),
+  settings: v.object({
+    count: whole,
+    zones: v.pipe(v.array(name), v.minLength(1)),
+    skew_ms: v.optional(amount, 100),
+    teams: v.optional(
+      v.array(
+        v.object({
+          name,
+          cpus: v.optional(amount, 0),
+          cpus_max: v.optional(amount, 0),
+          gpus: v.optional(amount, 0),
+          gpus_max: v.optional(amount, 0),
+        }),
+      ),
+      [],
+    ),
+    objectives: v.optional(
+      v.array(
+        v.object({
+          kind: v.string(),
+          class: v.optional(v.string()),
+          within_s: v.optional(amount),
+          share: v.optional(amount),
+        }),
+      ),
+      [],
+    ),
+    workers: v.object({
+      report_s: positive,
+      lease_s: positive,
+      gang_wait_s: positive,
+      gang_peer_s: positive,
+      cancel_s: positive,
+    }),
+    state: v.object({ rps: positive, write_rps: positive, value_kb: positive, txn_ops: whole }),
+    cloud: v.object({ rps: positive, list_lag_s: amount }),
+    limits: v.object({ cpu_share: positive, mem_mb: positive, sockets: whole }),
+  }),
+});
+
+export type Parsed = v.InferOutput<typeof schema>;
+
+export interface Endpoint {
+  host: string;
+  port: number;
+}
+
+export interface Team {
+  name: string;
+  cores: number;
+  coresMax: number;
+  gpus: number;
+  gpusMax: number;
+}
+
+export interface Settings {
+  node: string;
+  zone: string;
+  bind: Endpoint;
+  peerBind: Endpoint;
+  peers: { node: string; zone: string; addr: Endpoint }[];
+  cloudAddr: Endpoint;
+  stateAddr: Endpoint;
+  nodes: number;
+  zones: string[];
+  teams: Map<string, Team>;
+  objectives: Parsed['settings']['objectives'];
+  workers: Parsed['settings']['workers'];
+  state: Parsed['settings']['state'];
+  cloud: Parsed['settings']['cloud'];
+  limits: Parsed['settings']['limits'];
+}
+
+export class SettingsError extends Error {}
+
+export function endpoint(text: string): Endpoint {
+  const colon = text.lastIndexOf(':');
+  return { host: text.slice(0, colon), port: Number(text.slice(colon + 1)) };
+}
+
+export function parseSettings(text: string): Settings {
+  let raw: unknown;
+  try {
+    raw = parse(text);
+  } catch (e) {
+    throw new SettingsError(`not valid TOML: ${(e as Error).message.split('\n')[0]}`);
+  }
+  const result = v.safeParse(schema, raw);
+  if (!result.success) {
+    const issue = result.issues[0];
+    throw new SettingsError(`${v.getDotPath(issue) ?? 'file'}: ${issue.message}`);
+  }
+  const p = result.output;
+  return {
+    node: p.host_name,
+    zone: p.domain,
+    bind: endpoint(p.bind),
+    peerBind: endpoint(p.peer_bind),
+    peers: p.seeds.map((s) => ({ node: s.host_name, zone: s.domain, addr: endpoint(s.addr) })),
+    cloudAddr: endpoint(p.endpoints.cloud),
+    stateAddr: endpoint(p.endpoints.state),
+    nodes: p.settings.count,
+    zones: p.settings.zones,
+    teams: new Map(
+      p.settings.teams.map((t) => [
+        t.name,
+        { name: t.name, cores: t.cpus, coresMax: t.cpus_max, gpus: t.gpus, gpusMax: t.gpus_max },
+      ]),
+    ),
+    objectives: p.settings.objectives,
+    workers: p.settings.workers,
+    state: p.settings.state,
+    cloud: p.settings.cloud,
+    limits: p.settings.limits,
+  };
+}
+
+export function loadSettings(file: string): Settings {
+  let text: string;
+  try {
+    text = readFileSync(file, 'utf8');
+  } catch (e) {
+    throw new SettingsError(`cannot be read: ${(e as NodeJS.ErrnoException).code ?? String(e)}`);
+  }
+  return parseSettings(text);
+}
--- /dev/null
+++ b/src/http/client.ts
@@ -0,0 +1,171 @@
+import { connect, type Socket } from 'node:net';
+import { HttpParser } from './parser.js';
+import type { Endpoint } from '../config/settings.js';
+
+export interface Response {
+  status: number;
+  body: Buffer;
+}
+
+/** Nothing usable came back. `sent` tells whether the request may have been carried out. */
+export class NoResponse extends Error {
+  constructor(
+    message: string,
+    readonly sent: boolean,
+  ) {
+    super(message);
+  }
+}
+
+interface Job {
+  method: string;
+  path: string;
+  body: string | undefined;
+  deadline: number;
+  resolve: (r: Response) => void;
+  reject: (e: Error) => void;
+  timer: NodeJS.Timeout | undefined;
+}
+
+class Line {
+  private socket: Socket;
+  private parser = new HttpParser('response');
+  private job: Job | null = null;
+  private connected = false;
+  dead = false;
+
+  constructor(private readonly owner: HttpClient) {
+    this.socket = connect({ host: owner.at.host, port: owner.at.port });
+    this.socket.setNoDelay(true);
+    this.socket.on('connect', () => (this.connected = true));
+    this.socket.on('data', (d) => this.onData(d));
+    this.socket.on('end', () => this.onEnd());
+    this.socket.on('error', (e) => this.fail(e.message));
+    this.socket.on('close', () => this.fail('connection closed'));
+  }
+
+  start(job: Job): void {
+    this.job = job;
+    const wait = Math.max(1, job.deadline - performance.now());
+    job.timer = setTimeout(() => this.fail('no response in time'), wait);
+    const body = job.body ?? '';
+    let head = `${job.method} ${job.path} HTTP/1.1\r\nHost: ${this.owner.at.host}\r\n`;
+    if (job.body !== undefined) {
+      head += `Content-Type: application/json\r\nContent-Length: ${Buffer.byteLength(body)}\r\n`;
+    }
+    this.socket.write(`${head}\r\n${body}`);
+  }
+
+  private onData(data: Buffer): void {
+    this.parser.push(data);
+    this.read(false);
+  }
+
+  private onEnd(): void {
+    this.read(true);
+    this.fail('connection ended');
+  }
+
+  private read(ended: boolean): void {
+    if (this.dead) return;
+    let message;
+    try {
+      message = this.parser.next(ended);
+    } catch {
+      this.fail('bad response');
+      return;
+    }
+    if (message === null) return;
+    const job = this.job;
+    if (job === null) {
+      this.fail('unexpected response');
+      return;
+    }
+    this.job = null;
+    clearTimeout(job.timer);
+    if (!message.keepAlive || this.parser.pending > 0) this.destroy();
+    job.resolve({ status: message.status, body: message.body });
+    this.owner.free(this);
+  }
+
+  private fail(why: string): void {
+    const job = this.job;
+    const sent = this.connected;
+    this.job = null;
+    const first = !this.dead;
+    this.destroy();
+    if (job !== null) {
+      clearTimeout(job.timer);
+      job.reject(new NoResponse(why, sent));
+    }
+    if (first) this.owner.free(this);
+  }
+
+  destroy(): void {
+    this.dead = true;
+    this.socket.destroy();
+  }
+}
+
+/** A pool of connections to one address. One request at a time on each. */
+export class HttpClient {
+  private readonly idle: Line[] = [];
+  private readonly lines = new Set<Line>();
+  private readonly queue: Job[] = [];
+
+  constructor(
+    readonly at: Endpoint,
+    private readonly maxLines: number,
+    private readonly maxQueue = 200,
+  ) {}
+
+  request(
+    method: string,
+    path: string,
+    body: string | undefined,
+    timeoutS: number,
+  ): Promise<Response> {
+    return new Promise((resolve, reject) => {
+      if (this.queue.length >= this.maxQueue) {
+        reject(new NoResponse('too many requests wait', false));
+        return;
+      }
+      const deadline = performance.now() + timeoutS * 1000;
+      this.queue.push({ method, path, body, deadline, resolve, reject, timer: undefined });
+      this.pump();
+    });
+  }
+
+  free(line: Line): void {
+    if (line.dead) {
+      this.lines.delete(line);
+      const at = this.idle.indexOf(line);
+      if (at >= 0) this.idle.splice(at, 1);
+    } else this.idle.push(line);
+    this.pump();
+  }
+
+  private pump(): void {
+    while (this.queue.length > 0) {
+      let line = this.idle.pop();
+      if (line === undefined) {
+        if (this.lines.size >= this.maxLines) return;
+        line = new Line(this);
+        this.lines.add(line);
+      }
+      const job = this.queue.shift()!;
+      if (job.deadline <= performance.now()) {
+        job.reject(new NoResponse('waited too long for a connection', false));
+        this.idle.push(line);
+        continue;
+      }
+      line.start(job);
+    }
+  }
+
+  close(): void {
+    for (const l of this.lines) l.destroy();
+    this.lines.clear();
+    this.idle.length = 0;
+  }
+}
--- /dev/null
+++ b/src/http/server.ts
@@ -0,0 +1,197 @@
+import { createServer, type Server, type Socket } from 'node:net';
+import { HttpError, HttpParser, type Message } from './parser.js';
+import type { Endpoint } from '../config/settings.js';
+
+export interface Reply {
+  status: number;
+  /** Already encoded JSON, or an empty string. */
+  body?: string;
+  retryAfter?: number;
+  close?: boolean;
+}
+
+export type Handler = (request: Message) => Reply | Promise<Reply>;
+
+const REASONS: Record<number, string> = {
+  200: 'OK',
+  201: 'Created',
+  400: 'Bad Request',
+  404: 'Not Found',
+  405: 'Method Not Allowed',
+  408: 'Request Timeout',
+  413: 'Payload Too Large',
+  421: 'Misdirected Request',
+  422: 'Unprocessable Content',
+  429: 'Too Many Requests',
+  500: 'Internal Server Error',
+  503: 'Service Unavailable',
+};
+
+export function encodeReply(reply: Reply): string {
+  const body = reply.body ?? '';
+  let head =
+    `HTTP/1.1 ${reply.status} ${REASONS[reply.status] ?? 'Status'}\r\n` +
+    `Content-Length: ${Buffer.byteLength(body)}\r\n`;
+  if (body !== '') head += 'Content-Type: application/json\r\n';
+  if (reply.retryAfter !== undefined) head += `Retry-After: ${reply.retryAfter}\r\n`;
+  if (reply.close === true) head += 'Connection: close\r\n';
+  return `${head}\r\n${body}`;
+}
+
+type ConnState = 'idle' | 'reading' | 'handling' | 'closing';
+
+class Connection {
+  state: ConnState = 'idle';
+  since: number;
+  private readonly parser = new HttpParser('request');
+
+  constructor(
+    readonly socket: Socket,
+    private readonly server: HttpServer,
+  ) {
+    this.since = server.now();
+    socket.setNoDelay(true);
+    socket.on('data', (data) => this.onData(data));
+    socket.on('error', () => socket.destroy());
+    socket.on('close', () => server.gone(this));
+  }
+
+  /** The one place where a connection changes its state. */
+  private become(state: ConnState): void {
+    if (this.state === 'closing') return;
+    this.state = state;
+    this.since = this.server.now();
+  }
+
+  private onData(data: Buffer): void {
+    if (this.state === 'closing') return;
+    this.parser.push(data);
+    if (this.state === 'handling') {
+      // The protocol knows no pipelining: whoever sends ahead is broken.
+      this.fail(400);
+      return;
+    }
+    if (this.state === 'idle') this.become('reading');
+    let message: Message | null;
+    try {
+      message = this.parser.next();
+    } catch (e) {
+      this.fail(e instanceof HttpError ? e.status : 400);
+      return;
+    }
+    if (message === null) return;
+    if (this.parser.pending > 0) {
+      this.fail(400);
+      return;
+    }
+    this.become('handling');
+    void this.handle(message);
+  }
+
+  private async handle(message: Message): Promise<void> {
+    let reply: Reply;
+    try {
+      const r = this.server.handler(message);
+      reply = r instanceof Promise ? await r : r;
+    } catch (e) {
+      this.server.onError(e);
+      reply = { status: 503, retryAfter: 1 };
+    }
+    // Broken in the meantime, or already answered with 400.
+    if (this.state !== 'handling') return;
+    if (!message.keepAlive) reply = { ...reply, close: true };
+    this.socket.write(encodeReply(reply));
+    if (reply.close === true) {
+      this.become('closing');
+      this.socket.end();
+    } else {
+      this.become('idle');
+    }
+  }
+
+  fail(status: number): void {
+    if (this.state === 'closing') return;
+    this.socket.write(encodeReply({ status, close: true }));
+    this.become('closing');
+    this.socket.end();
+  }
+}
+
+export interface ServerBounds {
+  sockets: number;
+  readS: number;
+  idleS: number;
+}
+
+/** A bounded HTTP server on node:net. */
+export class HttpServer {
+  private readonly server: Server;
+  private readonly open = new Set<Connection>();
+  private sweep: NodeJS.Timeout | undefined;
+
+  constructor(
+    readonly handler: Handler,
+    private readonly bounds: ServerBounds,
+    readonly now: () => number,
+    readonly onError: (e: unknown) => void,
+  ) {
+    this.server = createServer((socket) => this.accept(socket));
+    this.server.on('error', (e) => onError(e));
+  }
+
+  private accept(socket: Socket): void {
+    if (this.open.size >= this.bounds.sockets) {
+      // Make room by dropping the connection that has been idle longest, else refuse.
+      let oldest: Connection | undefined;
+      for (const c of this.open) {
+        if (c.state === 'idle' && (oldest === undefined || c.since < oldest.since)) oldest = c;
+      }
+      if (oldest === undefined || this.now() - oldest.since < this.bounds.readS) {
+        socket.destroy();
+        return;
+      }
+      oldest.socket.destroy();
+      this.open.delete(oldest);
+    }
+    this.open.add(new Connection(socket, this));
+  }
+
+  gone(c: Connection): void {
+    this.open.delete(c);
+  }
+
+  get connections(): number {
+    return this.open.size;
+  }
+
+  listen(at: Endpoint): Promise<void> {
+    this.sweep = setInterval(() => {
+      const now = this.now();
+      for (const c of this.open) {
+        const age = now - c.since;
+        if (c.state === 'reading' && age > this.bounds.readS) c.fail(408);
+        else if (c.state === 'idle' && age > this.bounds.idleS) c.socket.destroy();
+        else if (c.state === 'closing' && age > this.bounds.readS) c.socket.destroy();
+      }
+    }, 1000);
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(at.port, at.host, 512, () => {
+        this.server.off('error', reject);
+        resolve();
+      });
+    });
+  }
+
+  get port(): number {
+    const a = this.server.address();
+    return a !== null && typeof a === 'object' ? a.port : 0;
+  }
+
+  close(): void {
+    clearInterval(this.sweep);
+    this.server.close();
+    for (const c of this.open) c.socket.destroy();
+    this.open.clear();
+  }
+}
--- /dev/null
+++ b/src/jobs/live.ts
@@ -0,0 +1,219 @@
+import type { Attempt } from '../workers/attempt.js';
+import { holds } from '../workers/attempt.js';
+import type { JobFacts } from '../state/replica.js';
+import { Bits, chunkCount, chunkSize } from './bits.js';
+import type { JobSpec } from './types.js';
+
+/**
+ * A leader's running picture of one accepted job. Its phases:
+ *
+ *   open     has tasks that are not done
+ *   closing  cancelled, or all done: nothing starts any more, what is left goes away
+ *   closed   nothing of it can be on any machine
+ */
+export type Phase = 'open' | 'closing' | 'closed';
+
+interface Retry {
+  fails: number;
+  notBefore: number;
+}
+
+export class LiveJob {
+  readonly spec: JobSpec;
+  phase: Phase = 'open';
+  cancelled = false;
+  readonly done: Bits;
+  readonly storedDone: Bits;
+  /** Attempts of each task that hold room somewhere, or that may. */
+  readonly live = new Map<number, Attempt[]>();
+  /** Done tasks whose end is not stored yet. */
+  awaiting: Attempt[] = [];
+  readonly dirtyChunks = new Set<number>();
+  dirtySince: number | null = null;
+  attainedS: number;
+  /** Machines on which its tasks failed. */
+  readonly failedOn = new Set<string>();
+  succeeded = false;
+  long = false;
+  score = 0;
+  guaranteed = false;
+  readonly chunkRevisions = new Map<number, number>();
+  private cursor = 0;
+  private readonly requeued = new Set<number>();
+  private readonly retries = new Map<number, Retry>();
+  private readonly numbers = new Map<number, number>();
+  readonly acceptedAt: number;
+  /** Steady time of the submission as well as this node can tell. */
+  readonly submittedAt: number;
+  firstWantedAt: number;
+
+  constructor(
+    readonly facts: JobFacts,
+    private readonly perChunk: number,
+    now: number,
+    wallMs: number,
+  ) {
+    this.spec = facts.spec;
+    this.acceptedAt = facts.acceptedAt;
+    this.submittedAt = now - Math.max(0, wallMs - facts.atMs) / 1000;
+    this.firstWantedAt = now;
+    this.attainedS = facts.attainedS;
+    this.done = new Bits(this.spec.tasks);
+    this.storedDone = new Bits(this.spec.tasks);
+    for (const [chunk, c] of facts.chunks ?? []) {
+      this.chunkRevisions.set(chunk, c.revision);
+      for (let i = 0; i < c.bits.size; i++) {
+        if (!c.bits.has(i)) continue;
+        this.done.add(chunk * perChunk + i);
+        this.storedDone.add(chunk * perChunk + i);
+      }
+    }
+    if (this.done.count > 0) this.succeeded = true;
+  }
+
+  get gang(): boolean {
+    return this.spec.kind === 'gang';
+  }
+
+  become(phase: Phase): void {
+    const ok =
+      (this.phase === 'open' && phase === 'closing') ||
+      (this.phase === 'closing' && phase === 'closed');
+    if (!ok) throw new Error(`job: ${this.phase} -> ${phase}`);
+    this.phase = phase;
+  }
+
+  adopt(a: Attempt): void {
+    const list = this.live.get(a.index);
+    if (list === undefined) this.live.set(a.index, [a]);
+    else list.push(a);
+    this.numbers.set(a.index, Math.max(this.numbers.get(a.index) ?? 0, a.number));
+  }
+
+  /** A new attempt's number: above all earlier ones of the task, of every leader before. */
+  nextNumber(index: number, token: number): number {
+    return Math.max(token, (this.numbers.get(index) ?? 0) + 1);
+  }
+
+  nextGangNumber(token: number): number {
+    let n = token;
+    for (const last of this.numbers.values()) n = Math.max(n, last + 1);
+    return n;
+  }
+
+  /** An attempt is over. The task is wanted again unless it is done or on some other machine. */
+  release(a: Attempt): void {
+    const list = this.live.get(a.index);
+    if (list !== undefined) {
+      const rest = list.filter((x) => x !== a);
+      if (rest.length > 0) this.live.set(a.index, rest);
+      else this.live.delete(a.index);
+    }
+    if (!this.done.has(a.index) && !this.live.has(a.index)) this.requeued.add(a.index);
+  }
+
+  /** After a failure: not at once again, and later each time. */
+  postpone(index: number, now: number, firstS: number, mostS: number): void {
+    const r = this.retries.get(index) ?? { fails: 0, notBefore: 0 };
+    r.notBefore = now + Math.min(mostS, firstS * 2 ** r.fails);
+    r.fails++;
+    this.retries.set(index, r);
+  }
+
+  markDone(index: number, now: number): boolean {
+    this.succeeded = true;
+    if (!this.done.add(index)) return false;
+    this.requeued.delete(index);
+    this.retries.delete(index);
+    this.dirtyChunks.add(Math.floor(index / this.perChunk));
+    this.dirtySince ??= now;
+    return true;
+  }
+
+  /** Done tasks of a chunk that no stored record names yet. */
+  unstored(chunk: number): number[] {
+    const out: number[] = [];
+    const end = Math.min(this.spec.tasks, (chunk + 1) * this.perChunk);
+    for (let i = chunk * this.perChunk; i < end; i++) {
+      if (this.done.has(i) && !this.storedDone.has(i)) out.push(i);
+    }
+    return out;
+  }
+
+  /** These are stored now. Returns the ended attempts that have been dealt with by this. */
+  storedTasks(chunk: number, indexes: number[], now: number): Attempt[] {
+    for (const i of indexes) this.storedDone.add(i);
+    if (this.unstored(chunk).length === 0) this.dirtyChunks.delete(chunk);
+    this.dirtySince = this.dirtyChunks.size === 0 ? null : now;
+    const over = this.awaiting.filter((a) => this.storedDone.has(a.index));
+    this.awaiting = this.awaiting.filter((a) => !this.storedDone.has(a.index));
+    return over;
+  }
+
+  chunkRecord(chunk: number): { bits: string | null; attainedS: number } {
+    const size = chunkSize(this.spec.tasks, this.perChunk, chunk);
+    const bits = new Bits(size);
+    for (let i = 0; i < size; i++) if (this.done.has(chunk * this.perChunk + i)) bits.add(i);
+    const chunks = chunkCount(this.spec.tasks, this.perChunk);
+    return { bits: bits.full ? null : bits.encode(), attainedS: this.attainedS / chunks };
+  }
+
+  /** Attempts that hold room. */
+  *holding(): IterableIterator<Attempt> {
+    for (const list of this.live.values()) for (const a of list) if (holds(a)) yield a;
+  }
+
+  get holdingCount(): number {
+    let n = 0;
+    for (const _ of this.holding()) n++;
+    return n;
+  }
+
+  get pendingCount(): number {
+    let busy = 0;
+    for (const i of this.live.keys()) if (!this.done.has(i)) busy++;
+    return this.spec.tasks - this.done.count - busy;
+  }
+
+  /** Tasks that may start now, at most `most`. */
+  pending(now: number, most: number): number[] {
+    const out: number[] = [];
+    for (const i of this.requeued) {
+      if (out.length >= most) return out;
+      if (this.live.has(i) || this.done.has(i)) continue;
+      if ((this.retries.get(i)?.notBefore ?? 0) > now) continue;
+      out.push(i);
+    }
+    while (
+      this.cursor < this.spec.tasks &&
+      (this.live.has(this.cursor) || this.done.has(this.cursor))
+    ) {
+      this.cursor++;
+    }
+    for (let i = this.cursor; i < this.spec.tasks && out.length < most; i++) {
+      if (this.live.has(i) || this.done.has(i) || this.requeued.has(i)) continue;
+      out.push(i);
+    }
+    return out;
+  }
+
+  claimed(a: Attempt): void {
+    this.requeued.delete(a.index);
+    this.adopt(a);
+  }
+
+  get finished(): boolean {
+    return this.done.full;
+  }
+
+  /** Predicted time of what is done and of what is not, for the ranking. */
+  get finishedPredictedS(): number {
+    return this.gang ? 0 : this.done.count * this.spec.estimateS;
+  }
+
+  get unfinishedPredictedS(): number {
+    return this.gang
+      ? this.spec.estimateS
+      : (this.spec.tasks - this.done.count) * this.spec.estimateS;
+  }
+}
--- /dev/null
+++ b/src/jobs/types.ts
@@ -0,0 +1,65 @@
+export type JobKind = 'array' | 'gang' | 'service';
+
+/** 0 is the most important. */
+export type Priority = 0 | 1 | 2 | 3;
+
+/** What the user asked for. It never changes once the job is accepted. */
+export interface JobSpec {
+  id: string;
+  class: string;
+  team: string;
+  kind: JobKind;
+  priority: Priority;
+  tasks: number;
+  cores: number;
+  gpus: number;
+  memGb: number;
+  image: string;
+  imageGb: number;
+  /** Allowed machine types; null: any. */
+  types: string[] | null;
+  /** The only allowed zone; null: any. */
+  zone: string | null;
+  oneZone: boolean;
+  scatter: boolean;
+  spot: boolean;
+  estimateS: number;
+  checkpointS: number;
+  saveS: number;
+  deadlineS: number | null;
+}
+
+export interface MachineType {
+  name: string;
+  cores: number;
+  gpus: number;
+  memGb: number;
+  cacheGb: number;
+  fetchGbPerS: number;
+  price: number;
+  spotPrice: number;
+  bootS: number;
+  zones: string[];
+}
+
+export interface Size {
+  cores: number;
+  gpus: number;
+  memGb: number;
+}
+
+/** Amounts are decimal: sums of them carry rounding errors, which must not decide. */
+const SLACK = 1e-6;
+
+export function fits(task: Size, room: Size): boolean {
+  return (
+    task.cores <= room.cores + SLACK &&
+    task.gpus <= room.gpus + SLACK &&
+    task.memGb <= room.memGb + SLACK
+  );
+}
+
+export const within = (used: number, limit: number): boolean => limit <= 0 || used <= limit + SLACK;
+
+/** At most half of a scattered job's tasks, rounded up, may be in one zone. */
+export const scatterCap = (tasks: number): number => Math.ceil(tasks / 2);
--- /dev/null
+++ b/src/log.ts
@@ -0,0 +1,14 @@
+import { destination, pino, type Logger } from 'pino';
+
+export type Log = Logger;
+
+/** Structured lines on standard error, written at once so that none is lost when the process ends. */
+export function makeLog(node: string, level = process.env.LOG_LEVEL ?? 'info'): Log {
+  const known = ['error', 'info', 'debug', 'silent'];
+  return pino(
+    { level: known.includes(level) ? level : 'info', base: { node } },
+    destination({ dest: 2, sync: true }),
+  );
+}
+
+export const silentLog = (): Log => pino({ level: 'silent' });
--- /dev/null
+++ b/src/main.ts
@@ -0,0 +1,72 @@
+#!/usr/bin/env node
+import { loadSettings, SettingsError } from './config/settings.js';
+import { makeLog } from './log.js';
+import { DEFAULT_POLICY, type Policy } from './operator/policy.js';
+import { Node } from './service/node.js';
+
+export const VERSION = '0.1.0';
+
+interface Args {
+  config?: string;
+  operatorScript?: string;
+  check?: boolean;
+}
+
+/** The usual call is understood without loading the library for the others. */
+async function readArgs(argv: string[]): Promise<Args> {
+  if (argv.length === 2 && argv[0] === '--config' && !argv[1]!.startsWith('-')) {
+    return { config: argv[1] };
+  }
+  const { Command } = await import('commander');
+  const program = new Command('pewtershelf')
+    .description('A scheduler for fleets that serve language models')
+    .version(VERSION)
+    .requiredOption('--config <file>', "the platform's settings (TOML)")
+    .option('--operator-script <file>', "operators' own settings (Lua)")
+    .option('--check', 'check the settings and exit')
+    .allowExcessArguments(false);
+  program.parse(argv, { from: 'user' });
+  return program.opts<Args>();
+}
+
+function give(message: string): never {
+  process.stderr.write(`pewtershelf: ${message}\n`);
+  process.exit(2);
+}
+
+async function main(): Promise<void> {
+  const args = await readArgs(process.argv.slice(2));
+  let settings;
+  try {
+    settings = loadSettings(args.config!);
+  } catch (e) {
+    if (e instanceof SettingsError) give(`settings ${args.config}: ${e.message}`);
+    throw e;
+  }
+  let policy: Policy = DEFAULT_POLICY;
+  if (args.operatorScript !== undefined) {
+    const { loadScript, ScriptError } = await import('./operator/script.js');
+    try {
+      policy = loadScript(args.operatorScript);
+    } catch (e) {
+      if (e instanceof ScriptError) give(`operator script ${args.operatorScript}: ${e.message}`);
+      throw e;
+    }
+  }
+  if (args.check === true) {
+    process.stdout.write('settings are valid\n');
+    return;
+  }
+  const log = makeLog(settings.node);
+  // Whatever goes wrong in one request or one round must not end the controller.
+  process.on('uncaughtException', (e) => log.error({ err: String(e), stack: e.stack }, 'uncaught'));
+  process.on('unhandledRejection', (e) => log.error({ err: String(e) }, 'unhandled rejection'));
+  const node = new Node(settings, policy, log);
+  try {
+    await node.start();
+  } catch (e) {
+    give(`cannot listen: ${(e as Error).message}`);
+  }
+}
+
+await main();
--- /dev/null
+++ b/src/operator/script.ts
@@ -0,0 +1,143 @@
+import { readFileSync } from 'node:fs';
+import fengari from 'fengari';
+import { DEFAULT_POLICY, type Policy } from './policy.js';
+
+/**
+ * Operators' own settings: a Lua script that sets global names. It runs once at start, without
+ * libraries for files, processes or loading code, and within a bound on its steps.
+ *
+ *   omega = {1, 1, 1}   eta = 1   rho = 0.2   epsilon = 1   scaling = 0.001   heavy = 1
+ */
+export class ScriptError extends Error {}
+
+const { lua, lauxlib, lualib, to_luastring, to_jsstring } = fengari;
+
+const STEPS = 1_000_000;
+const MAX_BYTES = 64 * 1024;
+
+const RANGES: Record<string, [number, number]> = {
+  eta: [0, 10],
+  rho: [0, 1],
+  epsilon: [1e-6, 3600],
+  scaling: [1e-9, 1000],
+  heavy: [0, 100],
+};
+const FIELDS: Record<string, 'eta' | 'rho' | 'epsilonS' | 'scaling' | 'heavy'> = {
+  eta: 'eta',
+  rho: 'rho',
+  epsilon: 'epsilonS',
+  scaling: 'scaling',
+  heavy: 'heavy',
+};
+
+export function loadScript(file: string): Policy {
+  let text: string;
+  try {
+    text = readFileSync(file, 'utf8');
+  } catch (e) {
+    throw new ScriptError(`cannot be read: ${(e as NodeJS.ErrnoException).code ?? String(e)}`);
+  }
+  return runScript(text);
+}
+
+export function runScript(text: string): Policy {
+  if (text.length > MAX_BYTES) throw new ScriptError('is over 64 KiB');
+  const L = lauxlib.luaL_newstate();
+  const open: [string, unknown][] = [
+    ['_G', lualib.luaopen_base],
+    ['math', lualib.luaopen_math],
+    ['string', lualib.luaopen_string],
+    ['table', lualib.luaopen_table],
+  ];
+  for (const [name, fn] of open) {
+    lauxlib.luaL_requiref(L, to_luastring(name), fn, 1);
+    lua.lua_pop(L, 1);
+  }
+  const banned = ['dofile', 'loadfile', 'load', 'require', 'print', 'collectgarbage'];
+  // A pattern match or a repeated string can take long within a single step.
+  const bannedString = ['rep', 'find', 'match', 'gmatch', 'gsub', 'dump', 'format'];
+  for (const name of banned) {
+    lua.lua_pushnil(L);
+    lua.lua_setglobal(L, to_luastring(name));
+  }
+  lua.lua_getglobal(L, to_luastring('string'));
+  for (const name of bannedString) {
+    lua.lua_pushnil(L);
+    lua.lua_setfield(L, -2, to_luastring(name));
+  }
+  lua.lua_pop(L, 1);
+  const before = new Set(globals(L).keys());
+  lua.lua_sethook(
+    L,
+    () => lauxlib.luaL_error(L, to_luastring('takes too many steps')),
+    lua.LUA_MASKCOUNT,
+    STEPS,
+  );
+  const status =
+    lauxlib.luaL_loadbuffer(L, to_luastring(text), null, to_luastring('=script')) ||
+    lua.lua_pcall(L, 0, 0, 0);
+  if (status !== lua.LUA_OK) throw new ScriptError(to_jsstring(lauxlib.luaL_tolstring(L, -1)));
+  lua.lua_sethook(L, null, 0, 0);
+  const policy: Policy = { ...DEFAULT_POLICY };
+  for (const [name, value] of globals(L)) {
+    if (before.has(name)) continue;
+    const where = lineOf(text, name);
+    if (name === 'omega') {
+      if (!Array.isArray(value) || value.length !== 3 || !value.every((x) => inRange(x, 0, 1000))) {
+        throw new ScriptError(`${where}omega: must be three numbers from 0 to 1000`);
+      }
+      policy.omega = value as [number, number, number];
+      continue;
+    }
+    const range = RANGES[name];
+    if (range === undefined) throw new ScriptError(`${where}${name}: unknown name`);
+    if (!inRange(value, range[0], range[1])) {
+      throw new ScriptError(`${where}${name}: must be a number from ${range[0]} to ${range[1]}`);
+    }
+    policy[FIELDS[name]!] = value as number;
+  }
+  return policy;
+}
+
+const inRange = (x: unknown, low: number, high: number): boolean =>
+  typeof x === 'number' && x >= low && x <= high;
+
+/** The line on which a global is set, for messages. */
+function lineOf(text: string, name: string): string {
+  const at = text.split('\n').findIndex((l) => new RegExp(`^\\s*${name}\\s*=`).test(l));
+  return at < 0 ? '' : `script:${at + 1}: `;
+}
+
+/** Names and values of the global table; tables as arrays of their values. */
+function globals(L: unknown): Map<string, unknown> {
+  const out = new Map<string, unknown>();
+  lua.lua_pushglobaltable(L);
+  lua.lua_pushnil(L);
+  while (lua.lua_next(L, -2) !== 0) {
+    if (lua.lua_type(L, -2) === lua.LUA_TSTRING) {
+      out.set(to_jsstring(lua.lua_tostring(L, -2)), valueAt(L, -1));
+    }
+    lua.lua_pop(L, 1);
+  }
+  lua.lua_pop(L, 1);
+  return out;
+}
+
+function valueAt(L: unknown, index: number): unknown {
+  switch (lua.lua_type(L, index)) {
+    case lua.LUA_TNUMBER:
+      return lua.lua_tonumber(L, index);
+    case lua.LUA_TTABLE: {
+      const n = Number(lua.lua_rawlen(L, index));
+      const list: unknown[] = [];
+      for (let i = 1; i <= Math.min(n, 4); i++) {
+        lua.lua_rawgeti(L, index < 0 ? index : index, i);
+        list.push(lua.lua_type(L, -1) === lua.LUA_TNUMBER ? lua.lua_tonumber(L, -1) : null);
+        lua.lua_pop(L, 1);
+      }
+      return list;
+    }
+    default:
+      return null;
+  }
+}
--- /dev/null
+++ b/src/sched/place.ts
@@ -0,0 +1,132 @@
+import { fits, scatterCap, type JobSpec, type Size } from '../jobs/types.js';
+
+/** A machine as placing sees it: what is free on it and what a start there would wait for. */
+export interface Room extends Size {
+  id: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+  /** Seconds until the image would be there: 0 when it is cached. */
+  imageWaitS(image: string, gb: number): number;
+  /** Added to the cost, for machines that have proved slow or doubtful. */
+  penaltyS: number;
+  /** GPUs or, without any, cores of the whole machine. */
+  whole: Size;
+}
+
+export interface Where {
+  /** Tasks of the job in each zone at this moment. */
+  zones: Map<string, number>;
+  /** Machines on which the job's tasks must not be placed. */
+  avoid?: Set<string>;
+}
+
+export function allowed(
+  spec: JobSpec,
+  room: { type: string; zone: string; spot: boolean },
+): boolean {
+  if (spec.types !== null && !spec.types.includes(room.type)) return false;
+  if (spec.zone !== null && spec.zone !== room.zone) return false;
+  return spec.spot || !room.spot;
+}
+
+export function zoneAllowed(spec: JobSpec, zone: string, zones: Map<string, number>): boolean {
+  if (spec.oneZone) {
+    for (const [z, n] of zones) if (n > 0 && z !== zone) return false;
+  }
+  if (spec.scatter && (zones.get(zone) ?? 0) >= scatterCap(spec.tasks)) return false;
+  return true;
+}
+
+/** Share of the machine that stays free, by its scarcer resource. */
+function leftover(spec: Size, room: Room): number {
+  const parts: number[] = [];
+  if (room.whole.gpus > 0) parts.push((room.gpus - spec.gpus) / room.whole.gpus);
+  if (room.whole.cores > 0) parts.push((room.cores - spec.cores) / room.whole.cores);
+  return parts.length === 0 ? 0 : Math.min(...parts);
+}
+
+export interface Weights {
+  /** Seconds that work which may run on spot machines rather waits than to take an ordinary one. */
+  ordinaryS: number;
+  /** Seconds that a wholly empty machine costs against a full one. */
+  spreadS: number;
+}
+
+export function cost(spec: JobSpec, room: Room, w: Weights): number {
+  return (
+    room.imageWaitS(spec.image, spec.imageGb) +
+    (spec.spot && !room.spot ? w.ordinaryS : 0) +
+    leftover(spec, room) * w.spreadS +
+    room.penaltyS
+  );
+}
+
+export function bestRoom(
+  spec: JobSpec,
+  rooms: Iterable<Room>,
+  where: Where,
+  w: Weights,
+): Room | null {
+  let best: Room | null = null;
+  let bestCost = Infinity;
+  for (const room of rooms) {
+    if (!fits(spec, room) || !allowed(spec, room)) continue;
+    if (where.avoid?.has(room.id) === true) continue;
+    if (!zoneAllowed(spec, room.zone, where.zones)) continue;
+    const c = cost(spec, room, w);
+    if (c < bestCost) {
+      best = room;
+      bestCost = c;
+    }
+  }
+  return best;
+}
+
+export function take(spec: Size, room: Room): void {
+  room.cores -= spec.cores;
+  room.gpus -= spec.gpus;
+  room.memGb -= spec.memGb;
+}
+
+export function putBack(spec: Size, room: Room): void {
+  room.cores += spec.cores;
+  room.gpus += spec.gpus;
+  room.memGb += spec.memGb;
+}
+
+/** All tasks of a gang or none: the rooms in the order of the tasks. Rooms are taken when it fits. */
+export function placeGang(spec: JobSpec, rooms: Room[], where: Where, w: Weights): Room[] | null {
+  const zones = spec.oneZone ? [...new Set(rooms.map((r) => r.zone))] : [null];
+  let best: Room[] | null = null;
+  let bestCost = Infinity;
+  for (const zone of zones) {
+    const inZone = zone === null ? rooms : rooms.filter((r) => r.zone === zone);
+    const counts = new Map(where.zones);
+    const got: Room[] = [];
+    let total = 0;
+    for (let i = 0; i < spec.tasks; i++) {
+      const room = bestRoom(spec, inZone, { ...where, zones: counts }, w);
+      if (room === null) break;
+      total = Math.max(total, cost(spec, room, w));
+      take(spec, room);
+      counts.set(room.zone, (counts.get(room.zone) ?? 0) + 1);
+      got.push(room);
+    }
+    for (const room of got) putBack(spec, room);
+    if (got.length === spec.tasks && total < bestCost) {
+      best = got;
+      bestCost = total;
+    }
+  }
+  for (const room of best ?? []) take(spec, room);
+  return best;
+}
+
+/**
+ * The share of a machine type that is held for long work while it waits, capped at what that work
+ * can use now; lent to everybody when none waits.
+ */
+export function reserved(capacity: number, rho: number, longWanted: number): number {
+  return Math.min(capacity * rho, longWanted);
+}
--- /dev/null
+++ b/src/sched/rank.ts
@@ -0,0 +1,102 @@
+import type { Policy } from '../operator/policy.js';
+
+/**
+ * The HeraSys ranking: each ready job gets the sum of three terms, the inverse of its pipeline's
+ * remaining time, its contribution φ to what comes after it, and a boost for heavy jobs of long
+ * pipelines. Each term is divided by its mean over the ready jobs plus a small constant.
+ */
+export interface Successor {
+  workS: number;
+  depth: number;
+}
+
+export interface Ready {
+  /** Predicted time of the pipeline's unfinished and finished jobs. */
+  unfinishedS: number;
+  finishedS: number;
+  /** Run time attained so far, failed runs included. */
+  attainedS: number;
+  /** Predicted time of this job and the mean over its pipeline's jobs. */
+  predictedS: number;
+  pipelineMeanS: number;
+  /** Jobs that wait for this one. The protocol's pipelines have a single job, hence none. */
+  successors: Successor[];
+}
+
+export function remaining(r: Ready, p: Policy): number {
+  return (r.unfinishedS * (r.attainedS + p.epsilonS)) / (r.finishedS + p.epsilonS);
+}
+
+export function contribution(r: Ready, p: Policy): number {
+  const [work, depth, each] = p.omega;
+  let phi = each * r.successors.length;
+  for (const s of r.successors) phi += work * s.workS + depth * s.depth;
+  return phi;
+}
+
+const mean = (xs: number[]): number =>
+  xs.length === 0 ? 0 : xs.reduce((a, b) => a + b, 0) / xs.length;
+
+/** Remaining time from which a pipeline is long. */
+export function longThreshold(remainings: number[], eta: number): number {
+  const m = mean(remainings);
+  const variance = mean(remainings.map((x) => (x - m) ** 2));
+  return m + eta * Math.sqrt(variance);
+}
+
+/**
+ * Which pipelines are long. A burst of alike pipelines narrows the spread and would make the
+ * threshold swing: it follows slowly, and what is long stays so until well below.
+ */
+export class LongMarks {
+  private threshold: number | null = null;
+  private at = 0;
+
+  update(remainings: number[], p: Policy, now: number): void {
+    if (remainings.length === 0) return;
+    const raw = longThreshold(remainings, p.eta);
+    if (this.threshold === null) this.threshold = raw;
+    else {
+      const settle = Math.max(1, mean(remainings));
+      this.threshold += (raw - this.threshold) * Math.min(1, Math.max(0, now - this.at) / settle);
+    }
+    this.at = now;
+  }
+
+  isLong(remainingS: number, was: boolean): boolean {
+    if (this.threshold === null) return false;
+    return remainingS > this.threshold * (was ? 0.8 : 1);
+  }
+}
+
+/** Scores of all ready jobs; `long` says which belong to long pipelines. */
+export function scores(ready: Ready[], long: boolean[], p: Policy): number[] {
+  const inverse = ready.map((r) => 1 / (remaining(r, p) + p.epsilonS));
+  const phi = ready.map((r) => contribution(r, p));
+  const heavy = ready.map((r, i) =>
+    long[i] === true && r.predictedS >= p.heavy * r.pipelineMeanS ? 1 : 0,
+  );
+  const scaled = (xs: number[]): number[] => {
+    const by = mean(xs) + p.scaling;
+    return xs.map((x) => x / by);
+  };
+  const a = scaled(inverse);
+  const b = scaled(phi);
+  const c = scaled(heavy);
+  return ready.map((_, i) => a[i]! + b[i]! + c[i]!);
+}
+
+export interface Ordered {
+  priority: number;
+  guaranteed: boolean;
+  score: number;
+  acceptedAt: number;
+}
+
+/** Priority and guarantees come first (protocol), then the score, then age. */
+export function compareJobs(a: Ordered, b: Ordered): number {
+  if (a.priority !== b.priority) return a.priority - b.priority;
+  if (a.guaranteed !== b.guaranteed) return a.guaranteed ? -1 : 1;
+  if (a.score !== b.score) return b.score - a.score;
+  return a.acceptedAt - b.acceptedAt;
+}
--- /dev/null
+++ b/src/service/node.ts
@@ -0,0 +1,294 @@
+import { randomBytes } from 'node:crypto';
+import { CloudClient } from '../cloud/client.js';
+import { Election } from '../cluster/election.js';
+import { PeerNet, type Answer, type Question } from '../cluster/peers.js';
+import { sleep, steadyClock, type Clock } from '../clock.js';
+import type { Settings } from '../config/settings.js';
+import type { Message } from '../http/parser.js';
+import { HttpServer, type Reply } from '../http/server.js';
+import type { MachineType } from '../jobs/types.js';
+import type { Log } from '../log.js';
+import type { Policy } from '../operator/policy.js';
+import { StateClient } from '../state/client.js';
+import { Follower } from '../state/follow.js';
+import { Intake } from '../state/intake.js';
+import { Replica } from '../state/replica.js';
+import { BadMessage, route } from '../wire/users.js';
+import { encodeElsewhere } from '../wire/workers.js';
+import { Leader } from './leader.js';
+import { Users } from './users.js';
+
+export interface NodeOptions {
+  clock?: Clock;
+  wallMs?: () => number;
+}
+
+/** One controller: everything of it that does input and output, put together. */
+export class Node {
+  readonly state: StateClient;
+  readonly replica: Replica;
+  readonly follower: Follower;
+  readonly election: Election;
+  readonly peers: PeerNet;
+  readonly users: Users;
+  readonly server: HttpServer;
+  leader: Leader | null = null;
+  private readonly cloud: CloudClient;
+  private readonly clock: Clock;
+  private readonly wallMs: () => number;
+  private readonly incarnation: string;
+  private stopped = false;
+  private beat: NodeJS.Timeout | undefined;
+  /** Workers that were sent to the leader, and when. */
+  private readonly sentOn = new Map<string, { leader: string; at: number; relayed: boolean }>();
+
+  constructor(
+    readonly settings: Settings,
+    private readonly policy: Policy,
+    private readonly log: Log,
+    options: NodeOptions = {},
+  ) {
+    this.clock = options.clock ?? steadyClock;
+    this.wallMs = options.wallMs ?? Date.now;
+    // Never the same twice: names of requests and of stored batches begin with it.
+    this.incarnation = `${settings.node}-${randomBytes(6).toString('hex')}`;
+    this.state = new StateClient(settings, this.clock);
+    this.replica = new Replica(this.state.valueBytes);
+    this.replica.listener = {
+      onJob: (j) => this.leader?.onJob(j),
+      onCancelled: (j) => this.leader?.onCancelled(j),
+      onLeader: () => this.election.nudge(),
+    };
+    this.follower = new Follower(
+      this.state,
+      this.replica,
+      this.clock,
+      log,
+      () => (this.leader === null ? 0.15 : 0.01),
+      Math.min(0.1, (3 * settings.nodes) / settings.state.rps),
+    );
+    this.cloud = new CloudClient(settings, this.clock);
+    this.election = new Election(
+      settings.node,
+      this.incarnation,
+      settings.nodes,
+      settings.workers.lease_s,
+      this.state,
+      this.follower,
+      this.replica,
+      () => this.peers,
+      this.clock,
+      log,
+      { onElected: (token) => this.elected(token), onDeposed: () => this.deposed() },
+    );
+    this.peers = new PeerNet(settings.node, settings.peers, (from, q) => this.answer(from, q), log);
+    const intake = new Intake(
+      this.incarnation,
+      this.state,
+      this.follower,
+      this.replica,
+      this.state.writes,
+      this.clock,
+      log,
+    );
+    this.users = new Users(
+      settings,
+      this.follower,
+      this.replica,
+      intake,
+      () => this.types(),
+      this.wallMs,
+      log,
+    );
+    this.server = new HttpServer(
+      (m) => this.handle(m),
+      { sockets: Math.floor(settings.limits.sockets * 0.6), readS: 5, idleS: 120 },
+      () => this.clock.now(),
+      (e) => log.error({ err: String(e), stack: (e as Error).stack }, 'request failed'),
+    );
+  }
+
+  async start(): Promise<void> {
+    await this.server.listen(this.settings.bind);
+    await this.peers.listen(this.settings.peerBind);
+    void this.follower.run();
+    void this.election.run();
+    void this.fetchTypes();
+    this.beat = setInterval(() => {
+      this.leader?.beat();
+      this.prune();
+    }, this.settings.workers.report_s * 500);
+    this.log.info({ bind: this.settings.bind }, 'started');
+  }
+
+  stop(): void {
+    this.stopped = true;
+    clearInterval(this.beat);
+    this.election.stop();
+    this.follower.stop();
+    this.leader?.stop();
+    this.leader = null;
+    this.server.close();
+    this.peers.close();
+    this.state.close();
+    this.cloud.close();
+  }
+
+  // Machine types: from the store as a rule, from the cloud when nobody has stored them yet.
+
+  private fetched: MachineType[] | null = null;
+
+  types(): MachineType[] | null {
+    if (this.leader !== null && this.leader.term.types.size > 0) {
+      return [...this.leader.term.types.values()];
+    }
+    return this.replica.types ?? this.fetched;
+  }
+
+  private async fetchTypes(): Promise<void> {
+    while (!this.stopped && this.types() === null) {
+      if (this.follower.ready) {
+        try {
+          this.fetched = await this.cloud.types();
+          this.leader?.onTypes(this.fetched);
+          return;
+        } catch (e) {
+          this.log.debug({ err: String(e) }, 'machine types not had');
+          await sleep(1 + Math.random());
+        }
+      } else await sleep(0.05);
+    }
+  }
+
+  // Leadership
+
+  private elected(token: number): void {
+    this.leader?.stop();
+    this.leader = new Leader(
+      {
+        settings: this.settings,
+        clock: this.clock,
+        wallMs: this.wallMs,
+        log: this.log,
+        replica: this.replica,
+        policy: this.policy,
+        token,
+        incarnation: this.incarnation,
+        entitled: () => this.election.entitled && this.election.token === token,
+        writing: () => this.election.writing && this.election.token === token,
+      },
+      this.state,
+      this.cloud,
+      () => this.election.nudge(),
+    );
+    this.leader.start();
+    if (this.fetched !== null && this.leader.term.types.size === 0)
+      this.leader.onTypes(this.fetched);
+  }
+
+  private deposed(): void {
+    this.leader?.stop();
+    this.leader = null;
+  }
+
+  // Requests
+
+  private handle(m: Message): Reply | Promise<Reply> {
+    const to = route(m.method, m.target);
+    switch (to.to) {
+      case 'checkin':
+        return this.checkin(m);
+      case 'submit':
+        return this.users.submit(m.body);
+      case 'poll':
+        return this.users.poll(to.id);
+      case 'cancel':
+        return this.users.cancel(to.id);
+      case 'ready':
+        return this.users.ready() ? { status: 200, body: '{}' } : { status: 503, retryAfter: 1 };
+      case 'metrics':
+        return { status: 200, body: JSON.stringify(this.figures()) };
+      case 'wrong-method':
+        return { status: 405, body: '{}' };
+      case 'nowhere':
+        return { status: 404, body: '{}' };
+    }
+  }
+
+  private checkin(m: Message): Reply | Promise<Reply> {
+    const text = m.body.toString('utf8');
+    let raw: unknown;
+    try {
+      raw = JSON.parse(text);
+      if (this.leader !== null && this.election.entitled) return this.leader.checkin(raw);
+    } catch (e) {
+      if (e instanceof SyntaxError || e instanceof BadMessage) {
+        this.log.info({ err: e.message }, 'report dropped');
+        return { status: 400, body: '{}' };
+      }
+      throw e;
+    }
+    const leader = this.replica.leader;
+    if (leader === null || leader.node === this.settings.node)
+      return { status: 503, retryAfter: 1 };
+    const id = (raw as { bench?: unknown } | null)?.bench;
+    if (typeof id !== 'string') return { status: 400, body: '{}' };
+    const before = this.sentOn.get(id);
+    const now = this.clock.now();
+    // Sent to the leader a moment ago and back again: it cannot reach the leader, but we may.
+    const back =
+      before !== undefined &&
+      before.leader === leader.node &&
+      (before.relayed || now - before.at < this.settings.workers.lease_s);
+    if (!back) {
+      this.sentOn.set(id, { leader: leader.node, at: now, relayed: false });
+      return { status: 421, body: encodeElsewhere(leader.node) };
+    }
+    return this.relay(id, text, leader.node);
+  }
+
+  private async relay(id: string, body: string, leader: string): Promise<Reply> {
+    const timeout = this.settings.workers.report_s * 2;
+    const a = await this.peers.ask(leader, { q: 'report', body }, timeout);
+    if (a === null || a.status !== 200 || typeof a.body !== 'string') {
+      this.sentOn.delete(id);
+      return { status: 503, retryAfter: 1 };
+    }
+    this.sentOn.set(id, { leader, at: this.clock.now(), relayed: true });
+    return { status: 200, body: a.body };
+  }
+
+  private prune(): void {
+    const now = this.clock.now();
+    const keep = this.settings.workers.lease_s * 2;
+    for (const [id, s] of this.sentOn) if (now - s.at > keep) this.sentOn.delete(id);
+  }
+
+  private answer(_from: string, q: Question): Promise<Answer> | Answer {
+    switch (q.q) {
+      case 'report': {
+        if (this.leader === null || typeof q.body !== 'string') return { status: 503 };
+        return { ...this.leader.checkin(JSON.parse(q.body)) };
+      }
+      case 'refused':
+        return this.election.answerRefused(Number(q.token), Number(q.forMs));
+      default:
+        return {};
+    }
+  }
+
+  figures(): Record<string, unknown> {
+    return {
+      node: this.settings.node,
+      role: this.election.role,
+      token: this.election.token,
+      leader: this.replica.leader?.node ?? null,
+      revision: this.replica.applied,
+      jobs: this.replica.jobs.size,
+      connections: this.server.connections,
+      garbage: this.replica.garbage,
+      memory_mb: Math.round(process.memoryUsage.rss() / 1e6),
+      ...this.leader?.figures(),
+    };
+  }
+}
--- /dev/null
+++ b/src/service/scheduler.ts
@@ -0,0 +1,385 @@
+import type { Demand } from '../cloud/plan.js';
+import type { LiveJob } from '../jobs/live.js';
+import { fits, within, type JobSpec, type MachineType, type Size } from '../jobs/types.js';
+import {
+  allowed,
+  bestRoom,
+  placeGang,
+  reserved,
+  take,
+  zoneAllowed,
+  type Room,
+  type Weights,
+} from '../sched/place.js';
+import { cheapestEviction, type Occupied, type Victim } from '../sched/preempt.js';
+import { Usages } from '../sched/quota.js';
+import { LongMarks, compareJobs, remaining, scores, type Ready } from '../sched/rank.js';
+import { holds, makeAttempt } from '../workers/attempt.js';
+import type { Machine } from '../workers/machine.js';
+import type { Term } from './term.js';
+
+/** The most tasks placed in one pass, so that a pass stays short. */
+const PASS = 300;
+
+export interface PassResult {
+  placed: number;
+  demand: Demand[];
+  rooms: Room[];
+}
+
+/** One pass of placing over a term: rank, place, make room, and say what is missing. */
+export class Scheduler {
+  private readonly marks = new LongMarks();
+
+  constructor(private readonly term: Term) {}
+
+  /** Work that may run on spot machines waits about a boot for one before it takes a dear one. */
+  weights(): Weights {
+    return { ordinaryS: 20, spreadS: 2 };
+  }
+
+  usable(m: Machine): boolean {
+    const now = this.term.now;
+    const { report_s } = this.term.deps.settings.workers;
+    return (
+      m.state === 'ready' &&
+      m.takenAt === null &&
+      !m.faulty &&
+      now - m.heardAt < report_s * 2.5 &&
+      now >= m.shunnedUntil
+    );
+  }
+
+  room(m: Machine, type: MachineType): Room | null {
+    const free: Size = { cores: type.cores, gpus: type.gpus, memGb: type.memGb };
+    const fetching = new Map<string, number>();
+    const there = new Set<string>(m.images.keys());
+    for (const a of m.attempts.values()) {
+      if (!holds(a)) continue;
+      const spec = this.specOf(a.job);
+      if (spec === null) return null;
+      free.cores -= spec.cores;
+      free.gpus -= spec.gpus;
+      free.memGb -= spec.memGb;
+      if (a.startedAt !== null) there.add(spec.image);
+      else if (!there.has(spec.image)) fetching.set(spec.image, spec.imageGb);
+    }
+    const rate = Math.max(type.fetchGbPerS, 1e-9);
+    return {
+      id: m.id,
+      type: m.type,
+      zone: m.zone,
+      spot: m.spot,
+      ...free,
+      whole: type,
+      penaltyS: m.shuns,
+      imageWaitS: (image, gb) => {
+        if (there.has(image)) return 0;
+        if (fetching.has(image)) return (gb / rate) * 0.5 * fetching.size;
+        return (gb / rate) * (1 + fetching.size);
+      },
+    };
+  }
+
+  private specOf(job: string): JobSpec | null {
+    return this.term.jobs.get(job)?.spec ?? this.term.deps.replica.jobs.get(job)?.spec ?? null;
+  }
+
+  /** What teams' tasks use, wherever they may be. */
+  private usages(): Usages {
+    const u = new Usages(this.term.deps.settings.teams);
+    for (const m of this.term.machines.values()) {
+      for (const a of m.attempts.values()) {
+        const spec = holds(a) ? this.specOf(a.job) : null;
+        if (spec !== null) u.add(spec, 1);
+      }
+    }
+    return u;
+  }
+
+  /** Ranks open jobs that have tasks to start. */
+  private ranked(now: number): LiveJob[] {
+    const { policy } = this.term.deps;
+    const open = [...this.term.jobs.values()].filter((j) => j.phase === 'open');
+    const asReady = (j: LiveJob): Ready => ({
+      unfinishedS: j.unfinishedPredictedS,
+      finishedS: j.finishedPredictedS,
+      attainedS: j.attainedS,
+      predictedS: j.spec.estimateS,
+      pipelineMeanS: j.spec.estimateS,
+      successors: [],
+    });
+    const finite = open.filter((j) => j.spec.kind !== 'service');
+    this.marks.update(
+      finite.map((j) => remaining(asReady(j), policy)),
+      policy,
+      now,
+    );
+    for (const j of finite) j.long = this.marks.isLong(remaining(asReady(j), policy), j.long);
+    this.markGuaranteed(open);
+    const waiting = open.filter((j) => j.pendingCount > 0);
+    const s = scores(
+      waiting.map(asReady),
+      waiting.map((j) => j.long),
+      policy,
+    );
+    waiting.forEach((j, i) => (j.score = s[i]!));
+    return waiting.sort((a, b) =>
+      compareJobs(
+        {
+          priority: a.spec.priority,
+          guaranteed: a.guaranteed,
+          score: a.score,
+          acceptedAt: a.acceptedAt,
+        },
+        {
+          priority: b.spec.priority,
+          guaranteed: b.guaranteed,
+          score: b.score,
+          acceptedAt: b.acceptedAt,
+        },
+      ),
+    );
+  }
+
+  /** A job is guaranteed when it fits with its team's earlier unfinished jobs into the guarantee. */
+  private markGuaranteed(open: LiveJob[]): void {
+    const sums = new Map<string, { cores: number; gpus: number }>();
+    for (const j of [...open].sort((a, b) => a.acceptedAt - b.acceptedAt)) {
+      const team = this.term.deps.settings.teams.get(j.spec.team);
+      j.guaranteed = false;
+      if (team === undefined || (team.cores <= 0 && team.gpus <= 0)) continue;
+      const sum = sums.get(team.name) ?? { cores: 0, gpus: 0 };
+      sum.cores += j.spec.cores * j.spec.tasks;
+      sum.gpus += j.spec.gpus * j.spec.tasks;
+      sums.set(team.name, sum);
+      j.guaranteed = within(sum.cores, team.cores) && within(sum.gpus, team.gpus);
+    }
+  }
+
+  private zonesOf(job: LiveJob): Map<string, number> {
+    const zones = new Map<string, number>();
+    for (const a of job.holding()) {
+      const zone = this.term.machines.get(a.machine)?.zone;
+      if (zone !== undefined) zones.set(zone, (zones.get(zone) ?? 0) + 1);
+    }
+    return zones;
+  }
+
+  pass(): PassResult {
+    const { term } = this;
+    const now = term.now;
+    const rooms: Room[] = [];
+    for (const m of term.machines.values()) {
+      const type = term.types.get(m.type);
+      if (type === undefined || !this.usable(m)) continue;
+      const room = this.room(m, type);
+      if (room !== null) rooms.push(room);
+    }
+    const usages = this.usages();
+    const jobs = this.ranked(now);
+    const reserve = this.reserve(jobs, rooms);
+    const demand: Demand[] = [];
+    const wanting: { job: LiveJob; tasks: number }[] = [];
+    let placed = 0;
+    for (const job of jobs) {
+      if (placed >= PASS) break;
+      const before = placed;
+      const spec = job.spec;
+      const zones = this.zonesOf(job);
+      if (job.gang) {
+        if (job.holdingCount > 0) continue;
+        if (job.pending(now, spec.tasks).length < spec.tasks) continue;
+        if (!usages.allows(spec, spec.tasks)) continue;
+        const open = this.lent(job, rooms, reserve);
+        const got = placeGang(spec, open, { zones }, this.weights());
+        if (got === null) {
+          wanting.push({ job, tasks: spec.tasks });
+          continue;
+        }
+        const number = job.nextGangNumber(term.deps.token);
+        got.forEach((room, i) => this.claim(job, i, number, room));
+        usages.add(spec, spec.tasks);
+        placed += spec.tasks;
+        continue;
+      }
+      const suspect = !job.succeeded && job.failedOn.size >= 3;
+      const most = Math.min(
+        usages.room(spec),
+        PASS - placed,
+        suspect ? 1 - job.holdingCount : PASS,
+      );
+      const indexes = job.pending(now, Math.max(0, most));
+      let short = 0;
+      for (const index of indexes) {
+        const room = bestRoom(
+          spec,
+          this.lent(job, rooms, reserve),
+          { zones, avoid: suspect ? job.failedOn : undefined },
+          this.weights(),
+        );
+        if (room === null) {
+          short = indexes.length - (placed - before);
+          break;
+        }
+        take(spec, room);
+        zones.set(room.zone, (zones.get(room.zone) ?? 0) + 1);
+        this.claim(job, index, job.nextNumber(index, term.deps.token), room);
+        usages.add(spec, 1);
+        placed++;
+      }
+      if (short > 0 && !suspect) wanting.push({ job, tasks: short });
+    }
+    // What finds no room may take it from lesser work; the rest is for the fleet to grow.
+    const occupied = this.occupied(rooms);
+    for (const { job, tasks } of wanting) {
+      const left = this.evict(job, tasks, occupied, usages);
+      if (left > 0) demand.push({ spec: job.spec, tasks: left, zones: this.zonesOf(job) });
+    }
+    return { placed, demand, rooms };
+  }
+
+  /** GPUs (or cores) of each type that short work must leave to long work that waits. */
+  private reserve(jobs: LiveJob[], rooms: Room[]): Map<string, number> {
+    const out = new Map<string, number>();
+    const capacity = new Map<string, number>();
+    const unit = (s: Size): number => (s.gpus > 0 ? s.gpus : s.cores);
+    for (const r of rooms) capacity.set(r.type, (capacity.get(r.type) ?? 0) + unit(r.whole));
+    for (const [type, whole] of capacity) {
+      let wanted = 0;
+      for (const j of jobs) {
+        if (!j.long || (j.spec.types !== null && !j.spec.types.includes(type))) continue;
+        wanted += unit(j.spec) * Math.min(j.pendingCount, PASS);
+      }
+      out.set(type, reserved(whole, this.term.deps.policy.rho, wanted));
+    }
+    return out;
+  }
+
+  /** The rooms a job may use: short work leaves the share that is held for long work. */
+  private lent(job: LiveJob, rooms: Room[], reserve: Map<string, number>): Room[] {
+    if (job.long || job.spec.kind === 'service' || job.guaranteed) return rooms;
+    const full = new Set<string>();
+    for (const [type, share] of reserve) {
+      if (share <= 0) continue;
+      let free = 0;
+      for (const r of rooms) if (r.type === type) free += r.whole.gpus > 0 ? r.gpus : r.cores;
+      const need = job.spec.gpus > 0 ? job.spec.gpus : job.spec.cores;
+      if (free - need < share) full.add(type);
+    }
+    return full.size === 0 ? rooms : rooms.filter((r) => !full.has(r.type));
+  }
+
+  private claim(job: LiveJob, index: number, number: number, room: Room): void {
+    const m = this.term.machines.get(room.id)!;
+    const a = makeAttempt(job.spec.id, index, number, m.id, 'claiming', this.term.now);
+    m.claim(a);
+    job.claimed(a);
+    this.term.dirtyMachines.add(m.id);
+  }
+
+  /** Machines with what may be stopped on them. What is being stopped already counts as free. */
+  private occupied(rooms: Room[]): Occupied[] {
+    const now = this.term.now;
+    const out: Occupied[] = [];
+    for (const room of rooms) {
+      const m = this.term.machines.get(room.id)!;
+      const o: Occupied = { ...room, victims: [] };
+      for (const a of m.attempts.values()) {
+        if (!holds(a)) continue;
+        const job = this.term.jobs.get(a.job);
+        if (job === undefined) continue;
+        const { cores, gpus, memGb } = job.spec;
+        if (a.stop !== null) {
+          o.cores += cores;
+          o.gpus += gpus;
+          o.memGb += memGb;
+          continue;
+        }
+        if (a.state === 'claiming' || a.state === 'claimed' || a.state === 'sent') continue;
+        const ran = a.startedAt === null ? 0 : now - a.startedAt;
+        const lossS = job.spec.checkpointS > 0 ? job.spec.saveS : ran;
+        o.victims.push({
+          id: `${a.job}/${a.index}#${a.number}`,
+          group: job.gang ? a.job : `${a.job}/${a.index}`,
+          lossS: lossS * (job.gang ? job.spec.tasks : 1),
+          cores,
+          gpus,
+          memGb,
+        });
+      }
+      out.push(o);
+    }
+    return out;
+  }
+
+  private mayEvict(job: LiveJob, victimJob: LiveJob, usages: Usages): boolean {
+    if (victimJob.spec.kind === 'service' && victimJob.spec.priority <= job.spec.priority)
+      return false;
+    if (victimJob.spec.priority > job.spec.priority) return true;
+    // To give a team its guarantee, work that another team runs beyond its own may be stopped.
+    return (
+      job.guaranteed &&
+      victimJob.spec.team !== job.spec.team &&
+      !victimJob.guaranteed &&
+      !usages.withinGuarantee(victimJob.spec.team)
+    );
+  }
+
+  /** Makes room where that is allowed. Returns the tasks for which none could be made. */
+  private evict(job: LiveJob, tasks: number, occupied: Occupied[], usages: Usages): number {
+    const spec = job.spec;
+    const zones = this.zonesOf(job);
+    const chosen: { o: Occupied; victims: Victim[] }[] = [];
+    const open = occupied.map((o) => ({
+      ...o,
+      victims: o.victims.filter((v) => {
+        const victim = this.term.jobs.get(v.id.slice(0, v.id.indexOf('/')));
+        return victim !== undefined && victim !== job && this.mayEvict(job, victim, usages);
+      }),
+    }));
+    let left = tasks;
+    while (left > 0) {
+      // Room that is being made already comes first.
+      let o = open.find(
+        (x) => fits(spec, x) && allowed(spec, x) && zoneAllowed(spec, x.zone, zones),
+      );
+      if (o === undefined) {
+        const e = cheapestEviction(spec, open, zones);
+        if (e === null) break;
+        o = open.find((x) => x.id === e.machine)!;
+        chosen.push({ o, victims: e.victims });
+        for (const v of e.victims) {
+          o.cores += v.cores;
+          o.gpus += v.gpus;
+          o.memGb += v.memGb;
+          o.victims.splice(o.victims.indexOf(v), 1);
+        }
+      }
+      o.cores -= spec.cores;
+      o.gpus -= spec.gpus;
+      o.memGb -= spec.memGb;
+      zones.set(o.zone, (zones.get(o.zone) ?? 0) + 1);
+      left--;
+    }
+    // A gang gains nothing from room for some of its tasks.
+    if (job.gang && left > 0) return tasks;
+    for (const { victims } of chosen) {
+      for (const v of victims) {
+        const victim = this.term.jobs.get(v.id.slice(0, v.id.indexOf('/')))!;
+        for (const a of [...victim.holding()]) {
+          if (`${a.job}/${a.index}#${a.number}` === v.id) this.term.stopTask(victim, a);
+        }
+      }
+    }
+    for (const o of open) {
+      const original = occupied.find((x) => x.id === o.id)!;
+      original.cores = o.cores;
+      original.gpus = o.gpus;
+      original.memGb = o.memGb;
+      const gone = new Set(chosen.filter((c) => c.o === o).flatMap((c) => c.victims));
+      original.victims = original.victims.filter((v) => !gone.has(v));
+    }
+    return left;
+  }
+}
--- /dev/null
+++ b/src/service/term.ts
@@ -0,0 +1,366 @@
+import type { Clock } from '../clock.js';
+import type { Settings } from '../config/settings.js';
+import type { MachineType } from '../jobs/types.js';
+import { LiveJob } from '../jobs/live.js';
+import type { Log } from '../log.js';
+import type { Policy } from '../operator/policy.js';
+import { outcome, type JobFacts, type Replica } from '../state/replica.js';
+import { advance, holds, makeAttempt, mayBeThere, type Attempt } from '../workers/attempt.js';
+import { Machine, type Changes } from '../workers/machine.js';
+
+export interface TermDeps {
+  settings: Settings;
+  clock: Clock;
+  wallMs: () => number;
+  log: Log;
+  replica: Replica;
+  policy: Policy;
+  token: number;
+  incarnation: string;
+  entitled: () => boolean;
+  writing: () => boolean;
+}
+
+/**
+ * One term of leadership: machines, jobs and what is known of where tasks may be. All changes of
+ * jobs and attempts on events go through here; it does no input or output.
+ */
+export class Term {
+  readonly machines = new Map<string, Machine>();
+  readonly jobs = new Map<string, LiveJob>();
+  readonly dirtyMachines = new Set<string>();
+  /** Records of machines that are gone for good. */
+  readonly removals = new Map<string, number>();
+  /** Machines with commands that should not wait for the next check-in. */
+  readonly urgent = new Set<string>();
+  readonly startedAt: number;
+  types = new Map<string, MachineType>();
+  /** Set when something happened that placing should look at. */
+  stirred = true;
+  onStir: () => void = () => undefined;
+
+  constructor(readonly deps: TermDeps) {
+    this.startedAt = deps.clock.now();
+    this.setTypes(deps.replica.types ?? []);
+    for (const facts of deps.replica.jobs.values()) {
+      if (outcome(facts) === 'open') this.addJob(facts);
+    }
+    const now = this.startedAt;
+    for (const [id, { record, revision }] of deps.replica.machines) {
+      const m = new Machine(id, deps.token, deps.settings.workers.lease_s, now);
+      m.addr = record.addr;
+      m.type = record.type;
+      m.zone = record.zone;
+      m.spot = record.spot;
+      m.revision = revision;
+      m.recordTerm = record.term;
+      for (const [image, gb] of record.images) m.images.set(image, { gb, at: now });
+      if (record.returning) m.become('returning');
+      for (const c of record.claims) {
+        const a = makeAttempt(c.job, c.index, c.attempt, id, 'inherited', now);
+        m.claim(a);
+        const job = this.jobs.get(c.job);
+        if (job !== undefined && !job.done.has(c.index)) job.adopt(a);
+        else this.dismiss(a);
+      }
+      this.machines.set(id, m);
+    }
+  }
+
+  get now(): number {
+    return this.deps.clock.now();
+  }
+
+  stir(): void {
+    this.stirred = true;
+    this.onStir();
+  }
+
+  setTypes(types: MachineType[]): void {
+    this.types = new Map(types.map((t) => [t.name, t]));
+  }
+
+  addJob(facts: JobFacts): LiveJob {
+    let job = this.jobs.get(facts.spec.id);
+    if (job === undefined) {
+      const { replica, wallMs } = this.deps;
+      job = new LiveJob(facts, replica.chunkTasks, this.now, wallMs());
+      this.jobs.set(facts.spec.id, job);
+    }
+    this.stir();
+    return job;
+  }
+
+  cancelled(facts: JobFacts): void {
+    const job = this.jobs.get(facts.spec.id);
+    if (job === undefined) return;
+    job.cancelled = true;
+    this.close(job);
+  }
+
+  /** Nothing of it starts any more; what may be somewhere is told to go. */
+  private close(job: LiveJob): void {
+    if (job.phase === 'open') job.become('closing');
+    for (const list of [...job.live.values()]) {
+      for (const a of [...list]) this.stop(a, 0);
+    }
+    for (const m of this.machines.values()) {
+      for (const a of m.attempts.values()) {
+        if (a.job === job.spec.id && a.state === 'ended') a.settled = true;
+      }
+    }
+    this.stir();
+  }
+
+  /** An attempt that serves nothing: stopped at once if it shows up, forgotten when it has ended. */
+  private dismiss(a: Attempt): void {
+    if (a.state === 'ended') a.settled = true;
+    else a.stop ??= { at: this.now, graceS: 0, sentAt: null };
+    this.urgent.add(a.machine);
+  }
+
+  graceOf(job: LiveJob): number {
+    // A little above the time that saving takes: the worker compares the two.
+    return job.spec.checkpointS > 0 ? job.spec.saveS * 1.1 : 0;
+  }
+
+  /** Wants an attempt gone. One that was never sent is withdrawn at once. */
+  stop(a: Attempt, graceS: number): void {
+    if (!holds(a)) return;
+    const m = this.machines.get(a.machine);
+    if (a.state === 'claimed' && m !== undefined) {
+      m.withdraw(a, this.now);
+      this.dirtyMachines.add(m.id);
+      this.jobs.get(a.job)?.release(a);
+      this.stir();
+      return;
+    }
+    if (a.stop === null || graceS < a.stop.graceS) {
+      a.stop = { at: this.now, graceS, sentAt: null };
+      if (mayBeThere(a)) this.urgent.add(a.machine);
+    }
+    this.stir();
+  }
+
+  /** A gang goes as a whole: every task is told within the same moment. */
+  stopGang(job: LiveJob, graceS: number): void {
+    for (const list of [...job.live.values()]) for (const a of [...list]) this.stop(a, graceS);
+  }
+
+  stopTask(job: LiveJob, a: Attempt): void {
+    if (job.gang) this.stopGang(job, this.graceOf(job));
+    else this.stop(a, this.graceOf(job));
+  }
+
+  machine(id: string): Machine {
+    let m = this.machines.get(id);
+    if (m === undefined) {
+      m = new Machine(id, this.deps.token, this.deps.settings.workers.lease_s, this.now);
+      this.machines.set(id, m);
+    }
+    return m;
+  }
+
+  mayStart(a: Attempt): boolean {
+    const job = this.jobs.get(a.job);
+    const m = this.machines.get(a.machine);
+    if (job === undefined || m === undefined || job.phase !== 'open') return false;
+    if (m.state !== 'ready' || m.takenAt !== null) return false;
+    if (job.done.has(a.index)) return false;
+    if (!job.gang) return true;
+    // All of a gang's claims are stored before the first of them starts.
+    let n = 0;
+    for (const other of job.holding()) {
+      if (other.number !== a.number || other.state === 'claiming' || other.stop !== null)
+        return false;
+      n++;
+    }
+    return n === job.spec.tasks;
+  }
+
+  /** What a report, a lapsed lease or a returned machine has shown. */
+  digest(m: Machine, c: Changes): void {
+    const now = this.now;
+    for (const a of c.foreign) this.foreign(m, a);
+    for (const a of [...c.moved, ...c.over]) {
+      const type = this.types.get(m.type);
+      const job = this.jobs.get(a.job);
+      if (job !== undefined && (a.state === 'running' || a.state === 'waiting')) {
+        m.sawImage(job.spec.image, job.spec.imageGb, type?.cacheGb ?? 0, now);
+      }
+    }
+    for (const a of c.over) this.over(m, a);
+    if (c.missed > 0) {
+      // Its reports come, but what it is told does not arrive.
+      this.shun(m, this.deps.settings.workers.report_s * 2);
+    }
+    if (c.sessionMoved) this.shun(m, this.deps.settings.workers.report_s);
+    if (m.takenAt !== null) this.drain(m);
+    if (c.over.length > 0 || c.moved.length > 0) this.stir();
+  }
+
+  shun(m: Machine, firstS: number): void {
+    const most = this.deps.settings.workers.lease_s * 3;
+    m.shunnedUntil = Math.max(m.shunnedUntil, this.now + Math.min(most, firstS * 2 ** m.shuns));
+    m.shuns = Math.min(m.shuns + 1, 10);
+  }
+
+  private foreign(m: Machine, a: Attempt): void {
+    const job = this.jobs.get(a.job);
+    this.dirtyMachines.add(m.id);
+    if (job === undefined || job.phase !== 'open') {
+      this.deps.log.info({ machine: m.id, job: a.job, index: a.index }, 'unwanted task found');
+      this.dismiss(a);
+      return;
+    }
+    const others = job.gang ? [...job.holding()].length > 0 : job.live.has(a.index);
+    if (job.done.has(a.index) || others || a.index >= job.spec.tasks) {
+      this.deps.log.info(
+        { machine: m.id, job: a.job, index: a.index },
+        'second copy of a task found',
+      );
+      this.dismiss(a);
+      return;
+    }
+    job.adopt(a);
+    if (job.gang) this.stopGang(job, 0);
+  }
+
+  /** An attempt has exited or is provably gone. */
+  private over(m: Machine, a: Attempt): void {
+    const now = this.now;
+    const job = this.jobs.get(a.job);
+    if (job === undefined) {
+      a.settled = true;
+      return;
+    }
+    if (a.startedAt !== null) job.attainedS += now - a.startedAt;
+    if (a.state === 'ended' && a.cause === 'done' && !job.cancelled) {
+      this.done(m, job, a);
+      return;
+    }
+    a.settled = true;
+    job.release(a);
+    if (job.phase !== 'open') return;
+    if (a.state === 'ended') this.failure(m, job, a);
+    if (job.gang) {
+      // Without one of its tasks a gang is over; those that are saving may finish that.
+      for (const other of [...job.holding()]) {
+        if (other.number === a.number && other.stop === null) this.stop(other, 0);
+      }
+    }
+  }
+
+  private done(m: Machine, job: LiveJob, a: Attempt): void {
+    m.successes++;
+    m.errors.clear();
+    m.shuns = 0;
+    const indexes = job.gang ? [...Array(job.spec.tasks).keys()] : [a.index];
+    // A gang completes together: if one task is done, all are.
+    for (const i of indexes) job.markDone(i, this.now);
+    // Stored already, as for the other tasks of a gang: nothing is written again.
+    if (job.storedDone.has(a.index)) a.settled = true;
+    else job.awaiting.push(a);
+    job.release(a);
+    for (const other of [...(job.live.get(a.index) ?? [])]) this.stop(other, 0);
+  }
+
+  private failure(m: Machine, job: LiveJob, a: Attempt): void {
+    const now = this.now;
+    const { report_s, lease_s } = this.deps.settings.workers;
+    switch (a.cause) {
+      case 'error': {
+        job.failedOn.add(m.id);
+        // Machines are told from jobs: a job that fails wherever it goes says nothing of machines.
+        const jobSuspect = !job.succeeded && job.failedOn.size >= 3;
+        job.postpone(a.index, now, report_s / 2, lease_s * (jobSuspect ? 6 : 1));
+        if (!jobSuspect) {
+          m.errors.set(`${a.job}/${a.index}`, now);
+          this.shun(m, report_s * 2);
+        }
+        this.judge(m);
+        this.deps.log.info(
+          { machine: m.id, job: a.job, index: a.index, jobSuspect },
+          'task failed',
+        );
+        break;
+      }
+      case 'full':
+      case 'busy':
+        this.shun(m, report_s);
+        break;
+      case 'unknown':
+        // The worker did not find the job's description: perhaps it is not there yet.
+        job.postpone(a.index, now, report_s, lease_s * 6);
+        break;
+      default:
+        break;
+    }
+  }
+
+  /** A machine is faulty when tasks of jobs that do well elsewhere fail on it, one after another. */
+  private judge(m: Machine): void {
+    const recent = this.now - this.deps.settings.workers.lease_s * 12;
+    let against = 0;
+    for (const [task, at] of m.errors) {
+      const job = this.jobs.get(task.slice(0, task.lastIndexOf('/')));
+      if (at < recent) m.errors.delete(task);
+      else if (job === undefined || job.succeeded || job.failedOn.size === 1) against++;
+    }
+    if (against >= 2 && !m.faulty) {
+      m.faulty = true;
+      this.deps.log.info({ machine: m.id }, 'faulty machine put aside');
+    }
+  }
+
+  /** The cloud is about to take the machine: what can be saved is saved now. */
+  private drain(m: Machine): void {
+    for (const a of [...m.attempts.values()]) {
+      const job = this.jobs.get(a.job);
+      if (job === undefined || !holds(a) || a.stop !== null) continue;
+      this.stopTask(job, a);
+    }
+  }
+
+  /** Leases that have run out for certain, with nobody else entitled to renew them. */
+  expire(): void {
+    const now = this.now;
+    for (const m of this.machines.values()) {
+      if (now <= m.leaseEnd || m.state === 'silent' || m.state === 'returned') continue;
+      if (m.state === 'returning') {
+        if (m.attempts.size > 0) this.lose(m);
+        continue;
+      }
+      this.deps.log.info({ machine: m.id, attempts: m.attempts.size }, 'machine lost');
+      this.lose(m);
+      m.become('silent');
+    }
+  }
+
+  lose(m: Machine): void {
+    const over = m.lost(this.now);
+    for (const a of over) this.over(m, a);
+    this.dirtyMachines.add(m.id);
+    this.stir();
+  }
+
+  /** The claim is stored. */
+  stored(a: Attempt): void {
+    if (a.state !== 'claiming') return;
+    advance(a, 'claimed', this.now);
+    const job = this.jobs.get(a.job);
+    if (a.stop !== null || job === undefined || job.phase !== 'open') {
+      a.stop = null;
+      this.stop(a, 0);
+      if (job?.gang === true && job.phase === 'open') this.stopGang(job, 0);
+      return;
+    }
+    this.urgent.add(a.machine);
+    if (job.gang) for (const other of job.holding()) this.urgent.add(other.machine);
+  }
+
+  /** All tasks are done and stored. */
+  completed(job: LiveJob): void {
+    if (job.phase === 'open') job.become('closing');
+  }
+}
--- /dev/null
+++ b/src/service/users.ts
@@ -0,0 +1,124 @@
+import type { Settings } from '../config/settings.js';
+import type { Reply } from '../http/server.js';
+import type { MachineType } from '../jobs/types.js';
+import type { Log } from '../log.js';
+import { neverRuns } from '../sched/quota.js';
+import type { Follower } from '../state/follow.js';
+import type { Intake } from '../state/intake.js';
+import { outcome, type JobFacts, type Replica } from '../state/replica.js';
+import {
+  BadMessage,
+  encodeAccepted,
+  encodeError,
+  encodeStatus,
+  parseObject,
+  parseSubmission,
+  validId,
+  type ShownState,
+} from '../wire/users.js';
+import type { JobSpec } from '../jobs/types.js';
+
+/** How long a user's request may take here: users wait 5 s for a submission and 2 s for a poll. */
+const SUBMIT_S = 4;
+/** More than this many requests waiting to be stored: shed the rest. */
+const QUEUE = 500;
+
+const UNSURE: Reply = { status: 503, retryAfter: 1 };
+
+/** The users' interface. Nothing is told that is not stored, and nothing older than was told. */
+export class Users {
+  constructor(
+    private readonly settings: Settings,
+    private readonly follower: Follower,
+    private readonly replica: Replica,
+    private readonly intake: Intake,
+    private readonly types: () => MachineType[] | null,
+    private readonly wallMs: () => number,
+    private readonly log: Log,
+  ) {}
+
+  ready(): boolean {
+    return this.follower.ready && this.types() !== null;
+  }
+
+  private shown(j: JobFacts): ShownState {
+    const o = outcome(j);
+    if (o !== 'open') return o;
+    return j.claims > 0 || j.doneTasks > 0 ? 'running' : 'queued';
+  }
+
+  async submit(body: Buffer): Promise<Reply> {
+    let spec: JobSpec;
+    try {
+      spec = parseSubmission(body);
+    } catch (e) {
+      if (!(e instanceof BadMessage)) throw e;
+      return this.refuse(this.idOf(body), 400, e.message);
+    }
+    const known = this.replica.jobs.get(spec.id);
+    if (known !== undefined) return this.current(spec.id);
+    const types = this.types();
+    if (!this.follower.ready || types === null || this.intake.waiting > QUEUE) return UNSURE;
+    const never = neverRuns(spec, this.settings.teams, types);
+    if (never !== null) return this.refuse(spec.id, 422, never);
+    const o = await this.intake.accept({ spec, atMs: Math.round(this.wallMs()) }, SUBMIT_S);
+    const facts = this.replica.jobs.get(spec.id);
+    if (o === null || facts === undefined) return UNSURE;
+    return { status: 201, body: encodeAccepted(spec.id, this.shown(facts)) };
+  }
+
+  private idOf(body: Buffer): string | null {
+    try {
+      const ref = parseObject(body).ref;
+      return typeof ref === 'string' && validId(ref) ? ref : null;
+    } catch {
+      return null;
+    }
+  }
+
+  /** An accepted job is never refused later, whatever its repetition looks like. */
+  private async refuse(id: string | null, status: number, why: string): Promise<Reply> {
+    if (id !== null) {
+      if (!(await this.follower.sync())) return UNSURE;
+      if (this.replica.jobs.has(id)) return this.current(id);
+    }
+    this.log.debug({ id, why }, 'submission refused');
+    return { status, body: encodeError(why) };
+  }
+
+  private async current(id: string): Promise<Reply> {
+    const facts = await this.fresh(id);
+    if (facts === null || facts === undefined) return UNSURE;
+    return { status: 200, body: encodeAccepted(id, this.shown(facts)) };
+  }
+
+  /** The job as of now; undefined: nobody submitted it; null: unsure. A final state never changes. */
+  private async fresh(id: string): Promise<JobFacts | undefined | null> {
+    const before = this.replica.jobs.get(id);
+    if (before !== undefined && outcome(before) !== 'open' && this.follower.ready) return before;
+    if (!(await this.follower.sync())) return null;
+    return this.replica.jobs.get(id);
+  }
+
+  async poll(id: string): Promise<Reply> {
+    if (!validId(id)) return { status: 404, body: encodeError('no such job') };
+    const facts = await this.fresh(id);
+    if (facts === null) return UNSURE;
+    if (facts === undefined) return { status: 404, body: encodeError('no such job') };
+    const state = this.shown(facts);
+    const done = state === 'done' ? facts.spec.tasks : facts.doneTasks;
+    const running = state === 'running' ? Math.min(facts.claims, facts.spec.tasks - done) : 0;
+    return { status: 200, body: encodeStatus(id, state, done, running) };
+  }
+
+  async cancel(id: string): Promise<Reply> {
+    if (!validId(id)) return { status: 404, body: encodeError('no such job') };
+    const facts = await this.fresh(id);
+    if (facts === null) return UNSURE;
+    if (facts === undefined) return { status: 404, body: encodeError('no such job') };
+    let o: string | null = outcome(facts);
+    if (o === 'open') o = await this.intake.cancel(id, SUBMIT_S);
+    if (o !== 'done' && o !== 'cancelled') return UNSURE;
+    return { status: 200, body: encodeAccepted(id, o) };
+  }
+}
--- /dev/null
+++ b/src/state/follow.ts
@@ -0,0 +1,106 @@
+import { sleep, type Clock } from '../clock.js';
+import type { Log } from '../log.js';
+import { StateClient } from './client.js';
+import { Replica } from './replica.js';
+import * as records from './records.js';
+
+/** Keeps a replica up with the store, and answers "is it as new as now?". */
+export class Follower {
+  ready = false;
+  private stopped = false;
+  private syncing: Promise<boolean> | null = null;
+  private syncSent = false;
+  private again: Promise<boolean> | null = null;
+  private lastSyncAt = -Infinity;
+
+  constructor(
+    private readonly state: StateClient,
+    readonly replica: Replica,
+    private readonly clock: Clock,
+    private readonly log: Log,
+    /** Pause between two watches: a follower has no hurry, a leader has. */
+    private readonly pauseS: () => number,
+    /** Least time between two synchronising reads. */
+    private readonly syncGapS: number,
+  ) {}
+
+  async run(): Promise<void> {
+    while (!this.stopped) {
+      try {
+        if (!this.ready) await this.load();
+        const from = this.replica.applied;
+        const r = await this.state.changes(records.ROOT, from, 10, 30);
+        if (r === null) {
+          this.ready = false;
+          continue;
+        }
+        this.replica.advance(r.revision, r.changes);
+        await sleep(this.pauseS());
+      } catch (e) {
+        if (this.stopped) return;
+        this.log.debug({ err: String(e) }, 'watch interrupted');
+        await sleep(0.1 + Math.random() * 0.1);
+      }
+    }
+  }
+
+  private async load(): Promise<void> {
+    const keys = new Set<string>();
+    const first = await this.state.list(records.ROOT, (item) => {
+      keys.add(item.key);
+      this.replica.item(item);
+    });
+    this.replica.retain(keys);
+    this.replica.applied = Math.max(this.replica.applied, first);
+    // Pages differ in age: only with the changes since the first one do they make one picture.
+    const r = await this.state.changes(records.ROOT, first, 0, 5);
+    if (r === null) throw new Error('listing too slow');
+    this.replica.advance(r.revision, r.changes);
+    this.ready = true;
+    this.log.info({ revision: this.replica.applied, jobs: this.replica.jobs.size }, 'store read');
+  }
+
+  /**
+   * True once the replica holds everything that had been stored when this was called. Callers share
+   * reads: one that begins after the call is needed, one already under way may be too old.
+   */
+  sync(): Promise<boolean> {
+    if (this.syncing === null) {
+      this.syncSent = false;
+      this.syncing = this.readNow().finally(() => (this.syncing = null));
+      return this.syncing;
+    }
+    if (!this.syncSent) return this.syncing;
+    this.again ??= this.syncing
+      .then(() => undefined)
+      .then(() => {
+        this.again = null;
+        return this.sync();
+      });
+    return this.again;
+  }
+
+  private async readNow(): Promise<boolean> {
+    const wait = this.lastSyncAt + this.syncGapS - this.clock.now();
+    if (wait > 0) await sleep(wait);
+    // The read is sent after this point; whoever joins later waits for the next one.
+    this.syncSent = true;
+    this.lastSyncAt = this.clock.now();
+    if (!this.ready) return false;
+    try {
+      const r = await this.state.changes(records.ROOT, this.replica.applied, 0, 1.5);
+      if (r === null) {
+        this.ready = false;
+        return false;
+      }
+      this.replica.advance(r.revision, r.changes);
+      return true;
+    } catch {
+      return false;
+    }
+  }
+
+  stop(): void {
+    this.stopped = true;
+  }
+}
--- /dev/null
+++ b/src/state/intake.ts
@@ -0,0 +1,126 @@
+import { sleep, type Budget, type Clock } from '../clock.js';
+import type { Log } from '../log.js';
+import type { Outcome, Replica } from './replica.js';
+import { outcome } from './replica.js';
+import type { Follower } from './follow.js';
+import { Refused, type CommitResult, type StateClient } from './client.js';
+import * as records from './records.js';
+
+type Entry = (
+  | { kind: 'job'; accepted: records.Accepted; size: number }
+  | { kind: 'cancel'; id: string; size: number }
+) & { deadline: number; resolve: (o: Outcome | null) => void };
+
+/**
+ * Stores what users ask for: accepted jobs and cancellations. What arrives while a batch is under
+ * way goes into the next one, so that an answer waits for milliseconds and costs a fraction of a
+ * write.
+ */
+export class Intake {
+  private queue: Entry[] = [];
+  private running = false;
+  private counter = 0;
+
+  constructor(
+    private readonly incarnation: string,
+    private readonly state: StateClient,
+    private readonly follower: Follower,
+    private readonly replica: Replica,
+    private readonly budget: Budget,
+    private readonly clock: Clock,
+    private readonly log: Log,
+  ) {}
+
+  get waiting(): number {
+    return this.queue.length;
+  }
+
+  /** Resolves with the job's outcome once it is stored and read back; null: unsure. */
+  accept(accepted: records.Accepted, timeoutS: number): Promise<Outcome | null> {
+    const size = JSON.stringify(records.encodeJob(accepted)).length + 1;
+    return this.enqueue({ kind: 'job', accepted, size }, timeoutS);
+  }
+
+  cancel(id: string, timeoutS: number): Promise<Outcome | null> {
+    return this.enqueue({ kind: 'cancel', id, size: id.length + 3 }, timeoutS);
+  }
+
+  private enqueue(
+    e:
+      | { kind: 'job'; accepted: records.Accepted; size: number }
+      | { kind: 'cancel'; id: string; size: number },
+    timeoutS: number,
+  ): Promise<Outcome | null> {
+    return new Promise((resolve) => {
+      this.queue.push({ ...e, deadline: this.clock.now() + timeoutS, resolve });
+      if (!this.running) void this.drain();
+    });
+  }
+
+  private nextBatch(): Entry[] {
+    const now = this.clock.now();
+    const late = this.queue.filter((e) => e.deadline <= now);
+    for (const e of late) e.resolve(null);
+    this.queue = this.queue.filter((e) => e.deadline > now);
+    const batch: Entry[] = [];
+    let bytes = 64;
+    while (this.queue.length > 0) {
+      const e = this.queue[0]!;
+      if (batch.length > 0 && bytes + e.size > this.state.valueBytes * 0.9) break;
+      bytes += e.size;
+      batch.push(this.queue.shift()!);
+    }
+    return batch;
+  }
+
+  private async drain(): Promise<void> {
+    this.running = true;
+    try {
+      while (this.queue.length > 0) {
+        while (!this.budget.take(1)) await sleep(this.budget.wait(1));
+        const batch = this.nextBatch();
+        if (batch.length > 0) await this.store(batch);
+      }
+    } finally {
+      this.running = false;
+    }
+  }
+
+  private async store(batch: Entry[]): Promise<void> {
+    const record: records.IntakeRecord = {
+      jobs: batch.flatMap((e) => (e.kind === 'job' ? [e.accepted] : [])),
+      cancels: batch.flatMap((e) => (e.kind === 'cancel' ? [e.id] : [])),
+    };
+    const key = `${records.JOBS}${this.incarnation}-${this.counter++}`;
+    const deadline = Math.max(...batch.map((e) => e.deadline));
+    let stored = false;
+    let first = true;
+    while (!stored && this.clock.now() < deadline) {
+      if (!first) while (!this.budget.take(1)) await sleep(this.budget.wait(1));
+      first = false;
+      try {
+        const r: CommitResult = await this.state.commit(
+          [{ key, revision: 0 }],
+          [{ put: key, value: records.encodeIntake(record) }],
+          1.5,
+        );
+        // A failed condition: an attempt that was not answered has been carried out after all.
+        stored = true;
+        if (!r.ok) this.log.debug({ key }, 'stored by an earlier attempt');
+      } catch (e) {
+        if (e instanceof Refused && e.status === 400) break;
+        await sleep(0.1 + Math.random() * 0.1);
+      }
+    }
+    // Nobody is told anything before this node's picture holds what was stored.
+    let synced = false;
+    while (stored && !synced && this.clock.now() < deadline) {
+      synced = await this.follower.sync();
+      if (!synced) await sleep(0.05);
+    }
+    for (const e of batch) {
+      const facts = this.replica.jobs.get(e.kind === 'job' ? e.accepted.spec.id : e.id);
+      e.resolve(synced && facts !== undefined ? outcome(facts) : null);
+    }
+  }
+}
--- /dev/null
+++ b/src/state/records.ts
@@ -0,0 +1,164 @@
+import type { JobSpec, MachineType } from '../jobs/types.js';
+
+/**
+ * What the controllers keep in the state service. Keys:
+ *
+ *   ps/j/<incarnation>-<n>   accepted jobs and cancellations, a batch each; never changed again
+ *   ps/p/<job>/<chunk>       which tasks are done; never changed again once all are
+ *   ps/m/<machine>           a machine, its owner and the attempts that may be on it
+ *   ps/l                     the leader, attached to its lease; its revision is the token
+ *   ps/t                     the machine types, for times when the cloud does not answer
+ *
+ * Order in time is the order of revisions: of "done" and "cancelled" the older one counts.
+ */
+export const ROOT = 'ps/';
+export const JOBS = 'ps/j/';
+export const PROGRESS = 'ps/p/';
+export const MACHINES = 'ps/m/';
+export const LEADER = 'ps/l';
+export const TYPES = 'ps/t';
+
+export const progressKey = (job: string, chunk: number): string => `${PROGRESS}${job}/${chunk}`;
+export const machineKey = (id: string): string => `${MACHINES}${id}`;
+
+/** An accepted job and the time of day of its acceptance in ms. */
+export interface Accepted {
+  spec: JobSpec;
+  atMs: number;
+}
+
+export interface IntakeRecord {
+  jobs: Accepted[];
+  cancels: string[];
+}
+
+const KINDS = ['array', 'gang', 'service'] as const;
+
+export function encodeIntake(r: IntakeRecord): unknown {
+  return { s: r.jobs.map(encodeJob), c: r.cancels };
+}
+
+export function encodeJob({ spec: s, atMs }: Accepted): unknown[] {
+  const flags = (s.oneZone ? 1 : 0) | (s.scatter ? 2 : 0) | (s.spot ? 4 : 0);
+  return [
+    s.id, s.class, s.team, KINDS.indexOf(s.kind), s.priority, s.tasks, s.cores, s.gpus, s.memGb,
+    s.image, s.imageGb, s.types, s.zone, flags, s.estimateS, s.checkpointS, s.saveS, s.deadlineS,
+    atMs,
+  ]; // prettier-ignore
+}
+
+export function decodeIntake(value: unknown): IntakeRecord {
+  const o = value as { s: unknown[][]; c: string[] };
+  return { jobs: o.s.map(decodeJob), cancels: o.c };
+}
+
+export function decodeJob(a: unknown[]): Accepted {
+  const flags = a[13] as number;
+  return {
+    spec: {
+      id: a[0] as string,
+      class: a[1] as string,
+      team: a[2] as string,
+      kind: KINDS[a[3] as number]!,
+      priority: a[4] as JobSpec['priority'],
+      tasks: a[5] as number,
+      cores: a[6] as number,
+      gpus: a[7] as number,
+      memGb: a[8] as number,
+      image: a[9] as string,
+      imageGb: a[10] as number,
+      types: a[11] as string[] | null,
+      zone: a[12] as string | null,
+      oneZone: (flags & 1) !== 0,
+      scatter: (flags & 2) !== 0,
+      spot: (flags & 4) !== 0,
+      estimateS: a[14] as number,
+      checkpointS: a[15] as number,
+      saveS: a[16] as number,
+      deadlineS: a[17] as number | null,
+    },
+    atMs: a[18] as number,
+  };
+}
+
+export interface ProgressRecord {
+  /** Bits of the done tasks in base64; null: all. */
+  bits: string | null;
+  /** Seconds of run time that the tasks have had, failed runs included. */
+  attainedS: number;
+}
+
+export const encodeProgress = (p: ProgressRecord): unknown => ({
+  b: p.bits,
+  a: Math.round(p.attainedS),
+});
+
+export function decodeProgress(value: unknown): ProgressRecord {
+  const o = value as { b: string | null; a?: number };
+  return { bits: o.b, attainedS: o.a ?? 0 };
+}
+
+export interface Claim {
+  job: string;
+  index: number;
+  attempt: number;
+}
+
+export interface MachineRecord {
+  /** The controller that owns the machine. Its term is the revision of its leadership. */
+  owner: string;
+  term: number;
+  addr: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+  returning: boolean;
+  claims: Claim[];
+  /** Images that were seen there, the latest last, with their size. */
+  images: [string, number][];
+}
+
+export const encodeMachine = (m: MachineRecord): unknown => ({
+  o: m.owner,
+  e: m.term,
+  a: m.addr,
+  c: m.type,
+  z: m.zone,
+  f: (m.spot ? 1 : 0) | (m.returning ? 2 : 0),
+  t: m.claims.map((c) => [c.job, c.index, c.attempt]),
+  i: m.images,
+});
+
+export function decodeMachine(value: unknown): MachineRecord {
+  const o = value as Record<string, unknown>;
+  const f = o.f as number;
+  return {
+    owner: o.o as string,
+    term: o.e as number,
+    addr: o.a as string,
+    type: o.c as string,
+    zone: o.z as string,
+    spot: (f & 1) !== 0,
+    returning: (f & 2) !== 0,
+    claims: (o.t as [string, number, number][]).map(([job, index, attempt]) => ({
+      job,
+      index,
+      attempt,
+    })),
+    images: (o.i as [string, number][] | undefined) ?? [],
+  };
+}
+
+export interface LeaderRecord {
+  node: string;
+  incarnation: string;
+}
+
+export const encodeLeader = (l: LeaderRecord): unknown => ({ n: l.node, i: l.incarnation });
+export function decodeLeader(value: unknown): LeaderRecord {
+  const o = value as { n: string; i: string };
+  return { node: o.n, incarnation: o.i };
+}
+
+export const encodeTypes = (t: MachineType[]): unknown => t;
+export const decodeTypes = (value: unknown): MachineType[] => value as MachineType[];
--- /dev/null
+++ b/src/state/replica.ts
@@ -0,0 +1,218 @@
+import type { MachineType } from '../jobs/types.js';
+import { Bits, chunkCount, chunkSize, chunkTasks } from '../jobs/bits.js';
+import type { Change, Item } from '../wire/state.js';
+import * as records from './records.js';
+
+/** What the store says of one job. A pure function of the changes up to a revision. */
+export interface JobFacts extends records.Accepted {
+  /** Revision at which it was accepted. */
+  acceptedAt: number;
+  /** Revision of the first cancellation. */
+  cancelledAt: number | null;
+  /** Revision at which its last task was stored as done. */
+  doneAt: number | null;
+  doneTasks: number;
+  attainedS: number;
+  /** Dropped once the job is over. */
+  chunks: Map<number, { bits: Bits; revision: number; attainedS: number }> | null;
+  /** Attempts that machine records name at present. */
+  claims: number;
+}
+
+export type Outcome = 'open' | 'done' | 'cancelled';
+
+/** The older one of "done" and "cancelled" counts, on every node and for ever. */
+export function outcome(j: JobFacts): Outcome {
+  if (j.cancelledAt !== null && (j.doneAt === null || j.cancelledAt < j.doneAt)) return 'cancelled';
+  return j.doneAt !== null ? 'done' : 'open';
+}
+
+export interface Listener {
+  onJob?(j: JobFacts): void;
+  onCancelled?(j: JobFacts): void;
+  onLeader?(): void;
+}
+
+/** A copy of the store, fed by listing and then by the stream of changes in their order. */
+export class Replica {
+  /** All changes up to this revision are in. */
+  applied = -1;
+  readonly jobs = new Map<string, JobFacts>();
+  readonly machines = new Map<string, { record: records.MachineRecord; revision: number }>();
+  leader: (records.LeaderRecord & { revision: number }) | null = null;
+  types: MachineType[] | null = null;
+  typesRevision = 0;
+  garbage = 0;
+  private readonly perChunk: number;
+  private earlyCancels = new Map<string, number>();
+  private earlyProgress = new Map<string, Item[]>();
+  listener: Listener = {};
+
+  constructor(valueBytes: number) {
+    this.perChunk = chunkTasks(valueBytes);
+  }
+
+  get chunkTasks(): number {
+    return this.perChunk;
+  }
+
+  /** One item of a listing. Older copies of what is known already change nothing. */
+  item(item: Item): void {
+    this.put(item.key, item.value, item.revision);
+  }
+
+  /** Keys that a fresh listing lacks are gone. */
+  retain(keys: Set<string>): void {
+    for (const id of [...this.machines.keys()]) {
+      const key = records.machineKey(id);
+      if (!keys.has(key)) this.removed(key);
+    }
+    if (this.leader !== null && !keys.has(records.LEADER)) this.removed(records.LEADER);
+  }
+
+  /** Changes after some revision at or below `applied`, up to `revision`. */
+  advance(revision: number, changes: Change[]): void {
+    for (const c of changes) {
+      if (c.revision <= this.applied) continue;
+      if (c.kind === 'put') this.put(c.key, c.value, c.revision);
+      else this.removed(c.key, c.revision);
+    }
+    if (revision > this.applied) this.applied = revision;
+  }
+
+  private put(key: string, value: unknown, revision: number): void {
+    try {
+      if (key.startsWith(records.JOBS)) this.intake(records.decodeIntake(value), revision);
+      else if (key.startsWith(records.PROGRESS)) this.progress(key, value, revision);
+      else if (key.startsWith(records.MACHINES)) {
+        this.machine(key.slice(records.MACHINES.length), records.decodeMachine(value), revision);
+      } else if (key === records.LEADER) {
+        if (this.leader !== null && this.leader.revision >= revision) return;
+        this.leader = { ...records.decodeLeader(value), revision };
+        this.listener.onLeader?.();
+      } else if (key === records.TYPES && revision > this.typesRevision) {
+        this.types = records.decodeTypes(value);
+        this.typesRevision = revision;
+      }
+    } catch {
+      // A value that no version of ours wrote: it must not stop the rest.
+      this.garbage++;
+    }
+  }
+
+  private removed(key: string, revision = Infinity): void {
+    if (key === records.LEADER) {
+      if (this.leader !== null && this.leader.revision < revision) {
+        this.leader = null;
+        this.listener.onLeader?.();
+      }
+    } else if (key.startsWith(records.MACHINES)) {
+      const id = key.slice(records.MACHINES.length);
+      const old = this.machines.get(id);
+      if (old !== undefined && old.revision < revision) {
+        this.count(old.record, -1);
+        this.machines.delete(id);
+      }
+    }
+  }
+
+  private intake(r: records.IntakeRecord, revision: number): void {
+    for (const accepted of r.jobs) {
+      const id = accepted.spec.id;
+      const old = this.jobs.get(id);
+      if (old !== undefined) {
+        // Two nodes accepted the same job at once: the same job, the older acceptance counts.
+        if (revision < old.acceptedAt) old.acceptedAt = revision;
+        continue;
+      }
+      const facts: JobFacts = {
+        ...accepted,
+        acceptedAt: revision,
+        cancelledAt: this.earlyCancels.get(id) ?? null,
+        doneAt: null,
+        doneTasks: 0,
+        attainedS: 0,
+        chunks: new Map(),
+        claims: 0,
+      };
+      this.earlyCancels.delete(id);
+      this.jobs.set(id, facts);
+      for (const item of this.earlyProgress.get(id) ?? []) {
+        this.progress(item.key, item.value, item.revision);
+      }
+      this.earlyProgress.delete(id);
+      this.listener.onJob?.(facts);
+    }
+    for (const id of r.cancels) {
+      const facts = this.jobs.get(id);
+      if (facts === undefined) {
+        // A listing goes by key, not by time: the job itself may come later.
+        const early = this.earlyCancels.get(id);
+        this.earlyCancels.set(id, Math.min(early ?? Infinity, revision));
+      } else if (facts.cancelledAt === null || revision < facts.cancelledAt) {
+        facts.cancelledAt = revision;
+        if (outcome(facts) === 'cancelled') {
+          facts.chunks = null;
+          this.listener.onCancelled?.(facts);
+        }
+      }
+    }
+  }
+
+  private progress(key: string, value: unknown, revision: number): void {
+    const rest = key.slice(records.PROGRESS.length);
+    const slash = rest.indexOf('/');
+    const id = rest.slice(0, slash);
+    const chunk = Number(rest.slice(slash + 1));
+    const facts = this.jobs.get(id);
+    if (facts === undefined) {
+      const early = this.earlyProgress.get(id) ?? [];
+      early.push({ key, value, revision });
+      this.earlyProgress.set(id, early);
+      return;
+    }
+    if (facts.doneAt !== null || facts.chunks === null) return;
+    const old = facts.chunks.get(chunk);
+    if (old !== undefined && old.revision >= revision) return;
+    const size = chunkSize(facts.spec.tasks, this.perChunk, chunk);
+    const p = records.decodeProgress(value);
+    let bits: Bits;
+    if (p.bits === null) {
+      bits = new Bits(size);
+      bits.fill();
+    } else bits = Bits.decode(size, p.bits);
+    facts.chunks.set(chunk, { bits, revision, attainedS: p.attainedS });
+    let done = 0;
+    let attained = 0;
+    let last = 0;
+    for (const c of facts.chunks.values()) {
+      done += c.bits.count;
+      attained += c.attainedS;
+      last = Math.max(last, c.revision);
+    }
+    facts.doneTasks = done;
+    facts.attainedS = attained;
+    const chunks = chunkCount(facts.spec.tasks, this.perChunk);
+    if (done === facts.spec.tasks && facts.chunks.size === chunks) {
+      facts.doneAt = last;
+      facts.chunks = null;
+    }
+  }
+
+  private machine(id: string, record: records.MachineRecord, revision: number): void {
+    const old = this.machines.get(id);
+    if (old !== undefined) {
+      if (old.revision >= revision) return;
+      this.count(old.record, -1);
+    }
+    this.machines.set(id, { record, revision });
+    this.count(record, 1);
+  }
+
+  private count(record: records.MachineRecord, by: number): void {
+    for (const c of record.claims) {
+      const facts = this.jobs.get(c.job);
+      if (facts !== undefined) facts.claims = Math.max(0, facts.claims + by);
+    }
+  }
+}
--- /dev/null
+++ b/src/wire/cloud.ts
@@ -0,0 +1,104 @@
+import * as v from 'valibot';
+import type { MachineType } from '../jobs/types.js';
+
+/** The cloud's messages. */
+
+const amount = v.pipe(v.number(), v.finite(), v.minValue(0));
+const types = v.object({
+  castings: v.array(
+    v.object({
+      name: v.string(),
+      cores: amount,
+      gpus: amount,
+      mem_gb: amount,
+      local_gb: v.optional(amount, 0),
+      pull_gb_per_s: v.optional(amount, 1),
+      hourly: amount,
+      spot_price: v.optional(amount, 0),
+      startup_s: v.optional(amount, 60),
+      yards: v.array(v.string()),
+    }),
+  ),
+});
+
+export function parseTypes(raw: unknown): MachineType[] {
+  return v.parse(types, raw).castings.map((c) => ({
+    name: c.name,
+    cores: c.cores,
+    gpus: c.gpus,
+    memGb: c.mem_gb,
+    cacheGb: c.local_gb,
+    fetchGbPerS: c.pull_gb_per_s,
+    price: c.hourly,
+    spotPrice: c.spot_price,
+    bootS: c.startup_s,
+    zones: c.yards,
+  }));
+}
+
+export interface ListedMachine {
+  id: string;
+  addr: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+  state: 'booting' | 'running' | 'failed';
+  ageS: number;
+}
+
+const list = v.object({
+  benches: v.array(
+    v.object({
+      ref: v.string(),
+      addr: v.optional(v.nullable(v.string()), ''),
+      casting: v.string(),
+      yard: v.string(),
+      loaner: v.optional(v.boolean(), false),
+      temper: v.picklist(['booting', 'running', 'failed']),
+      age_s: v.optional(v.number(), 0),
+    }),
+  ),
+  more: v.optional(v.boolean(), false),
+});
+
+export function parseList(raw: unknown): { machines: ListedMachine[]; more: boolean } {
+  const r = v.parse(list, raw);
+  return {
+    more: r.more,
+    machines: r.benches.map((b) => ({
+      id: b.ref,
+      addr: b.addr ?? '',
+      type: b.casting,
+      zone: b.yard,
+      spot: b.loaner,
+      state: b.temper,
+      ageS: b.age_s,
+    })),
+  };
+}
+
+const rented = v.object({ benches: v.array(v.string()) });
+export const parseRented = (raw: unknown): string[] => v.parse(rented, raw).benches;
+
+export interface RentRequest {
+  name: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+  count: number;
+}
+
+export const encodeRent = (r: RentRequest): string =>
+  JSON.stringify({ hire: r.name, casting: r.type, yard: r.zone, loaner: r.spot, number: r.count });
+
+export const encodeReturn = (ids: string[]): string => JSON.stringify({ benches: ids });
+
+export const TYPES_PATH = '/machine_types';
+export const RENT_PATH = '/hosts';
+export const RETURN_PATH = '/hosts/return';
+export const listPath = (after: string): string =>
+  `/hosts?limit=500${after === '' ? '' : `&after=${encodeURIComponent(after)}`}`;
+
+/** Most machines in one rental request, and most names in one return. */
+export const RENT_MAX = 50;
+export const RETURN_MAX = 100;
--- /dev/null
+++ b/src/wire/users.ts
@@ -0,0 +1,128 @@
+import * as v from 'valibot';
+import type { JobKind, JobSpec, Priority } from '../jobs/types.js';
+
+/** Users' messages: the only place that knows their field names. */
+
+export class BadMessage extends Error {}
+
+const KINDS: Record<string, JobKind> = { batch: 'array', group: 'gang', daemon: 'service' };
+const PRIORITIES: Record<string, Priority> = { critical: 0, high: 1, standard: 2, best_effort: 3 };
+
+const ID = /^wk-\d{1,18}$/;
+export const validId = (id: string): boolean => ID.test(id);
+
+const amount = v.pipe(v.number(), v.finite(), v.minValue(0));
+const word = v.pipe(v.string(), v.minLength(1), v.maxLength(200));
+const flag = v.boolean();
+
+const submission = v.object({
+  ref: v.pipe(v.string(), v.regex(ID)),
+  guild: word,
+  crew: word,
+  form: v.picklist(['batch', 'group', 'daemon']),
+  rank: v.picklist(['critical', 'high', 'standard', 'best_effort']),
+  pieces: v.pipe(v.number(), v.integer(), v.minValue(1), v.maxValue(100_000)),
+  cores: amount,
+  gpus: amount,
+  mem_gb: amount,
+  mould: word,
+  image_gb: amount,
+  castings: v.nullish(v.pipe(v.array(word), v.maxLength(100)), null),
+  yard: v.nullish(word, null),
+  one_zone: flag,
+  scatter: flag,
+  loaner: flag,
+  reckon_s: amount,
+  stamp_s: amount,
+  stamping_s: amount,
+  due_s: v.nullish(amount, null),
+});
+
+export function parseSubmission(body: Buffer): JobSpec {
+  const raw = parseObject(body);
+  const r = v.safeParse(submission, raw);
+  if (!r.success) {
+    const issue = r.issues[0];
+    throw new BadMessage(`${v.getDotPath(issue) ?? 'body'}: ${issue.message}`);
+  }
+  const o = r.output;
+  return {
+    id: o.ref,
+    class: o.guild,
+    team: o.crew,
+    kind: KINDS[o.form]!,
+    priority: PRIORITIES[o.rank]!,
+    tasks: o.pieces,
+    cores: o.cores,
+    gpus: o.gpus,
+    memGb: o.mem_gb,
+    image: o.mould,
+    imageGb: o.image_gb,
+    types: o.castings,
+    zone: o.yard,
+    oneZone: o.one_zone,
+    scatter: o.scatter,
+    spot: o.loaner,
+    estimateS: o.reckon_s,
+    checkpointS: o.stamp_s,
+    saveS: o.stamping_s,
+    deadlineS: o.due_s,
+  };
+}
+
+export function parseObject(body: Buffer): Record<string, unknown> {
+  let raw: unknown;
+  try {
+    raw = JSON.parse(body.toString('utf8'));
+  } catch {
+    throw new BadMessage('not JSON');
+  }
+  if (raw === null || typeof raw !== 'object' || Array.isArray(raw)) {
+    throw new BadMessage('not an object');
+  }
+  return raw as Record<string, unknown>;
+}
+
+export type ShownState = 'queued' | 'running' | 'done' | 'cancelled';
+
+export const encodeAccepted = (id: string, state: ShownState): string =>
+  JSON.stringify({ ref: id, temper: state });
+
+export const encodeStatus = (
+  id: string,
+  state: ShownState,
+  done: number,
+  running: number,
+): string => JSON.stringify({ ref: id, temper: state, done, running });
+
+export const encodeError = (error: string): string => JSON.stringify({ error });
+
+export type UserRoute =
+  | { to: 'submit' }
+  | { to: 'poll'; id: string }
+  | { to: 'cancel'; id: string }
+  | { to: 'ready' }
+  | { to: 'checkin' }
+  | { to: 'metrics' }
+  | { to: 'wrong-method' }
+  | { to: 'nowhere' };
+
+const only = (is: boolean, route: UserRoute): UserRoute => (is ? route : { to: 'wrong-method' });
+
+/** Where a request goes. The workers' reports share the address with the users. */
+export function route(method: string, target: string): UserRoute {
+  const query = target.indexOf('?');
+  const path = query < 0 ? target : target.slice(0, query);
+  if (path === '/checkin') return only(method === 'POST', { to: 'checkin' });
+  if (path === '/ready') return only(method === 'GET', { to: 'ready' });
+  if (path === '/submissions') return only(method === 'POST', { to: 'submit' });
+  if (path === '/metrics') return only(method === 'GET', { to: 'metrics' });
+  const m = /^\/submissions\/([^/]+)(\/withdraw)?$/.exec(path);
+  if (m !== null) {
+    const id = m[1]!;
+    return m[2] === undefined
+      ? only(method === 'GET', { to: 'poll', id })
+      : only(method === 'POST', { to: 'cancel', id });
+  }
+  return { to: 'nowhere' };
+}
--- /dev/null
+++ b/src/wire/workers.ts
@@ -0,0 +1,128 @@
+import { BadMessage } from './users.js';
+
+/** Workers' reports and the commands to them: the only place that knows their field names. */
+
+export type TaskState = 'fetching' | 'waiting' | 'running' | 'saving' | 'ended';
+export type Cause = 'done' | 'stopped' | 'peers' | 'alone' | 'error' | 'full' | 'busy' | 'unknown';
+
+export interface TaskReport {
+  job: string;
+  index: number;
+  attempt: number;
+  state: TaskState;
+  cause: Cause | null;
+  saved: boolean;
+}
+
+export interface Report {
+  machine: string;
+  addr: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+  session: number;
+  seq: number;
+  token: number;
+  noticeS: number | null;
+  tasks: TaskReport[];
+}
+
+export type Command =
+  | { op: 'start'; job: string; index: number; attempt: number }
+  | { op: 'stop'; job: string; index: number; attempt: number; graceS: number }
+  | { op: 'forget'; job: string; index: number; attempt: number };
+
+const STATES: Record<string, TaskState> = {
+  pulling: 'fetching',
+  gathering: 'waiting',
+  running: 'running',
+  flushing: 'saving',
+  ended: 'ended',
+};
+const CAUSES: Record<string, Cause> = {
+  done: 'done',
+  halted: 'stopped',
+  mates_gone: 'peers',
+  alone: 'alone',
+  error: 'error',
+  full: 'full',
+  in_use: 'busy',
+  no_such: 'unknown',
+};
+
+const count = (x: unknown, name: string): number => {
+  if (typeof x !== 'number' || !Number.isSafeInteger(x) || x < 0) throw new BadMessage(name);
+  return x;
+};
+const text = (x: unknown, name: string): string => {
+  if (typeof x !== 'string' || x.length === 0 || x.length > 200) throw new BadMessage(name);
+  return x;
+};
+
+export function splitTask(piece: string): { job: string; index: number } {
+  const slash = piece.indexOf('/');
+  const index = Number(piece.slice(slash + 1));
+  if (slash <= 0 || !Number.isSafeInteger(index) || index < 0) throw new BadMessage('piece');
+  return { job: piece.slice(0, slash), index };
+}
+
+/** Checked by hand: a report comes from every machine every second. */
+export function parseReport(raw: unknown): Report {
+  if (raw === null || typeof raw !== 'object') throw new BadMessage('not an object');
+  const o = raw as Record<string, unknown>;
+  const tasks: TaskReport[] = [];
+  if (!Array.isArray(o.pieces)) throw new BadMessage('pieces');
+  for (const p of o.pieces as unknown[]) {
+    if (p === null || typeof p !== 'object') throw new BadMessage('pieces');
+    const t = p as Record<string, unknown>;
+    const state = STATES[String(t.temper)];
+    if (state === undefined) throw new BadMessage('temper');
+    tasks.push({
+      ...splitTask(text(t.piece, 'piece')),
+      attempt: count(t.pour, 'pour'),
+      state,
+      cause: state === 'ended' ? (CAUSES[String(t.cause)] ?? 'error') : null,
+      saved: t.saved === true,
+    });
+  }
+  const notice = o.recall_s;
+  if (notice !== undefined && notice !== null && (typeof notice !== 'number' || !(notice >= 0))) {
+    throw new BadMessage('recall_s');
+  }
+  return {
+    machine: text(o.bench, 'bench'),
+    addr: text(o.addr, 'addr'),
+    type: text(o.casting, 'casting'),
+    zone: text(o.yard, 'yard'),
+    spot: o.loaner === true,
+    session: count(o.shift, 'shift'),
+    seq: count(o.tally, 'tally'),
+    token: count(o.hallmark, 'hallmark'),
+    noticeS: (notice as number | null | undefined) ?? null,
+    tasks,
+  };
+}
+
+const VERBS = { start: 'start', stop: 'kill', forget: 'reap' } as const;
+
+function encodeCommand(c: Command): Record<string, unknown> {
+  const o: Record<string, unknown> = {
+    verb: VERBS[c.op],
+    piece: `${c.job}/${c.index}`,
+    pour: c.attempt,
+  };
+  if (c.op === 'stop') o.cooling_s = c.graceS;
+  return o;
+}
+
+export const encodeOrders = (token: number, commands: Command[]): string =>
+  JSON.stringify({ hallmark: token, orders: commands.map(encodeCommand) });
+
+export const encodeDirect = (token: number, session: number, commands: Command[]): string =>
+  JSON.stringify({ hallmark: token, shift: session, orders: commands.map(encodeCommand) });
+
+export const encodeElsewhere = (node: string | null): string =>
+  node === null ? '{}' : JSON.stringify({ foreman: node });
+
+/** The most commands in one message, far below a line of 64 KiB. */
+export const MAX_COMMANDS = 400;
