--- a/src/cluster/election.ts
+++ b/src/cluster/election.ts
@@ -87,13 +87,12 @@
 
   private pause(s: number): Promise<void> {
     return new Promise((resolve) => {
-      const t = setTimeout(done, s * 1000);
-      const self = this;
-      function done(): void {
-        clearTimeout(t);
-        if (self.wake === done) self.wake = null;
+      const done = (): void => {
+        clearTimeout(timer);
+        if (this.wake === done) this.wake = null;
         resolve();
-      }
+      };
+      const timer = setTimeout(done, s * 1000);
       this.wake = done;
     });
   }
--- a/src/jobs/live.ts
+++ b/src/jobs/live.ts
@@ -164,9 +164,7 @@
   }
 
   get holdingCount(): number {
-    let n = 0;
-    for (const _ of this.holding()) n++;
-    return n;
+    return [...this.holding()].length;
   }
 
   get pendingCount(): number {
