--- a/src/main.ts
+++ b/src/main.ts
@@ -10,6 +10,7 @@
   config?: string;
   operatorScript?: string;
   check?: boolean;
+  status?: string;
 }
 
 /** The usual call is understood without loading the library for the others. */
@@ -21,12 +22,17 @@
   const program = new Command('pewtershelf')
     .description('A scheduler for fleets that serve language models')
     .version(VERSION)
-    .requiredOption('--config <file>', "the platform's settings (TOML)")
+    .option('--config <file>', "the platform's settings (TOML)")
     .option('--operator-script <file>', "operators' own settings (Lua)")
     .option('--check', 'check the settings and exit')
+    .option('--status <addr>', 'print the figures of a running controller and exit')
     .allowExcessArguments(false);
   program.parse(argv, { from: 'user' });
-  return program.opts<Args>();
+  const args = program.opts<Args>();
+  if (args.config === undefined && args.status === undefined) {
+    program.error("error: required option '--config <file>' not specified");
+  }
+  return args;
 }
 
 function give(message: string): never {
@@ -36,6 +42,12 @@
 
 async function main(): Promise<void> {
   const args = await readArgs(process.argv.slice(2));
+  if (args.status !== undefined) {
+    const { showStatus } = await import('./service/status.js');
+    const failed = await showStatus(args.status);
+    if (failed !== null) give(`status of ${args.status}: ${failed}`);
+    return;
+  }
   let settings;
   try {
     settings = loadSettings(args.config!);
--- /dev/null
+++ b/src/service/status.ts
@@ -0,0 +1,21 @@
+import { endpoint } from '../config/settings.js';
+import { HttpClient } from '../http/client.js';
+
+/** Prints a running controller's figures. Returns what went wrong, or null. */
+export async function showStatus(addr: string): Promise<string | null> {
+  if (!/^[^\s:]+:\d{1,5}$/.test(addr)) return 'must be HOST:PORT';
+  const client = new HttpClient(endpoint(addr), 1);
+  try {
+    const r = await client.request('GET', '/metrics', undefined, 5);
+    if (r.status !== 200) return `answered ${r.status}`;
+    const figures = JSON.parse(r.body.toString('utf8')) as Record<string, unknown>;
+    for (const [name, value] of Object.entries(figures)) {
+      process.stdout.write(`${name.padEnd(24)} ${String(value)}\n`);
+    }
+    return null;
+  } catch (e) {
+    return (e as Error).message;
+  } finally {
+    client.close();
+  }
+}
--- /dev/null
+++ b/test/evidence.test.ts
@@ -0,0 +1,229 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { Report, TaskReport } from '../src/wire/workers.js';
+import { parseReport } from '../src/wire/workers.js';
+import { BadMessage } from '../src/wire/users.js';
+import { makeAttempt, type Attempt, type AttemptState } from '../src/workers/attempt.js';
+import { Machine } from '../src/workers/machine.js';
+
+const TOKEN = 50;
+const LEASE = 10;
+
+const report = (over: Partial<Report> = {}, tasks: Partial<TaskReport>[] = []): Report => ({
+  machine: 'm',
+  addr: '127.0.0.1:1',
+  type: 'g8',
+  zone: 'z1',
+  spot: false,
+  session: 1,
+  seq: 1,
+  token: TOKEN,
+  noticeS: null,
+  tasks: tasks.map((t) => ({
+    job: 'j', index: 0, attempt: 50, state: 'running', cause: null, saved: false, ...t,
+  })), // prettier-ignore
+  ...over,
+});
+
+function setup(state: AttemptState): { m: Machine; a: Attempt } {
+  const m = new Machine('m', TOKEN, LEASE, 0);
+  const a = makeAttempt('j', 0, 50, 'm', state, 0);
+  m.claim(a);
+  return { m, a };
+}
+
+/** A start in the answer to check-in 10. */
+function sent(): { m: Machine; a: Attempt } {
+  const s = setup('claimed');
+  s.m.apply(report({ seq: 10 }), true, 1);
+  const c = s.m.commands(1, () => true, true);
+  assert.deepEqual(
+    c.map((x) => x.op),
+    ['start'],
+  );
+  s.m.mark(c, 'checkin', 1);
+  return s;
+}
+
+function sentDirect(): { m: Machine; a: Attempt; commands: ReturnType<Machine['commands']> } {
+  const s = setup('claimed');
+  s.m.apply(report({ seq: 10 }), true, 1);
+  const commands = s.m.commands(1, () => true, false);
+  s.m.mark(commands, 'direct', 1);
+  return { ...s, commands };
+}
+
+test('when a task may be started elsewhere', () => {
+  const cases: [string, () => { m: Machine; a: Attempt }, boolean][] = [
+    ['its start is on the way', sent, false],
+    [
+      'an older report does not show it',
+      () => {
+        const s = sent();
+        s.m.apply(report({ seq: 9 }), true, 2);
+        return s;
+      },
+      false,
+    ],
+    [
+      'the session has moved on',
+      () => {
+        const s = sent();
+        s.m.apply(report({ session: 2, seq: 1 }), true, 2);
+        return s;
+      },
+      true,
+    ],
+    [
+      'a late copy from an older session says nothing',
+      () => {
+        const s = sent();
+        s.m.apply(report({ seq: 11 }, [{}]), true, 2);
+        s.m.apply(report({ session: 0, seq: 99 }), true, 3);
+        return s;
+      },
+      false,
+    ],
+    [
+      'a running task is missing from a newer fenced report',
+      () => {
+        const s = sent();
+        s.m.apply(report({ seq: 11 }, [{}]), true, 2);
+        s.m.apply(report({ seq: 12 }), true, 3);
+        return s;
+      },
+      true,
+    ],
+    [
+      'it is missing from a report that is not fenced',
+      () => {
+        const s = setup('inherited');
+        s.m.apply(report({ seq: 12, token: TOKEN - 1 }), true, 3);
+        return s;
+      },
+      false,
+    ],
+    [
+      'inherited, and a fenced report does not show it',
+      () => {
+        const s = setup('inherited');
+        s.m.apply(report({ seq: 12 }), true, 3);
+        return s;
+      },
+      true,
+    ],
+    [
+      'it has ended',
+      () => {
+        const s = sent();
+        s.m.apply(report({ seq: 11 }, [{ state: 'ended', cause: 'stopped' }]), true, 2);
+        return s;
+      },
+      true,
+    ],
+    [
+      'the lease has run out',
+      () => {
+        const s = sent();
+        s.m.lost(20);
+        return s;
+      },
+      true,
+    ],
+  ];
+  for (const [name, make, free] of cases) {
+    const { a } = make();
+    assert.equal(a.state === 'gone' || a.state === 'ended', free, `${name}: ${a.state}`);
+  }
+});
+
+test('a start that the next check-in lacks is sent again; a direct answer proves nothing', () => {
+  const s = sent();
+  s.m.apply(report({ seq: 11 }), false, 2);
+  assert.equal(s.a.state, 'sent', 'the answer to check-in 10 may still be under way');
+  s.m.apply(report({ seq: 12 }), true, 2);
+  assert.equal(s.a.state, 'claimed');
+});
+
+test('an unanswered direct start may come at any time in its session', () => {
+  // Packets held back by a cut are delivered later: the start must not be taken for lost, and what
+  // it started must not be forgotten, or it would start once more.
+  const { m, a, commands } = sentDirect();
+  m.directDone(commands, 'unknown', 1, 2);
+  m.apply(report({ seq: 11 }), true, 3);
+  assert.equal(a.state, 'sent');
+  assert.deepEqual(
+    m.commands(3, () => true, true).map((c) => c.op),
+    ['start'],
+    'sent again',
+  );
+  m.apply(report({ seq: 12 }, [{ state: 'ended', cause: 'done' }]), true, 4);
+  a.settled = true;
+  assert.deepEqual(
+    m.commands(4, () => true, true),
+    [],
+    'not forgotten',
+  );
+  m.apply(report({ session: 2, seq: 1 }), true, 20);
+  assert.equal(a.state, 'gone');
+});
+
+test('a direct start that provably was not carried out can be sent again', () => {
+  const { m, a, commands } = sentDirect();
+  m.directDone(commands, 'refused', 1, 2);
+  assert.equal(a.state, 'claimed');
+});
+
+test('an ended task is forgotten only once it is settled, and started anew only after that', () => {
+  const { m, a } = sent();
+  m.apply(report({ seq: 11 }, [{ state: 'ended', cause: 'error' }]), true, 2);
+  const next = makeAttempt('j', 0, 51, 'm', 'claimed', 2);
+  m.claim(next);
+  assert.deepEqual(
+    m.commands(2, () => true, true),
+    [],
+  );
+  a.settled = true;
+  assert.deepEqual(
+    m.commands(2, () => true, true).map((c) => c.op),
+    ['forget', 'start'],
+  );
+});
+
+test('a renewed lease moves its end, a late copy never moves it back', () => {
+  const m = new Machine('m', TOKEN, LEASE, 0);
+  m.renewed(5);
+  const end = m.leaseEnd;
+  assert.ok(end > 5 + LEASE);
+  m.renewed(4);
+  assert.equal(m.leaseEnd, end);
+});
+
+test('tasks nobody here knows of are told apart', () => {
+  const m = new Machine('m', TOKEN, LEASE, 0);
+  const c = m.apply(report({}, [{ job: 'x' }]), true, 1);
+  assert.deepEqual(
+    c.foreign.map((a) => a.job),
+    ['x'],
+  );
+});
+
+test('garbage from a worker is refused as a whole', () => {
+  const good = {
+    bench: 'm', addr: 'a:1', casting: 'g8', yard: 'a', loaner: true, shift: 1, tally: 8,
+    hallmark: 4, recall_s: null, pieces: [{ piece: 'wk-1/3', pour: 2, temper: 'running' }],
+  }; // prettier-ignore
+  assert.equal(parseReport(good).tasks[0]?.index, 3);
+  const cases: unknown[] = [
+    null,
+    [],
+    { ...good, shift: -1 },
+    { ...good, tally: '8' },
+    { ...good, pieces: {} },
+    { ...good, pieces: [null] },
+    { ...good, pieces: [{ piece: 'wk-1', pour: 1, temper: 'running' }] },
+    { ...good, pieces: [{ piece: 'wk-1/1', pour: 1, temper: 'dancing' }] },
+    { ...good, recall_s: 'soon' },
+  ];
+  for (const c of cases) assert.throws(() => parseReport(c), BadMessage);
+});
--- /dev/null
+++ b/test/helpers.ts
@@ -0,0 +1,102 @@
+import { parseSettings, type Settings } from '../src/config/settings.js';
+import type { JobSpec, MachineType } from '../src/jobs/types.js';
+
+export interface Ports {
+  bind: number;
+  peer: number;
+}
+
+/** A settings file like the platform's, with short times. */
+export function settingsText(
+  index = 0,
+  ports: Ports[] = [{ bind: 1, peer: 2 }],
+  cloud = 3,
+  state = 4,
+  leaseS = 2,
+): string {
+  const seeds = ports
+    .map((p, i) => [p, i] as const)
+    .filter(([, i]) => i !== index)
+    .map(
+      ([p, i]) => `[[seeds]]\nhost_name = "n-${i}"\ndomain = "z1"\naddr = "127.0.0.1:${p.peer}"\n`,
+    )
+    .join('');
+  return `
+host_name = "n-${index}"
+domain = "z1"
+bind = "127.0.0.1:${ports[index]!.bind}"
+peer_bind = "127.0.0.1:${ports[index]!.peer}"
+unknown_field = true
+${seeds}
+[endpoints]
+cloud = "127.0.0.1:${cloud}"
+state = "127.0.0.1:${state}"
+[settings]
+count = ${ports.length}
+zones = ["z1", "z2"]
+skew_ms = 100.0
+[[settings.teams]]
+name = "t"
+cpus = 0.0
+cpus_max = 0.0
+gpus = 4.0
+gpus_max = 12.0
+[settings.workers]
+report_s = ${leaseS / 10}
+lease_s = ${leaseS}
+gang_wait_s = 4.0
+gang_peer_s = 1.0
+cancel_s = 6.0
+[settings.state]
+rps = 1000.0
+write_rps = 200.0
+value_kb = 8.0
+txn_ops = 8
+[settings.cloud]
+rps = 50.0
+list_lag_s = 0.5
+[settings.limits]
+cpu_share = 1.0
+mem_mb = 200.0
+sockets = 500
+`;
+}
+
+export const settings = (): Settings => parseSettings(settingsText());
+
+export const spec = (over: Partial<JobSpec> = {}): JobSpec => ({
+  id: 'wk-000001',
+  class: 'c',
+  team: 't',
+  kind: 'array',
+  priority: 2,
+  tasks: 1,
+  cores: 1,
+  gpus: 1,
+  memGb: 1,
+  image: 'i',
+  imageGb: 1,
+  types: null,
+  zone: null,
+  oneZone: false,
+  scatter: false,
+  spot: false,
+  estimateS: 10,
+  checkpointS: 0,
+  saveS: 0,
+  deadlineS: null,
+  ...over,
+});
+
+export const g8: MachineType = {
+  name: 'g8',
+  cores: 8,
+  gpus: 8,
+  memGb: 64,
+  cacheGb: 100,
+  fetchGbPerS: 1,
+  price: 10,
+  spotPrice: 3,
+  bootS: 1,
+  zones: ['z1', 'z2'],
+};
--- /dev/null
+++ b/test/replica.test.ts
@@ -0,0 +1,117 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Bits } from '../src/jobs/bits.js';
+import { LiveJob } from '../src/jobs/live.js';
+import * as records from '../src/state/records.js';
+import { outcome, Replica } from '../src/state/replica.js';
+import { makeAttempt } from '../src/workers/attempt.js';
+import { spec } from './helpers.js';
+
+const accepted = (over = {}) => ({ spec: spec({ tasks: 2, ...over }), atMs: 5 });
+const put = (key: string, value: unknown, revision: number) =>
+  ({ kind: 'put', key, value: JSON.parse(JSON.stringify(value)) as unknown, revision }) as const;
+const job = (revision: number) =>
+  put(
+    `${records.JOBS}a-${revision}`,
+    records.encodeIntake({ jobs: [accepted()], cancels: [] }),
+    revision,
+  );
+const cancel = (revision: number) =>
+  put(
+    `${records.JOBS}c-${revision}`,
+    records.encodeIntake({ jobs: [], cancels: ['wk-000001'] }),
+    revision,
+  );
+const done = (revision: number, bits: string | null = null) =>
+  put(
+    records.progressKey('wk-000001', 0),
+    records.encodeProgress({ bits, attainedS: 3 }),
+    revision,
+  );
+
+test('of done and cancelled the older one counts, in whatever order a listing brings them', () => {
+  const cases: [string, ReturnType<typeof put>[], string][] = [
+    ['accepted', [job(1)], 'open'],
+    ['done', [job(1), done(2)], 'done'],
+    ['cancelled', [job(1), cancel(2)], 'cancelled'],
+    ['cancelled, then done', [job(1), cancel(2), done(3)], 'cancelled'],
+    ['done, then cancelled', [job(1), done(2), cancel(3)], 'done'],
+    ['half done', [job(1), done(2, 'AQ==')], 'open'],
+  ];
+  for (const [name, changes, want] of cases) {
+    const orders = [changes, [...changes].reverse()];
+    for (const order of orders) {
+      const r = new Replica(8192);
+      for (const c of order) r.item(c);
+      assert.equal(outcome(r.jobs.get('wk-000001')!), want, name);
+    }
+  }
+});
+
+test('a job accepted twice is one job, garbage is dropped, old changes change nothing', () => {
+  const r = new Replica(8192);
+  r.advance(9, [job(7), job(8), put(`${records.JOBS}x`, { s: 5 }, 9)]);
+  assert.equal(r.jobs.size, 1);
+  assert.equal(r.garbage, 1);
+  r.advance(9, [cancel(3)]);
+  assert.equal(outcome(r.jobs.get('wk-000001')!), 'open');
+  assert.equal(r.applied, 9);
+});
+
+test('records survive their way through the store', () => {
+  const a = accepted({ types: ['g8'], zone: 'z1', oneZone: true, spot: true, deadlineS: 7 });
+  const through = <T>(x: T): T => JSON.parse(JSON.stringify(x)) as T;
+  assert.deepEqual(records.decodeJob(through(records.encodeJob(a))), a);
+  const m: records.MachineRecord = {
+    owner: 'n', term: 4, addr: 'a:1', type: 'g8', zone: 'z', spot: true, returning: false,
+    claims: [{ job: 'wk-000001', index: 3, attempt: 9 }], images: [['i', 4]],
+  }; // prettier-ignore
+  assert.deepEqual(records.decodeMachine(through(records.encodeMachine(m))), m);
+  const bits = new Bits(20);
+  for (const i of [0, 7, 8, 19]) bits.add(i);
+  const back = Bits.decode(20, bits.encode());
+  assert.deepEqual(
+    [...Array(20).keys()].filter((i) => back.has(i)),
+    [0, 7, 8, 19],
+  );
+});
+
+test('the largest array fits into the values of the state service', () => {
+  const r = new Replica(8192);
+  r.item(
+    put(
+      `${records.JOBS}a`,
+      records.encodeIntake({ jobs: [accepted({ tasks: 100_000 })], cancels: [] }),
+      1,
+    ),
+  );
+  const live = new LiveJob(r.jobs.get('wk-000001')!, r.chunkTasks, 0, 5);
+  for (let i = 0; i < 99_999; i += 2) live.markDone(i, 0);
+  for (const chunk of live.dirtyChunks) {
+    assert.ok(JSON.stringify(records.encodeProgress(live.chunkRecord(chunk))).length < 8192);
+  }
+});
+
+test('the life of a task: wanted, claimed, lost, wanted again, done, stored', () => {
+  const r = new Replica(8192);
+  r.item(job(1));
+  const live = new LiveJob(r.jobs.get('wk-000001')!, r.chunkTasks, 0, 5);
+  assert.deepEqual(live.pending(0, 9), [0, 1]);
+  const a = makeAttempt('wk-000001', 0, live.nextNumber(0, 50), 'm', 'claiming', 0);
+  live.claimed(a);
+  assert.deepEqual(live.pending(0, 9), [1]);
+  a.state = 'gone';
+  live.release(a);
+  assert.deepEqual(live.pending(0, 9), [0, 1]);
+  assert.equal(live.nextNumber(0, 50), 51, 'numbers of attempts never recur');
+  live.postpone(0, 0, 1, 10);
+  assert.deepEqual(live.pending(0.5, 9), [1], 'not at once after a failure');
+  assert.deepEqual(live.pending(2, 9), [0, 1]);
+  live.markDone(0, 3);
+  live.awaiting.push(a);
+  const fresh = live.unstored(0);
+  live.markDone(1, 3);
+  assert.deepEqual(live.storedTasks(0, fresh, 4), [a], 'settled by the record that names it');
+  assert.ok(live.dirtyChunks.has(0), 'what was done meanwhile is written next');
+  assert.ok(live.finished);
+});
--- /dev/null
+++ b/test/sched.test.ts
@@ -0,0 +1,223 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { planRent, type Demand } from '../src/cloud/plan.js';
+import type { JobSpec } from '../src/jobs/types.js';
+import { DEFAULT_POLICY } from '../src/operator/policy.js';
+import {
+  allowed,
+  bestRoom,
+  placeGang,
+  reserved,
+  zoneAllowed,
+  type Room,
+} from '../src/sched/place.js';
+import { cheapestEviction } from '../src/sched/preempt.js';
+import { Usages } from '../src/sched/quota.js';
+import {
+  LongMarks,
+  compareJobs,
+  contribution,
+  longThreshold,
+  remaining,
+  scores,
+} from '../src/sched/rank.js';
+import { g8, settings, spec } from './helpers.js';
+
+const ready = (over = {}) => ({
+  unfinishedS: 100,
+  finishedS: 0,
+  attainedS: 0,
+  predictedS: 10,
+  pipelineMeanS: 10,
+  successors: [],
+  ...over,
+});
+const p = DEFAULT_POLICY;
+
+test('remaining time follows what was attained', () => {
+  const cases: [string, object, number][] = [
+    ['nothing known: the prediction', {}, 100],
+    ['as predicted', { finishedS: 50, attainedS: 50 }, 100],
+    ['twice as slow as predicted', { finishedS: 49, attainedS: 99 }, 200],
+    // A pipeline whose jobs fail instantly must not look nearly done: failed runs attain time and
+    // bring no progress.
+    ['failed runs only lengthen it', { attainedS: 9 }, 1000],
+  ];
+  for (const [name, over, want] of cases) assert.equal(remaining(ready(over), p), want, name);
+});
+
+test('contribution sums over the jobs that wait', () => {
+  const successors = [
+    { workS: 3, depth: 1 },
+    { workS: 4, depth: 2 },
+  ];
+  assert.equal(contribution(ready({ successors }), { ...p, omega: [1, 10, 100] }), 7 + 30 + 200);
+});
+
+test('the sum ranks short work first and heavy work of long pipelines up', () => {
+  const r = [ready({ unfinishedS: 10 }), ready({ unfinishedS: 100 }), ready({ unfinishedS: 1000 })];
+  const [a, b, c] = scores(r, [false, false, false], p);
+  assert.ok(a! > b! && b! > c!);
+  const boosted = scores(r, [false, false, true], p);
+  assert.ok(boosted[2]! > boosted[1]!);
+});
+
+test('long is above mean and spread, and does not swing with a burst of alike work', () => {
+  assert.equal(longThreshold([2, 4], 1), 4);
+  const marks = new LongMarks();
+  marks.update([10, 10, 10, 100], p, 0);
+  assert.ok(marks.isLong(100, false));
+  const alike = [...Array<number>(50).fill(10), 100];
+  marks.update(alike, p, 0.1);
+  assert.ok(!marks.isLong(40, false), 'the threshold follows slowly');
+  assert.ok(marks.isLong(60, true), 'what is long stays so until well below');
+});
+
+test('order of jobs', () => {
+  const o = { priority: 1, guaranteed: false, score: 1, acceptedAt: 5 };
+  const sorted = [
+    { ...o, n: 'old', acceptedAt: 1 },
+    { ...o, n: 'low', priority: 3, score: 9 },
+    { ...o, n: 'score', score: 2 },
+    { ...o, n: 'guaranteed', guaranteed: true },
+    { ...o, n: 'critical', priority: 0 },
+    { ...o, n: 'young' },
+  ].sort(compareJobs);
+  assert.deepEqual(
+    sorted.map((x) => x.n),
+    ['critical', 'guaranteed', 'score', 'old', 'young', 'low'],
+  );
+});
+
+const room = (over: Partial<Room> = {}): Room => ({
+  id: 'm',
+  type: 'g8',
+  zone: 'z1',
+  spot: false,
+  cores: 8,
+  gpus: 8,
+  memGb: 64,
+  whole: g8,
+  penaltyS: 0,
+  imageWaitS: () => 0,
+  ...over,
+});
+const w = { ordinaryS: 20, spreadS: 2 };
+
+test('where a task may go', () => {
+  const cases: [string, Partial<JobSpec>, Partial<Room>, boolean][] = [
+    ['anywhere', {}, {}, true],
+    ['wrong type', { types: ['h1'] }, {}, false],
+    ['wrong zone', { zone: 'z2' }, {}, false],
+    ['spot not allowed', {}, { spot: true }, false],
+    ['spot allowed', { spot: true }, { spot: true }, true],
+  ];
+  for (const [name, s, r, want] of cases) assert.equal(allowed(spec(s), room(r)), want, name);
+  const zones = new Map([['z1', 2]]);
+  assert.ok(!zoneAllowed(spec({ oneZone: true }), 'z2', zones));
+  assert.ok(zoneAllowed(spec({ oneZone: true }), 'z1', zones));
+  assert.ok(!zoneAllowed(spec({ scatter: true, tasks: 3 }), 'z1', zones));
+  assert.ok(zoneAllowed(spec({ scatter: true, tasks: 5 }), 'z1', zones));
+});
+
+test('the best room has the image, and is the fuller one', () => {
+  const cached = room({ id: 'cached' });
+  const cold = room({ id: 'cold', imageWaitS: () => 9 });
+  const full = room({ id: 'full', gpus: 1, cores: 1 });
+  const where = { zones: new Map() };
+  assert.equal(bestRoom(spec(), [cold, cached], where, w)?.id, 'cached');
+  assert.equal(bestRoom(spec(), [cached, full], where, w)?.id, 'full');
+  assert.equal(bestRoom(spec({ gpus: 2 }), [full], where, w), null);
+});
+
+test('a gang gets all its rooms or none, in one zone where it must', () => {
+  const rooms = [room({ id: 'a', gpus: 2 }), room({ id: 'b', gpus: 1, zone: 'z2' })];
+  const gang = spec({ kind: 'gang', tasks: 3 });
+  const free = { zones: new Map() };
+  assert.equal(placeGang({ ...gang, oneZone: true }, rooms, free, w), null);
+  assert.deepEqual(
+    rooms.map((r) => r.gpus),
+    [2, 1],
+    'nothing is taken in vain',
+  );
+  assert.equal(placeGang(gang, rooms, free, w)?.length, 3);
+  assert.deepEqual(
+    rooms.map((r) => r.gpus),
+    [0, 0],
+  );
+});
+
+test('the share for long work is capped at what it can use and lent when none waits', () => {
+  assert.equal(reserved(100, 0.2, 1000), 20);
+  assert.equal(reserved(100, 0.2, 5), 5);
+  assert.equal(reserved(100, 0.2, 0), 0);
+});
+
+test('eviction loses least and takes no more than needed', () => {
+  const v = (id: string, gpus: number, lossS: number) => ({
+    id,
+    group: id,
+    gpus,
+    cores: gpus,
+    memGb: 0,
+    lossS,
+  });
+  const m = (id: string, victims: ReturnType<typeof v>[], spot = false) => ({
+    id, type: 'g8', zone: 'z1', spot, cores: 0, gpus: 0, memGb: 64, victims,
+  }); // prettier-ignore
+  const need = spec({ gpus: 4, cores: 4 });
+  const e = cheapestEviction(
+    need,
+    [m('x', [v('a', 4, 50)]), m('y', [v('b', 1, 1), v('c', 4, 10)])],
+    new Map(),
+  );
+  assert.equal(e?.machine, 'y');
+  assert.deepEqual(
+    e?.victims.map((x) => x.id),
+    ['c'],
+    'b is not needed beside c',
+  );
+  assert.equal(cheapestEviction(need, [m('s', [v('a', 4, 0)], true)], new Map()), null);
+  assert.equal(cheapestEviction(need, [m('t', [v('a', 2, 0)])], new Map()), null);
+});
+
+test('team limits and guarantees', () => {
+  const u = new Usages(settings().teams);
+  assert.equal(u.room(spec({ gpus: 5 })), 2);
+  u.add(spec({ gpus: 5 }), 1);
+  assert.ok(u.allows(spec({ gpus: 7 }), 1));
+  assert.ok(!u.allows(spec({ gpus: 4 }), 2));
+  assert.ok(!u.withinGuarantee('t'));
+  assert.ok(!u.allows(spec({ team: 'x' }), 1));
+  const decimals = new Usages(settings().teams);
+  for (let i = 0; i < 119; i++) decimals.add(spec({ gpus: 0.1 }), 1);
+  assert.equal(decimals.room(spec({ gpus: 0.1 })), 1, 'rounding does not decide');
+});
+
+test('what is rented covers the demand and no more', () => {
+  const plan = (
+    demand: Partial<Demand>[],
+    rooms: Room[] = [],
+    short = (_t: string, _z: string, _s: boolean) => false,
+  ) =>
+    planRent({
+      demand: demand.map((d) => ({ spec: spec(), tasks: 1, zones: new Map(), ...d })),
+      rooms,
+      types: [g8],
+      zones: ['z1', 'z2'],
+      short,
+      perZone: new Map(),
+      weights: w,
+      most: 50,
+    });
+  const total = (x: ReturnType<typeof plan>) => x.reduce((n, y) => n + y.count, 0);
+  assert.equal(total(plan([{ tasks: 17 }])), 3);
+  assert.equal(total(plan([{ tasks: 9 }], [room({ id: 'coming' })])), 1);
+  assert.equal(plan([{ spec: spec({ spot: true }) }])[0]?.spot, true);
+  assert.equal(plan([{ spec: spec({ spot: true }) }], [], (_t, _z, s) => s)[0]?.spot, false);
+  assert.equal(total(plan([{ tasks: 5 }], [], () => true)), 0);
+  const zones = plan([{ spec: spec({ scatter: true, gpus: 8, tasks: 4 }), tasks: 4 }]).map(
+    (x) => x.count,
+  );
+  assert.deepEqual(zones, [2, 2]);
+});
