--- a/test/service.test.ts
+++ b/test/service.test.ts
@@ -12,7 +12,7 @@
 const LEASE = 2;
 const state = new StateStand();
 const fleet = new FleetStand(LEASE);
-let ports: Ports[] = [];
+const ports: Ports[] = [];
 const nodes: (Node | null)[] = [];
 
 async function freePort(): Promise<number> {
