Every controller passes workers' reports on to the leader

Followers sent workers to a leader that those could not reach, and passed reports on only after a second visit, over one way. Ruled out: elections and the outage (no machine was lost in them). Now each follower passes reports on at once, by way of a third controller where its own link is cut.

--- a/src/cluster/peers.ts
+++ b/src/cluster/peers.ts
@@ -42,8 +42,8 @@
 }
 
 export type Question =
-  /** A worker's report, passed on as it came. */
-  | { q: 'report'; body: string }
+  /** A worker's report, passed on as it came. `hop`: pass it on to the leader if you do not lead. */
+  | { q: 'report'; body: string; hop: boolean }
   /** Does the state service refuse you too? Promise not to take over for a while if it does. */
   | { q: 'refused'; token: number; forMs: number };
 
--- a/src/service/node.ts
+++ b/src/service/node.ts
@@ -39,8 +39,6 @@
   private readonly incarnation: string;
   private stopped = false;
   private beat: NodeJS.Timeout | undefined;
-  /** Workers that were sent to the leader, and when. */
-  private readonly sentOn = new Map<string, { leader: string; at: number; relayed: boolean }>();
 
   constructor(
     readonly settings: Settings,
@@ -114,10 +112,7 @@
     void this.follower.run();
     void this.election.run();
     void this.fetchTypes();
-    this.beat = setInterval(() => {
-      this.leader?.beat();
-      this.prune();
-    }, this.settings.workers.report_s * 500);
+    this.beat = setInterval(() => this.leader?.beat(), this.settings.workers.report_s * 500);
     this.log.info({ bind: this.settings.bind }, 'started');
   }
 
@@ -231,44 +226,38 @@
     const leader = this.replica.leader;
     if (leader === null || leader.node === this.settings.node)
       return { status: 503, retryAfter: 1 };
-    const id = (raw as { bench?: unknown } | null)?.bench;
-    if (typeof id !== 'string') return { status: 400, body: '{}' };
-    const before = this.sentOn.get(id);
-    const now = this.clock.now();
-    // Sent to the leader a moment ago and back again: it cannot reach the leader, but we may.
-    const back =
-      before !== undefined &&
-      before.leader === leader.node &&
-      (before.relayed || now - before.at < this.settings.workers.lease_s);
-    if (!back) {
-      this.sentOn.set(id, { leader: leader.node, at: now, relayed: false });
-      return { status: 421, body: encodeElsewhere(leader.node) };
-    }
-    return this.relay(id, text, leader.node);
+    return this.relay(text, leader.node);
   }
 
-  private async relay(id: string, body: string, leader: string): Promise<Reply> {
-    const timeout = this.settings.workers.report_s * 2;
-    const a = await this.peers.ask(leader, { q: 'report', body }, timeout);
-    if (a === null || a.status !== 200 || typeof a.body !== 'string') {
-      this.sentOn.delete(id);
-      return { status: 503, retryAfter: 1 };
+  /**
+   * Passes a report on to the leader, straight or by way of another controller. The worker stays
+   * where it is: a leader that it cannot reach, or one that ends, costs it no connection of its own.
+   */
+  private async relay(body: string, leader: string): Promise<Reply> {
+    const { report_s } = this.settings.workers;
+    const ways = [leader, ...this.peers.names.filter((n) => n !== leader)];
+    for (const to of ways) {
+      const hop = to !== leader;
+      const a = await this.peers.ask(to, { q: 'report', body, hop }, report_s * (hop ? 1.2 : 1));
+      if (a?.status === 200 && typeof a.body === 'string') return { status: 200, body: a.body };
+      // It was reached and does not lead: nothing is gained by other ways.
+      if (a?.status === 503 && !hop) return { status: 503, retryAfter: 1 };
     }
-    this.sentOn.set(id, { leader, at: this.clock.now(), relayed: true });
-    return { status: 200, body: a.body };
-  }
-
-  private prune(): void {
-    const now = this.clock.now();
-    const keep = this.settings.workers.lease_s * 2;
-    for (const [id, s] of this.sentOn) if (now - s.at > keep) this.sentOn.delete(id);
+    return { status: 421, body: encodeElsewhere(leader) };
   }
 
   private answer(_from: string, q: Question): Promise<Answer> | Answer {
     switch (q.q) {
       case 'report': {
-        if (this.leader === null || typeof q.body !== 'string') return { status: 503 };
-        return { ...this.leader.checkin(JSON.parse(q.body)) };
+        if (typeof q.body !== 'string') return { status: 503 };
+        if (this.leader !== null) return { ...this.leader.checkin(JSON.parse(q.body)) };
+        const leader = this.replica.leader?.node;
+        if (q.hop !== true || leader === undefined || leader === this.settings.node) {
+          return { status: 503 };
+        }
+        return this.peers
+          .ask(leader, { q: 'report', body: q.body, hop: false }, this.settings.workers.report_s)
+          .then((a) => a ?? { status: 504 });
       }
       case 'refused':
         return this.election.answerRefused(Number(q.token), Number(q.forMs));
--- a/src/service/scheduler.ts
+++ b/src/service/scheduler.ts
@@ -272,6 +272,17 @@
 
   private claim(job: LiveJob, index: number, number: number, room: Room): void {
     const m = this.term.machines.get(room.id)!;
+    this.term.deps.log.debug(
+      {
+        job: job.spec.id,
+        index,
+        class: job.spec.class,
+        machine: m.id,
+        imageWaitS: room.imageWaitS(job.spec.image, job.spec.imageGb),
+        ageS: this.term.now - job.submittedAt,
+      },
+      'placed',
+    );
     const a = makeAttempt(job.spec.id, index, number, m.id, 'claiming', this.term.now);
     m.claim(a);
     job.claimed(a);
--- a/src/service/term.ts
+++ b/src/service/term.ts
@@ -189,6 +189,20 @@
         m.sawImage(job.spec.image, job.spec.imageGb, type?.cacheGb ?? 0, now);
       }
     }
+    for (const a of c.moved) {
+      const job = this.jobs.get(a.job);
+      if (a.state !== 'running' || job === undefined) continue;
+      this.deps.log.debug(
+        {
+          job: a.job,
+          index: a.index,
+          class: job.spec.class,
+          machine: m.id,
+          ageS: now - job.submittedAt,
+        },
+        'runs',
+      );
+    }
     for (const a of c.over) this.over(m, a);
     if (c.missed > 0) {
       // Its reports come, but what it is told does not arrive.
--- a/test/link.test.ts
+++ b/test/link.test.ts
@@ -30,7 +30,9 @@
   const port = (server as unknown as { server: { address(): { port: number } } }).server.address()
     .port;
   const client = new PeerNet('b', [{ node: 'a', addr: { ...at, port } }], () => ({}), silentLog());
-  assert.deepEqual(await client.ask('a', { q: 'report', body: 'x' }, 2), { saw: 'report' });
+  assert.deepEqual(await client.ask('a', { q: 'report', body: 'x', hop: false }, 2), {
+    saw: 'report',
+  });
   for (const bytes of [
     Buffer.from('GET / HTTP/1.1\r\n\r\n'),
     encodeFrame({ v: 99, from: 'b' }),
@@ -42,8 +44,10 @@
       s.on('close', () => resolve());
     });
   }
-  assert.deepEqual(await client.ask('a', { q: 'report', body: 'y' }, 2), { saw: 'report' });
-  assert.equal(await client.ask('nobody', { q: 'report', body: '' }, 1), null);
+  assert.deepEqual(await client.ask('a', { q: 'report', body: 'y', hop: false }, 2), {
+    saw: 'report',
+  });
+  assert.equal(await client.ask('nobody', { q: 'report', body: '', hop: false }, 1), null);
   client.close();
   server.close();
 });
