Warm room sized by recent arrivals; best effort keeps to spot machines

Tried: room for one boot's arrivals is kept free, mean and one deviation, apart for ordinary and spot machines.

--- /dev/null
+++ b/src/cloud/warm.ts
@@ -0,0 +1,40 @@
+/**
+ * How much room to keep free for work that is to come. New machines take a boot to arrive; until
+ * then what comes must find room that is there. The room expected to be wanted within that time is
+ * estimated from recent arrivals, as a compound Poisson process: its mean and a deviation more.
+ */
+export interface Arrival {
+  atMs: number;
+  /** Room it takes, in machines. */
+  size: number;
+}
+
+export interface WarmFactors {
+  mean: number;
+  deviations: number;
+  least: number;
+}
+
+export function warmTarget(
+  arrivals: Arrival[],
+  nowMs: number,
+  windowS: number,
+  aheadS: number,
+  f: WarmFactors,
+): number {
+  let first = Infinity;
+  for (const a of arrivals) first = Math.min(first, a.atMs);
+  // What was there at the start of a fleet came at once and says nothing of later.
+  const from = Math.max(nowMs - windowS * 1000, first + aheadS * 1000);
+  const span = (nowMs - from) / 1000;
+  if (span < aheadS) return f.least;
+  let sum = 0;
+  let squares = 0;
+  for (const a of arrivals) {
+    if (a.atMs < from) continue;
+    sum += a.size;
+    squares += a.size * a.size;
+  }
+  const share = aheadS / span;
+  return Math.max(f.least, f.mean * sum * share + f.deviations * Math.sqrt(squares * share));
+}
--- a/src/service/leader.ts
+++ b/src/service/leader.ts
@@ -3,7 +3,8 @@
 import { planRent, type Demand, type Wanted } from '../cloud/plan.js';
 import { HttpClient, NoResponse } from '../http/client.js';
 import type { Reply } from '../http/server.js';
-import type { MachineType } from '../jobs/types.js';
+import { warmTarget, type Arrival } from '../cloud/warm.js';
+import { fits, type MachineType } from '../jobs/types.js';
 import type { Room } from '../sched/place.js';
 import type { StateClient } from '../state/client.js';
 import type { JobFacts } from '../state/replica.js';
@@ -40,7 +41,7 @@
   ) {
     this.term = new Term(deps);
     this.term.onStir = () => this.schedule();
-    this.scheduler = new Scheduler(this.term);
+    this.scheduler = new Scheduler(this.term, (type) => this.spotShort(type));
     this.store = new TermStore(this.term, deps.settings.node, state, deps.clock, deps.log, onLost);
     this.store.typesDirty = deps.replica.types === null && this.term.types.size > 0;
     const host: FleetHost = {
@@ -265,6 +266,11 @@
 
   // Fleet
 
+  private spotShort(type: string): boolean {
+    const t = this.term.types.get(type);
+    return t === undefined || t.zones.every((z) => this.fleet.short(type, z, true));
+  }
+
   private comingRooms(): Room[] {
     const now = this.term.now;
     const rooms: Room[] = [];
@@ -306,8 +312,10 @@
       most: 50,
     };
     const wanted = planRent(input);
-    const spare = this.spareWanted(rooms, perZone);
-    if (spare !== null) wanted.push(spare);
+    for (const spot of [false, true]) {
+      const spare = this.spareWanted(rooms, perZone, spot);
+      if (spare !== null) wanted.push(spare);
+    }
     return wanted;
   }
 
@@ -315,32 +323,47 @@
     return t.gpus > 0 ? t.gpus : t.cores;
   }
 
-  /** Ordinary machines in use, as a base for the warm reserve. */
-  private ordinaryCount(): number {
-    let n = 0;
-    for (const m of this.term.machines.values()) if (!m.spot && m.held().length > 0) n++;
-    return n;
+  /** Free room that is kept, in units of one machine, for work that is not best effort. */
+  private spareTarget(spot: boolean): number {
+    const { replica, wallMs } = this.deps;
+    const types = [...this.term.types.values()];
+    const bootS = Math.max(1, ...types.map((t) => t.bootS));
+    const arrivals: Arrival[] = [];
+    for (const j of replica.jobs.values()) {
+      if (j.spec.spot !== spot || j.spec.priority === 3) continue;
+      const type = types.find((t) => fits(j.spec, t));
+      if (type === undefined) continue;
+      const size = this.unit(j.spec) / this.unit(type);
+      arrivals.push({ atMs: j.atMs, size: size * Math.min(j.spec.tasks, 50) });
+    }
+    return warmTarget(arrivals, wallMs(), bootS * 8, bootS * 1.2, {
+      mean: 1,
+      deviations: 1,
+      least: spot ? 0 : 1,
+    });
   }
 
-  /** Free room that is kept on ordinary machines, in units of one machine. */
-  private spareTarget(): number {
-    return Math.max(1, this.ordinaryCount() * 0.06);
+  private freeRoom(rooms: Room[], spot: boolean): number {
+    let free = 0;
+    for (const r of rooms) if (r.spot === spot) free += this.unit(r) / this.unit(r.whole);
+    return free;
   }
 
-  /** A machine more when what is free after all demand is less than the warm reserve. */
-  private spareWanted(rooms: Room[], perZone: Map<string, number>): Wanted | null {
-    let free = 0;
-    for (const r of rooms) if (!r.spot) free += this.unit(r) / this.unit(r.whole);
-    if (free >= this.spareTarget() - 0.5 || this.term.jobs.size === 0) return null;
+  /** Machines more when what is free after all demand is less than the warm reserve. */
+  private spareWanted(rooms: Room[], perZone: Map<string, number>, spot: boolean): Wanted | null {
+    const missing = this.spareTarget(spot) - this.freeRoom(rooms, spot);
+    if (missing <= 0 || this.term.jobs.size === 0) return null;
     let best: Wanted | null = null;
     let bestCost = Infinity;
     for (const t of this.term.types.values()) {
+      if (spot && t.spotPrice <= 0) continue;
       for (const zone of t.zones) {
-        if (this.fleet.short(t.name, zone, false)) continue;
-        const cost = (t.price / this.unit(t)) * (1 + 0.001 * (perZone.get(zone) ?? 0));
+        if (this.fleet.short(t.name, zone, spot)) continue;
+        const price = spot ? t.spotPrice : t.price;
+        const cost = (price / this.unit(t)) * (1 + 0.001 * (perZone.get(zone) ?? 0));
         if (cost < bestCost) {
           bestCost = cost;
-          best = { type: t.name, zone, spot: false, count: 1 };
+          best = { type: t.name, zone, spot, count: Math.min(4, Math.ceil(missing)) };
         }
       }
     }
@@ -351,8 +374,9 @@
     const { term, deps } = this;
     const now = term.now;
     const ids: string[] = [...this.failedListed, ...this.neverCame];
-    let free = 0;
-    for (const r of this.spareRooms) if (!r.spot) free += this.unit(r) / this.unit(r.whole);
+    const spare = [false, true].map(
+      (spot) => this.freeRoom(this.spareRooms, spot) - this.spareTarget(spot),
+    );
     for (const m of term.machines.values()) {
       if (m.state === 'returning') {
         if (m.returnStored || m.revision === 0) ids.push(m.id);
@@ -368,10 +392,11 @@
       const age = now - (m.firstHeardAt ?? now) + type.bootS;
       let back = silentLong || m.faulty;
       if (m.state === 'ready' && !back && age > 55) {
-        if (m.spot) back = idle > type.bootS * 0.4;
-        else if (idle > type.bootS && free - 1 >= this.spareTarget()) {
+        const kind = m.spot ? 1 : 0;
+        // What is held above the reserve goes back, with a margin against going back and forth.
+        if (idle > type.bootS * (m.spot ? 0.4 : 1) && spare[kind]! >= 1.2) {
           back = true;
-          free -= 1;
+          spare[kind]! -= 1;
         }
       }
       if (back && deps.writing()) {
--- a/src/service/scheduler.ts
+++ b/src/service/scheduler.ts
@@ -31,7 +31,11 @@
 export class Scheduler {
   private readonly marks = new LongMarks();
 
-  constructor(private readonly term: Term) {}
+  constructor(
+    private readonly term: Term,
+    /** Whether no spot machine of a type is to be had anywhere at present. */
+    private readonly spotShort: (type: string) => boolean,
+  ) {}
 
   /** Work that may run on spot machines waits about a boot for one before it takes a dear one. */
   weights(): Weights {
@@ -258,6 +262,7 @@
 
   /** The rooms a job may use: short work leaves the share that is held for long work. */
   private lent(job: LiveJob, rooms: Room[], reserve: Map<string, number>): Room[] {
+    rooms = this.warmKept(job, rooms);
     if (job.long || job.spec.kind === 'service' || job.guaranteed) return rooms;
     const full = new Set<string>();
     for (const [type, share] of reserve) {
@@ -270,6 +275,12 @@
     return full.size === 0 ? rooms : rooms.filter((r) => !full.has(r.type));
   }
 
+  /** Best-effort work leaves ordinary machines alone while spot machines can be had for it. */
+  private warmKept(job: LiveJob, rooms: Room[]): Room[] {
+    if (job.spec.priority < 3 || !job.spec.spot) return rooms;
+    return rooms.filter((r) => r.spot || this.spotShort(r.type));
+  }
+
   private claim(job: LiveJob, index: number, number: number, room: Room): void {
     const m = this.term.machines.get(room.id)!;
     this.term.deps.log.debug(
