--- a/src/sched/place.ts
+++ b/src/sched/place.ts
@@ -46,6 +46,14 @@
   return parts.length === 0 ? 0 : Math.min(...parts);
 }
 
+/** Share of a machine that is free, by its scarcer resource: no GPU left is no room left. */
+export function freeShare(room: Room): number {
+  const { whole } = room;
+  const gpus = whole.gpus > 0 ? room.gpus / whole.gpus : 1;
+  const cores = whole.cores > 0 ? room.cores / whole.cores : 1;
+  return Math.max(0, Math.min(gpus, cores));
+}
+
 export interface Weights {
   /** Seconds that work which may run on spot machines rather waits than to take an ordinary one. */
   ordinaryS: number;
--- a/src/service/leader.ts
+++ b/src/service/leader.ts
@@ -5,7 +5,7 @@
 import type { Reply } from '../http/server.js';
 import { warmTarget, type Arrival } from '../cloud/warm.js';
 import { fits, type MachineType } from '../jobs/types.js';
-import type { Room } from '../sched/place.js';
+import { freeShare, type Room } from '../sched/place.js';
 import type { StateClient } from '../state/client.js';
 import type { JobFacts } from '../state/replica.js';
 import type { ListedMachine } from '../wire/cloud.js';
@@ -311,6 +311,16 @@
       weights: this.scheduler.weights(),
       most: 50,
     };
+    deps.log.debug(
+      {
+        demand: this.demand.map((d) => [d.spec.class, d.tasks]),
+        free: [false, true].map((k) => this.freeRoom(this.spareRooms, k)),
+        target: [false, true].map((k) => this.spareTarget(k)),
+        coming: this.fleet.coming.size,
+        machines: [...term.machines.values()].filter((m) => m.held().length > 0).length,
+      },
+      'fleet',
+    );
     const wanted = planRent(input);
     for (const spot of [false, true]) {
       const spare = this.spareWanted(rooms, perZone, spot);
@@ -345,7 +355,7 @@
 
   private freeRoom(rooms: Room[], spot: boolean): number {
     let free = 0;
-    for (const r of rooms) if (r.spot === spot) free += this.unit(r) / this.unit(r.whole);
+    for (const r of rooms) if (r.spot === spot) free += freeShare(r);
     return free;
   }
 
--- a/test/sched.test.ts
+++ b/test/sched.test.ts
@@ -1,11 +1,13 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { planRent, type Demand } from '../src/cloud/plan.js';
+import { warmTarget } from '../src/cloud/warm.js';
 import type { JobSpec } from '../src/jobs/types.js';
 import { DEFAULT_POLICY } from '../src/operator/policy.js';
 import {
   allowed,
   bestRoom,
+  freeShare,
   placeGang,
   reserved,
   zoneAllowed,
@@ -221,3 +223,19 @@
   );
   assert.deepEqual(zones, [2, 2]);
 });
+
+test('a machine whose GPUs are taken has no room, however many cores are left', () => {
+  // Counted by its cores instead, it once kept the fleet from renting ahead at all.
+  assert.equal(freeShare(room({ gpus: 0, cores: 6 })), 0);
+  assert.equal(freeShare(room({ gpus: 4, cores: 8 })), 0.5);
+});
+
+test('room kept warm covers what arrives within a boot, and ignores the first burst', () => {
+  const f = { mean: 1, deviations: 1, least: 1 };
+  const burst = Array.from({ length: 50 }, () => ({ atMs: 0, size: 1 }));
+  assert.equal(warmTarget(burst, 20_000, 200, 25, f), 1, 'too early to tell');
+  assert.equal(warmTarget(burst, 100_000, 200, 25, f), 1);
+  const steady = Array.from({ length: 20 }, (_, i) => ({ atMs: 30_000 + i * 5000, size: 0.5 }));
+  const t = warmTarget([...burst, ...steady], 125_000, 200, 25, f);
+  assert.ok(t > 2.5 && t < 5, String(t));
+});
