--- a/src/service/leader.ts
+++ b/src/service/leader.ts
@@ -41,7 +41,11 @@
   ) {
     this.term = new Term(deps);
     this.term.onStir = () => this.schedule();
-    this.scheduler = new Scheduler(this.term, (type) => this.spotShort(type));
+    this.scheduler = new Scheduler(
+      this.term,
+      (type) => this.spotShort(type),
+      () => this.spareTarget(false),
+    );
     this.store = new TermStore(this.term, deps.settings.node, state, deps.clock, deps.log, onLost);
     this.store.typesDirty = deps.replica.types === null && this.term.types.size > 0;
     const host: FleetHost = {
--- a/src/service/scheduler.ts
+++ b/src/service/scheduler.ts
@@ -4,6 +4,7 @@
 import {
   allowed,
   bestRoom,
+  freeShare,
   placeGang,
   reserved,
   take,
@@ -35,6 +36,8 @@
     private readonly term: Term,
     /** Whether no spot machine of a type is to be had anywhere at present. */
     private readonly spotShort: (type: string) => boolean,
+    /** Room on ordinary machines that is kept free, in machines. */
+    private readonly warm: () => number,
   ) {}
 
   /** Work that may run on spot machines waits about a boot for one before it takes a dear one. */
@@ -42,6 +45,11 @@
     return { ordinaryS: 20, spreadS: 2 };
   }
 
+  /** A hole on an ordinary machine costs nothing: for best-effort work it is as good as spot. */
+  private weightsFor(job: LiveJob): Weights {
+    return job.spec.priority < 3 ? this.weights() : { ...this.weights(), ordinaryS: 0 };
+  }
+
   usable(m: Machine): boolean {
     const now = this.term.now;
     const { report_s } = this.term.deps.settings.workers;
@@ -181,6 +189,7 @@
       if (room !== null) rooms.push(room);
     }
     const usages = this.usages();
+    this.measureExcess(rooms);
     const jobs = this.ranked(now);
     const reserve = this.reserve(jobs, rooms);
     const demand: Demand[] = [];
@@ -220,13 +229,15 @@
           spec,
           this.lent(job, rooms, reserve),
           { zones, avoid: suspect ? job.failedOn : undefined },
-          this.weights(),
+          this.weightsFor(job),
         );
         if (room === null) {
           short = indexes.length - (placed - before);
           break;
         }
+        if (!room.spot) this.excess -= freeShare(room);
         take(spec, room);
+        if (!room.spot) this.excess += freeShare(room);
         zones.set(room.zone, (zones.get(room.zone) ?? 0) + 1);
         this.claim(job, index, job.nextNumber(index, term.deps.token), room);
         usages.add(spec, 1);
@@ -275,10 +286,35 @@
     return full.size === 0 ? rooms : rooms.filter((r) => !full.has(r.type));
   }
 
-  /** Best-effort work leaves ordinary machines alone while spot machines can be had for it. */
+  /** Free room on ordinary machines beyond what is kept warm, and the machines in use for others. */
+  private excess = 0;
+  private readonly inUse = new Set<string>();
+
+  private measureExcess(rooms: Room[]): void {
+    this.excess = -this.warm();
+    this.inUse.clear();
+    for (const r of rooms) {
+      if (r.spot) continue;
+      this.excess += freeShare(r);
+      for (const a of this.term.machines.get(r.id)!.attempts.values()) {
+        if (holds(a) && (this.term.jobs.get(a.job)?.spec.priority ?? 3) < 3) this.inUse.add(r.id);
+      }
+    }
+  }
+
+  /**
+   * Best-effort work goes to spot machines while they can be had. Of ordinary ones it gets what
+   * others leave over on machines that stay anyway: a hole costs nothing, an empty machine that
+   * could be given back does.
+   */
   private warmKept(job: LiveJob, rooms: Room[]): Room[] {
     if (job.spec.priority < 3 || !job.spec.spot) return rooms;
-    return rooms.filter((r) => r.spot || this.spotShort(r.type));
+    return rooms.filter(
+      (r) =>
+        r.spot ||
+        this.spotShort(r.type) ||
+        (this.inUse.has(r.id) && this.excess >= job.spec.gpus / Math.max(1, r.whole.gpus)),
+    );
   }
 
   private claim(job: LiveJob, index: number, number: number, room: Room): void {
