Caretakers keep leases when a leader ends in an outage of the state service

Ruled out: endurance itself (it held until the leader went). Now controllers that are refused, with a majority, renew leases with the last token and stop cancelled tasks only; leases are judged with that in mind, and cancellations are passed between controllers in an outage. Also: machines with few images are returned first.

--- a/src/cluster/election.ts
+++ b/src/cluster/election.ts
@@ -27,6 +27,8 @@
 export interface ElectionEvents {
   onElected(token: number): void;
   onDeposed(): void;
+  /** Cancellations that another controller knows to be stored. */
+  onToldCancelled(ids: string[]): void;
 }
 
 export class Election {
@@ -103,7 +105,7 @@
         if (this.role === 'following') await this.followStep();
         else await this.leadStep();
       } catch (e) {
-        this.log.info({ err: String(e), role: this.role }, 'election step failed');
+        this.log.debug({ err: String(e), role: this.role }, 'election step failed');
         if (this.role === 'standing') this.become('following');
         await sleep(0.2);
       }
@@ -225,14 +227,7 @@
    */
   private async endure(askedAt: number): Promise<void> {
     const forS = this.lifeS / 2;
-    const question = { q: 'refused', token: this.token, forMs: Math.ceil(forS * 1000) } as const;
-    const net = this.peers();
-    const answers = await Promise.all(
-      net.names.map((n) => net.ask(n, question, Math.min(0.8, forS / 2))),
-    );
-    const refused = 1 + answers.filter((a) => a?.refused === true).length;
-    const served = answers.some((a) => a?.refused === false);
-    if (served || refused * 2 <= this.nodes) return;
+    if (!(await this.majorityRefused(this.token, forS))) return;
     // The promises count from when they were given, which is after the question was sent.
     this.validUntil = Math.max(this.validUntil, askedAt + forS * (1 - 2 * DRIFT));
     if (this.role === 'leading') this.become('enduring');
@@ -252,12 +247,67 @@
       this.promisedUntil = before;
       return { refused: false };
     } catch (e) {
-      if (e instanceof Refused && e.status === 503) return { refused: true };
+      if (e instanceof Refused && e.status === 503) {
+        // An outage may keep the last cancellations from the leader: their tasks must go all the same.
+        return { refused: true, cancelled: this.replica.lastCancelled };
+      }
       this.promisedUntil = before;
       return {};
     }
   }
 
+  /**
+   * Caretaking: nobody leads, nobody can take over, because the state service is down for all. Then
+   * workers' leases are kept alive with the last leader's token and nothing else is done. It takes
+   * what enduring takes, a majority that is being refused, for longer than a leader takes to notice
+   * the outage itself; every later decision on leases counts with what was renewed here.
+   */
+  private keepUntil = -Infinity;
+  private keeping: Promise<boolean> | null = null;
+
+  mayKeep(): Promise<boolean> {
+    if (this.role === 'leading' || this.role === 'enduring') return Promise.resolve(false);
+    if (this.clock.now() < this.keepUntil) return Promise.resolve(true);
+    this.keeping ??= this.checkKeep().finally(() => (this.keeping = null));
+    return this.keeping;
+  }
+
+  private async checkKeep(): Promise<boolean> {
+    const askedAt = this.clock.now();
+    const leader = this.replica.leader;
+    if (leader === null) return false;
+    try {
+      await this.state.get(records.LEADER, 0.5);
+      return false;
+    } catch (e) {
+      if (!(e instanceof Refused) || e.status !== 503) return false;
+    }
+    const since = this.state.refusedSince;
+    if (since === null || askedAt - since < this.lifeS * 0.4) return false;
+    if (!(await this.majorityRefused(leader.revision, this.caretakeS))) return false;
+    this.keepUntil = askedAt + this.caretakeS * (1 - 2 * DRIFT);
+    this.log.info({ token: leader.revision }, 'leases are kept for a leader that is gone');
+    return true;
+  }
+
+  /** How long after the last proof of an outage a caretaker may still renew. */
+  get caretakeS(): number {
+    return this.lifeS / 3;
+  }
+
+  private async majorityRefused(token: number, forS: number): Promise<boolean> {
+    const net = this.peers();
+    const question = { q: 'refused', token, forMs: Math.ceil(forS * 1000) } as const;
+    const answers = await Promise.all(
+      net.names.map((n) => net.ask(n, question, Math.min(0.8, this.lifeS / 4))),
+    );
+    for (const a of answers) {
+      if (Array.isArray(a?.cancelled)) this.events.onToldCancelled(a.cancelled.map(String));
+    }
+    if (answers.some((a) => a?.refused === false)) return false;
+    return (1 + answers.filter((a) => a?.refused === true).length) * 2 > this.nodes;
+  }
+
   stop(): void {
     this.stopped = true;
     this.wake?.();
--- a/src/service/leader.ts
+++ b/src/service/leader.ts
@@ -104,6 +104,11 @@
     this.term.cancelled(facts);
   }
 
+  /** Stored, as another controller knows, but kept from this one by an outage. */
+  onToldCancelled(id: string): void {
+    this.term.toldCancelled(id);
+  }
+
   // Reports
 
   /** A worker's check-in, straight from it or passed on by another controller. */
@@ -391,7 +396,10 @@
     const spare = [false, true].map(
       (spot) => this.freeRoom(this.spareRooms, spot) - this.spareTarget(spot),
     );
-    for (const m of term.machines.values()) {
+    // Machines with few images go first: what others have cached spares the next task its fetch.
+    const cached = (m: Machine): number => [...m.images.values()].reduce((gb, i) => gb + i.gb, 0);
+    const machines = [...term.machines.values()].sort((a, b) => cached(a) - cached(b));
+    for (const m of machines) {
       if (m.state === 'returning') {
         if (m.returnStored || m.revision === 0) ids.push(m.id);
         continue;
@@ -408,7 +416,8 @@
       if (m.state === 'ready' && !back && age > 55) {
         const kind = m.spot ? 1 : 0;
         // What is held above the reserve goes back, with a margin against going back and forth.
-        if (idle > type.bootS * (m.spot ? 0.4 : 1) && spare[kind]! >= 1.2) {
+        const surplus = spare[kind]!;
+        if (surplus >= 1.2 && idle > type.bootS * (m.spot || surplus >= 2.5 ? 0.4 : 1)) {
           back = true;
           spare[kind]! -= 1;
         }
--- a/src/service/node.ts
+++ b/src/service/node.ts
@@ -12,9 +12,15 @@
 import { StateClient } from '../state/client.js';
 import { Follower } from '../state/follow.js';
 import { Intake } from '../state/intake.js';
-import { Replica } from '../state/replica.js';
+import { outcome, Replica } from '../state/replica.js';
 import { BadMessage, route } from '../wire/users.js';
-import { encodeElsewhere } from '../wire/workers.js';
+import {
+  encodeElsewhere,
+  encodeOrders,
+  MAX_COMMANDS,
+  parseReport,
+  type Command,
+} from '../wire/workers.js';
 import { Leader } from './leader.js';
 import { Users } from './users.js';
 
@@ -77,7 +83,11 @@
       () => this.peers,
       this.clock,
       log,
-      { onElected: (token) => this.elected(token), onDeposed: () => this.deposed() },
+      {
+        onElected: (token) => this.elected(token),
+        onDeposed: () => this.deposed(),
+        onToldCancelled: (ids) => this.toldCancelled(ids),
+      },
     );
     this.peers = new PeerNet(settings.node, settings.peers, (from, q) => this.answer(from, q), log);
     const intake = new Intake(
@@ -170,6 +180,7 @@
         token,
         incarnation: this.incarnation,
         entitled: () => this.election.entitled && this.election.token === token,
+        keptUntil: () => this.state.refusedAt + this.election.caretakeS,
         writing: () => this.election.writing && this.election.token === token,
       },
       this.state,
@@ -216,6 +227,8 @@
     try {
       raw = JSON.parse(text);
       if (this.leader !== null && this.election.entitled) return this.leader.checkin(raw);
+      // Garbage goes no further than here.
+      parseReport(raw);
     } catch (e) {
       if (e instanceof SyntaxError || e instanceof BadMessage) {
         this.log.info({ err: e.message }, 'report dropped');
@@ -226,26 +239,58 @@
     const leader = this.replica.leader;
     if (leader === null || leader.node === this.settings.node)
       return { status: 503, retryAfter: 1 };
-    return this.relay(text, leader.node);
+    return this.relay(text, raw, leader.node);
   }
 
   /**
    * Passes a report on to the leader, straight or by way of another controller. The worker stays
    * where it is: a leader that it cannot reach, or one that ends, costs it no connection of its own.
    */
-  private async relay(body: string, leader: string): Promise<Reply> {
+  private async relay(body: string, raw: unknown, leader: string): Promise<Reply> {
     const { report_s } = this.settings.workers;
-    const ways = [leader, ...this.peers.names.filter((n) => n !== leader)];
+    const others = this.peers.names.filter((n) => n !== leader);
+    const ways = leader === this.settings.node ? [] : [leader, ...others];
+    let reached = ways.length === 0;
     for (const to of ways) {
       const hop = to !== leader;
       const a = await this.peers.ask(to, { q: 'report', body, hop }, report_s * (hop ? 1.2 : 1));
       if (a?.status === 200 && typeof a.body === 'string') return { status: 200, body: a.body };
       // It was reached and does not lead: nothing is gained by other ways.
-      if (a?.status === 503 && !hop) return { status: 503, retryAfter: 1 };
+      if (a?.status === 503 && !hop) {
+        reached = true;
+        break;
+      }
     }
+    const token = this.replica.leader?.revision;
+    if (token !== undefined && (await this.election.mayKeep())) return this.keep(raw, token);
+    if (reached) return { status: 503, retryAfter: 1 };
     return { status: 421, body: encodeElsewhere(leader) };
   }
 
+  /** Renews a worker's lease in a leader's place. The only commands: cancelled tasks stop. */
+  private keep(raw: unknown, token: number): Reply {
+    const stops: Command[] = [];
+    for (const t of parseReport(raw).tasks) {
+      const facts = this.replica.jobs.get(t.job);
+      const cancelled = facts !== undefined && outcome(facts) === 'cancelled';
+      if (t.state === 'ended' || !(cancelled || this.cancelledElsewhere.has(t.job))) continue;
+      stops.push({ op: 'stop', job: t.job, index: t.index, attempt: t.attempt, graceS: 0 });
+    }
+    return { status: 200, body: encodeOrders(token, stops.slice(0, MAX_COMMANDS)) };
+  }
+
+  private readonly cancelledElsewhere = new Set<string>();
+
+  private toldCancelled(ids: string[]): void {
+    for (const id of ids) {
+      this.cancelledElsewhere.add(id);
+      this.leader?.onToldCancelled(id);
+    }
+    while (this.cancelledElsewhere.size > 1000) {
+      this.cancelledElsewhere.delete(this.cancelledElsewhere.values().next().value!);
+    }
+  }
+
   private answer(_from: string, q: Question): Promise<Answer> | Answer {
     switch (q.q) {
       case 'report': {
--- a/src/service/term.ts
+++ b/src/service/term.ts
@@ -19,6 +19,8 @@
   incarnation: string;
   entitled: () => boolean;
   writing: () => boolean;
+  /** Until when another controller may have renewed leases because the state service was down. */
+  keptUntil: () => number;
 }
 
 /**
@@ -98,6 +100,13 @@
     this.close(job);
   }
 
+  toldCancelled(id: string): void {
+    const job = this.jobs.get(id);
+    if (job === undefined || job.cancelled) return;
+    job.cancelled = true;
+    this.close(job);
+  }
+
   /** Nothing of it starts any more; what may be somewhere is told to go. */
   private close(job: LiveJob): void {
     if (job.phase === 'open') job.become('closing');
@@ -339,7 +348,10 @@
   /** Leases that have run out for certain, with nobody else entitled to renew them. */
   expire(): void {
     const now = this.now;
+    const kept = this.deps.keptUntil();
     for (const m of this.machines.values()) {
+      // While the state service is down others may renew leases in this controller's place.
+      if (kept > m.knownAt) m.renewed(kept);
       if (now <= m.leaseEnd || m.state === 'silent' || m.state === 'returned') continue;
       if (m.state === 'returning') {
         if (m.attempts.size > 0) this.lose(m);
--- a/src/state/client.ts
+++ b/src/state/client.ts
@@ -27,6 +27,8 @@
   /** When the last request that was served had been sent. */
   servedAt = -Infinity;
   refusedAt = -Infinity;
+  /** Refused with 503 ever since; null: served, or not heard from. */
+  refusedSince: number | null = null;
   readonly valueBytes: number;
   readonly txnOps: number;
 
@@ -76,10 +78,12 @@
     if (r.status === 503) {
       this.health = 'refused';
       this.refusedAt = this.clock.now();
+      this.refusedSince ??= this.refusedAt;
       throw new Refused(503);
     }
     if (r.status === 429) throw new Refused(429);
     this.health = 'served';
+    this.refusedSince = null;
     this.servedAt = Math.max(this.servedAt, sentAt);
     return r;
   }
--- a/src/state/replica.ts
+++ b/src/state/replica.ts
@@ -43,6 +43,8 @@
   types: MachineType[] | null = null;
   typesRevision = 0;
   garbage = 0;
+  /** The latest cancellations, for controllers that an outage kept them from. */
+  readonly lastCancelled: string[] = [];
   private readonly perChunk: number;
   private earlyCancels = new Map<string, number>();
   private earlyProgress = new Map<string, Item[]>();
@@ -153,6 +155,8 @@
         facts.cancelledAt = revision;
         if (outcome(facts) === 'cancelled') {
           facts.chunks = null;
+          this.lastCancelled.push(id);
+          if (this.lastCancelled.length > 100) this.lastCancelled.shift();
           this.listener.onCancelled?.(facts);
         }
       }
--- a/src/workers/machine.ts
+++ b/src/workers/machine.ts
@@ -80,8 +80,9 @@
   ) {
     this.heardAt = knownAt;
     this.idleSince = knownAt;
-    // Whoever led before may have renewed its lease until this term began, not later.
-    this.leaseEnd = knownAt + this.leaseSpan();
+    // Whoever led before may have renewed its lease until this term began; a caretaker, in an outage
+    // that had just ended then, for a moment more.
+    this.leaseEnd = knownAt + this.leaseSpan() + this.leaseS * 0.1;
   }
 
   private leaseSpan(): number {
--- a/test/service.test.ts
+++ b/test/service.test.ts
@@ -211,6 +211,24 @@
   }
 });
 
+test('a leader that ends in an outage: the others keep the leases, nothing else', async () => {
+  const before = new Map(fleet.starts);
+  const old = leaderIndex();
+  state.down = true;
+  await new Promise((r) => setTimeout(r, LEASE * 500));
+  stopNode(old);
+  await new Promise((r) => setTimeout(r, LEASE * 2000));
+  assert.equal(onMachines('wk-000004'), 3);
+  state.down = false;
+  await until('a successor', () => leaderIndex() >= 0 && leaderIndex() !== old);
+  await until('served again', shows((old + 1) % 3, 'wk-000004', 'running'));
+  for (let t = 0; t < 3; t++) {
+    assert.equal(fleet.starts.get(`wk-000004/${t}`), before.get(`wk-000004/${t}`));
+  }
+  await startNode(old);
+  assert.deepEqual(fleet.broken, []);
+});
+
 test('a machine that is cut off is replaced once its lease has run out, not before', async () => {
   const w = [...fleet.workers.values()].find((x) =>
     x.tasks.some((t) => t.piece.startsWith('wk-000004/') && t.temper === 'running'),
