Evictions never free room that the evicted would take back

Cause, from indus steady in debug: guaranteed best-effort work evicted a gang of another team; the gang ranked before it and took the same room back every two seconds. Ruled out: faulty machines (no task failed). Now a guarantee stops work of equal priority only, best effort evicts only where it may go, and lesser work is stopped first.

--- a/src/service/scheduler.ts
+++ b/src/service/scheduler.ts
@@ -248,7 +248,7 @@
     // What finds no room may take it from lesser work; the rest is for the fleet to grow.
     const occupied = this.occupied(rooms);
     for (const { job, tasks } of wanting) {
-      const left = this.evict(job, tasks, occupied, usages);
+      const left = this.evict(job, tasks, occupied, rooms, usages);
       if (left > 0) demand.push({ spec: job.spec, tasks: left, zones: this.zonesOf(job) });
     }
     return { placed, demand, rooms };
@@ -360,7 +360,8 @@
         o.victims.push({
           id: `${a.job}/${a.index}#${a.number}`,
           group: job.gang ? a.job : `${a.job}/${a.index}`,
-          lossS: lossS * (job.gang ? job.spec.tasks : 1),
+          // Lesser work first; within it what loses least.
+          lossS: lossS * (job.gang ? job.spec.tasks : 1) + (3 - job.spec.priority) * 1e6,
           cores,
           gpus,
           memGb,
@@ -375,8 +376,11 @@
     if (victimJob.spec.kind === 'service' && victimJob.spec.priority <= job.spec.priority)
       return false;
     if (victimJob.spec.priority > job.spec.priority) return true;
-    // To give a team its guarantee, work that another team runs beyond its own may be stopped.
+    // To give a team its guarantee, work that another team runs beyond its own may be stopped. Not
+    // that of a higher priority, though the protocol allows it: ranked before, it would come back to
+    // the same place at once, and so on.
     return (
+      victimJob.spec.priority === job.spec.priority &&
       job.guaranteed &&
       victimJob.spec.team !== job.spec.team &&
       !victimJob.guaranteed &&
@@ -385,11 +389,19 @@
   }
 
   /** Makes room where that is allowed. Returns the tasks for which none could be made. */
-  private evict(job: LiveJob, tasks: number, occupied: Occupied[], usages: Usages): number {
+  private evict(
+    job: LiveJob,
+    tasks: number,
+    occupied: Occupied[],
+    rooms: Room[],
+    usages: Usages,
+  ): number {
     const spec = job.spec;
     const zones = this.zonesOf(job);
     const chosen: { o: Occupied; victims: Victim[] }[] = [];
-    const open = occupied.map((o) => ({
+    const places = new Set(this.warmKept(job, rooms).map((r) => r.id));
+    const mine = occupied.filter((o) => places.has(o.id));
+    const open = mine.map((o) => ({
       ...o,
       victims: o.victims.filter((v) => {
         const victim = this.term.jobs.get(v.id.slice(0, v.id.indexOf('/')));
