--- a/src/sched/place.ts
+++ b/src/sched/place.ts
@@ -8,6 +8,8 @@
   spot: boolean;
   /** Seconds until the image would be there: 0 when it is cached. */
   imageWaitS(image: string, gb: number): number;
+  /** Seconds that fetching so much takes alone. */
+  fetchS(gb: number): number;
   /** Added to the cost, for machines that have proved slow or doubtful. */
   penaltyS: number;
   /** GPUs or, without any, cores of the whole machine. */
@@ -54,11 +56,41 @@
   return Math.max(0, Math.min(gpus, cores));
 }
 
+/** An image that more tasks are expected to want soon. */
+export interface HotImage {
+  image: string;
+  gb: number;
+  spec: JobSpec;
+  /** Tasks expected within the time that a new machine takes. */
+  expected: number;
+}
+
+/**
+ * What taking this place would cost those to come: seconds of fetching that tasks would be spared
+ * here, where their image is cached, if it still had room for them.
+ */
+export function opportunity(spec: JobSpec, room: Room, hot: HotImage[]): number {
+  let lost = 0;
+  let after: Size | null = null;
+  for (const h of hot) {
+    if (h.image === spec.image || (room.spot && !h.spec.spot) || !fits(h.spec, room)) continue;
+    after ??= {
+      cores: room.cores - spec.cores,
+      gpus: room.gpus - spec.gpus,
+      memGb: room.memGb - spec.memGb,
+    };
+    if (fits(h.spec, after) || room.imageWaitS(h.image, h.gb) > 0) continue;
+    lost += h.expected * room.fetchS(h.gb);
+  }
+  return lost;
+}
+
 export interface Weights {
   /** Seconds that work which may run on spot machines rather waits than to take an ordinary one. */
   ordinaryS: number;
   /** Seconds that a wholly empty machine costs against a full one. */
   spreadS: number;
+  hot?: HotImage[];
 }
 
 export function cost(spec: JobSpec, room: Room, w: Weights): number {
@@ -66,7 +98,8 @@
     room.imageWaitS(spec.image, spec.imageGb) +
     (spec.spot && !room.spot ? w.ordinaryS : 0) +
     leftover(spec, room) * w.spreadS +
-    room.penaltyS
+    room.penaltyS +
+    (w.hot === undefined ? 0 : opportunity(spec, room, w.hot))
   );
 }
 
--- a/src/service/scheduler.ts
+++ b/src/service/scheduler.ts
@@ -9,6 +9,7 @@
   reserved,
   take,
   zoneAllowed,
+  type HotImage,
   type Room,
   type Weights,
 } from '../sched/place.js';
@@ -42,7 +43,27 @@
 
   /** Work that may run on spot machines waits about a boot for one before it takes a dear one. */
   weights(): Weights {
-    return { ordinaryS: 20, spreadS: 2 };
+    return { ordinaryS: 20, spreadS: 2, hot: this.hot };
+  }
+
+  private hot: HotImage[] = [];
+
+  /** Images of recent jobs, best effort aside, with the tasks expected within a boot. */
+  private measureHot(): void {
+    const { replica, wallMs } = this.term.deps;
+    const bootS = Math.max(1, ...[...this.term.types.values()].map((t) => t.bootS));
+    const windowS = bootS * 12;
+    const from = wallMs() - windowS * 1000;
+    const by = new Map<string, HotImage>();
+    for (const j of replica.jobs.values()) {
+      if (j.atMs < from || j.spec.priority === 3) continue;
+      const { image, imageGb, cores } = j.spec;
+      const key = `${image} ${j.spec.gpus} ${cores}`;
+      const h = by.get(key) ?? { image, gb: imageGb, spec: j.spec, expected: 0 };
+      h.expected += bootS / windowS;
+      by.set(key, h);
+    }
+    this.hot = [...by.values()].sort((a, b) => b.expected * b.gb - a.expected * a.gb).slice(0, 32);
   }
 
   /** A hole on an ordinary machine costs nothing: for best-effort work it is as good as spot. */
@@ -85,6 +106,7 @@
       ...free,
       whole: type,
       penaltyS: m.shuns,
+      fetchS: (gb) => gb / rate,
       imageWaitS: (image, gb) => {
         if (there.has(image)) return 0;
         if (fetching.has(image)) return (gb / rate) * 0.5 * fetching.size;
@@ -190,6 +212,7 @@
     }
     const usages = this.usages();
     this.measureExcess(rooms);
+    this.measureHot();
     const jobs = this.ranked(now);
     const reserve = this.reserve(jobs, rooms);
     const demand: Demand[] = [];
--- a/test/sched.test.ts
+++ b/test/sched.test.ts
@@ -102,6 +102,7 @@
   whole: g8,
   penaltyS: 0,
   imageWaitS: () => 0,
+  fetchS: (gb) => gb,
   ...over,
 });
 const w = { ordinaryS: 20, spreadS: 2 };
@@ -132,6 +133,17 @@
   assert.equal(bestRoom(spec({ gpus: 2 }), [full], where, w), null);
 });
 
+test('a place where another image is cached is left to those who want that image', () => {
+  const big = spec({ image: 'big', gpus: 4, cores: 4 });
+  const hot = [{ image: 'big', gb: 30, spec: big, expected: 0.5 }];
+  const cached = room({ id: 'cached', gpus: 4 });
+  const cold = room({ id: 'cold', imageWaitS: (i) => (i === 'big' ? 30 : 0) });
+  const where = { zones: new Map() };
+  assert.equal(bestRoom(spec(), [cached, cold], where, w)?.id, 'cached', 'the fuller one');
+  assert.equal(bestRoom(spec(), [cached, cold], where, { ...w, hot })?.id, 'cold');
+  assert.equal(bestRoom(big, [cold, cached], where, { ...w, hot })?.id, 'cached');
+});
+
 test('a gang gets all its rooms or none, in one zone where it must', () => {
   const rooms = [room({ id: 'a', gpus: 2 }), room({ id: 'b', gpus: 1, zone: 'z2' })];
   const gang = spec({ kind: 'gang', tasks: 3 });
