--- /dev/null
+++ b/src/sched/vacate.ts
@@ -0,0 +1,50 @@
+import { bestRoom, freeShare, take, type Room, type Weights } from './place.js';
+import type { JobSpec } from '../jobs/types.js';
+
+/**
+ * Emptying a machine whose few replicas fit elsewhere, so that it can be given back. A replica that
+ * moves is away for a moment; how many of a class may move at a time is the caller's bound.
+ */
+export interface Replica {
+  spec: JobSpec;
+  zones: Map<string, number>;
+}
+
+export interface Candidate {
+  room: Room;
+  replicas: Replica[];
+}
+
+/** Replicas on a machine that is worth emptying, at most. */
+const FEW = 3;
+
+/** Which machine to empty; null: none whose replicas all find a place with their image elsewhere. */
+export function chooseVacated(
+  candidates: Candidate[],
+  rooms: Room[],
+  mayMove: (replicas: Replica[]) => boolean,
+  w: Weights,
+): Candidate | null {
+  const sorted = candidates
+    .filter((c) => c.replicas.length > 0 && c.replicas.length <= FEW)
+    .sort((a, b) => freeShare(b.room) - freeShare(a.room));
+  for (const c of sorted) {
+    if (!mayMove(c.replicas)) continue;
+    // Only places on machines that are in use anyway: the emptier one never receives.
+    const places = rooms
+      .filter((r) => r.id !== c.room.id && !r.spot && freeShare(r) < 1)
+      .filter((r) => freeShare(r) <= freeShare(c.room))
+      .map((r) => ({ ...r }));
+    const all = c.replicas.every((replica) => {
+      const zones = new Map(replica.zones);
+      zones.set(c.room.zone, (zones.get(c.room.zone) ?? 1) - 1);
+      const { image, imageGb } = replica.spec;
+      const there = places.filter((r) => r.imageWaitS(image, imageGb) === 0);
+      const room = bestRoom(replica.spec, there, { zones }, w);
+      if (room !== null) take(replica.spec, room);
+      return room !== null;
+    });
+    if (all) return c;
+  }
+  return null;
+}
--- a/src/service/leader.ts
+++ b/src/service/leader.ts
@@ -165,9 +165,34 @@
   /** Called about once a report interval, for what comes with time alone. */
   beat(): void {
     if (this.stopped) return;
+    this.consolidate();
     this.term.stir();
   }
 
+  private consolidatedAt = -Infinity;
+
+  /** When there is a machine's worth of room too much, a machine is emptied to be given back. */
+  private consolidate(): void {
+    const { term, deps } = this;
+    const now = term.now;
+    const patience = deps.settings.workers.lease_s;
+    for (const m of term.machines.values()) {
+      const over =
+        m.vacatedAt !== null && (now - m.vacatedAt > patience * 3 || this.demand.length > 0);
+      if (over && m.state === 'ready') m.vacatedAt = null;
+    }
+    // Right after a change of leader the picture is not whole.
+    if (!deps.writing() || now - term.startedAt < patience * 2) return;
+    if (now - this.consolidatedAt < patience / 2 || this.demand.length > 0) return;
+    this.consolidatedAt = now;
+    const surplus = this.freeRoom(this.spareRooms, false) - this.spareTarget(false);
+    const empty = [...term.machines.values()].some(
+      (m) => !m.spot && m.state === 'ready' && m.attempts.size === 0,
+    );
+    if (surplus < 1.5 || (empty && surplus < 2.5)) return;
+    this.scheduler.vacate(this.spareRooms);
+  }
+
   private pass(): void {
     if (this.stopped) return;
     this.lastPass = this.deps.clock.now();
@@ -418,7 +443,8 @@
         const kind = m.spot ? 1 : 0;
         // What is held above the reserve goes back, with a margin against going back and forth.
         const surplus = spare[kind]!;
-        if (surplus >= 1.2 && idle > type.bootS * (m.spot || surplus >= 2.5 ? 0.4 : 1)) {
+        if (m.vacatedAt !== null) back = idle > 1;
+        else if (surplus >= 1.2 && idle > type.bootS * (m.spot || surplus >= 2.5 ? 0.4 : 1)) {
           back = true;
           spare[kind]! -= 1;
         }
--- a/src/service/scheduler.ts
+++ b/src/service/scheduler.ts
@@ -15,6 +15,7 @@
 } from '../sched/place.js';
 import { cheapestEviction, type Occupied, type Victim } from '../sched/preempt.js';
 import { Usages } from '../sched/quota.js';
+import { chooseVacated, type Candidate } from '../sched/vacate.js';
 import { LongMarks, compareJobs, remaining, scores, type Ready } from '../sched/rank.js';
 import { holds, makeAttempt } from '../workers/attempt.js';
 import type { Machine } from '../workers/machine.js';
@@ -78,6 +79,7 @@
       m.state === 'ready' &&
       m.takenAt === null &&
       !m.faulty &&
+      m.vacatedAt === null &&
       now - m.heardAt < report_s * 2.5 &&
       now >= m.shunnedUntil
     );
@@ -277,6 +279,61 @@
     return { placed, demand, rooms };
   }
 
+  private readonly moves: { at: number; class: string }[] = [];
+
+  /**
+   * Empties one machine whose replicas fit elsewhere. Of a class, so few move within a lease's span
+   * that its time up does not show it.
+   */
+  vacate(rooms: Room[]): Machine | null {
+    const now = this.term.now;
+    const { lease_s, report_s } = this.term.deps.settings.workers;
+    while (this.moves.length > 0 && now - this.moves[0]!.at > lease_s * 3) this.moves.shift();
+    const replicas = new Map<string, number>();
+    for (const j of this.term.jobs.values()) {
+      const n = replicas.get(j.spec.class) ?? 0;
+      if (j.spec.kind === 'service') replicas.set(j.spec.class, n + j.holdingCount);
+    }
+    const candidates: Candidate[] = [];
+    for (const room of rooms) {
+      const m = this.term.machines.get(room.id);
+      if (m === undefined || room.spot || !this.usable(m)) continue;
+      const held = m.held();
+      const jobs = held.map((a) => this.term.jobs.get(a.job));
+      const steady = held.every(
+        (a, i) =>
+          jobs[i]?.spec.kind === 'service' &&
+          a.stop === null &&
+          a.startedAt !== null &&
+          now - a.startedAt > lease_s * 4,
+      );
+      if (!steady || now - m.heardAt > report_s * 1.5) continue;
+      candidates.push({
+        room,
+        replicas: jobs.map((j) => ({ spec: j!.spec, zones: this.zonesOf(j!) })),
+      });
+    }
+    const mayMove = (list: { spec: JobSpec }[]): boolean => {
+      const counts = new Map<string, number>();
+      for (const r of list) counts.set(r.spec.class, (counts.get(r.spec.class) ?? 0) + 1);
+      return [...counts].every(([c, n]) => {
+        const recent = this.moves.filter((x) => x.class === c).length;
+        return recent + n <= (replicas.get(c) ?? 0) * 0.06;
+      });
+    };
+    const chosen = chooseVacated(candidates, rooms, mayMove, this.weights());
+    if (chosen === null) return null;
+    const m = this.term.machines.get(chosen.room.id)!;
+    m.vacatedAt = now;
+    for (const a of m.held()) {
+      const job = this.term.jobs.get(a.job)!;
+      this.moves.push({ at: now, class: job.spec.class });
+      this.term.stop(a, 0);
+    }
+    this.term.deps.log.info({ machine: m.id, replicas: chosen.replicas.length }, 'emptied');
+    return m;
+  }
+
   /** GPUs (or cores) of each type that short work must leave to long work that waits. */
   private reserve(jobs: LiveJob[], rooms: Room[]): Map<string, number> {
     const out = new Map<string, number>();
--- a/src/workers/machine.ts
+++ b/src/workers/machine.ts
@@ -65,6 +65,8 @@
   errors = new Map<string, number>();
   successes = 0;
   faulty = false;
+  /** Being emptied to be given back: nothing new until then. */
+  vacatedAt: number | null = null;
   /** Revision of its record, 0: none stored. */
   revision = 0;
   recordTerm = 0;
--- a/test/sched.test.ts
+++ b/test/sched.test.ts
@@ -14,6 +14,7 @@
   type Room,
 } from '../src/sched/place.js';
 import { cheapestEviction } from '../src/sched/preempt.js';
+import { chooseVacated } from '../src/sched/vacate.js';
 import { Usages } from '../src/sched/quota.js';
 import {
   LongMarks,
@@ -251,3 +252,21 @@
   const t = warmTarget([...burst, ...steady], 125_000, 200, 25, f);
   assert.ok(t > 2.5 && t < 5, String(t));
 });
+
+test('a machine is emptied when all its replicas find their image elsewhere', () => {
+  const service = spec({ kind: 'service', gpus: 2, cores: 2 });
+  const emptier = room({ id: 'emptier', gpus: 6, cores: 6 });
+  const candidate = { room: emptier, replicas: [{ spec: service, zones: new Map([['z1', 1]]) }] };
+  const cases: [string, Partial<Room>, boolean, boolean][] = [
+    ['a hole with the image', { gpus: 2, cores: 2 }, true, true],
+    ['no room', { gpus: 1 }, true, false],
+    ['no image', { gpus: 2, cores: 2, imageWaitS: () => 3 }, true, false],
+    ['an empty machine', {}, true, false],
+    ['a spot machine', { gpus: 2, cores: 2, spot: true }, true, false],
+    ['too many moved just now', { gpus: 2, cores: 2 }, false, false],
+  ];
+  for (const [name, over, may, want] of cases) {
+    const rooms = [emptier, room({ id: 'other', ...over })];
+    assert.equal(chooseVacated([candidate], rooms, () => may, w) !== null, want, name);
+  }
+});
