Replicas move only to machines where their image runs

Cause: the estimate of what is cached was wrong once, and the moved replica waited for a whole fetch.

--- a/src/cloud/plan.ts
+++ b/src/cloud/plan.ts
@@ -47,6 +47,7 @@
     whole: t,
     penaltyS: 0,
     imageWaitS: (_image, gb) => gb / Math.max(t.fetchGbPerS, 1e-9),
+    runsImage: () => false,
     fetchS: (gb) => gb / Math.max(t.fetchGbPerS, 1e-9),
   };
 }
--- a/src/sched/vacate.ts
+++ b/src/sched/vacate.ts
@@ -38,8 +38,8 @@
     const all = c.replicas.every((replica) => {
       const zones = new Map(replica.zones);
       zones.set(c.room.zone, (zones.get(c.room.zone) ?? 1) - 1);
-      const { image, imageGb } = replica.spec;
-      const there = places.filter((r) => r.imageWaitS(image, imageGb) === 0);
+      // What is cached is an estimate; moving on a wrong one cost a replica a whole fetch.
+      const there = places.filter((r) => r.runsImage(replica.spec.image));
       const room = bestRoom(replica.spec, there, { zones }, w);
       if (room !== null) take(replica.spec, room);
       return room !== null;
--- a/src/service/leader.ts
+++ b/src/service/leader.ts
@@ -323,6 +323,7 @@
         whole: type,
         penaltyS: 0,
         imageWaitS: (_image, gb) => gb / Math.max(type.fetchGbPerS, 1e-9),
+        runsImage: () => false,
         fetchS: (gb) => gb / Math.max(type.fetchGbPerS, 1e-9),
       });
     }
--- a/src/service/scheduler.ts
+++ b/src/service/scheduler.ts
@@ -89,6 +89,7 @@
     const free: Size = { cores: type.cores, gpus: type.gpus, memGb: type.memGb };
     const fetching = new Map<string, number>();
     const there = new Set<string>(m.images.keys());
+    const running = new Set<string>();
     for (const a of m.attempts.values()) {
       if (!holds(a)) continue;
       const spec = this.specOf(a.job);
@@ -96,6 +97,7 @@
       free.cores -= spec.cores;
       free.gpus -= spec.gpus;
       free.memGb -= spec.memGb;
+      if (a.state === 'running' && a.stop === null) running.add(spec.image);
       if (a.startedAt !== null) there.add(spec.image);
       else if (!there.has(spec.image)) fetching.set(spec.image, spec.imageGb);
     }
@@ -109,6 +111,7 @@
       whole: type,
       penaltyS: m.shuns,
       fetchS: (gb) => gb / rate,
+      runsImage: (image) => running.has(image),
       imageWaitS: (image, gb) => {
         if (there.has(image)) return 0;
         if (fetching.has(image)) return (gb / rate) * 0.5 * fetching.size;
--- a/test/sched.test.ts
+++ b/test/sched.test.ts
@@ -104,6 +104,7 @@
   penaltyS: 0,
   imageWaitS: () => 0,
   fetchS: (gb) => gb,
+  runsImage: () => true,
   ...over,
 });
 const w = { ordinaryS: 20, spreadS: 2 };
@@ -260,7 +261,7 @@
   const cases: [string, Partial<Room>, boolean, boolean][] = [
     ['a hole with the image', { gpus: 2, cores: 2 }, true, true],
     ['no room', { gpus: 1 }, true, false],
-    ['no image', { gpus: 2, cores: 2, imageWaitS: () => 3 }, true, false],
+    ['no image for certain', { gpus: 2, cores: 2, runsImage: () => false }, true, false],
     ['an empty machine', {}, true, false],
     ['a spot machine', { gpus: 2, cores: 2, spot: true }, true, false],
     ['too many moved just now', { gpus: 2, cores: 2 }, false, false],
