Moved replicas have their places booked

Cause: between choosing a place for a moved replica and its start, others came first, and it waited for a fetch elsewhere.

--- a/src/sched/vacate.ts
+++ b/src/sched/vacate.ts
@@ -24,7 +24,7 @@
   rooms: Room[],
   mayMove: (replicas: Replica[]) => boolean,
   w: Weights,
-): Candidate | null {
+): { candidate: Candidate; to: string[] } | null {
   const sorted = candidates
     .filter((c) => c.replicas.length > 0 && c.replicas.length <= FEW)
     .sort((a, b) => freeShare(b.room) - freeShare(a.room));
@@ -35,16 +35,19 @@
       .filter((r) => r.id !== c.room.id && !r.spot && freeShare(r) < 1)
       .filter((r) => freeShare(r) <= freeShare(c.room))
       .map((r) => ({ ...r }));
+    const to: string[] = [];
     const all = c.replicas.every((replica) => {
       const zones = new Map(replica.zones);
       zones.set(c.room.zone, (zones.get(c.room.zone) ?? 1) - 1);
       // What is cached is an estimate; moving on a wrong one cost a replica a whole fetch.
       const there = places.filter((r) => r.runsImage(replica.spec.image));
       const room = bestRoom(replica.spec, there, { zones }, w);
-      if (room !== null) take(replica.spec, room);
-      return room !== null;
+      if (room === null) return false;
+      take(replica.spec, room);
+      to.push(room.id);
+      return true;
     });
-    if (all) return c;
+    if (all) return { candidate: c, to };
   }
   return null;
 }
--- a/src/service/scheduler.ts
+++ b/src/service/scheduler.ts
@@ -19,6 +19,7 @@
 import { LongMarks, compareJobs, remaining, scores, type Ready } from '../sched/rank.js';
 import { holds, makeAttempt } from '../workers/attempt.js';
 import type { Machine } from '../workers/machine.js';
+import { splitTask } from '../wire/workers.js';
 import type { Term } from './term.js';
 
 /** The most tasks placed in one pass, so that a pass stays short. */
@@ -222,7 +223,7 @@
     const reserve = this.reserve(jobs, rooms);
     const demand: Demand[] = [];
     const wanting: { job: LiveJob; tasks: number }[] = [];
-    let placed = 0;
+    let placed = this.placeBooked(rooms, usages, now);
     for (const job of jobs) {
       if (placed >= PASS) break;
       const before = placed;
@@ -282,6 +283,38 @@
     return { placed, demand, rooms };
   }
 
+  private readonly bookings = new Map<string, { to: string; until: number }>();
+
+  /** Moved replicas go to the places that were found for them, before anything else is placed. */
+  private placeBooked(rooms: Room[], usages: Usages, now: number): number {
+    let placed = 0;
+    for (const [key, b] of [...this.bookings]) {
+      const { job: id, index } = splitTask(key);
+      const job = this.term.jobs.get(id);
+      const room = rooms.find((r) => r.id === b.to);
+      if (job === undefined || job.phase !== 'open' || now > b.until) {
+        this.bookings.delete(key);
+        continue;
+      }
+      const zones = this.zonesOf(job);
+      if (room === undefined || !job.pending(now, PASS).includes(index)) continue;
+      if (!fits(job.spec, room) || !zoneAllowed(job.spec, room.zone, zones)) continue;
+      if (!usages.allows(job.spec, 1)) continue;
+      this.bookings.delete(key);
+      take(job.spec, room);
+      this.claim(job, index, job.nextNumber(index, this.term.deps.token), room);
+      usages.add(job.spec, 1);
+      placed++;
+    }
+    // Not there yet: the place is held for it.
+    for (const [key, b] of this.bookings) {
+      const spec = this.specOf(splitTask(key).job);
+      const room = rooms.find((r) => r.id === b.to);
+      if (spec !== null && room !== undefined) take(spec, room);
+    }
+    return placed;
+  }
+
   private readonly moves: { at: number; class: string }[] = [];
 
   /**
@@ -326,14 +359,16 @@
     };
     const chosen = chooseVacated(candidates, rooms, mayMove, this.weights());
     if (chosen === null) return null;
-    const m = this.term.machines.get(chosen.room.id)!;
+    const m = this.term.machines.get(chosen.candidate.room.id)!;
     m.vacatedAt = now;
-    for (const a of m.held()) {
+    m.held().forEach((a, i) => {
       const job = this.term.jobs.get(a.job)!;
       this.moves.push({ at: now, class: job.spec.class });
+      // Its place is kept for it: whoever else came first would cost it a fetch.
+      this.bookings.set(`${a.job}/${a.index}`, { to: chosen.to[i]!, until: now + report_s * 2 });
       this.term.stop(a, 0);
-    }
-    this.term.deps.log.info({ machine: m.id, replicas: chosen.replicas.length }, 'emptied');
+    });
+    this.term.deps.log.info({ machine: m.id, replicas: chosen.to.length }, 'emptied');
     return m;
   }
 
