--- a/src/cluster/election.ts
+++ b/src/cluster/election.ts
@@ -237,7 +237,8 @@
   async answerRefused(token: number, forMs: number): Promise<Record<string, unknown>> {
     const known = this.replica.leader;
     if (known !== null && known.revision > token) return { refused: false };
-    if (this.role !== 'following') return { refused: false };
+    // One that only stands is as good a witness as any: it may stand again and again in an outage.
+    if (this.role === 'leading' || this.role === 'enduring') return { refused: false };
     const promise =
       this.clock.now() + (Math.min(forMs, this.lifeS * 1000) / 1000) * (1 + 2 * DRIFT);
     const before = this.promisedUntil;
--- a/src/service/leader.ts
+++ b/src/service/leader.ts
@@ -116,6 +116,8 @@
     const report = parseReport(raw);
     const { term, deps } = this;
     if (!deps.entitled()) return { status: 503, retryAfter: 1 };
+    // Of a later leader: it would drop an answer from here, and its lease would run out meanwhile.
+    if (report.token > deps.token) return { status: 503, retryAfter: 1 };
     const now = term.now;
     const m = this.machineOf(report);
     const changes = m.apply(report, true, now);
--- a/src/service/node.ts
+++ b/src/service/node.ts
@@ -269,8 +269,12 @@
 
   /** Renews a worker's lease in a leader's place. The only commands: cancelled tasks stop. */
   private keep(raw: unknown, token: number): Reply {
+    const report = parseReport(raw);
+    // It knows of a leader that this controller does not: what it got from here it would drop, and
+    // stay here while its lease runs out.
+    if (report.token > token) return { status: 503, retryAfter: 1 };
     const stops: Command[] = [];
-    for (const t of parseReport(raw).tasks) {
+    for (const t of report.tasks) {
       const facts = this.replica.jobs.get(t.job);
       const cancelled = facts !== undefined && outcome(facts) === 'cancelled';
       if (t.state === 'ended' || !(cancelled || this.cancelledElsewhere.has(t.job))) continue;
--- a/test/service.test.ts
+++ b/test/service.test.ts
@@ -150,6 +150,14 @@
   }
 });
 
+test('a worker that knows a later leader is sent on, not held with answers that it drops', async () => {
+  const report = {
+    bench: 'host-999999', addr: '127.0.0.1:1', casting: 'g8', yard: 'z1', loaner: false, shift: 1,
+    tally: 1, hallmark: 1e9, recall_s: null, pieces: [],
+  }; // prettier-ignore
+  for (let i = 0; i < 3; i++) assert.equal((await call(i, 'POST', '/checkin', report))[0], 503);
+});
+
 test('malformed HTTP is answered with 400 and close, and the node lives', async () => {
   for (const bytes of ['x\r\n\r\n', 'GET /ready HTTP/1.1\r\n\r\nGET /ready HTTP/1.1\r\n\r\n']) {
     const got = await new Promise<string>((resolve) => {
