--- a/src/service/leader.ts
+++ b/src/service/leader.ts
@@ -371,24 +371,22 @@
     return t.gpus > 0 ? t.gpus : t.cores;
   }
 
-  /** Free room that is kept, in units of one machine. */
+  /** Free room that is kept, in units of one machine, for work that is not best effort. */
   private spareTarget(spot: boolean): number {
     const { replica, wallMs } = this.deps;
     const types = [...this.term.types.values()];
     const bootS = Math.max(1, ...types.map((t) => t.bootS));
     const arrivals: Arrival[] = [];
     for (const j of replica.jobs.values()) {
-      if (j.spec.spot !== spot) continue;
+      if (j.spec.spot !== spot || j.spec.priority === 3) continue;
       const type = types.find((t) => fits(j.spec, t));
       if (type === undefined) continue;
       const size = this.unit(j.spec) / this.unit(type);
-      // Best-effort work can wait for a boot; half of it is spared that on cheap machines.
-      const share = j.spec.priority === 3 ? 0.5 : 1;
-      arrivals.push({ atMs: j.atMs, size: size * share * Math.min(j.spec.tasks, 50) });
+      arrivals.push({ atMs: j.atMs, size: size * Math.min(j.spec.tasks, 50) });
     }
     return warmTarget(arrivals, wallMs(), bootS * 8, bootS * 1.2, {
       mean: 1,
-      deviations: spot ? 0.5 : 1,
+      deviations: 1,
       least: spot ? 0 : 1,
     });
   }
