--- a/src/operator/policy.ts
+++ b/src/operator/policy.ts
@@ -17,7 +17,7 @@
 export const DEFAULT_POLICY: Policy = {
   omega: [1, 1, 1],
   eta: 1,
-  rho: 0,
+  rho: 0.2,
   epsilonS: 1,
   scaling: 0.001,
   heavy: 1,
