--- a/src/service/leader.ts
+++ b/src/service/leader.ts
@@ -373,6 +373,8 @@
 
   /** Free room that is kept, in units of one machine, for work that is not best effort. */
   private spareTarget(spot: boolean): number {
+    // With nothing to do there is nothing to be warm for.
+    if (this.term.jobs.size === 0) return 0;
     const { replica, wallMs } = this.deps;
     const types = [...this.term.types.values()];
     const bootS = Math.max(1, ...types.map((t) => t.bootS));
@@ -440,14 +442,17 @@
       const idle = now - m.idleSince;
       const silentLong =
         m.state === 'silent' && now - m.heardAt > deps.settings.workers.lease_s * 4;
-      const age = now - (m.firstHeardAt ?? now) + type.bootS;
+      const age = Math.max(now - (m.firstHeardAt ?? now) + type.bootS, m.listedAgeS ?? 0);
       let back = silentLong || m.faulty;
       if (m.state === 'ready' && !back && age > 55) {
         const kind = m.spot ? 1 : 0;
         // What is held above the reserve goes back, with a margin against going back and forth.
         const surplus = spare[kind]!;
         if (m.vacatedAt !== null) back = idle > 1;
-        else if (surplus >= 1.2 && idle > type.bootS * (m.spot || surplus >= 2.5 ? 0.4 : 1)) {
+        else if (
+          surplus >= (term.jobs.size === 0 ? 0.9 : 1.2) &&
+          idle > type.bootS * (m.spot || surplus >= 2.5 ? 0.4 : 1)
+        ) {
           back = true;
           spare[kind]! -= 1;
         }
@@ -482,6 +487,8 @@
     this.lastListed = new Set(all.map((m) => m.id));
     for (const l of all) {
       const type = term.types.get(l.type);
+      const known = term.machines.get(l.id);
+      if (known !== undefined) known.listedAgeS = l.ageS;
       if (l.state === 'failed') {
         this.failedListed.add(l.id);
         continue;
--- a/test/service.test.ts
+++ b/test/service.test.ts
@@ -253,3 +253,14 @@
   );
   assert.deepEqual(fleet.broken, []);
 });
+
+test('with nothing to do, every machine goes back', async () => {
+  // The room kept warm once stayed rented for ever after the last job.
+  for (const w of fleet.workers.values()) w.cut = false;
+  await until(
+    'cancelled',
+    async () =>
+      (await call(0, 'POST', '/submissions/wk-000004/withdraw', {}))[1].temper === 'cancelled',
+  );
+  await until('no machines', () => fleet.workers.size === 0, 60);
+});
--- a/test/standins.ts
+++ b/test/standins.ts
@@ -222,7 +222,7 @@
       return [200, { benches: ids }];
     }
     const benches = [...this.workers.values()].map((w) => ({
-      ref: w.id, addr: `127.0.0.1:${w.port}`, casting: w.type, yard: w.zone, loaner: w.spot, temper: 'running', age_s: 9,
+      ref: w.id, addr: `127.0.0.1:${w.port}`, casting: w.type, yard: w.zone, loaner: w.spot, temper: 'running', age_s: 90,
     })); // prettier-ignore
     return [200, { benches, more: false }];
   }
