--- a/src/cloud/fleet.ts
+++ b/src/cloud/fleet.ts
@@ -1,3 +1,4 @@
+import { random } from '../random.js';
 import { sleep, type Clock } from '../clock.js';
 import type { Log } from '../log.js';
 import type { MachineType } from '../jobs/types.js';
@@ -89,7 +90,7 @@
         if (this.host.entitled()) await this.round();
       } catch (e) {
         this.log.debug({ err: String(e) }, 'cloud round failed');
-        await sleep(0.5 + Math.random() * 0.5);
+        await sleep(0.5 + random() * 0.5);
       }
       await this.pause(0.5);
     }
--- a/src/cluster/election.ts
+++ b/src/cluster/election.ts
@@ -1,3 +1,4 @@
+import { random } from '../random.js';
 import { DRIFT, sleep, type Clock } from '../clock.js';
 import type { Log } from '../log.js';
 import { Refused, type StateClient } from '../state/client.js';
@@ -130,14 +131,14 @@
     }
     if (!mine) {
       // Apart from one another, so that a single node stands as a rule.
-      await sleep(Math.random() * 0.05 * this.lifeS);
+      await sleep(random() * 0.05 * this.lifeS);
       if (this.replica.leader !== null) return;
     }
     this.become('standing');
     const won = await this.stand(leader?.revision ?? 0);
     if (!won) {
       this.become('following');
-      await sleep(0.1 + Math.random() * 0.2);
+      await sleep(0.1 + random() * 0.2);
     }
   }
 
--- a/src/cluster/peers.ts
+++ b/src/cluster/peers.ts
@@ -1,3 +1,4 @@
+import { random } from '../random.js';
 import { connect, createServer, type Server, type Socket } from 'node:net';
 import { Decoder, Encoder } from 'cbor-x';
 import type { Endpoint } from '../config/settings.js';
@@ -86,7 +87,7 @@
   private open(): void {
     const now = performance.now();
     if (now < this.retryAt) return;
-    this.retryAt = now + this.backoffMs * (0.75 + Math.random() / 2);
+    this.retryAt = now + this.backoffMs * (0.75 + random() / 2);
     this.backoffMs = Math.min(2000, this.backoffMs * 2);
     const socket = connect({ host: this.to.host, port: this.to.port });
     this.socket = socket;
--- a/src/service/node.ts
+++ b/src/service/node.ts
@@ -1,3 +1,4 @@
+import { random } from '../random.js';
 import { randomBytes } from 'node:crypto';
 import { CloudClient } from '../cloud/client.js';
 import { Election } from '../cluster/election.js';
@@ -159,7 +160,7 @@
           return;
         } catch (e) {
           this.log.debug({ err: String(e) }, 'machine types not had');
-          await sleep(1 + Math.random());
+          await sleep(1 + random());
         }
       } else await sleep(0.05);
     }
--- a/src/service/store.ts
+++ b/src/service/store.ts
@@ -1,3 +1,4 @@
+import { random } from '../random.js';
 import { sleep, type Clock } from '../clock.js';
 import type { Log } from '../log.js';
 import type { LiveJob } from '../jobs/live.js';
@@ -116,7 +117,7 @@
       for (const w of batch) w.failed();
       if (e instanceof Refused) {
         if (e.status === 400) this.log.error({ keys: batch.map((w) => w.key) }, 'commit malformed');
-        await sleep(0.1 + Math.random() * 0.1);
+        await sleep(0.1 + random() * 0.1);
         return;
       }
       // Not answered: it may have been carried out, or still be. Read back, then write again.
--- a/src/state/follow.ts
+++ b/src/state/follow.ts
@@ -1,3 +1,4 @@
+import { random } from '../random.js';
 import { sleep, type Clock } from '../clock.js';
 import type { Log } from '../log.js';
 import { StateClient } from './client.js';
@@ -39,7 +40,7 @@
       } catch (e) {
         if (this.stopped) return;
         this.log.debug({ err: String(e) }, 'watch interrupted');
-        await sleep(0.1 + Math.random() * 0.1);
+        await sleep(0.1 + random() * 0.1);
       }
     }
   }
--- a/src/state/intake.ts
+++ b/src/state/intake.ts
@@ -1,3 +1,4 @@
+import { random } from '../random.js';
 import { sleep, type Budget, type Clock } from '../clock.js';
 import type { Log } from '../log.js';
 import type { Outcome, Replica } from './replica.js';
@@ -109,7 +110,7 @@
         if (!r.ok) this.log.debug({ key }, 'stored by an earlier attempt');
       } catch (e) {
         if (e instanceof Refused && e.status === 400) break;
-        await sleep(0.1 + Math.random() * 0.1);
+        await sleep(0.1 + random() * 0.1);
       }
     }
     // Nobody is told anything before this node's picture holds what was stored.
