Passes reckon only what changed; leader and scheduler split by what they own

Rooms and team use are kept per machine and looked at again only after a change; arrivals are kept apart from the jobs and refreshed once a report interval; victims of preemption are looked for only where there can be any; records are encoded when they are written, claims by priority. Fixed numbers became named ratios to settings.

--- a/src/clock.ts
+++ b/src/clock.ts
@@ -38,6 +38,11 @@
     this.rate = rate;
   }
 
+  /** What is there after a pause. */
+  get capacity(): number {
+    return Math.max(1, this.rate * this.burst_s);
+  }
+
   /** What is there now. */
   get available(): number {
     this.fill();
--- /dev/null
+++ b/src/cloud/arrivals.ts
@@ -0,0 +1,103 @@
+import { fits, type JobSpec, type MachineType } from '../jobs/types.js';
+import type { HotImage } from '../sched/place.js';
+import { warmTarget, type Arrival } from './warm.js';
+
+/** Windows of observation, in boots of the slowest machine type. */
+const HOT_BOOTS = 12;
+const WARM_BOOTS = 8;
+/** What is to be bridged by warm room: a boot and the slower ones among them. */
+const AHEAD_BOOTS = 1.2;
+/** Images that are told apart as wanted soon, at most. */
+const HOT_MOST = 32;
+/** One job counts for so many tasks at most: what is larger than that is not kept room for. */
+const TASKS_MOST = 50;
+
+/** GPUs or, without any, cores: what machines and tasks are measured in. */
+export const unit = (s: { gpus: number; cores: number }): number => (s.gpus > 0 ? s.gpus : s.cores);
+
+interface Seen {
+  spec: JobSpec;
+  atMs: number;
+}
+
+/**
+ * Jobs that came lately, best effort aside: what is likely to come next is estimated from them. What
+ * is derived is refreshed once in `everyS`, however many passes ask for it.
+ */
+export class Arrivals {
+  private recent: Seen[] = [];
+  private readonly firstMs = new Map<boolean, number>();
+  private hotList: HotImage[] = [];
+  private readonly targets = new Map<boolean, number>();
+  private refreshedMs = -Infinity;
+
+  constructor(
+    private readonly wallMs: () => number,
+    private readonly everyS: number,
+    private readonly types: () => MachineType[],
+  ) {}
+
+  add(spec: JobSpec, atMs: number): void {
+    if (spec.priority === 3) return;
+    this.firstMs.set(spec.spot, Math.min(atMs, this.firstMs.get(spec.spot) ?? Infinity));
+    this.recent.push({ spec, atMs });
+  }
+
+  private refresh(): void {
+    const now = this.wallMs();
+    if (Math.abs(now - this.refreshedMs) < this.everyS * 1000) return;
+    this.refreshedMs = now;
+    const types = this.types();
+    const bootS = Math.max(1, ...types.map((t) => t.bootS));
+    const from = now - Math.max(HOT_BOOTS, WARM_BOOTS) * bootS * 1000;
+    this.recent = this.recent.filter((r) => r.atMs >= from);
+    this.hotList = this.hotNow(now, bootS);
+    for (const spot of [false, true]) this.targets.set(spot, this.targetNow(now, bootS, spot));
+  }
+
+  private hotNow(now: number, bootS: number): HotImage[] {
+    const windowS = bootS * HOT_BOOTS;
+    const by = new Map<string, HotImage>();
+    for (const { spec, atMs } of this.recent) {
+      if (atMs < now - windowS * 1000) continue;
+      const key = `${spec.image} ${spec.gpus} ${spec.cores}`;
+      const h = by.get(key) ?? { image: spec.image, gb: spec.imageGb, spec, expected: 0 };
+      h.expected += bootS / windowS;
+      by.set(key, h);
+    }
+    return [...by.values()]
+      .sort((a, b) => b.expected * b.gb - a.expected * a.gb)
+      .slice(0, HOT_MOST);
+  }
+
+  private targetNow(now: number, bootS: number, spot: boolean): number {
+    const types = this.types();
+    const arrivals: Arrival[] = [];
+    for (const { spec, atMs } of this.recent) {
+      if (spec.spot !== spot) continue;
+      const type = types.find((t) => fits(spec, t));
+      if (type === undefined) continue;
+      arrivals.push({ atMs, size: (unit(spec) / unit(type)) * Math.min(spec.tasks, TASKS_MOST) });
+    }
+    return warmTarget(
+      arrivals,
+      this.firstMs.get(spot) ?? Infinity,
+      now,
+      bootS * WARM_BOOTS,
+      bootS * AHEAD_BOOTS,
+      { mean: 1, deviations: 1, least: spot ? 0 : 1 },
+    );
+  }
+
+  /** Images of recent jobs with the tasks expected within a boot. The same list until refreshed. */
+  hot(): HotImage[] {
+    this.refresh();
+    return this.hotList;
+  }
+
+  /** Free room to keep, in machines. */
+  target(spot: boolean): number {
+    this.refresh();
+    return this.targets.get(spot) ?? 0;
+  }
+}
--- a/src/cloud/plan.ts
+++ b/src/cloud/plan.ts
@@ -35,9 +35,10 @@
 
 let serial = 0;
 
-function emptyRoom(t: MachineType, zone: string, spot: boolean): Room {
+/** A machine that is not there yet: empty, and every image has to be fetched. */
+export function comingRoom(id: string, t: MachineType, zone: string, spot: boolean): Room {
   return {
-    id: `planned-${serial++}`,
+    id,
     type: t.name,
     zone,
     spot,
@@ -49,6 +50,7 @@
     imageWaitS: (_image, gb) => gb / Math.max(t.fetchGbPerS, 1e-9),
     runsImage: () => false,
     fetchS: (gb) => gb / Math.max(t.fetchGbPerS, 1e-9),
+    hotHere: () => [],
   };
 }
 
@@ -93,7 +95,7 @@
         if (count >= input.most) break;
         const kind = choose(d.spec, zones, input);
         if (kind === null) break;
-        room = emptyRoom(kind.type, kind.zone, kind.spot);
+        room = comingRoom(`planned-${serial++}`, kind.type, kind.zone, kind.spot);
         input.rooms.push(room);
         count++;
         input.perZone.set(kind.zone, (input.perZone.get(kind.zone) ?? 0) + 1);
--- a/src/cloud/warm.ts
+++ b/src/cloud/warm.ts
@@ -2,6 +2,7 @@
  * How much room to keep free for work that is to come. New machines take a boot to arrive; until
  * then what comes must find room that is there. The room expected to be wanted within that time is
  * estimated from recent arrivals, as a compound Poisson process: its mean and a deviation more.
+ * `firstMs`: when the very first came.
  */
 export interface Arrival {
   atMs: number;
@@ -17,15 +18,14 @@
 
 export function warmTarget(
   arrivals: Arrival[],
+  firstMs: number,
   nowMs: number,
   windowS: number,
   aheadS: number,
   f: WarmFactors,
 ): number {
-  let first = Infinity;
-  for (const a of arrivals) first = Math.min(first, a.atMs);
   // What was there at the start of a fleet came at once and says nothing of later.
-  const from = Math.max(nowMs - windowS * 1000, first + aheadS * 1000);
+  const from = Math.max(nowMs - windowS * 1000, firstMs + aheadS * 1000);
   const span = (nowMs - from) / 1000;
   if (span < aheadS) return f.least;
   let sum = 0;
--- a/src/sched/place.ts
+++ b/src/sched/place.ts
@@ -16,6 +16,8 @@
   penaltyS: number;
   /** GPUs or, without any, cores of the whole machine. */
   whole: Size;
+  /** Those of the hot images that are cached there, when that is known at less cost. */
+  hotHere?(hot: HotImage[]): HotImage[];
 }
 
 export interface Where {
@@ -23,6 +25,8 @@
   zones: Map<string, number>;
   /** Machines on which the job's tasks must not be placed. */
   avoid?: Set<string>;
+  /** Rooms that this job may use at present; every one when it is not given. */
+  may?: (room: Room) => boolean;
 }
 
 export function allowed(
@@ -44,10 +48,11 @@
 
 /** Share of the machine that stays free, by its scarcer resource. */
 function leftover(spec: Size, room: Room): number {
-  const parts: number[] = [];
-  if (room.whole.gpus > 0) parts.push((room.gpus - spec.gpus) / room.whole.gpus);
-  if (room.whole.cores > 0) parts.push((room.cores - spec.cores) / room.whole.cores);
-  return parts.length === 0 ? 0 : Math.min(...parts);
+  const { whole } = room;
+  const gpus = whole.gpus > 0 ? (room.gpus - spec.gpus) / whole.gpus : Infinity;
+  const cores = whole.cores > 0 ? (room.cores - spec.cores) / whole.cores : Infinity;
+  const least = Math.min(gpus, cores);
+  return least === Infinity ? 0 : least;
 }
 
 /** Share of a machine that is free, by its scarcer resource: no GPU left is no room left. */
@@ -74,7 +79,7 @@
 export function opportunity(spec: JobSpec, room: Room, hot: HotImage[]): number {
   let lost = 0;
   let after: Size | null = null;
-  for (const h of hot) {
+  for (const h of room.hotHere?.(hot) ?? hot) {
     if (h.image === spec.image || (room.spot && !h.spec.spot) || !fits(h.spec, room)) continue;
     after ??= {
       cores: room.cores - spec.cores,
@@ -95,14 +100,15 @@
   hot?: HotImage[];
 }
 
-export function cost(spec: JobSpec, room: Room, w: Weights): number {
-  return (
+/** In seconds. What cannot be below `bound` is not reckoned to its end: the dear part comes last. */
+export function cost(spec: JobSpec, room: Room, w: Weights, bound = Infinity): number {
+  const own =
     room.imageWaitS(spec.image, spec.imageGb) +
     (spec.spot && !room.spot ? w.ordinaryS : 0) +
     leftover(spec, room) * w.spreadS +
-    room.penaltyS +
-    (w.hot === undefined ? 0 : opportunity(spec, room, w.hot))
-  );
+    room.penaltyS;
+  if (w.hot === undefined || own >= bound) return own;
+  return own + opportunity(spec, room, w.hot);
 }
 
 export function bestRoom(
@@ -117,7 +123,8 @@
     if (!fits(spec, room) || !allowed(spec, room)) continue;
     if (where.avoid?.has(room.id) === true) continue;
     if (!zoneAllowed(spec, room.zone, where.zones)) continue;
-    const c = cost(spec, room, w);
+    if (where.may !== undefined && !where.may(room)) continue;
+    const c = cost(spec, room, w, bestCost);
     if (c < bestCost) {
       best = room;
       bestCost = c;
--- /dev/null
+++ b/src/service/direct.ts
@@ -0,0 +1,91 @@
+import { endpoint } from '../config/settings.js';
+import { HttpClient, NoResponse } from '../http/client.js';
+import { encodeDirect, parseReport } from '../wire/workers.js';
+import type { Machine } from '../workers/machine.js';
+import type { Term } from './term.js';
+
+/** Direct messages wait for an answer for so many report intervals. */
+const ANSWER_REPORTS = 1.5;
+
+interface Channel {
+  client: HttpClient;
+  addr: string;
+  busy: boolean;
+}
+
+/** Commands sent straight to workers, when they should not wait for the next check-in. */
+export class DirectCommands {
+  private readonly channels = new Map<string, Channel>();
+  private stopped = false;
+
+  constructor(
+    private readonly term: Term,
+    private readonly again: () => void,
+  ) {}
+
+  push(): void {
+    const { term } = this;
+    for (const id of [...term.urgent]) {
+      const m = term.machines.get(id);
+      if (m === undefined || m.state === 'silent' || m.state === 'unheard') {
+        term.urgent.delete(id);
+        continue;
+      }
+      if (m.state === 'fencing') continue;
+      void this.tell(m);
+    }
+  }
+
+  private channel(m: Machine): Channel {
+    const known = this.channels.get(m.id);
+    if (known?.addr === m.addr) return known;
+    known?.client.close();
+    const made = { client: new HttpClient(endpoint(m.addr), 1, 4), addr: m.addr, busy: false };
+    this.channels.set(m.id, made);
+    return made;
+  }
+
+  private async tell(m: Machine): Promise<void> {
+    const { term } = this;
+    const { deps } = term;
+    const d = this.channel(m);
+    if (d.busy) return;
+    const commands = m.commands(term.now, (a) => term.mayStart(a), false);
+    term.urgent.delete(m.id);
+    if (commands.every((c) => c.op === 'forget')) return;
+    const session = m.session;
+    m.mark(commands, 'direct', term.now);
+    d.busy = true;
+    const timeout = deps.settings.workers.report_s * ANSWER_REPORTS;
+    try {
+      const body = encodeDirect(deps.token, session, commands);
+      const r = await d.client.request('POST', '/do', body, timeout);
+      if (this.stopped) return;
+      const how = r.status === 200 ? 'done' : 'refused';
+      m.directDone(commands, how, session, term.now);
+      if (r.status === 200 || r.status === 409) {
+        const report = parseReport(JSON.parse(r.body.toString('utf8')));
+        if (report.machine === m.id) term.digest(m, m.apply(report, false, term.now));
+      }
+    } catch (e) {
+      if (this.stopped) return;
+      const never = e instanceof NoResponse && !e.sent;
+      m.directDone(commands, never ? 'refused' : 'unknown', session, term.now);
+      deps.log.debug({ machine: m.id, err: String(e) }, 'direct commands not answered');
+    } finally {
+      d.busy = false;
+    }
+    if (term.urgent.has(m.id)) this.again();
+  }
+
+  forget(id: string): void {
+    this.channels.get(id)?.client.close();
+    this.channels.delete(id);
+  }
+
+  stop(): void {
+    this.stopped = true;
+    for (const c of this.channels.values()) c.client.close();
+    this.channels.clear();
+  }
+}
--- /dev/null
+++ b/src/service/moves.ts
@@ -0,0 +1,129 @@
+import type { JobSpec } from '../jobs/types.js';
+import { fits } from '../jobs/types.js';
+import { take, zoneAllowed, type Room, type Weights } from '../sched/place.js';
+import type { Usages } from '../sched/quota.js';
+import { chooseVacated, type Candidate } from '../sched/vacate.js';
+import { splitTask } from '../wire/workers.js';
+import type { LiveJob } from '../jobs/live.js';
+import type { Machine } from '../workers/machine.js';
+import type { Term } from './term.js';
+
+/** Of a class's replicas, the share that may move within `MOVE_LEASES` leases. */
+const MOVE_SHARE = 0.06;
+const MOVE_LEASES = 3;
+/** Replicas that ran for so many leases are steady enough to be moved. */
+const STEADY_LEASES = 4;
+/** For how many report intervals a place is kept for a replica on its way. */
+const BOOKED_REPORTS = 2;
+
+/** Emptying machines: which replicas move, and the places that are kept for them. */
+export class Moves {
+  private readonly bookings = new Map<string, { to: string; until: number }>();
+  private readonly recent: { at: number; class: string }[] = [];
+
+  constructor(
+    private readonly term: Term,
+    private readonly zonesOf: (job: LiveJob) => Map<string, number>,
+  ) {}
+
+  /** Moved replicas go to the places that were found for them, before anything else is placed. */
+  placeBooked(
+    rooms: Room[],
+    usages: Usages,
+    now: number,
+    claim: (job: LiveJob, index: number, room: Room) => void,
+  ): number {
+    if (this.bookings.size === 0) return 0;
+    const byId = new Map(rooms.map((r) => [r.id, r]));
+    let placed = 0;
+    for (const [key, b] of [...this.bookings]) {
+      const { job: id, index } = splitTask(key);
+      const job = this.term.jobs.get(id);
+      const room = byId.get(b.to);
+      if (job === undefined || job.phase !== 'open' || now > b.until) {
+        this.bookings.delete(key);
+        continue;
+      }
+      if (room === undefined || !job.pending(now, job.spec.tasks).includes(index)) continue;
+      if (!fits(job.spec, room) || !zoneAllowed(job.spec, room.zone, this.zonesOf(job))) continue;
+      if (!usages.allows(job.spec, 1)) continue;
+      this.bookings.delete(key);
+      take(job.spec, room);
+      claim(job, index, room);
+      usages.add(job.spec, 1);
+      placed++;
+    }
+    // Not there yet: the place is held for it.
+    for (const [key, b] of this.bookings) {
+      const spec = this.term.jobs.get(splitTask(key).job)?.spec;
+      const room = byId.get(b.to);
+      if (spec !== undefined && room !== undefined) take(spec, room);
+    }
+    return placed;
+  }
+
+  private candidates(rooms: Room[], usable: (m: Machine) => boolean, now: number): Candidate[] {
+    const { lease_s, report_s } = this.term.deps.settings.workers;
+    const candidates: Candidate[] = [];
+    for (const room of rooms) {
+      const m = this.term.machines.get(room.id);
+      if (m === undefined || room.spot || !usable(m)) continue;
+      const held = m.held();
+      const jobs = held.map((a) => this.term.jobs.get(a.job));
+      const steady = held.every(
+        (a, i) =>
+          jobs[i]?.spec.kind === 'service' &&
+          a.stop === null &&
+          a.startedAt !== null &&
+          now - a.startedAt > lease_s * STEADY_LEASES,
+      );
+      if (!steady || now - m.heardAt > report_s * 1.5) continue;
+      candidates.push({
+        room,
+        replicas: jobs.map((j) => ({ spec: j!.spec, zones: this.zonesOf(j!) })),
+      });
+    }
+    return candidates;
+  }
+
+  /**
+   * Empties one machine whose replicas fit elsewhere. Of a class, so few move within a lease's span
+   * that its time up does not show it.
+   */
+  vacate(rooms: Room[], usable: (m: Machine) => boolean, weights: Weights): Machine | null {
+    const now = this.term.now;
+    const { lease_s, report_s } = this.term.deps.settings.workers;
+    while (this.recent.length > 0 && now - this.recent[0]!.at > lease_s * MOVE_LEASES) {
+      this.recent.shift();
+    }
+    const replicas = new Map<string, number>();
+    for (const j of this.term.jobs.values()) {
+      const n = replicas.get(j.spec.class) ?? 0;
+      if (j.spec.kind === 'service') replicas.set(j.spec.class, n + j.holdingCount);
+    }
+    const mayMove = (list: { spec: JobSpec }[]): boolean => {
+      const counts = new Map<string, number>();
+      for (const r of list) counts.set(r.spec.class, (counts.get(r.spec.class) ?? 0) + 1);
+      return [...counts].every(([c, n]) => {
+        const moved = this.recent.filter((x) => x.class === c).length;
+        return moved + n <= (replicas.get(c) ?? 0) * MOVE_SHARE;
+      });
+    };
+    const chosen = chooseVacated(this.candidates(rooms, usable, now), rooms, mayMove, weights);
+    if (chosen === null) return null;
+    const m = this.term.machines.get(chosen.candidate.room.id)!;
+    m.vacatedAt = now;
+    m.held().forEach((a, i) => {
+      const job = this.term.jobs.get(a.job)!;
+      this.recent.push({ at: now, class: job.spec.class });
+      // Its place is kept for it: whoever else came first would cost it a fetch.
+      this.bookings.set(`${a.job}/${a.index}`, {
+        to: chosen.to[i]!,
+        until: now + report_s * BOOKED_REPORTS,
+      });
+      this.term.stop(a, 0);
+    });
+    this.term.deps.log.info({ machine: m.id, replicas: chosen.to.length }, 'emptied');
+    return m;
+  }
+}
--- /dev/null
+++ b/src/service/queue.ts
@@ -0,0 +1,62 @@
+import type { LiveJob } from '../jobs/live.js';
+import { within } from '../jobs/types.js';
+import { LongMarks, compareJobs, remaining, scores, type Ready } from '../sched/rank.js';
+import type { Term } from './term.js';
+
+const asReady = (j: LiveJob): Ready => ({
+  unfinishedS: j.unfinishedPredictedS,
+  finishedS: j.finishedPredictedS,
+  attainedS: j.attainedS,
+  predictedS: j.spec.estimateS,
+  pipelineMeanS: j.spec.estimateS,
+  successors: [],
+});
+
+/** Open jobs in the order in which they are placed. */
+export class Queue {
+  private readonly marks = new LongMarks();
+
+  constructor(private readonly term: Term) {}
+
+  /** Ranks open jobs that have tasks to start. */
+  ranked(now: number): LiveJob[] {
+    const { policy } = this.term.deps;
+    const open: LiveJob[] = [];
+    for (const j of this.term.jobs.values()) if (j.phase === 'open') open.push(j);
+    const finite = open.filter((j) => j.spec.kind !== 'service');
+    const remainings = finite.map((j) => remaining(asReady(j), policy));
+    this.marks.update(remainings, policy, now);
+    finite.forEach((j, i) => (j.long = this.marks.isLong(remainings[i]!, j.long)));
+    this.markGuaranteed(open);
+    const waiting = open.filter((j) => j.pendingCount > 0);
+    const s = scores(
+      waiting.map(asReady),
+      waiting.map((j) => j.long),
+      policy,
+    );
+    const order = waiting.map((job, i) => {
+      job.score = s[i]!;
+      const { guaranteed, score, acceptedAt } = job;
+      return { job, priority: job.spec.priority, guaranteed, score, acceptedAt };
+    });
+    return order.sort(compareJobs).map((o) => o.job);
+  }
+
+  /**
+   * A job is guaranteed when it fits with its team's earlier unfinished jobs into the guarantee. A
+   * term's jobs are kept in the order of their acceptance.
+   */
+  private markGuaranteed(open: LiveJob[]): void {
+    const sums = new Map<string, { cores: number; gpus: number }>();
+    for (const j of open) {
+      const team = this.term.deps.settings.teams.get(j.spec.team);
+      j.guaranteed = false;
+      if (team === undefined || (team.cores <= 0 && team.gpus <= 0)) continue;
+      let sum = sums.get(team.name);
+      if (sum === undefined) sums.set(team.name, (sum = { cores: 0, gpus: 0 }));
+      sum.cores += j.spec.cores * j.spec.tasks;
+      sum.gpus += j.spec.gpus * j.spec.tasks;
+      j.guaranteed = within(sum.cores, team.cores) && within(sum.gpus, team.gpus);
+    }
+  }
+}
--- /dev/null
+++ b/src/service/rooms.ts
@@ -0,0 +1,174 @@
+import type { JobSpec, MachineType, Size } from '../jobs/types.js';
+import { freeShare, type HotImage, type Room } from '../sched/place.js';
+import { Usages } from '../sched/quota.js';
+import { holds } from '../workers/attempt.js';
+import type { Machine } from '../workers/machine.js';
+import type { Term } from './term.js';
+
+/** What is on a machine, as placing sees it; shared by all copies of its room. */
+interface Contents {
+  there: Set<string>;
+  fetching: Map<string, number>;
+  running: Set<string>;
+  ratePerS: number;
+  hotFor: HotImage[] | null;
+  hotHere: HotImage[];
+}
+
+/** Room on a machine that reports. Copies are cheap: a pass takes from copies. */
+class MachineRoom implements Room {
+  penaltyS = 0;
+
+  constructor(
+    readonly id: string,
+    readonly type: string,
+    readonly zone: string,
+    readonly spot: boolean,
+    readonly whole: Size,
+    public cores: number,
+    public gpus: number,
+    public memGb: number,
+    private readonly contents: Contents,
+  ) {}
+
+  copy(penaltyS: number): MachineRoom {
+    const { id, type, zone, spot, whole, cores, gpus, memGb, contents } = this;
+    const r = new MachineRoom(id, type, zone, spot, whole, cores, gpus, memGb, contents);
+    r.penaltyS = penaltyS;
+    return r;
+  }
+
+  fetchS(gb: number): number {
+    return gb / this.contents.ratePerS;
+  }
+
+  runsImage(image: string): boolean {
+    return this.contents.running.has(image);
+  }
+
+  imageWaitS(image: string, gb: number): number {
+    const { there, fetching, ratePerS } = this.contents;
+    if (there.has(image)) return 0;
+    if (fetching.has(image)) return (gb / ratePerS) * 0.5 * fetching.size;
+    return (gb / ratePerS) * (1 + fetching.size);
+  }
+
+  hotHere(hot: HotImage[]): HotImage[] {
+    const c = this.contents;
+    if (c.hotFor !== hot) {
+      c.hotFor = hot;
+      c.hotHere = hot.filter((h) => c.there.has(h.image));
+    }
+    return c.hotHere;
+  }
+}
+
+interface Entry {
+  version: number;
+  type: MachineType;
+  room: MachineRoom;
+  /** One spec for each attempt that holds room. */
+  held: JobSpec[];
+  /** Work that is not best effort is on it. */
+  inUse: boolean;
+}
+
+/**
+ * The rooms of all machines, and what their teams use. A machine is looked at again only after
+ * something on it has changed: with some hundred machines and a pass many times a second, reckoning
+ * all of them anew in each took most of a controller's share of a core.
+ */
+export class RoomBook {
+  private readonly entries = new Map<string, Entry>();
+
+  constructor(
+    private readonly term: Term,
+    private readonly specOf: (job: string) => JobSpec | null,
+  ) {}
+
+  /** Null while a job on the machine is unknown here: what it takes cannot be told. */
+  private entry(m: Machine): Entry | null {
+    const type = this.term.types.get(m.type);
+    if (type === undefined) return null;
+    const known = this.entries.get(m.id);
+    if (known !== undefined && known.version === m.version && known.type === type) return known;
+    const made = this.make(m, type);
+    if (made === null) this.entries.delete(m.id);
+    else this.entries.set(m.id, made);
+    return made;
+  }
+
+  private make(m: Machine, type: MachineType): Entry | null {
+    let { cores, gpus, memGb } = type;
+    const contents: Contents = {
+      there: new Set(m.images.keys()),
+      fetching: new Map(),
+      running: new Set(),
+      ratePerS: Math.max(type.fetchGbPerS, 1e-9),
+      hotFor: null,
+      hotHere: [],
+    };
+    const held: JobSpec[] = [];
+    let inUse = false;
+    for (const a of m.attempts.values()) {
+      if (!holds(a)) continue;
+      const spec = this.specOf(a.job);
+      if (spec === null) return null;
+      held.push(spec);
+      cores -= spec.cores;
+      gpus -= spec.gpus;
+      memGb -= spec.memGb;
+      inUse ||= spec.priority < 3;
+      if (a.state === 'running' && a.stop === null) contents.running.add(spec.image);
+      if (a.startedAt !== null) contents.there.add(spec.image);
+      else if (!contents.there.has(spec.image)) contents.fetching.set(spec.image, spec.imageGb);
+    }
+    const room = new MachineRoom(
+      m.id, m.type, m.zone, m.spot, type, cores, gpus, memGb, contents,
+    ); // prettier-ignore
+    return { version: m.version, type, room, held, inUse };
+  }
+
+  /** Copies of the rooms of those machines that may be used now. */
+  rooms(usable: (m: Machine) => boolean): Room[] {
+    const out: Room[] = [];
+    for (const m of this.term.machines.values()) {
+      if (!usable(m)) continue;
+      const e = this.entry(m);
+      if (e !== null) out.push(e.room.copy(m.shuns));
+    }
+    if (this.entries.size > this.term.machines.size * 2) {
+      for (const id of [...this.entries.keys()]) {
+        if (!this.term.machines.has(id)) this.entries.delete(id);
+      }
+    }
+    return out;
+  }
+
+  /** What teams' tasks use, wherever they may be. */
+  usages(): Usages {
+    const u = new Usages(this.term.deps.settings.teams);
+    for (const m of this.term.machines.values()) {
+      const e = this.entry(m);
+      if (e !== null) {
+        for (const spec of e.held) u.add(spec, 1);
+        continue;
+      }
+      for (const a of m.attempts.values()) {
+        const spec = holds(a) ? this.specOf(a.job) : null;
+        if (spec !== null) u.add(spec, 1);
+      }
+    }
+    return u;
+  }
+
+  inUse(id: string): boolean {
+    return this.entries.get(id)?.inUse ?? false;
+  }
+}
+
+export function freeRoom(rooms: Room[], spot: boolean): number {
+  let free = 0;
+  for (const r of rooms) if (r.spot === spot) free += freeShare(r);
+  return free;
+}
--- a/src/service/store.ts
+++ b/src/service/store.ts
@@ -24,6 +24,15 @@
 
 const TXN_BYTES = 60 * 1024;
 
+/** 0 to 3: claims of that priority; the ends of jobs go with the highest. */
+const SOON = 4;
+const LATER = 5;
+
+interface Due {
+  urgency: number;
+  make(): Write;
+}
+
 /**
  * Writes a term's records, a batch at a time, most urgent first. Every put is guarded by the
  * leader's key and by its own key's revision, so that a transaction carried out late changes
@@ -71,22 +80,29 @@
   }
 
   private async flush(): Promise<boolean> {
-    const most = Math.min(this.state.txnOps, Math.floor(this.state.writes.available));
-    const all = this.collect();
-    if (all.length === 0) return false;
-    if (most < 1) {
-      await sleep(this.state.writes.wait(1));
+    const { writes } = this.state;
+    const due = this.collect();
+    if (due.length === 0) return false;
+    if (writes.available < 1) {
+      await sleep(writes.wait(1));
       return true;
     }
+    const most = Math.min(this.state.txnOps, Math.floor(writes.available));
+    // What can wait leaves half of what may be written at once to what comes next.
+    const mostLater = Math.min(most, Math.floor(writes.available - writes.capacity / 2));
     const batch: Write[] = [];
     let bytes = 512;
-    for (const w of all) {
-      if (batch.length >= most || bytes + w.bytes > TXN_BYTES) break;
+    for (const d of due) {
+      if (batch.length >= (d.urgency === LATER ? mostLater : most)) break;
+      // Encoded only now: of what waits for its turn only the order is looked at.
+      const w = d.make();
+      if (bytes + w.bytes > TXN_BYTES) break;
       bytes += w.bytes;
       w.begin();
       batch.push(w);
     }
-    this.state.writes.force(batch.length);
+    if (batch.length === 0) return false;
+    writes.force(batch.length);
     await this.commit(batch);
     return true;
   }
@@ -140,19 +156,18 @@
   }
 
   /** What there is to write, in the order of urgency. */
-  private collect(): Write[] {
+  private collect(): Due[] {
     const { term } = this;
     const now = this.clock.now();
-    const first: Write[] = [];
-    const second: Write[] = [];
-    const third: Write[] = [];
+    const due: Due[] = [];
     for (const job of term.jobs.values()) {
       if (job.dirtyChunks.size === 0 || job.cancelled) continue;
       const urgent = job.finished;
       // A record is written at most once a second while it grows.
       if (!urgent && now - (job.dirtySince ?? now) < 1) continue;
-      for (const chunk of job.dirtyChunks)
-        (urgent ? first : second).push(this.progress(job, chunk));
+      for (const chunk of job.dirtyChunks) {
+        due.push({ urgency: urgent ? 0 : SOON, make: () => this.progress(job, chunk) });
+      }
     }
     for (const id of term.dirtyMachines) {
       const m = term.machines.get(id);
@@ -160,17 +175,30 @@
         term.dirtyMachines.delete(id);
         continue;
       }
-      const claims = m.claims();
-      if (claims.some((a) => a.state === 'claiming')) first.push(this.machine(m, claims));
-      else if (m.state === 'returning') second.push(this.machine(m, claims));
-      else if (m.revision === 0 && claims.length === 0) term.dirtyMachines.delete(id);
+      const claiming = this.claiming(m);
+      const make = (): Write => this.machine(m, m.claims());
+      if (claiming !== null) due.push({ urgency: claiming, make });
+      else if (m.state === 'returning') due.push({ urgency: SOON, make });
+      else if (m.revision === 0 && m.attempts.size === 0) term.dirtyMachines.delete(id);
       // Claims too many are safe; they are dropped with the next write, or when there is time.
-      else if (this.state.writes.available > this.state.txnOps / 2)
-        third.push(this.machine(m, claims));
+      else due.push({ urgency: LATER, make });
+    }
+    for (const [id, revision] of term.removals) {
+      due.push({ urgency: LATER, make: () => this.removal(id, revision) });
+    }
+    if (this.typesDirty) due.push({ urgency: SOON, make: () => this.types() });
+    return due.sort((a, b) => a.urgency - b.urgency);
+  }
+
+  /** The highest priority among the claims on a machine that wait for being stored. */
+  private claiming(m: Machine): number | null {
+    let best: number | null = null;
+    for (const a of m.attempts.values()) {
+      if (a.state !== 'claiming') continue;
+      const priority = this.term.jobs.get(a.job)?.spec.priority ?? SOON - 1;
+      if (best === null || priority < best) best = priority;
     }
-    for (const [id, revision] of term.removals) third.push(this.removal(id, revision));
-    if (this.typesDirty) second.push(this.types());
-    return [...first, ...second, ...third];
+    return best;
   }
 
   private write(
--- a/src/service/term.ts
+++ b/src/service/term.ts
@@ -44,9 +44,10 @@
   constructor(readonly deps: TermDeps) {
     this.startedAt = deps.clock.now();
     this.setTypes(deps.replica.types ?? []);
-    for (const facts of deps.replica.jobs.values()) {
-      if (outcome(facts) === 'open') this.addJob(facts);
-    }
+    // In the order of acceptance, as those that come later are: guarantees go by it.
+    const open = [...deps.replica.jobs.values()].filter((f) => outcome(f) === 'open');
+    open.sort((a, b) => a.acceptedAt - b.acceptedAt);
+    for (const facts of open) this.addJob(facts);
     const now = this.startedAt;
     for (const [id, { record, revision }] of deps.replica.machines) {
       const m = new Machine(id, deps.token, deps.settings.workers.lease_s, now);
@@ -125,6 +126,7 @@
   private dismiss(a: Attempt): void {
     if (a.state === 'ended') a.settled = true;
     else a.stop ??= { at: this.now, graceS: 0, sentAt: null };
+    this.machines.get(a.machine)?.touch();
     this.urgent.add(a.machine);
   }
 
@@ -146,6 +148,7 @@
     }
     if (a.stop === null || graceS < a.stop.graceS) {
       a.stop = { at: this.now, graceS, sentAt: null };
+      m?.touch();
       if (mayBeThere(a)) this.urgent.add(a.machine);
     }
     this.stir();
--- /dev/null
+++ b/src/service/upkeep.ts
@@ -0,0 +1,275 @@
+import { unit, type Arrivals } from '../cloud/arrivals.js';
+import type { CloudClient } from '../cloud/client.js';
+import { Fleet, type FleetHost } from '../cloud/fleet.js';
+import { comingRoom, planRent, type Demand, type Wanted } from '../cloud/plan.js';
+import type { MachineType } from '../jobs/types.js';
+import type { Room } from '../sched/place.js';
+import { MIN_CHARGE_S, RENT_MAX, type ListedMachine } from '../wire/cloud.js';
+import type { Machine } from '../workers/machine.js';
+import { freeRoom } from './rooms.js';
+import type { Scheduler } from './scheduler.js';
+import type { Term } from './term.js';
+
+/** A machine that takes so many boots may never come: not counted on. */
+const LATE_BOOTS = 2.5;
+/** It never will, and is given back: one still booting, and one that runs but does not report. */
+const NEVER_BOOTS = { booting: 6, running: 4, failed: 0 } as const;
+/** A silent machine may come back for so many leases; then it is given back. */
+const SILENT_LEASES = 4;
+/** Right after a change of leader the picture is not whole: for so many leases. */
+const SETTLE_LEASES = 2;
+/** Free machines above the reserve from which one goes back, and from which it goes early. */
+const SURPLUS = 1.2;
+const MUCH_SURPLUS = 2.5;
+/** How long it must have been idle, in boots: as a rule, and when it goes early. */
+const IDLE_BOOTS = 1;
+const IDLE_EARLY_BOOTS = 0.4;
+/** Warm machines rented at once, at most. */
+const WARM_AT_ONCE = 4;
+
+/** Keeps the fleet of a term as large as it should be: what to rent, what to give back. */
+export class Upkeep implements FleetHost {
+  readonly fleet: Fleet;
+  demand: Demand[] = [];
+  rooms: Room[] = [];
+  private readonly failedListed = new Set<string>();
+  private readonly neverCame = new Set<string>();
+  private lastListed = new Set<string>();
+  private consolidatedAt = -Infinity;
+
+  constructor(
+    private readonly term: Term,
+    cloud: CloudClient,
+    private readonly scheduler: () => Scheduler,
+    private readonly arrivals: Arrivals,
+    private readonly forget: (m: Machine) => void,
+    readonly onTypes: (types: MachineType[]) => void,
+  ) {
+    const { deps } = term;
+    this.fleet = new Fleet(
+      `${deps.incarnation}-${deps.token}`,
+      cloud,
+      this,
+      deps.settings.cloud.list_lag_s,
+      (type) => term.types.get(type)?.bootS ?? deps.settings.workers.lease_s,
+      deps.clock,
+      deps.log,
+    );
+  }
+
+  entitled(): boolean {
+    return this.term.deps.entitled();
+  }
+
+  known(id: string): boolean {
+    return this.term.machines.has(id);
+  }
+
+  spotShort(type: string): boolean {
+    const t = this.term.types.get(type);
+    return t === undefined || t.zones.every((z) => this.fleet.short(type, z, true));
+  }
+
+  /** Free room that is kept, in machines. With nothing to do there is nothing to be warm for. */
+  target(spot: boolean): number {
+    return this.term.jobs.size === 0 ? 0 : this.arrivals.target(spot);
+  }
+
+  /** Not even in the cloud's list any more. */
+  unlisted(id: string): boolean {
+    return this.fleet.listedOnce && !this.lastListed.has(id);
+  }
+
+  // Renting
+
+  private comingRooms(): Room[] {
+    const now = this.term.now;
+    const rooms: Room[] = [];
+    for (const c of this.fleet.coming.values()) {
+      const type = this.term.types.get(c.type);
+      if (type === undefined || now - c.since > type.bootS * LATE_BOOTS) continue;
+      rooms.push(comingRoom(c.id, type, c.zone, c.spot));
+    }
+    return rooms;
+  }
+
+  wanted(): Wanted[] {
+    const { term } = this;
+    const { deps } = term;
+    if (!deps.writing() || !this.fleet.listedOnce || term.types.size === 0) return [];
+    const perZone = new Map<string, number>();
+    for (const m of term.machines.values()) perZone.set(m.zone, (perZone.get(m.zone) ?? 0) + 1);
+    for (const c of this.fleet.coming.values()) perZone.set(c.zone, (perZone.get(c.zone) ?? 0) + 1);
+    const rooms = [...this.comingRooms(), ...this.rooms];
+    if (deps.log.isLevelEnabled('debug')) {
+      const demand = new Map<string, number>();
+      for (const d of this.demand) {
+        demand.set(d.spec.class, (demand.get(d.spec.class) ?? 0) + d.tasks);
+      }
+      deps.log.debug(
+        {
+          demand: [...demand],
+          free: [false, true].map((k) => freeRoom(this.rooms, k)),
+          target: [false, true].map((k) => this.target(k)),
+          coming: this.fleet.coming.size,
+          machines: [...term.machines.values()].filter((m) => m.held().length > 0).length,
+        },
+        'fleet',
+      );
+    }
+    const wanted = planRent({
+      demand: this.demand,
+      rooms,
+      types: [...term.types.values()],
+      zones: deps.settings.zones,
+      short: (t: string, z: string, s: boolean) => this.fleet.short(t, z, s),
+      perZone,
+      weights: this.scheduler().weights(),
+      most: RENT_MAX,
+    });
+    for (const spot of [false, true]) {
+      const spare = this.spareWanted(rooms, perZone, spot);
+      if (spare !== null) wanted.push(spare);
+    }
+    return wanted;
+  }
+
+  /** Machines more when what is free after all demand is less than the warm reserve. */
+  private spareWanted(rooms: Room[], perZone: Map<string, number>, spot: boolean): Wanted | null {
+    const missing = this.target(spot) - freeRoom(rooms, spot);
+    if (missing <= 0 || this.term.jobs.size === 0) return null;
+    let best: Wanted | null = null;
+    let bestCost = Infinity;
+    for (const t of this.term.types.values()) {
+      if (spot && t.spotPrice <= 0) continue;
+      for (const zone of t.zones) {
+        if (this.fleet.short(t.name, zone, spot)) continue;
+        const price = spot ? t.spotPrice : t.price;
+        const cost = (price / unit(t)) * (1 + 0.001 * (perZone.get(zone) ?? 0));
+        if (cost < bestCost) {
+          bestCost = cost;
+          const count = Math.min(WARM_AT_ONCE, Math.ceil(missing));
+          best = { type: t.name, zone, spot, count };
+        }
+      }
+    }
+    return best;
+  }
+
+  // Returning
+
+  toReturn(): string[] {
+    const { term } = this;
+    const now = term.now;
+    const ids: string[] = [...this.failedListed, ...this.neverCame];
+    const spare = [false, true].map((spot) => freeRoom(this.rooms, spot) - this.target(spot));
+    // Machines with few images go first: what others have cached spares the next task its fetch.
+    const cached = (m: Machine): number => {
+      let gb = 0;
+      for (const i of m.images.values()) gb += i.gb;
+      return gb;
+    };
+    const empty: { m: Machine; gb: number }[] = [];
+    for (const m of term.machines.values()) {
+      if (m.state === 'returning') {
+        if (m.returnStored || m.revision === 0) ids.push(m.id);
+      } else if ((m.state === 'ready' || m.state === 'silent') && m.attempts.size === 0) {
+        empty.push({ m, gb: cached(m) });
+      }
+    }
+    empty.sort((a, b) => a.gb - b.gb);
+    for (const { m } of empty) {
+      const type = term.types.get(m.type);
+      if (type === undefined || !this.dueBack(m, type, now, spare)) continue;
+      if (!term.deps.writing()) continue;
+      const idle = now - m.idleSince;
+      term.deps.log.info(
+        { machine: m.id, idle, faulty: m.faulty, state: m.state },
+        'to be returned',
+      );
+      m.become('returning');
+      if (m.revision > 0) term.dirtyMachines.add(m.id);
+      else ids.push(m.id);
+    }
+    return [...new Set(ids)];
+  }
+
+  /** Whether an empty machine goes back now. `spare`: free room above the reserve, by kind. */
+  private dueBack(m: Machine, type: MachineType, now: number, spare: number[]): boolean {
+    const { lease_s } = this.term.deps.settings.workers;
+    if (m.faulty) return true;
+    if (m.state === 'silent') return now - m.heardAt > lease_s * SILENT_LEASES;
+    // What is given back early is paid for all the same.
+    const age = Math.max(now - (m.firstHeardAt ?? now) + type.bootS, m.listedAgeS ?? 0);
+    if (age <= MIN_CHARGE_S * 0.92) return false;
+    const idle = now - m.idleSince;
+    if (m.vacatedAt !== null) return idle > this.term.deps.settings.workers.report_s;
+    const kind = m.spot ? 1 : 0;
+    const surplus = spare[kind]!;
+    // What is held above the reserve goes back, with a margin against going back and forth.
+    const margin = this.term.jobs.size === 0 ? 0.9 : SURPLUS;
+    const early = m.spot || surplus >= MUCH_SURPLUS;
+    if (surplus < margin || idle <= type.bootS * (early ? IDLE_EARLY_BOOTS : IDLE_BOOTS)) {
+      return false;
+    }
+    spare[kind]! -= 1;
+    return true;
+  }
+
+  returned(ids: string[]): void {
+    const { term } = this;
+    for (const id of ids) {
+      this.failedListed.delete(id);
+      this.neverCame.delete(id);
+      const m = term.machines.get(id);
+      if (m === undefined) continue;
+      // The cloud's 200 is proof: the machine and all that was on it are gone.
+      term.lose(m);
+      m.become('returned');
+      this.forget(m);
+    }
+  }
+
+  listed(all: ListedMachine[]): void {
+    const { term } = this;
+    const now = term.now;
+    const { lease_s } = term.deps.settings.workers;
+    this.lastListed = new Set(all.map((m) => m.id));
+    for (const l of all) {
+      const type = term.types.get(l.type);
+      const known = term.machines.get(l.id);
+      if (known !== undefined) known.listedAgeS = l.ageS;
+      if (l.state === 'failed') {
+        this.failedListed.add(l.id);
+        continue;
+      }
+      if (type === undefined || known !== undefined) continue;
+      // Boots that never end, and machines that run but never report.
+      const limit = type.bootS * NEVER_BOOTS[l.state] + lease_s * 2;
+      if (l.ageS > limit && now - term.startedAt > lease_s * 3) this.neverCame.add(l.id);
+    }
+    for (const id of [...this.neverCame]) if (term.machines.has(id)) this.neverCame.delete(id);
+    term.stir();
+  }
+
+  /** When there is a machine's worth of room too much, a machine is emptied to be given back. */
+  consolidate(): void {
+    const { term } = this;
+    const now = term.now;
+    const { lease_s } = term.deps.settings.workers;
+    for (const m of term.machines.values()) {
+      const over =
+        m.vacatedAt !== null && (now - m.vacatedAt > lease_s * 3 || this.demand.length > 0);
+      if (over && m.state === 'ready') m.vacatedAt = null;
+    }
+    if (!term.deps.writing() || now - term.startedAt < lease_s * SETTLE_LEASES) return;
+    if (now - this.consolidatedAt < lease_s / 2 || this.demand.length > 0) return;
+    this.consolidatedAt = now;
+    const surplus = freeRoom(this.rooms, false) - this.target(false);
+    const empty = [...term.machines.values()].some(
+      (m) => !m.spot && m.state === 'ready' && m.attempts.size === 0,
+    );
+    if (surplus < 1.5 || (empty && surplus < MUCH_SURPLUS)) return;
+    this.scheduler().vacate(this.rooms);
+  }
+}
--- a/src/wire/cloud.ts
+++ b/src/wire/cloud.ts
@@ -100,5 +100,7 @@
   `/hosts?limit=500${after === '' ? '' : `&after=${encodeURIComponent(after)}`}`;
 
 /** Most machines in one rental request, and most names in one return. */
+/** A machine that is given back costs at least this time. */
+export const MIN_CHARGE_S = 60;
 export const RENT_MAX = 50;
 export const RETURN_MAX = 100;
--- a/src/workers/machine.ts
+++ b/src/workers/machine.ts
@@ -67,6 +67,8 @@
   faulty = false;
   /** Being emptied to be given back: nothing new until then. */
   vacatedAt: number | null = null;
+  /** Counts changes of what is on it, so that what is derived from that is reckoned anew only then. */
+  version = 0;
   /** Revision of its record, 0: none stored. */
   revision = 0;
   recordTerm = 0;
@@ -98,6 +100,11 @@
     return true;
   }
 
+  /** What is on it has changed. */
+  touch(): void {
+    this.version++;
+  }
+
   /** A 200 to a check-in is about to be sent: it renews the lease, counted from the sending. */
   renewed(now: number): void {
     this.leaseEnd = Math.max(this.leaseEnd, now + this.leaseSpan());
@@ -165,6 +172,7 @@
         a = makeAttempt(t.job, t.index, t.attempt, this.id, 'inherited', now);
         a.session = this.session;
         this.attempts.set(key, a);
+        this.touch();
         c.foreign.push(a);
       }
       a.session = this.session;
@@ -172,7 +180,10 @@
       a.saved = t.saved;
       if (a.state === 'claiming' || a.state === 'gone') continue;
       if (a.state === 'ended' && t.state !== 'ended') continue;
-      if (advance(a, t.state, now)) (t.state === 'ended' ? c.over : c.moved).push(a);
+      if (advance(a, t.state, now)) {
+        this.touch();
+        (t.state === 'ended' ? c.over : c.moved).push(a);
+      }
     }
     for (const [key, a] of [...this.attempts]) {
       if (shown.has(key)) continue;
@@ -199,6 +210,7 @@
   private end(a: Attempt, now: number, c: Changes): void {
     const before = a.state;
     if (!advance(a, 'gone', now)) return;
+    this.touch();
     this.attempts.delete(attemptKey(a.job, a.index, a.number));
     if (before !== 'ended') c.over.push(a);
   }
@@ -220,10 +232,12 @@
   /** A claim that was never sent is withdrawn. */
   withdraw(a: Attempt, now: number): void {
     advance(a, 'gone', now);
+    this.touch();
     this.attempts.delete(attemptKey(a.job, a.index, a.number));
   }
 
   claim(a: Attempt): void {
+    this.touch();
     this.attempts.set(attemptKey(a.job, a.index, a.number), a);
   }
 
@@ -259,19 +273,19 @@
       const again = a.state === 'sent' && a.loose && !a.direct && repeatStops;
       if (a.stop !== null || (a.state !== 'claimed' && !again)) continue;
       if (a.direct || !mayStart(a)) continue;
-      const older = [...this.attempts.values()].some(
-        (b) =>
-          b !== a &&
-          b.job === a.job &&
-          b.index === a.index &&
-          !forgotten.has(`${b.job}/${b.index}`),
-      );
-      if (older) continue;
+      if (this.otherAttempt(a) && !forgotten.has(`${a.job}/${a.index}`)) continue;
       starts.push({ op: 'start', job: a.job, index: a.index, attempt: a.number });
     }
     return [...forget, ...stops, ...starts].slice(0, MAX_COMMANDS);
   }
 
+  private otherAttempt(a: Attempt): boolean {
+    for (const b of this.attempts.values()) {
+      if (b !== a && b.index === a.index && b.job === a.job) return true;
+    }
+    return false;
+  }
+
   /** Marks what goes out with the answer to a check-in, or straight to the worker. */
   mark(commands: Command[], via: 'checkin' | 'direct', now: number): void {
     for (const c of commands) {
@@ -310,11 +324,17 @@
     }
   }
 
+  holdsAny(): boolean {
+    for (const a of this.attempts.values()) if (holds(a)) return true;
+    return false;
+  }
+
   held(): Attempt[] {
     return [...this.attempts.values()].filter(holds);
   }
 
   sawImage(image: string, gb: number, cacheGb: number, now: number): void {
+    this.touch();
     this.images.delete(image);
     this.images.set(image, { gb, at: now });
     let total = 0;
--- a/test/sched.test.ts
+++ b/test/sched.test.ts
@@ -247,10 +247,10 @@
 test('room kept warm covers what arrives within a boot, and ignores the first burst', () => {
   const f = { mean: 1, deviations: 1, least: 1 };
   const burst = Array.from({ length: 50 }, () => ({ atMs: 0, size: 1 }));
-  assert.equal(warmTarget(burst, 20_000, 200, 25, f), 1, 'too early to tell');
-  assert.equal(warmTarget(burst, 100_000, 200, 25, f), 1);
+  assert.equal(warmTarget(burst, 0, 20_000, 200, 25, f), 1, 'too early to tell');
+  assert.equal(warmTarget(burst, 0, 100_000, 200, 25, f), 1);
   const steady = Array.from({ length: 20 }, (_, i) => ({ atMs: 30_000 + i * 5000, size: 0.5 }));
-  const t = warmTarget([...burst, ...steady], 125_000, 200, 25, f);
+  const t = warmTarget([...burst, ...steady], 0, 125_000, 200, 25, f);
   assert.ok(t > 2.5 && t < 5, String(t));
 });
 
