A zone that is cut off goes on: its only controller keeps the leases of its machines

Each zone's only controller now holds a key on a short lease; cut off, it renews its zone's leases with the last token once that key is certainly gone, up to a bound. Others count a machine there as lost only on proof, and take a cancellation only when the warden knows of it or the bound ends in time. It starts nothing.

--- a/src/cluster/peers.ts
+++ b/src/cluster/peers.ts
@@ -46,7 +46,11 @@
   /** A worker's report, passed on as it came. `hop`: pass it on to the leader if you do not lead. */
   | { q: 'report'; body: string; hop: boolean }
   /** Does the state service refuse you too? Promise not to take over for a while if it does. */
-  | { q: 'refused'; token: number; forMs: number };
+  | { q: 'refused'; token: number; forMs: number }
+  /** Are you there? */
+  | { q: 'there' }
+  /** A cancellation is about to be stored: stop its tasks if your zone is cut off. */
+  | { q: 'cancelling'; job: string };
 
 export type Answer = Record<string, unknown>;
 export type Answerer = (from: string, question: Question) => Promise<Answer> | Answer;
--- /dev/null
+++ b/src/cluster/warden.ts
@@ -0,0 +1,242 @@
+import { DRIFT, sleep, type Clock } from '../clock.js';
+import type { Log } from '../log.js';
+import * as records from '../state/records.js';
+import type { Follower } from '../state/follow.js';
+import type { Replica } from '../state/replica.js';
+import { Refused, type StateClient } from '../state/client.js';
+import type { PeerNet } from './peers.js';
+
+/**
+ * Zones that go on working by themselves. Where a zone has exactly one controller, that one is its
+ * warden: cut off together with its zone, it keeps renewing the leases of the zone's machines with
+ * the last token, so that what runs there goes on. It starts nothing.
+ *
+ * What the others must know is when a warden may be doing so. Each warden holds a key on a short
+ * lease; it keeps no machine before that key is certainly gone, and none for longer than a bound
+ * after the last proof that the key was there:
+ *
+ *   key there, by a fresh read      the warden keeps nothing, and has not since the key was put
+ *   key gone                        it may keep until the bound has passed since it went
+ *
+ * So a silent machine counts as lost only when its lease has run out and either is proven since, and
+ * a cancellation is taken only if the warden has been told, or if the bound ends in time.
+ */
+
+/** Life of the key's lease, in leases of workers. */
+const LIFE = 0.1;
+/**
+ * When a warden may begin, counted from the sending of the last renewal that was answered. Until then
+ * the key is certainly gone: its life, once more for a renewal that was carried out without an answer
+ * (there is never more than one of them), once more for an outage too short to be noticed, after
+ * which leases have their full time again, and half a life for late ends.
+ */
+const BEGIN = 0.35;
+/** The bound: longer cuts end like any other silence. */
+const KEEP = 7;
+/** Renewals within one life of the key. */
+const RENEWALS = 4;
+
+export interface Times {
+  lifeS: number;
+  beginS: number;
+  keepS: number;
+}
+
+export const wardenTimes = (leaseS: number): Times => ({
+  lifeS: leaseS * LIFE,
+  beginS: leaseS * BEGIN,
+  keepS: leaseS * KEEP,
+});
+
+/** The sole controller of each zone. With one zone only, nothing is cut off with a zone. */
+export function wardens(all: { node: string; zone: string }[]): Map<string, string> {
+  const by = new Map<string, string[]>();
+  for (const n of all) by.set(n.zone, [...(by.get(n.zone) ?? []), n.node]);
+  const out = new Map<string, string>();
+  if (by.size < 2) return out;
+  for (const [zone, nodes] of by) if (nodes.length === 1) out.set(zone, nodes[0]!);
+  return out;
+}
+
+/**
+ * A warden's own side:
+ *
+ *   away     no key of this process is known to be in the store
+ *   present  it is
+ *   doubting a renewal was not answered: none is sent until the store is heard again
+ *   alone    neither the store nor any other controller answers
+ */
+export type WardenState = 'away' | 'present' | 'doubting' | 'alone';
+
+const ALLOWED: Record<WardenState, WardenState[]> = {
+  away: ['present'],
+  present: ['away', 'doubting'],
+  doubting: ['present', 'alone'],
+  alone: ['present', 'doubting'],
+};
+
+export class Warden {
+  state: WardenState = 'away';
+  /** When the last renewal that was carried out had been sent. */
+  private provenAt = -Infinity;
+  private lease = 0;
+  private stopped = false;
+  private readonly times: Times;
+
+  constructor(
+    private readonly node: string,
+    private readonly incarnation: string,
+    leaseS: number,
+    private readonly client: StateClient,
+    private readonly follower: Follower,
+    private readonly replica: Replica,
+    private readonly peers: () => PeerNet,
+    private readonly clock: Clock,
+    private readonly log: Log,
+  ) {
+    this.times = wardenTimes(leaseS);
+  }
+
+  private become(to: WardenState): void {
+    if (to === this.state) return;
+    if (!ALLOWED[this.state].includes(to)) throw new Error(`warden: ${this.state} -> ${to}`);
+    this.log.info({ from: this.state, to }, 'warden');
+    this.state = to;
+  }
+
+  /** Whether leases of the zone's machines may be renewed at this moment. */
+  mayKeep(): boolean {
+    const now = this.clock.now();
+    return (
+      this.state === 'alone' &&
+      now > this.provenAt + this.times.beginS * (1 + 2 * DRIFT) &&
+      now < this.provenAt + this.times.keepS
+    );
+  }
+
+  /** Waits for as long as it may still turn out that this zone is alone. */
+  async settle(deadline: number): Promise<boolean> {
+    while (!this.stopped && this.clock.now() < deadline) {
+      if (this.mayKeep()) return true;
+      if (this.state === 'away' || this.state === 'present') return false;
+      await sleep(this.times.lifeS / RENEWALS);
+    }
+    return this.mayKeep();
+  }
+
+  async run(): Promise<void> {
+    const pause = this.times.lifeS / RENEWALS;
+    while (!this.stopped) {
+      try {
+        if (this.state === 'away') await this.register();
+        else {
+          // A renewal that was not answered may still be carried out: a second one would let the key
+          // live on while this zone is being kept.
+          if (this.state !== 'present') await this.client.get(records.LEADER, this.times.lifeS / 2);
+          await this.renew();
+        }
+      } catch (e) {
+        // Refused is heard: an outage, or this controller alone. Nothing is cut off.
+        const heard = e instanceof Refused && e.status > 0;
+        if (this.state === 'present' && !heard) this.become('doubting');
+        if (!heard) await this.look();
+      }
+      await sleep(pause);
+    }
+  }
+
+  private async register(): Promise<void> {
+    if (!this.follower.ready) return;
+    const sentAt = this.clock.now();
+    const lease = await this.client.grant(this.times.lifeS, this.times.lifeS);
+    const key = records.nodeKey(this.node);
+    this.client.writes.force(1);
+    const r = await this.client.commit(
+      [{ key, revision: this.replica.present.get(this.node) ?? 0 }],
+      [{ put: key, value: { i: this.incarnation }, lease }],
+      this.times.lifeS,
+    );
+    if (!r.ok) {
+      await this.follower.sync();
+      return;
+    }
+    this.lease = lease;
+    this.provenAt = sentAt;
+    this.become('present');
+  }
+
+  private async renew(): Promise<void> {
+    const sentAt = this.clock.now();
+    const there = await this.client.extend(this.lease, this.times.lifeS / 2);
+    this.become('present');
+    if (there) this.provenAt = sentAt;
+    else this.become('away');
+  }
+
+  /** The store is silent: is anybody else there? */
+  private async look(): Promise<void> {
+    if (this.state !== 'doubting' && this.state !== 'alone') return;
+    const net = this.peers();
+    const timeout = this.times.lifeS / 2;
+    const answers = await Promise.all(net.names.map((n) => net.ask(n, { q: 'there' }, timeout)));
+    this.become(answers.some((a) => a !== null) ? 'doubting' : 'alone');
+  }
+
+  stop(): void {
+    this.stopped = true;
+  }
+}
+
+/** What a controller knows of the wardens, itself included. */
+export class WardenWatch {
+  private readonly seenAt = new Map<string, number>();
+  private readonly goneAt = new Map<string, number>();
+  private readonly times: Times;
+
+  constructor(
+    private readonly byZone: Map<string, string>,
+    leaseS: number,
+    private readonly replica: Pick<Replica, 'present'>,
+    private readonly follower: Pick<Follower, 'ready' | 'freshAt'>,
+    private readonly client: Pick<StateClient, 'refusedAt'>,
+    private readonly clock: Clock,
+  ) {
+    this.times = wardenTimes(leaseS);
+  }
+
+  warden(zone: string): string | null {
+    return this.byZone.get(zone) ?? null;
+  }
+
+  /** A warden's key was put anew or is gone. */
+  changed(node: string): void {
+    const now = this.clock.now();
+    if (this.replica.present.has(node)) this.seenAt.set(node, now);
+    else this.goneAt.set(node, now);
+  }
+
+  /**
+   * `keptUntil`: until when a zone's warden may renew, or may have renewed, leases of its machines.
+   * `provenAt`: up to which moment that is certain.
+   */
+  zone(zone: string): { keptUntil: number; provenAt: number } {
+    const node = this.byZone.get(zone);
+    if (node === undefined) return { keptUntil: -Infinity, provenAt: Infinity };
+    const now = this.clock.now();
+    if (this.replica.present.has(node)) {
+      // Leases stand still in an outage: what a read shows right after one proves nothing.
+      const sure = this.follower.freshAt - this.client.refusedAt > this.times.beginS;
+      return {
+        keptUntil: this.seenAt.get(node) ?? now,
+        provenAt: sure ? this.follower.freshAt : -Infinity,
+      };
+    }
+    let gone = this.goneAt.get(node);
+    if (gone === undefined) {
+      gone = now;
+      // It may have gone just before this controller had read the store for the first time.
+      if (this.follower.ready) this.goneAt.set(node, now);
+    }
+    return { keptUntil: gone + this.times.keepS * (1 + 2 * DRIFT), provenAt: Infinity };
+  }
+}
--- a/src/service/node.ts
+++ b/src/service/node.ts
@@ -3,6 +3,7 @@
 import { CloudClient } from '../cloud/client.js';
 import { Election } from '../cluster/election.js';
 import { PeerNet, type Answer, type Question } from '../cluster/peers.js';
+import { Warden, WardenWatch, wardens } from '../cluster/warden.js';
 import { sleep, steadyClock, type Clock } from '../clock.js';
 import type { Settings } from '../config/settings.js';
 import type { Message } from '../http/parser.js';
@@ -25,6 +26,11 @@
 import { Leader } from './leader.js';
 import { Users } from './users.js';
 
+/** A worker waits for an answer for about four reports: so long it may be left waiting here. */
+const KEEP_REPORTS = 3.5;
+/** Cancellations remembered for what is kept in other controllers' place, at most. */
+const TOLD_MOST = 1000;
+
 export interface NodeOptions {
   clock?: Clock;
   wallMs?: () => number;
@@ -38,6 +44,9 @@
   readonly election: Election;
   readonly peers: PeerNet;
   readonly users: Users;
+  /** Only where this controller is its zone's warden. */
+  private readonly warden: Warden | null;
+  private readonly wards: WardenWatch;
   readonly server: HttpServer;
   leader: Leader | null = null;
   private readonly cloud: CloudClient;
@@ -63,6 +72,7 @@
       onJob: (j) => this.leader?.onJob(j),
       onCancelled: (j) => this.leader?.onCancelled(j),
       onLeader: () => this.election.nudge(),
+      onPresence: (node) => this.wards.changed(node),
     };
     this.follower = new Follower(
       this.state,
@@ -91,6 +101,29 @@
       },
     );
     this.peers = new PeerNet(settings.node, settings.peers, (from, q) => this.answer(from, q), log);
+    const byZone = wardens([settings, ...settings.peers]);
+    this.wards = new WardenWatch(
+      byZone,
+      settings.workers.lease_s,
+      this.replica,
+      this.follower,
+      this.state,
+      this.clock,
+    );
+    this.warden =
+      byZone.get(settings.zone) !== settings.node
+        ? null
+        : new Warden(
+            settings.node,
+            this.incarnation,
+            settings.workers.lease_s,
+            this.state,
+            this.follower,
+            this.replica,
+            () => this.peers,
+            this.clock,
+            log,
+          );
     const intake = new Intake(
       this.incarnation,
       this.state,
@@ -106,6 +139,7 @@
       this.replica,
       intake,
       () => this.types(),
+      (job) => this.mayCancel(job, [...byZone]),
       this.wallMs,
       log,
     );
@@ -122,6 +156,7 @@
     await this.peers.listen(this.settings.peerBind);
     void this.follower.run();
     void this.election.run();
+    void this.warden?.run();
     void this.fetchTypes();
     this.beat = setInterval(() => this.leader?.beat(), this.settings.workers.report_s * 500);
     this.log.info({ bind: this.settings.bind }, 'started');
@@ -131,6 +166,7 @@
     this.stopped = true;
     clearInterval(this.beat);
     this.election.stop();
+    this.warden?.stop();
     this.follower.stop();
     this.leader?.stop();
     this.leader = null;
@@ -182,6 +218,8 @@
         incarnation: this.incarnation,
         entitled: () => this.election.entitled && this.election.token === token,
         keptUntil: () => this.state.refusedAt + this.election.caretakeS,
+        zone: (zone) => this.wards.zone(zone),
+        prove: () => void this.follower.sync().then((ok) => ok && this.leader?.term.stir()),
         writing: () => this.election.writing && this.election.token === token,
       },
       this.state,
@@ -237,20 +275,29 @@
       }
       throw e;
     }
+    const deadline = this.clock.now() + this.settings.workers.report_s * KEEP_REPORTS;
+    const alone = this.warden?.state === 'alone';
+    if (this.warden?.mayKeep() === true && parseReport(raw).zone === this.settings.zone) {
+      return this.keep(raw, this.replica.lastToken);
+    }
     const leader = this.replica.leader;
-    if (leader === null || leader.node === this.settings.node)
-      return { status: 503, retryAfter: 1 };
-    return this.relay(text, raw, leader.node);
+    if (!alone && leader === null) return { status: 503, retryAfter: 1 };
+    return this.relay(text, raw, alone ? null : leader!.node, deadline);
   }
 
   /**
    * Passes a report on to the leader, straight or by way of another controller. The worker stays
    * where it is: a leader that it cannot reach, or one that ends, costs it no connection of its own.
    */
-  private async relay(body: string, raw: unknown, leader: string): Promise<Reply> {
+  private async relay(
+    body: string,
+    raw: unknown,
+    leader: string | null,
+    deadline: number,
+  ): Promise<Reply> {
     const { report_s } = this.settings.workers;
     const others = this.peers.names.filter((n) => n !== leader);
-    const ways = leader === this.settings.node ? [] : [leader, ...others];
+    const ways = leader === null || leader === this.settings.node ? [] : [leader, ...others];
     let reached = ways.length === 0;
     for (const to of ways) {
       const hop = to !== leader;
@@ -264,6 +311,11 @@
     }
     const token = this.replica.leader?.revision;
     if (token !== undefined && (await this.election.mayKeep())) return this.keep(raw, token);
+    // Cut off together with this zone: what runs here goes on.
+    const mine = parseReport(raw).zone === this.settings.zone;
+    if (mine && this.warden !== null && (await this.warden.settle(deadline))) {
+      return this.keep(raw, this.replica.lastToken);
+    }
     if (reached) return { status: 503, retryAfter: 1 };
     return { status: 421, body: encodeElsewhere(leader) };
   }
@@ -278,20 +330,62 @@
     for (const t of report.tasks) {
       const facts = this.replica.jobs.get(t.job);
       const cancelled = facts !== undefined && outcome(facts) === 'cancelled';
-      if (t.state === 'ended' || !(cancelled || this.cancelledElsewhere.has(t.job))) continue;
+      const told = this.cancelledElsewhere.has(t.job) || this.cancelling.has(t.job);
+      if (t.state === 'ended' || !(cancelled || told)) continue;
       stops.push({ op: 'stop', job: t.job, index: t.index, attempt: t.attempt, graceS: 0 });
     }
     return { status: 200, body: encodeOrders(token, stops.slice(0, MAX_COMMANDS)) };
   }
 
   private readonly cancelledElsewhere = new Set<string>();
+  /** Cancellations that are about to be stored. */
+  private readonly cancelling = new Set<string>();
+
+  private noteCancelling(job: string): void {
+    this.cancelling.add(job);
+    while (this.cancelling.size > TOLD_MOST) {
+      this.cancelling.delete(this.cancelling.values().next().value!);
+    }
+  }
+
+  /**
+   * A zone that is cut off does not hear of a cancellation, and its warden would keep the job's
+   * tasks alive for longer than is allowed after it has been told. So either the wardens know of it
+   * before it is stored, or what they may keep ends in time. Returns the seconds after which to ask
+   * again; 0: it may be stored.
+   */
+  private async mayCancel(job: string, byZone: [string, string][]): Promise<number> {
+    if (byZone.length === 0) return 0;
+    this.noteCancelling(job);
+    const { workers } = this.settings;
+    const others = byZone.filter(([, node]) => node !== this.settings.node);
+    const told = await Promise.all(
+      others.map(async ([zone, node]) => {
+        const a = await this.peers.ask(node, { q: 'cancelling', job }, workers.report_s);
+        return { zone, ok: a?.told === true };
+      }),
+    );
+    const unsure = new Set(told.filter((t) => !t.ok).map((t) => t.zone));
+    if (unsure.size === 0) return 0;
+    let wait = 0;
+    for (const { record } of this.replica.machines.values()) {
+      if (!unsure.has(record.zone) || !record.claims.some((c) => c.job === job)) continue;
+      const z = this.wards.zone(record.zone);
+      const present = z.provenAt < Infinity;
+      // Kept to the bound, then a lease, all of it before the time allowed has passed.
+      const gone = z.keptUntil + workers.lease_s * 1.1 + workers.report_s;
+      const left = gone - (this.clock.now() + workers.cancel_s);
+      wait = Math.max(wait, present ? workers.report_s : left);
+    }
+    return wait <= 0 ? 0 : Math.max(1, Math.ceil(Math.min(wait, workers.lease_s / 2)));
+  }
 
   private toldCancelled(ids: string[]): void {
     for (const id of ids) {
       this.cancelledElsewhere.add(id);
       this.leader?.onToldCancelled(id);
     }
-    while (this.cancelledElsewhere.size > 1000) {
+    while (this.cancelledElsewhere.size > TOLD_MOST) {
       this.cancelledElsewhere.delete(this.cancelledElsewhere.values().next().value!);
     }
   }
@@ -309,6 +403,12 @@
           .ask(leader, { q: 'report', body: q.body, hop: false }, this.settings.workers.report_s)
           .then((a) => a ?? { status: 504 });
       }
+      case 'there':
+        return { there: true };
+      case 'cancelling':
+        if (typeof q.job !== 'string' || q.job.length > 200) return {};
+        this.noteCancelling(q.job);
+        return { told: true };
       case 'refused':
         return this.election.answerRefused(Number(q.token), Number(q.forMs));
       default:
--- a/src/service/term.ts
+++ b/src/service/term.ts
@@ -21,6 +21,10 @@
   writing: () => boolean;
   /** Until when another controller may have renewed leases because the state service was down. */
   keptUntil: () => number;
+  /** Until when a zone's warden may renew leases there, and up to which moment that is certain. */
+  zone: (zone: string) => { keptUntil: number; provenAt: number };
+  /** Asks for a fresh proof of that. */
+  prove: () => void;
 }
 
 /**
@@ -352,10 +356,19 @@
   expire(): void {
     const now = this.now;
     const kept = this.deps.keptUntil();
+    let unproven = false;
     for (const m of this.machines.values()) {
       // While the state service is down others may renew leases in this controller's place.
       if (kept > m.knownAt) m.renewed(kept);
       if (now <= m.leaseEnd || m.state === 'silent' || m.state === 'returned') continue;
+      // Its zone may be cut off as a whole and go on working inside itself.
+      const z = this.deps.zone(m.zone);
+      m.renewed(z.keptUntil);
+      if (now <= m.leaseEnd) continue;
+      if (z.provenAt < m.leaseEnd) {
+        unproven = true;
+        continue;
+      }
       if (m.state === 'returning') {
         if (m.attempts.size > 0) this.lose(m);
         continue;
@@ -364,6 +377,7 @@
       this.lose(m);
       m.become('silent');
     }
+    if (unproven) this.deps.prove();
   }
 
   lose(m: Machine): void {
--- a/src/service/users.ts
+++ b/src/service/users.ts
@@ -33,6 +33,8 @@
     private readonly replica: Replica,
     private readonly intake: Intake,
     private readonly types: () => MachineType[] | null,
+    /** Seconds after which a cancellation can be taken; 0: now. */
+    private readonly mayCancel: (id: string) => Promise<number>,
     private readonly wallMs: () => number,
     private readonly log: Log,
   ) {}
@@ -117,7 +119,11 @@
     if (facts === null) return UNSURE;
     if (facts === undefined) return { status: 404, body: encodeError('no such job') };
     let o: string | null = outcome(facts);
-    if (o === 'open') o = await this.intake.cancel(id, SUBMIT_S);
+    if (o === 'open') {
+      const wait = await this.mayCancel(id);
+      if (wait > 0) return { status: 503, retryAfter: wait };
+      o = await this.intake.cancel(id, SUBMIT_S);
+    }
     if (o !== 'done' && o !== 'cancelled') return UNSURE;
     return { status: 200, body: encodeAccepted(id, o) };
   }
--- a/src/state/client.ts
+++ b/src/state/client.ts
@@ -27,6 +27,8 @@
   /** When the last request that was served had been sent. */
   servedAt = -Infinity;
   refusedAt = -Infinity;
+  /** When the last answer of any kind came. */
+  answeredAt = -Infinity;
   /** Refused with 503 ever since; null: served, or not heard from. */
   refusedSince: number | null = null;
   readonly valueBytes: number;
@@ -75,6 +77,7 @@
       if (e instanceof NoResponse && !e.sent) throw new Refused(0);
       throw new Unanswered(e instanceof Error ? e.message : String(e));
     }
+    this.answeredAt = this.clock.now();
     if (r.status === 503) {
       this.health = 'refused';
       this.refusedAt = this.clock.now();
--- a/src/state/follow.ts
+++ b/src/state/follow.ts
@@ -8,6 +8,8 @@
 /** Keeps a replica up with the store, and answers "is it as new as now?". */
 export class Follower {
   ready = false;
+  /** When the last read that showed everything up to then had been sent. */
+  freshAt = -Infinity;
   private stopped = false;
   private syncing: Promise<boolean> | null = null;
   private syncSent = false;
@@ -95,6 +97,7 @@
         return false;
       }
       this.replica.advance(r.revision, r.changes);
+      this.freshAt = this.lastSyncAt;
       return true;
     } catch {
       return false;
--- a/src/state/records.ts
+++ b/src/state/records.ts
@@ -7,6 +7,7 @@
  *   ps/p/<job>/<chunk>       which tasks are done; never changed again once all are
  *   ps/m/<machine>           a machine, its owner and the attempts that may be on it
  *   ps/l                     the leader, attached to its lease; its revision is the token
+ *   ps/n/<node>              a controller that is there, attached to a lease of its own
  *   ps/t                     the machine types, for times when the cloud does not answer
  *
  * Order in time is the order of revisions: of "done" and "cancelled" the older one counts.
@@ -15,10 +16,12 @@
 export const JOBS = 'ps/j/';
 export const PROGRESS = 'ps/p/';
 export const MACHINES = 'ps/m/';
+export const NODES = 'ps/n/';
 export const LEADER = 'ps/l';
 export const TYPES = 'ps/t';
 
 export const progressKey = (job: string, chunk: number): string => `${PROGRESS}${job}/${chunk}`;
+export const nodeKey = (node: string): string => `${NODES}${node}`;
 export const machineKey = (id: string): string => `${MACHINES}${id}`;
 
 /** An accepted job and the time of day of its acceptance in ms. */
--- a/src/state/replica.ts
+++ b/src/state/replica.ts
@@ -31,6 +31,8 @@
   onJob?(j: JobFacts): void;
   onCancelled?(j: JobFacts): void;
   onLeader?(): void;
+  /** A controller's key was put or is gone. */
+  onPresence?(node: string): void;
 }
 
 /** A copy of the store, fed by listing and then by the stream of changes in their order. */
@@ -40,6 +42,10 @@
   readonly jobs = new Map<string, JobFacts>();
   readonly machines = new Map<string, { record: records.MachineRecord; revision: number }>();
   leader: (records.LeaderRecord & { revision: number }) | null = null;
+  /** Controllers whose key is there, with its revision. */
+  readonly present = new Map<string, number>();
+  /** The highest token that is known. */
+  lastToken = 0;
   types: MachineType[] | null = null;
   typesRevision = 0;
   garbage = 0;
@@ -69,6 +75,9 @@
       const key = records.machineKey(id);
       if (!keys.has(key)) this.removed(key);
     }
+    for (const node of [...this.present.keys()]) {
+      if (!keys.has(records.nodeKey(node))) this.removed(records.nodeKey(node));
+    }
     if (this.leader !== null && !keys.has(records.LEADER)) this.removed(records.LEADER);
   }
 
@@ -88,9 +97,15 @@
       else if (key.startsWith(records.PROGRESS)) this.progress(key, value, revision);
       else if (key.startsWith(records.MACHINES)) {
         this.machine(key.slice(records.MACHINES.length), records.decodeMachine(value), revision);
+      } else if (key.startsWith(records.NODES)) {
+        const node = key.slice(records.NODES.length);
+        if ((this.present.get(node) ?? -1) >= revision) return;
+        this.present.set(node, revision);
+        this.listener.onPresence?.(node);
       } else if (key === records.LEADER) {
         if (this.leader !== null && this.leader.revision >= revision) return;
         this.leader = { ...records.decodeLeader(value), revision };
+        this.lastToken = Math.max(this.lastToken, revision);
         this.listener.onLeader?.();
       } else if (key === records.TYPES && revision > this.typesRevision) {
         this.types = records.decodeTypes(value);
@@ -108,6 +123,11 @@
         this.leader = null;
         this.listener.onLeader?.();
       }
+    } else if (key.startsWith(records.NODES)) {
+      const node = key.slice(records.NODES.length);
+      if ((this.present.get(node) ?? Infinity) >= revision) return;
+      this.present.delete(node);
+      this.listener.onPresence?.(node);
     } else if (key.startsWith(records.MACHINES)) {
       const id = key.slice(records.MACHINES.length);
       const old = this.machines.get(id);
--- a/test/helpers.ts
+++ b/test/helpers.ts
@@ -13,17 +13,19 @@
   cloud = 3,
   state = 4,
   leaseS = 2,
+  zones = ports.map(() => 'z1'),
 ): string {
   const seeds = ports
     .map((p, i) => [p, i] as const)
     .filter(([, i]) => i !== index)
     .map(
-      ([p, i]) => `[[seeds]]\nhost_name = "n-${i}"\ndomain = "z1"\naddr = "127.0.0.1:${p.peer}"\n`,
+      ([p, i]) =>
+        `[[seeds]]\nhost_name = "n-${i}"\ndomain = "${zones[i]}"\naddr = "127.0.0.1:${p.peer}"\n`,
     )
     .join('');
   return `
 host_name = "n-${index}"
-domain = "z1"
+domain = "${zones[index]}"
 bind = "127.0.0.1:${ports[index]!.bind}"
 peer_bind = "127.0.0.1:${ports[index]!.peer}"
 unknown_field = true
--- a/test/standins.ts
+++ b/test/standins.ts
@@ -1,5 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import { connect, createServer as createTcpServer, type AddressInfo, type Socket } from 'node:net';
 
 /**
  * Stand-ins for the outside systems, written from the protocol. They watch its rules themselves.
@@ -38,6 +38,49 @@
   }
 }
 
+/** A way between two processes that can be cut: connections are reset, and new ones refused. */
+export class Gate {
+  port = 0;
+  cut = false;
+  private readonly sockets = new Set<Socket>();
+  private readonly server = createTcpServer((from) => {
+    if (this.cut) {
+      from.destroy();
+      return;
+    }
+    const to = connect(this.target, '127.0.0.1');
+    for (const s of [from, to]) {
+      this.sockets.add(s);
+      s.on('error', () => undefined);
+      s.on('close', () => {
+        this.sockets.delete(s);
+        from.destroy();
+        to.destroy();
+      });
+    }
+    from.pipe(to);
+    to.pipe(from);
+  });
+
+  constructor(private readonly target: number) {}
+
+  async listen(): Promise<number> {
+    await new Promise<void>((r) => this.server.listen(0, '127.0.0.1', r));
+    this.port = (this.server.address() as AddressInfo).port;
+    return this.port;
+  }
+
+  set(cut: boolean): void {
+    this.cut = cut;
+    if (cut) for (const s of this.sockets) s.destroy();
+  }
+
+  close(): void {
+    this.set(true);
+    this.server.close();
+  }
+}
+
 interface Entry {
   value: unknown;
   mark: number;
@@ -268,6 +311,8 @@
   private target = 0;
   private renewed = Date.now();
   cut = false;
+  /** The controllers that it can reach; null: all. */
+  reach: number[] | null = null;
 
   constructor(
     readonly fleet: FleetStand,
@@ -311,7 +356,7 @@
       }
       if (this.cut) continue;
       const sentAt = Date.now();
-      const ports = this.fleet.controllers;
+      const ports = this.reach ?? this.fleet.controllers;
       try {
         const r = await fetch(`http://127.0.0.1:${ports[this.target % ports.length]}/checkin`, {
           method: 'POST',
