Rooms keep their methods when they are copied: machines are emptied again

Cause: the rooms are of a class now and vacate copied them by a spread; every beat of the leader ended in an exception, so nothing was emptied nor swept.

--- a/src/sched/place.ts
+++ b/src/sched/place.ts
@@ -20,6 +20,10 @@
   hotHere?(hot: HotImage[]): HotImage[];
 }
 
+/** To try something out. A room may be of a class: a spread of it would lose its methods. */
+export const copyRoom = (r: Room): Room =>
+  Object.assign(Object.create(Object.getPrototypeOf(r) as object) as Room, r);
+
 export interface Where {
   /** Tasks of the job in each zone at this moment. */
   zones: Map<string, number>;
--- a/src/sched/vacate.ts
+++ b/src/sched/vacate.ts
@@ -1,4 +1,4 @@
-import { bestRoom, freeShare, take, type Room, type Weights } from './place.js';
+import { bestRoom, copyRoom, freeShare, take, type Room, type Weights } from './place.js';
 import type { JobSpec } from '../jobs/types.js';
 
 /**
@@ -34,7 +34,7 @@
     const places = rooms
       .filter((r) => r.id !== c.room.id && !r.spot && freeShare(r) < 1)
       .filter((r) => freeShare(r) <= freeShare(c.room))
-      .map((r) => ({ ...r }));
+      .map(copyRoom);
     const to: string[] = [];
     const all = c.replicas.every((replica) => {
       const zones = new Map(replica.zones);
