Room that is being made for a job is held for it

Evictions now come in the order of rank, and what they make room for is taken out of the rooms before lesser work is placed.

--- a/src/sched/place.ts
+++ b/src/sched/place.ts
@@ -137,13 +137,13 @@
   return best;
 }
 
-export function take(spec: Size, room: Room): void {
+export function take(spec: Size, room: Size): void {
   room.cores -= spec.cores;
   room.gpus -= spec.gpus;
   room.memGb -= spec.memGb;
 }
 
-export function putBack(spec: Size, room: Room): void {
+export function putBack(spec: Size, room: Size): void {
   room.cores += spec.cores;
   room.gpus += spec.gpus;
   room.memGb += spec.memGb;
--- a/src/service/evictions.ts
+++ b/src/service/evictions.ts
@@ -1,6 +1,6 @@
 import type { LiveJob } from '../jobs/live.js';
-import { fits } from '../jobs/types.js';
-import { allowed, zoneAllowed, type Room } from '../sched/place.js';
+import { fits, type Size } from '../jobs/types.js';
+import { allowed, putBack, take, zoneAllowed, type Room } from '../sched/place.js';
 import { cheapestEviction, type Occupied, type Victim } from '../sched/preempt.js';
 import type { Usages } from '../sched/quota.js';
 import { holds, type Attempt } from '../workers/attempt.js';
@@ -11,13 +11,20 @@
   attempt: Attempt;
 }
 
-interface Slot extends Occupied {
+interface Slot {
   room: Room;
+  /** What is being stopped there. Together with what is free: room that is there or on its way. */
+  freeing: Size;
   victims: Held[];
   /** The least important priority among the victims; -1: there are none. */
   least: number;
 }
 
+interface Open extends Occupied {
+  slot: Slot;
+  victims: Held[];
+}
+
 /** Making room within one pass, by the protocol's rules on preemption. */
 export class Evictions {
   private slots: Slot[] | null = null;
@@ -28,21 +35,17 @@
     private readonly usages: Usages,
   ) {}
 
-  /** Machines with what may be stopped on them. What is being stopped already counts as free. */
   private slot(room: Room): Slot {
     const now = this.term.now;
     const m = this.term.machines.get(room.id)!;
-    const { id, type, zone, spot, cores, gpus, memGb } = room;
-    const o: Slot = { id, type, zone, spot, cores, gpus, memGb, room, victims: [], least: -1 };
+    const o: Slot = { room, freeing: { cores: 0, gpus: 0, memGb: 0 }, victims: [], least: -1 };
     for (const a of m.attempts.values()) {
       if (!holds(a)) continue;
       const job = this.term.jobs.get(a.job);
       if (job === undefined) continue;
       const s = job.spec;
       if (a.stop !== null) {
-        o.cores += s.cores;
-        o.gpus += s.gpus;
-        o.memGb += s.memGb;
+        putBack(s, o.freeing);
         continue;
       }
       if (a.state === 'claiming' || a.state === 'claimed' || a.state === 'sent') continue;
@@ -80,7 +83,10 @@
     );
   }
 
-  /** Makes room where that is allowed. Returns the tasks for which none could be made. */
+  /**
+   * Makes room where that is allowed, and takes it out of the rooms, so that nothing that ranks lower
+   * takes it while it is being made. Returns the tasks for which none could be made.
+   */
   make(
     job: LiveJob,
     tasks: number,
@@ -90,17 +96,23 @@
     this.slots ??= this.rooms.map((r) => this.slot(r));
     const spec = job.spec;
     const from = spec.priority - (job.guaranteed ? 1 : 0);
-    const open = this.slots
-      .filter((o) => allowed(spec, o) && may(o.room))
-      .map((o) => ({
-        ...o,
-        slot: o,
-        // Most machines hold nothing that may be stopped: no need to look at each task there.
-        victims: o.least > from ? o.victims.filter((v) => this.mayEvict(job, v.job)) : [],
-      }));
-    const chosen: { o: (typeof open)[number]; victims: Held[] }[] = [];
-    let left = tasks;
-    while (left > 0) {
+    const open: Open[] = [];
+    for (const slot of this.slots) {
+      const { room, freeing } = slot;
+      if (!allowed(spec, room) || !may(room)) continue;
+      const { id, type, zone, spot } = room;
+      // Most machines hold nothing that may be stopped: no need to look at each task there.
+      const victims =
+        slot.least > from ? slot.victims.filter((v) => this.mayEvict(job, v.job)) : [];
+      const cores = room.cores + freeing.cores;
+      const gpus = room.gpus + freeing.gpus;
+      const memGb = room.memGb + freeing.memGb;
+      if (victims.length === 0 && !fits(spec, { cores, gpus, memGb })) continue;
+      open.push({ id, type, zone, spot, cores, gpus, memGb, slot, victims });
+    }
+    const chosen: { o: Open; victims: Held[] }[] = [];
+    const got: Open[] = [];
+    while (got.length < tasks) {
       // Room that is being made already comes first.
       let o = open.find((x) => fits(spec, x) && zoneAllowed(spec, x.zone, zones));
       if (o === undefined) {
@@ -110,30 +122,27 @@
         const victims = e.victims as Held[];
         chosen.push({ o, victims });
         for (const v of victims) {
-          o.cores += v.cores;
-          o.gpus += v.gpus;
-          o.memGb += v.memGb;
+          putBack(v, o);
           o.victims.splice(o.victims.indexOf(v), 1);
         }
       }
-      o.cores -= spec.cores;
-      o.gpus -= spec.gpus;
-      o.memGb -= spec.memGb;
+      take(spec, o);
       zones.set(o.zone, (zones.get(o.zone) ?? 0) + 1);
-      left--;
+      got.push(o);
     }
     // A gang gains nothing from room for some of its tasks.
-    if (job.gang && left > 0) return tasks;
+    if (job.gang && got.length < tasks) return tasks;
     for (const { o, victims } of chosen) {
-      for (const v of victims) this.term.stopTask(v.job, v.attempt);
+      for (const v of victims) {
+        this.term.stopTask(v.job, v.attempt);
+        putBack(v, o.slot.freeing);
+      }
       const gone = new Set(victims);
       o.slot.victims = o.slot.victims.filter((v) => !gone.has(v));
     }
-    for (const o of open) {
-      o.slot.cores = o.cores;
-      o.slot.gpus = o.gpus;
-      o.slot.memGb = o.memGb;
-    }
-    return left;
+    // A gang of several was once passed over for a minute and more: as soon as one of its places was
+    // free, lesser work took it, while the others were still being made.
+    for (const o of got) take(spec, o.slot.room);
+    return tasks - got.length;
   }
 }
--- a/src/service/scheduler.ts
+++ b/src/service/scheduler.ts
@@ -111,7 +111,8 @@
     const weights = this.weights();
     const jobs = this.queue.ranked(now);
     const reserve = this.reserve(jobs, rooms);
-    const wanting: { job: LiveJob; tasks: number }[] = [];
+    const demand: Demand[] = [];
+    const evictions = new Evictions(term, rooms, usages);
     const most = Math.ceil(term.deps.settings.state.write_rps * CLAIMS_PER_WRITE);
     let placed = this.moves.placeBooked(rooms, usages, now, (job, index, room) => {
       this.claim(job, index, job.nextNumber(index, term.deps.token), room);
@@ -122,13 +123,10 @@
         ? this.placeGang(job, rooms, usages, reserve, weights, now)
         : this.placeTasks(job, rooms, usages, reserve, weights, now, most - placed);
       placed += missing.placed;
-      if (missing.short > 0) wanting.push({ job, tasks: missing.short });
-    }
-    // What finds no room may take it from lesser work; the rest is for the fleet to grow.
-    const evictions = new Evictions(term, rooms, usages);
-    const demand: Demand[] = [];
-    for (const { job, tasks } of wanting) {
-      const left = evictions.make(job, tasks, this.zonesOf(job), this.warmKept(job));
+      if (missing.short === 0) continue;
+      // What finds no room may take it from lesser work; the rest is for the fleet to grow.
+      const may = this.warmKept(job);
+      const left = evictions.make(job, missing.short, this.zonesOf(job), may);
       if (left > 0) demand.push({ spec: job.spec, tasks: left, zones: this.zonesOf(job) });
     }
     return { placed, demand, rooms };
--- /dev/null
+++ b/test/pass.test.ts
@@ -0,0 +1,144 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Arrivals } from '../src/cloud/arrivals.js';
+import type { JobSpec } from '../src/jobs/types.js';
+import { silentLog } from '../src/log.js';
+import { DEFAULT_POLICY } from '../src/operator/policy.js';
+import { Scheduler } from '../src/service/scheduler.js';
+import { Term } from '../src/service/term.js';
+import * as records from '../src/state/records.js';
+import { Replica } from '../src/state/replica.js';
+import type { Machine } from '../src/workers/machine.js';
+import type { TaskReport } from '../src/wire/workers.js';
+import { g8, settings, spec } from './helpers.js';
+
+const TOKEN = 50;
+
+/** Passes over a term without any input or output; workers do what they are told, when told to. */
+class Bench {
+  now = 0;
+  private revision = 1;
+  private readonly replica = new Replica(8192);
+  readonly term: Term;
+  readonly scheduler: Scheduler;
+
+  constructor(gpusMax = 100) {
+    this.replica.types = [g8];
+    const s = settings();
+    s.teams.set('t', { name: 't', cores: 0, coresMax: 0, gpus: 0, gpusMax });
+    this.term = new Term({
+      settings: s,
+      clock: { now: () => this.now },
+      wallMs: () => this.now * 1000,
+      log: silentLog(),
+      replica: this.replica,
+      policy: DEFAULT_POLICY,
+      token: TOKEN,
+      incarnation: 'x',
+      entitled: () => true,
+      writing: () => true,
+      keptUntil: () => -Infinity,
+      zone: () => ({ keptUntil: -Infinity, provenAt: Infinity }),
+      prove: () => undefined,
+    });
+    const arrivals = new Arrivals(
+      () => this.now * 1000,
+      1,
+      () => [g8],
+    );
+    this.scheduler = new Scheduler(
+      this.term,
+      arrivals,
+      () => true,
+      () => 0,
+    );
+  }
+
+  job(over: Partial<JobSpec>): void {
+    const s = spec(over);
+    const value = records.encodeIntake({ jobs: [{ spec: s, atMs: this.now * 1000 }], cancels: [] });
+    this.replica.item({
+      key: `${records.JOBS}x-${this.revision}`,
+      value,
+      revision: this.revision++,
+    });
+    this.term.addJob(this.replica.jobs.get(s.id)!);
+  }
+
+  private seq = 0;
+
+  report(id: string, tasks: TaskReport[]): void {
+    const m = this.term.machine(id);
+    const changes = m.apply(
+      {
+        machine: id, addr: '127.0.0.1:1', type: 'g8', zone: 'z1', spot: false, session: 1,
+        seq: ++this.seq, token: TOKEN, noticeS: null, tasks,
+      },
+      true,
+      this.now,
+    ); // prettier-ignore
+    this.term.digest(m, changes);
+  }
+
+  /** What is claimed is stored, started and running; `ended`: what was to stop has saved. */
+  settle(id: string, ended: boolean): void {
+    const m = this.term.machines.get(id)!;
+    for (const a of m.attempts.values()) this.term.stored(a);
+    const tasks = [...m.attempts.values()].map((a): TaskReport => ({
+      job: a.job,
+      index: a.index,
+      attempt: a.number,
+      state: a.stop !== null ? (ended ? 'ended' : 'saving') : 'running',
+      cause: a.stop !== null && ended ? 'stopped' : null,
+      saved: true,
+    }));
+    this.report(id, tasks);
+  }
+
+  pass(): void {
+    this.now += 0.1;
+    this.scheduler.pass();
+  }
+
+  on(id: string, job: string): number {
+    const m: Machine = this.term.machines.get(id)!;
+    return m.held().filter((a) => a.job === job && a.stop === null).length;
+  }
+}
+
+test('room that is being made for a gang is held for it until all of it is there', () => {
+  const b = new Bench();
+  for (const id of ['a', 'b']) b.report(id, []);
+  const array = { id: 'wk-000001', tasks: 40, priority: 3 as const, checkpointS: 30, saveS: 3 };
+  b.job(array);
+  b.pass();
+  for (const id of ['a', 'b']) b.settle(id, false);
+  assert.deepEqual([b.on('a', array.id), b.on('b', array.id)], [8, 8]);
+  b.job({ id: 'wk-000002', kind: 'gang', tasks: 2, gpus: 8, cores: 8, priority: 1 });
+  b.pass();
+  assert.deepEqual([b.on('a', array.id), b.on('b', array.id)], [0, 0], 'told to stop');
+  // One machine is empty before the other: lesser work once took it at once, and so on for minutes.
+  b.settle('a', true);
+  b.settle('b', false);
+  b.pass();
+  assert.deepEqual([b.on('a', array.id), b.on('a', 'wk-000002')], [0, 0]);
+  b.settle('b', true);
+  b.pass();
+  assert.deepEqual([b.on('a', 'wk-000002'), b.on('b', 'wk-000002')], [1, 1]);
+});
+
+test('claims of a pass stay within what teams and machines allow, and what is placed stays put', () => {
+  const b = new Bench(10);
+  for (const id of ['a', 'b']) b.report(id, []);
+  b.job({ id: 'wk-000001', tasks: 30, priority: 2 });
+  b.pass();
+  const held = (): number => b.on('a', 'wk-000001') + b.on('b', 'wk-000001');
+  assert.equal(held(), 10);
+  for (const id of ['a', 'b']) b.settle(id, false);
+  b.pass();
+  assert.equal(held(), 10);
+  // What runs beyond the limit of one pass or team waits; a machine's room is reckoned once it changes.
+  b.report('a', []);
+  b.pass();
+  assert.equal(held(), 10);
+});
