--- a/src/cluster/warden.ts
+++ b/src/cluster/warden.ts
@@ -208,6 +208,12 @@
     return this.byZone.get(zone) ?? null;
   }
 
+  /** Its key has been there for so long, as seen from here. */
+  steady(node: string, forS: number): boolean {
+    const seen = this.seenAt.get(node);
+    return this.replica.present.has(node) && seen !== undefined && this.clock.now() - seen >= forS;
+  }
+
   /** A warden's key was put anew or is gone. */
   changed(node: string): void {
     const now = this.clock.now();
--- /dev/null
+++ b/src/service/cancelling.ts
@@ -0,0 +1,84 @@
+import type { PeerNet } from '../cluster/peers.js';
+import type { WardenWatch } from '../cluster/warden.js';
+import type { Clock } from '../clock.js';
+import type { Settings } from '../config/settings.js';
+import type { Replica } from '../state/replica.js';
+
+/** Cancellations remembered for what is kept in a leader's place, at most. */
+const MOST = 1000;
+
+/** A set that forgets its oldest members. */
+class Recent {
+  private readonly ids = new Set<string>();
+
+  add(id: string): void {
+    this.ids.delete(id);
+    this.ids.add(id);
+    if (this.ids.size > MOST) this.ids.delete(this.ids.values().next().value!);
+  }
+
+  has(id: string): boolean {
+    return this.ids.has(id);
+  }
+}
+
+/** Cancellations that this controller has heard of before, or other than from, the store. */
+export class Cancelling {
+  /** Stored, as another controller knows, but kept from this one by an outage. */
+  private readonly told = new Recent();
+  /** About to be stored. */
+  private readonly asked = new Recent();
+
+  constructor(
+    private readonly settings: Settings,
+    private readonly byZone: [string, string][],
+    private readonly peers: PeerNet,
+    private readonly replica: Replica,
+    private readonly wards: WardenWatch,
+    private readonly clock: Clock,
+  ) {}
+
+  noteTold(id: string): void {
+    this.told.add(id);
+  }
+
+  noteAsked(id: string): void {
+    this.asked.add(id);
+  }
+
+  knows(id: string): boolean {
+    return this.told.has(id) || this.asked.has(id);
+  }
+
+  /**
+   * A zone that is cut off does not hear of a cancellation, and its warden would keep the job's
+   * tasks alive for longer than is allowed after it has been told. So either the wardens know of it
+   * before it is stored, or what they may keep ends in time. Returns the seconds after which to ask
+   * again; 0: it may be stored.
+   */
+  async wait(job: string): Promise<number> {
+    if (this.byZone.length === 0) return 0;
+    this.noteAsked(job);
+    const { workers, node: self } = this.settings;
+    const others = this.byZone.filter(([, node]) => node !== self);
+    const told = await Promise.all(
+      others.map(async ([zone, node]) => {
+        const a = await this.peers.ask(node, { q: 'cancelling', job }, workers.report_s);
+        return { zone, ok: a?.told === true };
+      }),
+    );
+    const unsure = new Set(told.filter((t) => !t.ok).map((t) => t.zone));
+    if (unsure.size === 0) return 0;
+    let wait = 0;
+    for (const { record } of this.replica.machines.values()) {
+      if (!unsure.has(record.zone) || !record.claims.some((c) => c.job === job)) continue;
+      const z = this.wards.zone(record.zone);
+      const present = z.provenAt < Infinity;
+      // Kept to the bound, then a lease, all of it before the time allowed has passed.
+      const gone = z.keptUntil + workers.lease_s * 1.1 + workers.report_s;
+      const left = gone - (this.clock.now() + workers.cancel_s);
+      wait = Math.max(wait, present ? workers.report_s : left);
+    }
+    return wait <= 0 ? 0 : Math.max(1, Math.ceil(Math.min(wait, workers.lease_s / 2)));
+  }
+}
--- a/src/service/leader.ts
+++ b/src/service/leader.ts
@@ -4,9 +4,10 @@
 import type { MachineType } from '../jobs/types.js';
 import type { StateClient } from '../state/client.js';
 import type { JobFacts } from '../state/replica.js';
-import { encodeOrders, parseReport, type Report } from '../wire/workers.js';
+import { encodeOrders, type Report } from '../wire/workers.js';
 import { holds } from '../workers/attempt.js';
 import type { Machine } from '../workers/machine.js';
+import type { Costs } from './costs.js';
 import { DirectCommands } from './direct.js';
 import { Scheduler } from './scheduler.js';
 import { TermStore } from './store.js';
@@ -37,6 +38,7 @@
     state: StateClient,
     cloud: CloudClient,
     onLost: () => void,
+    private readonly costs: Costs,
   ) {
     this.term = new Term(deps);
     this.term.onStir = () => this.schedule();
@@ -107,8 +109,7 @@
   // Reports
 
   /** A worker's check-in, straight from it or passed on by another controller. */
-  checkin(raw: unknown): Reply {
-    const report = parseReport(raw);
+  checkin(report: Report): Reply {
     const { term, deps } = this;
     if (!deps.entitled()) return { status: 503, retryAfter: 1 };
     // Of a later leader: it would drop an answer from here, and its lease would run out meanwhile.
@@ -151,7 +152,7 @@
     this.timer = setTimeout(() => {
       this.timer = null;
       try {
-        this.pass();
+        this.costs.time('pass', () => this.pass());
       } catch (e) {
         this.deps.log.error({ err: String(e), stack: (e as Error).stack }, 'pass failed');
       }
--- a/src/service/node.ts
+++ b/src/service/node.ts
@@ -14,22 +14,16 @@
 import { StateClient } from '../state/client.js';
 import { Follower } from '../state/follow.js';
 import { Intake } from '../state/intake.js';
-import { outcome, Replica } from '../state/replica.js';
-import { BadMessage, route } from '../wire/users.js';
-import {
-  encodeElsewhere,
-  encodeOrders,
-  MAX_COMMANDS,
-  parseReport,
-  type Command,
-} from '../wire/workers.js';
+import { Replica } from '../state/replica.js';
+import { route } from '../wire/users.js';
+import { Costs } from './costs.js';
+import { Cancelling } from './cancelling.js';
 import { Leader } from './leader.js';
+import { Reports } from './reports.js';
 import { Users } from './users.js';
 
-/** A worker waits for an answer for about four reports: so long it may be left waiting here. */
-const KEEP_REPORTS = 3.5;
-/** Cancellations remembered for what is kept in other controllers' place, at most. */
-const TOLD_MOST = 1000;
+/** Costs are logged once in so many beats. */
+const COST_BEATS = 40;
 
 export interface NodeOptions {
   clock?: Clock;
@@ -47,6 +41,8 @@
   /** Only where this controller is its zone's warden. */
   private readonly warden: Warden | null;
   private readonly wards: WardenWatch;
+  private readonly cancelling: Cancelling;
+  private readonly reports: Reports;
   readonly server: HttpServer;
   leader: Leader | null = null;
   private readonly cloud: CloudClient;
@@ -55,6 +51,10 @@
   private readonly incarnation: string;
   private stopped = false;
   private beat: NodeJS.Timeout | undefined;
+  private costsTimer: NodeJS.Timeout | undefined;
+  private readonly costs: Costs;
+  private beatAt: number | null = null;
+  private beats = 0;
 
   constructor(
     readonly settings: Settings,
@@ -63,6 +63,7 @@
     options: NodeOptions = {},
   ) {
     this.clock = options.clock ?? steadyClock;
+    this.costs = new Costs(() => this.clock.now());
     this.wallMs = options.wallMs ?? Date.now;
     // Never the same twice: names of requests and of stored batches begin with it.
     this.incarnation = `${settings.node}-${randomBytes(6).toString('hex')}`;
@@ -124,6 +125,27 @@
             this.clock,
             log,
           );
+    this.cancelling = new Cancelling(
+      settings,
+      [...byZone],
+      this.peers,
+      this.replica,
+      this.wards,
+      this.clock,
+    );
+    this.reports = new Reports({
+      settings,
+      election: this.election,
+      state: this.state,
+      replica: this.replica,
+      peers: this.peers,
+      warden: this.warden,
+      wards: this.wards,
+      leader: () => this.leader,
+      toldCancelled: (job) => this.cancelling.knows(job),
+      clock: this.clock,
+      log,
+    });
     const intake = new Intake(
       this.incarnation,
       this.state,
@@ -139,7 +161,7 @@
       this.replica,
       intake,
       () => this.types(),
-      (job) => this.mayCancel(job, [...byZone]),
+      (job) => this.cancelling.wait(job),
       this.wallMs,
       log,
     );
@@ -158,13 +180,27 @@
     void this.election.run();
     void this.warden?.run();
     void this.fetchTypes();
-    this.beat = setInterval(() => this.leader?.beat(), this.settings.workers.report_s * 500);
+    this.beat = setInterval(() => this.onBeat(), this.settings.workers.report_s * 500);
+    this.costsTimer = setTimeout(
+      () => void this.costs.load(),
+      this.settings.workers.lease_s * 2000,
+    );
     this.log.info({ bind: this.settings.bind }, 'started');
   }
 
+  private onBeat(): void {
+    const now = this.clock.now();
+    const interval = this.settings.workers.report_s / 2;
+    if (this.beatAt !== null) this.costs.record('lag', now - this.beatAt - interval);
+    this.beatAt = now;
+    if (++this.beats % COST_BEATS === 0) this.log.debug(this.costs.figures(), 'costs');
+    this.leader?.beat();
+  }
+
   stop(): void {
     this.stopped = true;
     clearInterval(this.beat);
+    clearTimeout(this.costsTimer);
     this.election.stop();
     this.warden?.stop();
     this.follower.stop();
@@ -225,6 +261,7 @@
       this.state,
       this.cloud,
       () => this.election.nudge(),
+      this.costs,
     );
     this.leader.start();
     if (this.fetched !== null && this.leader.term.types.size === 0)
@@ -242,9 +279,9 @@
     const to = route(m.method, m.target);
     switch (to.to) {
       case 'checkin':
-        return this.checkin(m);
+        return this.costs.time('report', () => this.reports.checkin(m.body));
       case 'submit':
-        return this.users.submit(m.body);
+        return this.costs.time('submission', () => this.users.submit(m.body));
       case 'poll':
         return this.users.poll(to.id);
       case 'cancel':
@@ -260,154 +297,27 @@
     }
   }
 
-  private checkin(m: Message): Reply | Promise<Reply> {
-    const text = m.body.toString('utf8');
-    let raw: unknown;
-    try {
-      raw = JSON.parse(text);
-      if (this.leader !== null && this.election.entitled) return this.leader.checkin(raw);
-      // Garbage goes no further than here.
-      parseReport(raw);
-    } catch (e) {
-      if (e instanceof SyntaxError || e instanceof BadMessage) {
-        this.log.info({ err: e.message }, 'report dropped');
-        return { status: 400, body: '{}' };
-      }
-      throw e;
-    }
-    const deadline = this.clock.now() + this.settings.workers.report_s * KEEP_REPORTS;
-    const alone = this.warden?.state === 'alone';
-    if (this.warden?.mayKeep() === true && parseReport(raw).zone === this.settings.zone) {
-      return this.keep(raw, this.replica.lastToken);
-    }
-    const leader = this.replica.leader;
-    if (!alone && leader === null) return { status: 503, retryAfter: 1 };
-    return this.relay(text, raw, alone ? null : leader!.node, deadline);
-  }
-
-  /**
-   * Passes a report on to the leader, straight or by way of another controller. The worker stays
-   * where it is: a leader that it cannot reach, or one that ends, costs it no connection of its own.
-   */
-  private async relay(
-    body: string,
-    raw: unknown,
-    leader: string | null,
-    deadline: number,
-  ): Promise<Reply> {
-    const { report_s } = this.settings.workers;
-    const others = this.peers.names.filter((n) => n !== leader);
-    const ways = leader === null || leader === this.settings.node ? [] : [leader, ...others];
-    let reached = ways.length === 0;
-    for (const to of ways) {
-      const hop = to !== leader;
-      const a = await this.peers.ask(to, { q: 'report', body, hop }, report_s * (hop ? 1.2 : 1));
-      if (a?.status === 200 && typeof a.body === 'string') return { status: 200, body: a.body };
-      // It was reached and does not lead: nothing is gained by other ways.
-      if (a?.status === 503 && !hop) {
-        reached = true;
-        break;
-      }
-    }
-    const token = this.replica.leader?.revision;
-    if (token !== undefined && (await this.election.mayKeep())) return this.keep(raw, token);
-    // Cut off together with this zone: what runs here goes on.
-    const mine = parseReport(raw).zone === this.settings.zone;
-    if (mine && this.warden !== null && (await this.warden.settle(deadline))) {
-      return this.keep(raw, this.replica.lastToken);
-    }
-    if (reached) return { status: 503, retryAfter: 1 };
-    return { status: 421, body: encodeElsewhere(leader) };
-  }
-
-  /** Renews a worker's lease in a leader's place. The only commands: cancelled tasks stop. */
-  private keep(raw: unknown, token: number): Reply {
-    const report = parseReport(raw);
-    // It knows of a leader that this controller does not: what it got from here it would drop, and
-    // stay here while its lease runs out.
-    if (report.token > token) return { status: 503, retryAfter: 1 };
-    const stops: Command[] = [];
-    for (const t of report.tasks) {
-      const facts = this.replica.jobs.get(t.job);
-      const cancelled = facts !== undefined && outcome(facts) === 'cancelled';
-      const told = this.cancelledElsewhere.has(t.job) || this.cancelling.has(t.job);
-      if (t.state === 'ended' || !(cancelled || told)) continue;
-      stops.push({ op: 'stop', job: t.job, index: t.index, attempt: t.attempt, graceS: 0 });
-    }
-    return { status: 200, body: encodeOrders(token, stops.slice(0, MAX_COMMANDS)) };
-  }
-
-  private readonly cancelledElsewhere = new Set<string>();
-  /** Cancellations that are about to be stored. */
-  private readonly cancelling = new Set<string>();
-
-  private noteCancelling(job: string): void {
-    this.cancelling.add(job);
-    while (this.cancelling.size > TOLD_MOST) {
-      this.cancelling.delete(this.cancelling.values().next().value!);
-    }
-  }
-
-  /**
-   * A zone that is cut off does not hear of a cancellation, and its warden would keep the job's
-   * tasks alive for longer than is allowed after it has been told. So either the wardens know of it
-   * before it is stored, or what they may keep ends in time. Returns the seconds after which to ask
-   * again; 0: it may be stored.
-   */
-  private async mayCancel(job: string, byZone: [string, string][]): Promise<number> {
-    if (byZone.length === 0) return 0;
-    this.noteCancelling(job);
-    const { workers } = this.settings;
-    const others = byZone.filter(([, node]) => node !== this.settings.node);
-    const told = await Promise.all(
-      others.map(async ([zone, node]) => {
-        const a = await this.peers.ask(node, { q: 'cancelling', job }, workers.report_s);
-        return { zone, ok: a?.told === true };
-      }),
-    );
-    const unsure = new Set(told.filter((t) => !t.ok).map((t) => t.zone));
-    if (unsure.size === 0) return 0;
-    let wait = 0;
-    for (const { record } of this.replica.machines.values()) {
-      if (!unsure.has(record.zone) || !record.claims.some((c) => c.job === job)) continue;
-      const z = this.wards.zone(record.zone);
-      const present = z.provenAt < Infinity;
-      // Kept to the bound, then a lease, all of it before the time allowed has passed.
-      const gone = z.keptUntil + workers.lease_s * 1.1 + workers.report_s;
-      const left = gone - (this.clock.now() + workers.cancel_s);
-      wait = Math.max(wait, present ? workers.report_s : left);
-    }
-    return wait <= 0 ? 0 : Math.max(1, Math.ceil(Math.min(wait, workers.lease_s / 2)));
-  }
-
   private toldCancelled(ids: string[]): void {
     for (const id of ids) {
-      this.cancelledElsewhere.add(id);
+      this.cancelling.noteTold(id);
       this.leader?.onToldCancelled(id);
     }
-    while (this.cancelledElsewhere.size > TOLD_MOST) {
-      this.cancelledElsewhere.delete(this.cancelledElsewhere.values().next().value!);
-    }
   }
 
   private answer(_from: string, q: Question): Promise<Answer> | Answer {
     switch (q.q) {
       case 'report': {
         if (typeof q.body !== 'string') return { status: 503 };
-        if (this.leader !== null) return { ...this.leader.checkin(JSON.parse(q.body)) };
-        const leader = this.replica.leader?.node;
-        if (q.hop !== true || leader === undefined || leader === this.settings.node) {
-          return { status: 503 };
-        }
-        return this.peers
-          .ask(leader, { q: 'report', body: q.body, hop: false }, this.settings.workers.report_s)
-          .then((a) => a ?? { status: 504 });
+        const { body, hop } = q;
+        const r = this.costs.time('report', () => this.reports.passedOn(body, hop === true));
+        if (r instanceof Promise) return r.then((x) => ({ ...(x ?? { status: 504 }) }));
+        return { ...r };
       }
       case 'there':
         return { there: true };
       case 'cancelling':
         if (typeof q.job !== 'string' || q.job.length > 200) return {};
-        this.noteCancelling(q.job);
+        this.cancelling.noteAsked(q.job);
         return { told: true };
       case 'refused':
         return this.election.answerRefused(Number(q.token), Number(q.forMs));
@@ -428,6 +338,7 @@
       garbage: this.replica.garbage,
       memory_mb: Math.round(process.memoryUsage.rss() / 1e6),
       ...this.leader?.figures(),
+      ...this.costs.figures(),
     };
   }
 }
--- /dev/null
+++ b/src/service/reports.ts
@@ -0,0 +1,164 @@
+import type { Election } from '../cluster/election.js';
+import type { PeerNet } from '../cluster/peers.js';
+import type { Warden, WardenWatch } from '../cluster/warden.js';
+import type { Clock } from '../clock.js';
+import type { Settings } from '../config/settings.js';
+import type { Reply } from '../http/server.js';
+import type { Log } from '../log.js';
+import type { StateClient } from '../state/client.js';
+import { outcome, type Replica } from '../state/replica.js';
+import { BadMessage } from '../wire/users.js';
+import {
+  encodeElsewhere,
+  encodeOrders,
+  MAX_COMMANDS,
+  parseReport,
+  type Command,
+  type Report,
+} from '../wire/workers.js';
+import type { Leader } from './leader.js';
+
+/** A worker waits for an answer for about four reports: so long it may be left waiting here. */
+const KEEP_REPORTS = 3.5;
+/** A worker is sent to its zone's controller no more than once in so many leases. */
+const HOME_LEASES = 3;
+/** That controller has been there for so many report intervals before workers are sent to it. */
+const HOME_REPORTS = 2;
+
+interface Parts {
+  settings: Settings;
+  election: Election;
+  state: StateClient;
+  replica: Replica;
+  peers: PeerNet;
+  /** Only where this controller is its zone's warden. */
+  warden: Warden | null;
+  wards: WardenWatch;
+  leader: () => Leader | null;
+  /** Cancelled, as far as this controller has been told by any way. */
+  toldCancelled: (job: string) => boolean;
+  clock: Clock;
+  log: Log;
+}
+
+/** Workers' reports as they come to any controller: answered, passed on, or sent home. */
+export class Reports {
+  /** When workers were last sent home. */
+  private readonly sentHome = new Map<string, number>();
+
+  constructor(private readonly parts: Parts) {}
+
+  checkin(body: Buffer): Reply | Promise<Reply> {
+    const { settings, election, replica, warden, clock, log } = this.parts;
+    const text = body.toString('utf8');
+    let report: Report;
+    try {
+      report = parseReport(JSON.parse(text));
+    } catch (e) {
+      if (!(e instanceof SyntaxError) && !(e instanceof BadMessage)) throw e;
+      // Garbage goes no further than here.
+      log.info({ err: e.message }, 'report dropped');
+      return { status: 400, body: '{}' };
+    }
+    const home = this.homeOf(report);
+    if (home !== null) return { status: 421, body: encodeElsewhere(home) };
+    const leader = this.parts.leader();
+    if (leader !== null && election.entitled) return leader.checkin(report);
+    if (warden?.mayKeep() === true && report.zone === settings.zone) {
+      return this.keep(report, replica.lastToken);
+    }
+    const deadline = clock.now() + settings.workers.report_s * KEEP_REPORTS;
+    const alone = warden?.state === 'alone';
+    const leads = replica.leader;
+    if (!alone && leads === null) return { status: 503, retryAfter: 1 };
+    return this.relay(text, report, alone ? null : leads!.node, deadline);
+  }
+
+  /**
+   * The controller of a worker's own zone, when the worker should go there. Should the zone be cut
+   * off, it is already where it can be kept; to look for that controller only then takes it longer
+   * than its lease. Seldom for each worker, so that it is never sent back and forth.
+   */
+  private homeOf(report: Report): string | null {
+    const { settings, replica, state, wards, clock } = this.parts;
+    const home = wards.warden(report.zone);
+    if (home === null || home === settings.node) return null;
+    if (replica.leader === null || state.health !== 'served') return null;
+    const now = clock.now();
+    const { report_s, lease_s } = settings.workers;
+    if (!wards.steady(home, report_s * HOME_REPORTS)) return null;
+    const last = this.sentHome.get(report.machine);
+    if (last !== undefined && now - last < lease_s * HOME_LEASES) return null;
+    this.sentHome.delete(report.machine);
+    this.sentHome.set(report.machine, now);
+    for (const [machine, at] of this.sentHome) {
+      if (now - at < lease_s * HOME_LEASES) break;
+      this.sentHome.delete(machine);
+    }
+    return home;
+  }
+
+  /**
+   * Passes a report on to the leader, straight or by way of another controller. The worker stays
+   * where it is: a leader that it cannot reach, or one that ends, costs it no connection of its own.
+   */
+  private async relay(
+    body: string,
+    report: Report,
+    leader: string | null,
+    deadline: number,
+  ): Promise<Reply> {
+    const { settings, peers, replica, election, warden } = this.parts;
+    const { report_s } = settings.workers;
+    const others = peers.names.filter((n) => n !== leader);
+    const ways = leader === null || leader === settings.node ? [] : [leader, ...others];
+    let reached = ways.length === 0;
+    for (const to of ways) {
+      const hop = to !== leader;
+      const a = await peers.ask(to, { q: 'report', body, hop }, report_s * (hop ? 1.2 : 1));
+      if (a?.status === 200 && typeof a.body === 'string') return { status: 200, body: a.body };
+      // It was reached and does not lead: nothing is gained by other ways.
+      if (a?.status === 503 && !hop) {
+        reached = true;
+        break;
+      }
+    }
+    const token = replica.leader?.revision;
+    if (token !== undefined && (await election.mayKeep())) return this.keep(report, token);
+    // Cut off together with this zone: what runs here goes on.
+    const mine = report.zone === settings.zone;
+    if (mine && warden !== null && (await warden.settle(deadline))) {
+      return this.keep(report, replica.lastToken);
+    }
+    if (reached) return { status: 503, retryAfter: 1 };
+    return { status: 421, body: encodeElsewhere(leader) };
+  }
+
+  /** Renews a worker's lease in a leader's place. The only commands: cancelled tasks stop. */
+  private keep(report: Report, token: number): Reply {
+    const { replica, toldCancelled } = this.parts;
+    // It knows of a leader that this controller does not: what it got from here it would drop, and
+    // stay here while its lease runs out.
+    if (report.token > token) return { status: 503, retryAfter: 1 };
+    const stops: Command[] = [];
+    for (const t of report.tasks) {
+      const facts = replica.jobs.get(t.job);
+      const cancelled = facts !== undefined && outcome(facts) === 'cancelled';
+      if (t.state === 'ended' || !(cancelled || toldCancelled(t.job))) continue;
+      stops.push({ op: 'stop', job: t.job, index: t.index, attempt: t.attempt, graceS: 0 });
+    }
+    return { status: 200, body: encodeOrders(token, stops.slice(0, MAX_COMMANDS)) };
+  }
+
+  /** Passed on by another controller. */
+  passedOn(body: string, hop: boolean): Promise<Reply | null> | Reply {
+    const { settings, peers, replica } = this.parts;
+    const leader = this.parts.leader();
+    if (leader !== null) return leader.checkin(parseReport(JSON.parse(body)));
+    const leads = replica.leader?.node;
+    if (!hop || leads === undefined || leads === settings.node) return { status: 503 };
+    return peers
+      .ask(leads, { q: 'report', body, hop: false }, settings.workers.report_s)
+      .then((a) => a as unknown as Reply | null);
+  }
+}
