Evictions in time: where the image is, without saving only where that helps; soft warm room

Cause: with the fleet at its limit syllabus-tune waited for others to save before it fetched its image. Evictions now prefer places with the image, and stop work without saving only where the class's wait aim is kept by it.

--- a/src/sched/place.ts
+++ b/src/sched/place.ts
@@ -16,6 +16,8 @@
   penaltyS: number;
   /** GPUs or, without any, cores of the whole machine. */
   whole: Size;
+  /** Share of the machine taken by work that leaves as soon as it is told to. */
+  softShare?: number;
   /** Those of the hot images that are cached there, when that is known at less cost. */
   hotHere?(hot: HotImage[]): HotImage[];
 }
@@ -60,7 +62,7 @@
 }
 
 /** Share of a machine that is free, by its scarcer resource: no GPU left is no room left. */
-export function freeShare(room: Room): number {
+export function freeShare(room: Size & { whole: Size }): number {
   const { whole } = room;
   const gpus = whole.gpus > 0 ? room.gpus / whole.gpus : 1;
   const cores = whole.cores > 0 ? room.cores / whole.cores : 1;
--- a/src/sched/preempt.ts
+++ b/src/sched/preempt.ts
@@ -14,6 +14,8 @@
   type: string;
   zone: string;
   spot: boolean;
+  /** Seconds that a start there costs beyond what the victims lose: the wait for its image. */
+  waitS?: number;
   victims: Victim[];
 }
 
@@ -34,7 +36,7 @@
     if (!allowed(spec, m) || !zoneAllowed(spec, m.zone, zones)) continue;
     const free: Size = { cores: m.cores, gpus: m.gpus, memGb: m.memGb };
     const chosen: Victim[] = [];
-    let loss = 0;
+    let loss = m.waitS ?? 0;
     for (const v of [...m.victims].sort((a, b) => a.lossS - b.lossS)) {
       if (fits(spec, free)) break;
       free.cores += v.cores;
--- a/src/service/rooms.ts
+++ b/src/service/rooms.ts
@@ -1,5 +1,5 @@
 import type { JobSpec, MachineType, Size } from '../jobs/types.js';
-import { freeShare, type HotImage, type Room } from '../sched/place.js';
+import { freeShare, putBack, type HotImage, type Room } from '../sched/place.js';
 import { Usages } from '../sched/quota.js';
 import { holds } from '../workers/attempt.js';
 import type { Machine } from '../workers/machine.js';
@@ -18,6 +18,8 @@
 /** Room on a machine that reports. Copies are cheap: a pass takes from copies. */
 class MachineRoom implements Room {
   penaltyS = 0;
+  /** Share of the machine taken by work that leaves as soon as it is told to. */
+  softShare = 0;
 
   constructor(
     readonly id: string,
@@ -35,6 +37,7 @@
     const { id, type, zone, spot, whole, cores, gpus, memGb, contents } = this;
     const r = new MachineRoom(id, type, zone, spot, whole, cores, gpus, memGb, contents);
     r.penaltyS = penaltyS;
+    r.softShare = this.softShare;
     return r;
   }
 
@@ -84,6 +87,7 @@
   constructor(
     private readonly term: Term,
     private readonly specOf: (job: string) => JobSpec | null,
+    private readonly leaves: (spec: JobSpec) => boolean,
   ) {}
 
   /** Null while a job on the machine is unknown here: what it takes cannot be told. */
@@ -110,6 +114,7 @@
     };
     const held: JobSpec[] = [];
     let inUse = false;
+    const soft: Size = { cores: 0, gpus: 0, memGb: 0 };
     for (const a of m.attempts.values()) {
       if (!holds(a)) continue;
       const spec = this.specOf(a.job);
@@ -119,6 +124,7 @@
       gpus -= spec.gpus;
       memGb -= spec.memGb;
       inUse ||= spec.priority < 3;
+      if (a.stop === null && this.leaves(spec)) putBack(spec, soft);
       if (a.state === 'running' && a.stop === null) contents.running.add(spec.image);
       if (a.startedAt !== null) contents.there.add(spec.image);
       else if (!contents.there.has(spec.image)) contents.fetching.set(spec.image, spec.imageGb);
@@ -126,6 +132,9 @@
     const room = new MachineRoom(
       m.id, m.type, m.zone, m.spot, type, cores, gpus, memGb, contents,
     ); // prettier-ignore
+    const free = freeShare(room);
+    putBack(room, soft);
+    room.softShare = freeShare({ ...soft, whole: type }) - free;
     return { version: m.version, type, room, held, inUse };
   }
 
@@ -167,8 +176,9 @@
   }
 }
 
+/** In machines. What is taken by work that leaves at once counts as free. */
 export function freeRoom(rooms: Room[], spot: boolean): number {
   let free = 0;
-  for (const r of rooms) if (r.spot === spot) free += freeShare(r);
+  for (const r of rooms) if (r.spot === spot) free += freeShare(r) + (r.softShare ?? 0);
   return free;
 }
--- a/src/service/scheduler.ts
+++ b/src/service/scheduler.ts
@@ -11,11 +11,12 @@
   type Room,
   type Weights,
 } from '../sched/place.js';
+import { leavesSoon, Waits } from '../sched/objectives.js';
 import type { Usages } from '../sched/quota.js';
 import { makeAttempt } from '../workers/attempt.js';
 import type { Machine } from '../workers/machine.js';
 import { unit } from '../cloud/arrivals.js';
-import { Evictions } from './evictions.js';
+import { COMMAND_REPORTS, Evictions } from './evictions.js';
 import { Moves } from './moves.js';
 import { Queue } from './queue.js';
 import { RoomBook, freeRoom } from './rooms.js';
@@ -32,6 +33,8 @@
 const SPREAD_BOOTS = 0.08;
 /** A machine that has not reported for so many intervals gets nothing new. */
 const HEARD_REPORTS = 2.5;
+/** Telling a task to stop, and hearing that it has, take so many report intervals. */
+const LEAVE_REPORTS = 1;
 /** A job that has failed on so many machines and never succeeded is doubted, not the machines. */
 export const SUSPECT_MACHINES = 3;
 
@@ -49,6 +52,7 @@
   private readonly queue: Queue;
   private readonly book: RoomBook;
   private readonly moves: Moves;
+  private readonly waits: Waits;
 
   constructor(
     private readonly term: Term,
@@ -58,8 +62,13 @@
     /** Room on ordinary machines that is kept free, in machines. */
     private readonly warm: () => number,
   ) {
+    this.waits = new Waits(term.deps.settings.objectives);
     this.queue = new Queue(term);
-    this.book = new RoomBook(term, (job) => this.specOf(job));
+    this.book = new RoomBook(
+      term,
+      (job) => this.specOf(job),
+      (spec) => this.leaves(spec),
+    );
     this.moves = new Moves(term, (job) => this.zonesOf(job));
   }
 
@@ -88,6 +97,11 @@
     );
   }
 
+  private leaves(spec: JobSpec): boolean {
+    const { report_s } = this.term.deps.settings.workers;
+    return leavesSoon(spec, this.waits, report_s * LEAVE_REPORTS);
+  }
+
   private specOf(job: string): JobSpec | null {
     return this.term.jobs.get(job)?.spec ?? this.term.deps.replica.jobs.get(job)?.spec ?? null;
   }
@@ -112,7 +126,7 @@
     const jobs = this.queue.ranked(now);
     const reserve = this.reserve(jobs, rooms);
     const demand: Demand[] = [];
-    const evictions = new Evictions(term, rooms, usages);
+    const evictions = new Evictions(term, rooms, usages, this.waits);
     const most = Math.ceil(term.deps.settings.state.write_rps * CLAIMS_PER_WRITE);
     let placed = this.moves.placeBooked(rooms, usages, now, (job, index, room) => {
       this.claim(job, index, job.nextNumber(index, term.deps.token), room);
@@ -121,7 +135,7 @@
       if (placed >= most) break;
       const missing = job.gang
         ? this.placeGang(job, rooms, usages, reserve, weights, now)
-        : this.placeTasks(job, rooms, usages, reserve, weights, now, most - placed);
+        : this.placeTasks(job, rooms, usages, reserve, weights, now, most - placed, evictions);
       placed += missing.placed;
       if (missing.short === 0) continue;
       // What finds no room may take it from lesser work; the rest is for the fleet to grow.
@@ -163,6 +177,7 @@
     weights: Weights,
     now: number,
     left: number,
+    evictions: Evictions,
   ): { placed: number; short: number } {
     const { spec } = job;
     const zones = this.zonesOf(job);
@@ -174,10 +189,29 @@
     const avoid = suspect ? job.failedOn : undefined;
     // A hole on an ordinary machine costs nothing: for best-effort work it is as good as spot.
     const w = spec.priority < 3 ? weights : { ...weights, ordinaryS: 0 };
+    const within = this.waits.next(spec.class, now - job.submittedAt);
+    const { report_s } = this.term.deps.settings.workers;
+    const leftS =
+      within === null || spec.priority === 3 || suspect
+        ? null
+        : within - (now - job.submittedAt) - report_s * COMMAND_REPORTS;
+    let made = 0;
     let placed = 0;
     for (const index of indexes) {
-      const room = bestRoom(spec, rooms, { zones, avoid, may }, w);
+      let room = bestRoom(spec, rooms, { zones, avoid, may }, w);
       if (room === null) break;
+      const late = (r: Room): boolean =>
+        leftS !== null && r.imageWaitS(spec.image, spec.imageGb) > leftS;
+      if (late(room)) {
+        // Too late there, because the image has to be fetched. Better where it is, whatever others
+        // may want of that place, or where lesser work can make room in time.
+        const inTime = bestRoom(spec, rooms, { zones, avoid, may: (r) => may(r) && !late(r) }, w);
+        if (inTime === null && evictions.make(job, 1, zones, may, true) === 0) {
+          made++;
+          continue;
+        }
+        room = inTime ?? room;
+      }
       if (!room.spot) this.excess -= freeShare(room);
       take(spec, room);
       if (!room.spot) this.excess += freeShare(room);
@@ -187,7 +221,7 @@
       usages.add(spec, 1);
       placed++;
     }
-    return { placed, short: suspect ? 0 : indexes.length - placed };
+    return { placed, short: suspect ? 0 : indexes.length - placed - made };
   }
 
   /** Empties a machine whose replicas fit elsewhere, to be given back. */
@@ -259,10 +293,12 @@
   private warmKept(job: LiveJob): May {
     if (job.spec.priority < 3 || !job.spec.spot) return ANY;
     const { gpus } = job.spec;
+    // What leaves at once when others come may use even the room that is kept for them.
+    const soft = this.leaves(job.spec);
     return (r) =>
       r.spot ||
       this.noSpot(r.type) ||
-      (this.excess >= gpus / Math.max(1, r.whole.gpus) && this.book.inUse(r.id));
+      ((soft || this.excess >= gpus / Math.max(1, r.whole.gpus)) && this.book.inUse(r.id));
   }
 
   private claim(job: LiveJob, index: number, number: number, room: Room): void {
--- a/src/service/term.ts
+++ b/src/service/term.ts
@@ -168,6 +168,12 @@
     else this.stop(a, this.graceOf(job));
   }
 
+  /** Without saving: what it did since its last checkpoint is lost. */
+  stopTaskNow(job: LiveJob, a: Attempt): void {
+    if (job.gang) this.stopGang(job, 0);
+    else this.stop(a, 0);
+  }
+
   machine(id: string): Machine {
     let m = this.machines.get(id);
     if (m === undefined) {
--- a/test/pass.test.ts
+++ b/test/pass.test.ts
@@ -22,10 +22,11 @@
   readonly term: Term;
   readonly scheduler: Scheduler;
 
-  constructor(gpusMax = 100) {
+  constructor(gpusMax = 100, withinS = 0) {
     this.replica.types = [g8];
     const s = settings();
     s.teams.set('t', { name: 't', cores: 0, coresMax: 0, gpus: 0, gpusMax });
+    if (withinS > 0) s.objectives.push({ kind: 'wait', class: 'c', within_s: withinS });
     this.term = new Term({
       settings: s,
       clock: { now: () => this.now },
@@ -142,3 +143,26 @@
   b.pass();
   assert.equal(held(), 10);
 });
+
+test('a critical task goes where its image is, and lesser work makes room there in time', () => {
+  const b = new Bench(100, 10);
+  b.report('a', []);
+  // The image comes to "a" with a first replica; then lesser work fills that machine.
+  const service = { kind: 'service' as const, priority: 0 as const, image: 'big', imageGb: 30 };
+  b.job({ ...service, id: 'wk-000001', gpus: 4, cores: 4 });
+  b.pass();
+  b.settle('a', false);
+  b.job({ id: 'wk-000002', tasks: 4, priority: 3, checkpointS: 30, saveS: 3, class: 'd' });
+  b.pass();
+  b.settle('a', false);
+  assert.equal(b.on('a', 'wk-000002'), 4);
+  b.report('b', []);
+  b.job({ ...service, id: 'wk-000003', gpus: 2, cores: 2 });
+  b.pass();
+  // There is room on "b", but fetching the image takes 30 s.
+  assert.equal(b.on('b', 'wk-000003'), 0);
+  assert.equal(b.on('a', 'wk-000002'), 2);
+  b.settle('a', true);
+  b.pass();
+  assert.equal(b.on('a', 'wk-000003'), 1);
+});
--- a/test/sched.test.ts
+++ b/test/sched.test.ts
@@ -13,6 +13,7 @@
   zoneAllowed,
   type Room,
 } from '../src/sched/place.js';
+import { haste, Waits } from '../src/sched/objectives.js';
 import { cheapestEviction } from '../src/sched/preempt.js';
 import { chooseVacated } from '../src/sched/vacate.js';
 import { Usages } from '../src/sched/quota.js';
@@ -254,6 +255,26 @@
   assert.ok(t > 2.5 && t < 5, String(t));
 });
 
+test('what makes room saves first, unless only stopping at once is in time', () => {
+  const cases: [string, number | null, number, number, string][] = [
+    ['nothing expected', null, 3, 8, 'saving'],
+    ['time enough', 4, 3, 0, 'saving'],
+    ['not with saving', 4, 3, 1.8, 'swift'],
+    ['late in any case: no work is lost for it', 2, 3, 2.5, 'late'],
+  ];
+  for (const [name, left, save, image, want] of cases)
+    assert.equal(haste(left, save, image), want, name);
+  const waits = new Waits([
+    { kind: 'wait', class: 'c', within_s: 15 },
+    { kind: 'wait', class: 'c', within_s: 4 },
+    { kind: 'finished', class: 'd', within_s: 9 },
+  ]);
+  assert.deepEqual(
+    [waits.next('c', 0), waits.next('c', 5), waits.next('c', 20), waits.next('d', 0)],
+    [4, 15, null, null],
+  );
+});
+
 test('a machine is emptied when all its replicas find their image elsewhere', () => {
   const service = spec({ kind: 'service', gpus: 2, cores: 2 });
   const emptier = room({ id: 'emptier', gpus: 6, cores: 6 });
