--- a/src/cloud/arrivals.ts
+++ b/src/cloud/arrivals.ts
@@ -9,6 +9,8 @@
 const AHEAD_BOOTS = 1.2;
 /** Images that are told apart as wanted soon, at most. */
 const HOT_MOST = 32;
+/** Of the room that ended work leaves, the share that fits those that come. */
+const REUSED = 0.7;
 /** One job counts for so many tasks at most: what is larger than that is not kept room for. */
 const TASKS_MOST = 50;
 
@@ -26,6 +28,7 @@
  */
 export class Arrivals {
   private recent: Seen[] = [];
+  private gone: Seen[] = [];
   private readonly firstMs = new Map<boolean, number>();
   private hotList: HotImage[] = [];
   private readonly targets = new Map<boolean, number>();
@@ -37,6 +40,12 @@
     private readonly types: () => MachineType[],
   ) {}
 
+  /** A service has ended: the room that it leaves serves those that come. */
+  left(spec: JobSpec): void {
+    if (spec.priority === 3) return;
+    this.gone.push({ spec, atMs: this.wallMs() });
+  }
+
   add(spec: JobSpec, atMs: number): void {
     if (spec.priority === 3) return;
     this.firstMs.set(spec.spot, Math.min(atMs, this.firstMs.get(spec.spot) ?? Infinity));
@@ -51,6 +60,7 @@
     const bootS = Math.max(1, ...types.map((t) => t.bootS));
     const from = now - Math.max(HOT_BOOTS, WARM_BOOTS) * bootS * 1000;
     this.recent = this.recent.filter((r) => r.atMs >= from);
+    this.gone = this.gone.filter((r) => r.atMs >= from);
     this.hotList = this.hotNow(now, bootS);
     for (const spot of [false, true]) this.targets.set(spot, this.targetNow(now, bootS, spot));
   }
@@ -72,20 +82,24 @@
 
   private targetNow(now: number, bootS: number, spot: boolean): number {
     const types = this.types();
-    const arrivals: Arrival[] = [];
-    for (const { spec, atMs } of this.recent) {
-      if (spec.spot !== spot) continue;
-      const type = types.find((t) => fits(spec, t));
-      if (type === undefined) continue;
-      arrivals.push({ atMs, size: (unit(spec) / unit(type)) * Math.min(spec.tasks, TASKS_MOST) });
-    }
+    const sized = (seen: Seen[]): Arrival[] => {
+      const out: Arrival[] = [];
+      for (const { spec, atMs } of seen) {
+        if (spec.spot !== spot) continue;
+        const type = types.find((t) => fits(spec, t));
+        if (type === undefined) continue;
+        out.push({ atMs, size: (unit(spec) / unit(type)) * Math.min(spec.tasks, TASKS_MOST) });
+      }
+      return out;
+    };
     return warmTarget(
-      arrivals,
+      sized(this.recent),
+      sized(this.gone),
       this.firstMs.get(spot) ?? Infinity,
       now,
       bootS * WARM_BOOTS,
       bootS * AHEAD_BOOTS,
-      { mean: 1, deviations: 1, least: spot ? 0 : 1 },
+      { mean: 1, deviations: 1, least: spot ? 0 : 1, reused: REUSED },
     );
   }
 
--- a/src/cloud/plan.ts
+++ b/src/cloud/plan.ts
@@ -48,7 +48,7 @@
     whole: t,
     penaltyS: 0,
     imageWaitS: (_image, gb) => gb / Math.max(t.fetchGbPerS, 1e-9),
-    runsImage: () => false,
+    hasImage: () => false,
     fetchS: (gb) => gb / Math.max(t.fetchGbPerS, 1e-9),
     hotHere: () => [],
   };
--- a/src/cloud/warm.ts
+++ b/src/cloud/warm.ts
@@ -14,10 +14,13 @@
   mean: number;
   deviations: number;
   least: number;
+  /** Of the room that is left meanwhile, the share that serves those that come. */
+  reused: number;
 }
 
 export function warmTarget(
   arrivals: Arrival[],
+  departures: Arrival[],
   firstMs: number,
   nowMs: number,
   windowS: number,
@@ -35,6 +38,9 @@
     sum += a.size;
     squares += a.size * a.size;
   }
+  let left = 0;
+  for (const d of departures) if (d.atMs >= from) left += d.size;
+  const net = Math.max(0, sum - left * f.reused);
   const share = aheadS / span;
-  return Math.max(f.least, f.mean * sum * share + f.deviations * Math.sqrt(squares * share));
+  return Math.max(f.least, f.mean * net * share + f.deviations * Math.sqrt(squares * share));
 }
--- a/src/sched/place.ts
+++ b/src/sched/place.ts
@@ -8,8 +8,8 @@
   spot: boolean;
   /** Seconds until the image would be there: 0 when it is cached. */
   imageWaitS(image: string, gb: number): number;
-  /** A task with it runs there, so that it is there for certain. */
-  runsImage(image: string): boolean;
+  /** It is there for certain: a task with it runs there, or nothing was ever dropped there. */
+  hasImage(image: string): boolean;
   /** Seconds that fetching so much takes alone. */
   fetchS(gb: number): number;
   /** Added to the cost, for machines that have proved slow or doubtful. */
--- a/src/sched/vacate.ts
+++ b/src/sched/vacate.ts
@@ -15,8 +15,8 @@
   replicas: Replica[];
 }
 
-/** Replicas on a machine that is worth emptying, at most. */
-const FEW = 3;
+/** A machine of which so much is free is worth emptying. */
+const EMPTY_SHARE = 0.5;
 
 /** Which machine to empty; null: none whose replicas all find a place with their image elsewhere. */
 export function chooseVacated(
@@ -26,7 +26,7 @@
   w: Weights,
 ): { candidate: Candidate; to: string[] } | null {
   const sorted = candidates
-    .filter((c) => c.replicas.length > 0 && c.replicas.length <= FEW)
+    .filter((c) => c.replicas.length > 0 && freeShare(c.room) >= EMPTY_SHARE)
     .sort((a, b) => freeShare(b.room) - freeShare(a.room));
   for (const c of sorted) {
     if (!mayMove(c.replicas)) continue;
@@ -40,7 +40,7 @@
       const zones = new Map(replica.zones);
       zones.set(c.room.zone, (zones.get(c.room.zone) ?? 1) - 1);
       // What is cached is an estimate; moving on a wrong one cost a replica a whole fetch.
-      const there = places.filter((r) => r.runsImage(replica.spec.image));
+      const there = places.filter((r) => r.hasImage(replica.spec.image));
       const room = bestRoom(replica.spec, there, { zones }, w);
       if (room === null) return false;
       take(replica.spec, room);
--- a/src/service/leader.ts
+++ b/src/service/leader.ts
@@ -98,6 +98,7 @@
   }
 
   onCancelled(facts: JobFacts): void {
+    if (this.term.jobs.has(facts.spec.id)) this.arrivals.left(facts.spec);
     this.term.cancelled(facts);
   }
 
--- a/src/service/moves.ts
+++ b/src/service/moves.ts
@@ -9,7 +9,7 @@
 import type { Term } from './term.js';
 
 /** Of a class's replicas, the share that may move within `MOVE_LEASES` leases. */
-const MOVE_SHARE = 0.06;
+const MOVE_SHARE = 0.12;
 const MOVE_LEASES = 3;
 /** Replicas that ran for so many leases are steady enough to be moved. */
 const STEADY_LEASES = 4;
--- a/src/service/rooms.ts
+++ b/src/service/rooms.ts
@@ -10,6 +10,8 @@
   there: Set<string>;
   fetching: Map<string, number>;
   running: Set<string>;
+  /** So little was fetched that no image can have been dropped. */
+  whole: boolean;
   ratePerS: number;
   hotFor: HotImage[] | null;
   hotHere: HotImage[];
@@ -45,8 +47,9 @@
     return gb / this.contents.ratePerS;
   }
 
-  runsImage(image: string): boolean {
-    return this.contents.running.has(image);
+  hasImage(image: string): boolean {
+    const { running, there, whole } = this.contents;
+    return running.has(image) || (whole && there.has(image));
   }
 
   imageWaitS(image: string, gb: number): number {
@@ -66,6 +69,9 @@
   }
 }
 
+/** Of the cache, the share up to which nothing is dropped for certain. */
+const SURE_SHARE = 0.8;
+
 interface Entry {
   version: number;
   type: MachineType;
@@ -108,6 +114,7 @@
       there: new Set(m.images.keys()),
       fetching: new Map(),
       running: new Set(),
+      whole: m.fetchedGb <= type.cacheGb * SURE_SHARE,
       ratePerS: Math.max(type.fetchGbPerS, 1e-9),
       hotFor: null,
       hotHere: [],
--- a/src/service/term.ts
+++ b/src/service/term.ts
@@ -61,7 +61,10 @@
       m.spot = record.spot;
       m.revision = revision;
       m.recordTerm = record.term;
-      for (const [image, gb] of record.images) m.images.set(image, { gb, at: now });
+      for (const [image, gb] of record.images) {
+        m.images.set(image, { gb, at: now });
+        m.fetchedGb += gb;
+      }
       if (record.returning) m.become('returning');
       for (const c of record.claims) {
         const a = makeAttempt(c.job, c.index, c.attempt, id, 'inherited', now);
--- a/src/service/upkeep.ts
+++ b/src/service/upkeep.ts
@@ -24,6 +24,9 @@
 /** How long it must have been idle, in boots: as a rule, and when it goes early. */
 const IDLE_BOOTS = 1;
 const IDLE_EARLY_BOOTS = 0.4;
+/** Leases between two machines that are emptied: as a rule, and while there is much room too much. */
+const EMPTY_SELDOM = 0.5;
+const EMPTY_OFTEN = 0.2;
 /** Warm machines rented at once, at most. */
 const WARM_AT_ONCE = 4;
 
@@ -263,9 +266,10 @@
       if (over && m.state === 'ready') m.vacatedAt = null;
     }
     if (!term.deps.writing() || now - term.startedAt < lease_s * SETTLE_LEASES) return;
-    if (now - this.consolidatedAt < lease_s / 2 || this.demand.length > 0) return;
-    this.consolidatedAt = now;
     const surplus = freeRoom(this.rooms, false) - this.target(false);
+    const gap = lease_s * (surplus >= MUCH_SURPLUS ? EMPTY_OFTEN : EMPTY_SELDOM);
+    if (now - this.consolidatedAt < gap || this.demand.length > 0) return;
+    this.consolidatedAt = now;
     const empty = [...term.machines.values()].some(
       (m) => !m.spot && m.state === 'ready' && m.attempts.size === 0,
     );
--- a/src/workers/machine.ts
+++ b/src/workers/machine.ts
@@ -56,6 +56,8 @@
   readonly attempts = new Map<string, Attempt>();
   /** Images seen there and when last, the most recently used last. */
   images = new Map<string, { gb: number; at: number }>();
+  /** All that was ever seen to be fetched there. */
+  fetchedGb = 0;
   /** Since when nothing holds room on it. */
   idleSince: number;
   /** No new work before this time, because it did not do what it was told. */
@@ -335,6 +337,7 @@
 
   sawImage(image: string, gb: number, cacheGb: number, now: number): void {
     this.touch();
+    if (!this.images.has(image)) this.fetchedGb += gb;
     this.images.delete(image);
     this.images.set(image, { gb, at: now });
     let total = 0;
--- a/test/sched.test.ts
+++ b/test/sched.test.ts
@@ -105,7 +105,7 @@
   penaltyS: 0,
   imageWaitS: () => 0,
   fetchS: (gb) => gb,
-  runsImage: () => true,
+  hasImage: () => true,
   ...over,
 });
 const w = { ordinaryS: 20, spreadS: 2 };
@@ -246,12 +246,14 @@
 });
 
 test('room kept warm covers what arrives within a boot, and ignores the first burst', () => {
-  const f = { mean: 1, deviations: 1, least: 1 };
+  const f = { mean: 1, deviations: 1, least: 1, reused: 0.5 };
   const burst = Array.from({ length: 50 }, () => ({ atMs: 0, size: 1 }));
-  assert.equal(warmTarget(burst, 0, 20_000, 200, 25, f), 1, 'too early to tell');
-  assert.equal(warmTarget(burst, 0, 100_000, 200, 25, f), 1);
+  assert.equal(warmTarget(burst, [], 0, 20_000, 200, 25, f), 1, 'too early to tell');
+  assert.equal(warmTarget(burst, [], 0, 100_000, 200, 25, f), 1);
   const steady = Array.from({ length: 20 }, (_, i) => ({ atMs: 30_000 + i * 5000, size: 0.5 }));
-  const t = warmTarget([...burst, ...steady], 0, 125_000, 200, 25, f);
+  const t = warmTarget([...burst, ...steady], [], 0, 125_000, 200, 25, f);
+  const net = warmTarget([...burst, ...steady], steady, 0, 125_000, 200, 25, f);
+  assert.ok(net < t && net > 1, String(net));
   assert.ok(t > 2.5 && t < 5, String(t));
 });
 
@@ -282,7 +284,7 @@
   const cases: [string, Partial<Room>, boolean, boolean][] = [
     ['a hole with the image', { gpus: 2, cores: 2 }, true, true],
     ['no room', { gpus: 1 }, true, false],
-    ['no image for certain', { gpus: 2, cores: 2, runsImage: () => false }, true, false],
+    ['no image for certain', { gpus: 2, cores: 2, hasImage: () => false }, true, false],
     ['an empty machine', {}, true, false],
     ['a spot machine', { gpus: 2, cores: 2, spot: true }, true, false],
     ['too many moved just now', { gpus: 2, cores: 2 }, false, false],
