--- a/src/sched/place.ts
+++ b/src/sched/place.ts
@@ -8,14 +8,16 @@
   spot: boolean;
   /** Seconds until the image would be there: 0 when it is cached. */
   imageWaitS(image: string, gb: number): number;
-  /** A task with it runs there, so that it is there for certain. */
-  runsImage(image: string): boolean;
+  /** It is there for certain: a task with it runs there, or nothing was ever dropped there. */
+  hasImage(image: string): boolean;
   /** Seconds that fetching so much takes alone. */
   fetchS(gb: number): number;
   /** Added to the cost, for machines that have proved slow or doubtful. */
   penaltyS: number;
   /** GPUs or, without any, cores of the whole machine. */
   whole: Size;
+  /** Share of the machine taken by work that leaves as soon as it is told to. */
+  softShare?: number;
   /** Those of the hot images that are cached there, when that is known at less cost. */
   hotHere?(hot: HotImage[]): HotImage[];
 }
@@ -60,7 +62,7 @@
 }
 
 /** Share of a machine that is free, by its scarcer resource: no GPU left is no room left. */
-export function freeShare(room: Room): number {
+export function freeShare(room: Size & { whole: Size }): number {
   const { whole } = room;
   const gpus = whole.gpus > 0 ? room.gpus / whole.gpus : 1;
   const cores = whole.cores > 0 ? room.cores / whole.cores : 1;
--- a/src/service/rooms.ts
+++ b/src/service/rooms.ts
@@ -1,5 +1,5 @@
 import type { JobSpec, MachineType, Size } from '../jobs/types.js';
-import { freeShare, type HotImage, type Room } from '../sched/place.js';
+import { freeShare, putBack, type HotImage, type Room } from '../sched/place.js';
 import { Usages } from '../sched/quota.js';
 import { holds } from '../workers/attempt.js';
 import type { Machine } from '../workers/machine.js';
@@ -10,6 +10,8 @@
   there: Set<string>;
   fetching: Map<string, number>;
   running: Set<string>;
+  /** So little was fetched that no image can have been dropped. */
+  whole: boolean;
   ratePerS: number;
   hotFor: HotImage[] | null;
   hotHere: HotImage[];
@@ -18,6 +20,8 @@
 /** Room on a machine that reports. Copies are cheap: a pass takes from copies. */
 class MachineRoom implements Room {
   penaltyS = 0;
+  /** Share of the machine taken by work that leaves as soon as it is told to. */
+  softShare = 0;
 
   constructor(
     readonly id: string,
@@ -35,6 +39,7 @@
     const { id, type, zone, spot, whole, cores, gpus, memGb, contents } = this;
     const r = new MachineRoom(id, type, zone, spot, whole, cores, gpus, memGb, contents);
     r.penaltyS = penaltyS;
+    r.softShare = this.softShare;
     return r;
   }
 
@@ -42,8 +47,9 @@
     return gb / this.contents.ratePerS;
   }
 
-  runsImage(image: string): boolean {
-    return this.contents.running.has(image);
+  hasImage(image: string): boolean {
+    const { running, there, whole } = this.contents;
+    return running.has(image) || (whole && there.has(image));
   }
 
   imageWaitS(image: string, gb: number): number {
@@ -63,6 +69,9 @@
   }
 }
 
+/** Of the cache, the share up to which nothing is dropped for certain. */
+const SURE_SHARE = 0.8;
+
 interface Entry {
   version: number;
   type: MachineType;
@@ -84,6 +93,7 @@
   constructor(
     private readonly term: Term,
     private readonly specOf: (job: string) => JobSpec | null,
+    private readonly leaves: (spec: JobSpec) => boolean,
   ) {}
 
   /** Null while a job on the machine is unknown here: what it takes cannot be told. */
@@ -104,12 +114,14 @@
       there: new Set(m.images.keys()),
       fetching: new Map(),
       running: new Set(),
+      whole: m.fetchedGb <= type.cacheGb * SURE_SHARE,
       ratePerS: Math.max(type.fetchGbPerS, 1e-9),
       hotFor: null,
       hotHere: [],
     };
     const held: JobSpec[] = [];
     let inUse = false;
+    const soft: Size = { cores: 0, gpus: 0, memGb: 0 };
     for (const a of m.attempts.values()) {
       if (!holds(a)) continue;
       const spec = this.specOf(a.job);
@@ -119,6 +131,7 @@
       gpus -= spec.gpus;
       memGb -= spec.memGb;
       inUse ||= spec.priority < 3;
+      if (a.stop === null && this.leaves(spec)) putBack(spec, soft);
       if (a.state === 'running' && a.stop === null) contents.running.add(spec.image);
       if (a.startedAt !== null) contents.there.add(spec.image);
       else if (!contents.there.has(spec.image)) contents.fetching.set(spec.image, spec.imageGb);
@@ -126,6 +139,9 @@
     const room = new MachineRoom(
       m.id, m.type, m.zone, m.spot, type, cores, gpus, memGb, contents,
     ); // prettier-ignore
+    const free = freeShare(room);
+    putBack(room, soft);
+    room.softShare = freeShare({ ...soft, whole: type }) - free;
     return { version: m.version, type, room, held, inUse };
   }
 
@@ -167,8 +183,9 @@
   }
 }
 
+/** In machines. What is taken by work that leaves at once counts as free. */
 export function freeRoom(rooms: Room[], spot: boolean): number {
   let free = 0;
-  for (const r of rooms) if (r.spot === spot) free += freeShare(r);
+  for (const r of rooms) if (r.spot === spot) free += freeShare(r) + (r.softShare ?? 0);
   return free;
 }
--- a/src/service/term.ts
+++ b/src/service/term.ts
@@ -61,7 +61,10 @@
       m.spot = record.spot;
       m.revision = revision;
       m.recordTerm = record.term;
-      for (const [image, gb] of record.images) m.images.set(image, { gb, at: now });
+      for (const [image, gb] of record.images) {
+        m.images.set(image, { gb, at: now });
+        m.fetchedGb += gb;
+      }
       if (record.returning) m.become('returning');
       for (const c of record.claims) {
         const a = makeAttempt(c.job, c.index, c.attempt, id, 'inherited', now);
@@ -168,6 +171,12 @@
     else this.stop(a, this.graceOf(job));
   }
 
+  /** Without saving: what it did since its last checkpoint is lost. */
+  stopTaskNow(job: LiveJob, a: Attempt): void {
+    if (job.gang) this.stopGang(job, 0);
+    else this.stop(a, 0);
+  }
+
   machine(id: string): Machine {
     let m = this.machines.get(id);
     if (m === undefined) {
