Users' requests pass on to a controller that is served; submissions are given up at once

Cause: a controller cut off from the state service alone stayed healthy for the balancer, held each submission for 4 s and then answered 503, for as long as the cut lasted. Now it passes users' requests on to a served controller over the peer link and tells what that one has stored or read; where nobody is served the answer is 503 at once. A controller that can help nobody is not ready.

--- a/src/cluster/peers.ts
+++ b/src/cluster/peers.ts
@@ -49,6 +49,8 @@
   | { q: 'refused'; token: number; forMs: number }
   /** Are you there? */
   | { q: 'there' }
+  /** A user's request, passed on by a controller that the state service does not serve. */
+  | { q: 'user'; to: 'submit' | 'poll' | 'cancel'; text: string }
   /** A cancellation is about to be stored: stop its tasks if your zone is cut off. */
   | { q: 'cancelling'; job: string };
 
@@ -66,6 +68,8 @@
     { resolve: (a: Answer | null) => void; timer: NodeJS.Timeout }
   >();
   private retryAt = 0;
+  /** When the last answer came. */
+  answeredAt = -Infinity;
   private backoffMs = 50;
 
   constructor(
@@ -126,6 +130,7 @@
     if (frame === null || typeof frame !== 'object') throw new Error('no object');
     const f = frame as { id?: unknown; a?: unknown };
     if (typeof f.id !== 'number') throw new Error('no id');
+    this.answeredAt = performance.now();
     const p = this.pending.get(f.id);
     if (p === undefined) return;
     this.pending.delete(f.id);
@@ -234,6 +239,12 @@
     return [...this.links.keys()];
   }
 
+  /** The others, those that answered last first. */
+  lately(): string[] {
+    const links = [...this.links].sort((a, b) => b[1].answeredAt - a[1].answeredAt);
+    return links.map(([node]) => node);
+  }
+
   /** Null: no answer. */
   ask(node: string, question: Question, timeoutS: number): Promise<Answer | null> {
     return this.links.get(node)?.ask(question, timeoutS) ?? Promise.resolve(null);
--- /dev/null
+++ b/src/service/front.ts
@@ -0,0 +1,98 @@
+import type { PeerNet } from '../cluster/peers.js';
+import type { Reply } from '../http/server.js';
+import type { StateClient } from '../state/client.js';
+import type { Follower } from '../state/follow.js';
+import type { Users } from './users.js';
+
+/** What a user asks for, in a form that can be passed on to another controller. */
+export type UserRequest =
+  { to: 'submit'; body: Buffer } | { to: 'poll'; id: string } | { to: 'cancel'; id: string };
+
+/** How long another controller may take with a user's request, in report intervals. */
+const RELAY_REPORTS = 2.5;
+/** For so many leases nobody was of help: users are better served elsewhere. */
+const ALONE_LEASES = 0.2;
+
+const UNSURE: Reply = { status: 503, retryAfter: 1 };
+
+/**
+ * Users' requests as they come to any controller. One that the state service refuses, or that is cut
+ * off from it, passes them on to a controller that is served: nothing is told but what that one has
+ * read or stored. Where nobody is served the answer is 503 at once, never a wait for better times.
+ */
+export class Front {
+  private aloneSince: number | null = null;
+
+  constructor(
+    private readonly users: Users,
+    private readonly state: Pick<StateClient, 'health'>,
+    private readonly follower: Pick<Follower, 'ready' | 'sync'>,
+    private readonly peers: Pick<PeerNet, 'lately' | 'ask'>,
+    private readonly workers: { report_s: number; lease_s: number },
+    private readonly now: () => number,
+  ) {}
+
+  private get served(): boolean {
+    return this.state.health === 'served' && this.follower.ready;
+  }
+
+  /** Whether users should be sent here. */
+  ready(): boolean {
+    if (!this.users.ready()) return false;
+    if (this.served) this.aloneSince = null;
+    const { aloneSince } = this;
+    return aloneSince === null || this.now() - aloneSince < this.workers.lease_s * ALONE_LEASES;
+  }
+
+  async serve(request: UserRequest): Promise<Reply> {
+    if (this.served || this.users.knows(request)) {
+      const r = await this.local(request);
+      if (r.status !== 503 || this.served) return r;
+    }
+    // Looks whether the state service is back, besides.
+    else void this.follower.sync();
+    return (await this.relay(request)) ?? (await this.local(request));
+  }
+
+  private async local(request: UserRequest): Promise<Reply> {
+    switch (request.to) {
+      case 'submit':
+        return this.users.submit(request.body);
+      case 'poll':
+        return this.users.poll(request.id);
+      case 'cancel':
+        return this.users.cancel(request.id);
+    }
+  }
+
+  private async relay(request: UserRequest): Promise<Reply | null> {
+    const question =
+      request.to === 'submit'
+        ? { q: 'user' as const, to: request.to, text: request.body.toString('utf8') }
+        : { q: 'user' as const, to: request.to, text: request.id };
+    let reached = false;
+    for (const node of this.peers.lately()) {
+      const a = await this.peers.ask(node, question, this.workers.report_s * RELAY_REPORTS);
+      reached ||= a !== null;
+      if (typeof a?.status !== 'number') continue;
+      this.aloneSince = null;
+      const { status } = a;
+      const body = typeof a.body === 'string' ? a.body : '';
+      const retryAfter = typeof a.retryAfter === 'number' ? a.retryAfter : undefined;
+      return { status, body, retryAfter };
+    }
+    // In an outage the others answer that they are refused too: users are no better off there.
+    if (reached) this.aloneSince = null;
+    else this.aloneSince ??= this.now();
+    return null;
+  }
+
+  /** Passed on by another controller; it goes no further. Without a status: ask somebody else. */
+  async passedOn(to: unknown, text: unknown): Promise<Record<string, unknown>> {
+    if (typeof text !== 'string' || !this.served) return {};
+    let reply = UNSURE;
+    if (to === 'submit') reply = await this.users.submit(Buffer.from(text));
+    else if (to === 'poll' || to === 'cancel') reply = await this.local({ to, id: text });
+    return reply.status === 503 && !this.served ? {} : { ...reply };
+  }
+}
--- a/src/service/node.ts
+++ b/src/service/node.ts
@@ -17,6 +17,7 @@
 import { Replica } from '../state/replica.js';
 import { route } from '../wire/users.js';
 import { Costs } from './costs.js';
+import { Front } from './front.js';
 import { Cancelling } from './cancelling.js';
 import { Leader } from './leader.js';
 import { Reports } from './reports.js';
@@ -37,7 +38,7 @@
   readonly follower: Follower;
   readonly election: Election;
   readonly peers: PeerNet;
-  readonly users: Users;
+  private readonly front: Front;
   /** Only where this controller is its zone's warden. */
   private readonly warden: Warden | null;
   private readonly wards: WardenWatch;
@@ -155,7 +156,7 @@
       this.clock,
       log,
     );
-    this.users = new Users(
+    const users = new Users(
       settings,
       this.follower,
       this.replica,
@@ -165,6 +166,9 @@
       this.wallMs,
       log,
     );
+    this.front = new Front(users, this.state, this.follower, this.peers, settings.workers, () =>
+      this.clock.now(),
+    );
     this.server = new HttpServer(
       (m) => this.handle(m),
       { sockets: Math.floor(settings.limits.sockets * 0.6), readS: 5, idleS: 120 },
@@ -281,13 +285,14 @@
       case 'checkin':
         return this.costs.time('report', () => this.reports.checkin(m.body));
       case 'submit':
-        return this.costs.time('submission', () => this.users.submit(m.body));
+        return this.costs.time('submission', () =>
+          this.front.serve({ to: 'submit', body: m.body }),
+        );
       case 'poll':
-        return this.users.poll(to.id);
       case 'cancel':
-        return this.users.cancel(to.id);
+        return this.front.serve(to);
       case 'ready':
-        return this.users.ready() ? { status: 200, body: '{}' } : { status: 503, retryAfter: 1 };
+        return this.front.ready() ? { status: 200, body: '{}' } : { status: 503, retryAfter: 1 };
       case 'metrics':
         return { status: 200, body: JSON.stringify(this.figures()) };
       case 'wrong-method':
@@ -315,6 +320,8 @@
       }
       case 'there':
         return { there: true };
+      case 'user':
+        return this.front.passedOn(q.to, q.text);
       case 'cancelling':
         if (typeof q.job !== 'string' || q.job.length > 200) return {};
         this.cancelling.noteAsked(q.job);
--- a/src/service/users.ts
+++ b/src/service/users.ts
@@ -18,8 +18,8 @@
 } from '../wire/users.js';
 import type { JobSpec } from '../jobs/types.js';
 
-/** How long a user's request may take here: users wait 5 s for a submission and 2 s for a poll. */
-const SUBMIT_S = 4;
+/** How long storing may take: users wait 5 s for a submission, and the next try may be elsewhere. */
+const SUBMIT_S = 2;
 /** More than this many requests waiting to be stored: shed the rest. */
 const QUEUE = 500;
 
@@ -43,6 +43,12 @@
     return this.follower.ready && this.types() !== null;
   }
 
+  /** Whether the answer rests on nothing but what never changes any more. */
+  knows(request: { to: string; id?: string }): boolean {
+    const facts = request.id === undefined ? undefined : this.replica.jobs.get(request.id);
+    return facts !== undefined && outcome(facts) !== 'open' && this.follower.ready;
+  }
+
   private shown(j: JobFacts): ShownState {
     const o = outcome(j);
     if (o !== 'open') return o;
--- a/src/state/intake.ts
+++ b/src/state/intake.ts
@@ -12,6 +12,9 @@
   | { kind: 'cancel'; id: string; size: number }
 ) & { deadline: number; resolve: (o: Outcome | null) => void };
 
+/** Requests in a row without an answer after which a batch is given up. */
+const FAILURES = 2;
+
 /**
  * Stores what users ask for: accepted jobs and cancellations. What arrives while a batch is under
  * way goes into the next one, so that an answer waits for milliseconds and costs a fraction of a
@@ -96,7 +99,10 @@
     const deadline = Math.max(...batch.map((e) => e.deadline));
     let stored = false;
     let first = true;
-    while (!stored && this.clock.now() < deadline) {
+    // A submission that can't be taken is answered at once: a refused service, or two requests
+    // without an answer, end the wait. Another controller may be served, and the user may come back.
+    let failures = 0;
+    while (!stored && failures < FAILURES && this.clock.now() < deadline) {
       if (!first) while (!this.budget.take(1)) await sleep(this.budget.wait(1));
       first = false;
       try {
@@ -109,13 +115,15 @@
         stored = true;
         if (!r.ok) this.log.debug({ key }, 'stored by an earlier attempt');
       } catch (e) {
-        if (e instanceof Refused && e.status === 400) break;
+        if (e instanceof Refused && (e.status === 400 || e.status === 503)) break;
+        if (!(e instanceof Refused && e.status === 429)) failures++;
         await sleep(0.1 + random() * 0.1);
       }
     }
     // Nobody is told anything before this node's picture holds what was stored.
     let synced = false;
-    while (stored && !synced && this.clock.now() < deadline) {
+    failures = 0;
+    while (stored && !synced && failures++ < FAILURES && this.clock.now() < deadline) {
       synced = await this.follower.sync();
       if (!synced) await sleep(0.05);
     }
--- /dev/null
+++ b/test/front.test.ts
@@ -0,0 +1,118 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { Answer } from '../src/cluster/peers.js';
+import { Front } from '../src/service/front.js';
+import type { Users } from '../src/service/users.js';
+import type { Health, StateClient } from '../src/state/client.js';
+import { Refused, Unanswered } from '../src/state/client.js';
+import type { Follower } from '../src/state/follow.js';
+import { Intake } from '../src/state/intake.js';
+import type { Replica } from '../src/state/replica.js';
+import { Budget, steadyClock } from '../src/clock.js';
+import { silentLog } from '../src/log.js';
+import { spec } from './helpers.js';
+
+type Peers = Record<string, Answer | null>;
+
+/** A front over stand-ins: `own` is what this controller can answer by itself. */
+function front(health: Health, own: number, peers: Peers, final = false) {
+  const asked: string[] = [];
+  const clock = { now: 0 };
+  const state = { health };
+  const users = {
+    ready: () => true,
+    knows: () => final,
+    submit: () => Promise.resolve({ status: own }),
+    poll: () => Promise.resolve({ status: own }),
+    cancel: () => Promise.resolve({ status: own }),
+  } as unknown as Users;
+  const net = {
+    lately: () => Object.keys(peers),
+    ask: (node: string) => {
+      asked.push(node);
+      return Promise.resolve(peers[node] ?? null);
+    },
+  };
+  const follower = { ready: true, sync: () => Promise.resolve(false) };
+  const times = { report_s: 1, lease_s: 10 };
+  const f = new Front(users, state, follower, net, times, () => clock.now);
+  return { f, asked, clock, state };
+}
+
+test("users' requests reach a controller that is served, if there is one", async () => {
+  // A controller that alone was refused once answered 503 to all its users for as long as that took.
+  const cases: [string, Health, number, Peers, boolean, number, string[]][] = [
+    ['served here', 'served', 201, { a: { status: 500 } }, false, 201, []],
+    ['shed here: not passed on', 'served', 503, { a: { status: 201 } }, false, 503, []],
+    ['refused here, served there', 'refused', 503, { a: { status: 201 } }, false, 201, ['a']],
+    ['silent for here', 'silent', 503, { a: { status: 200 } }, false, 200, ['a']],
+    ['the first is refused too', 'refused', 503, { a: {}, b: { status: 404 } }, false, 404, ['a', 'b']],
+    ['the first is cut off', 'refused', 503, { a: null, b: { status: 200 } }, false, 200, ['a', 'b']],
+    ['an outage for all', 'refused', 503, { a: {}, b: {} }, false, 503, ['a', 'b']],
+    ['garbage is no answer', 'refused', 503, { a: { status: 'x' } }, false, 503, ['a']],
+    ['final: nobody is asked', 'refused', 200, { a: {} }, true, 200, []],
+  ]; // prettier-ignore
+  for (const [name, health, own, peers, final, status, asked] of cases) {
+    const t = front(health, own, peers, final);
+    assert.equal((await t.f.serve({ to: 'poll', id: 'wk-1' })).status, status, name);
+    assert.deepEqual(t.asked, asked, name);
+  }
+});
+
+test('a controller that can help nobody sends users elsewhere, but not in an outage for all', async () => {
+  const cases: [string, Peers, boolean][] = [
+    ['cut off from all', { a: null, b: null }, false],
+    ['an outage', { a: {}, b: null }, true],
+    ['served by another', { a: { status: 200 } }, true],
+  ];
+  for (const [name, peers, ready] of cases) {
+    const t = front('silent', 503, peers);
+    await t.f.serve({ to: 'poll', id: 'wk-1' });
+    assert.equal(t.f.ready(), true, `${name}: not at once`);
+    t.clock.now = 10;
+    assert.equal(t.f.ready(), ready, name);
+    t.state.health = 'served';
+    assert.equal(t.f.ready(), true, `${name}: served again`);
+  }
+});
+
+test('what is passed on goes no further, and is taken only where it can be answered', async () => {
+  const cases: [string, Health, number, unknown, unknown, unknown][] = [
+    ['served', 'served', 201, 'submit', '{}', 201],
+    ['refused too', 'refused', 503, 'submit', '{}', undefined],
+    ['shed', 'served', 503, 'submit', '{}', 503],
+    ['no text', 'served', 201, 'submit', 5, undefined],
+    ['unknown kind', 'served', 200, 'drop', 'wk-1', 503],
+  ];
+  for (const [name, health, own, to, text, status] of cases) {
+    const t = front(health, own, { a: { status: 200 } });
+    assert.equal((await t.f.passedOn(to, text)).status, status, name);
+    assert.deepEqual(t.asked, [], name);
+  }
+});
+
+test('a submission that cannot be stored is given up at once, not held back', async () => {
+  const cases: [string, () => Error, number][] = [
+    ['outage', () => new Refused(503), 1],
+    ['malformed', () => new Refused(400), 1],
+    ['no connection', () => new Refused(0), 2],
+    ['no answer', () => new Unanswered('timeout'), 2],
+  ];
+  for (const [name, failure, tries] of cases) {
+    let commits = 0;
+    const state = {
+      valueBytes: 8192,
+      commit: () => {
+        commits++;
+        return Promise.reject(failure());
+      },
+    } as unknown as StateClient;
+    const replica = { jobs: new Map() } as unknown as Replica;
+    const follower = { sync: () => Promise.resolve(false) } as unknown as Follower;
+    const budget = new Budget(100, steadyClock);
+    const intake = new Intake('n', state, follower, replica, budget, steadyClock, silentLog());
+    // A minute would be the time allowed: the test ends long before if it is not used up.
+    assert.equal(await intake.accept({ spec: spec(), atMs: 0 }, 60), null, name);
+    assert.equal(commits, tries, name);
+  }
+});
