--- a/src/cloud/arrivals.ts
+++ b/src/cloud/arrivals.ts
@@ -72,7 +72,7 @@
       if (atMs < now - windowS * 1000) continue;
       const key = `${spec.image} ${spec.gpus} ${spec.cores}`;
       const h = by.get(key) ?? { image: spec.image, gb: spec.imageGb, spec, expected: 0 };
-      h.expected += bootS / windowS;
+      h.expected += (Math.min(spec.tasks, TASKS_MOST) * bootS) / windowS;
       by.set(key, h);
     }
     return [...by.values()]
--- a/src/sched/place.ts
+++ b/src/sched/place.ts
@@ -93,7 +93,8 @@
       memGb: room.memGb - spec.memGb,
     };
     if (fits(h.spec, after) || room.imageWaitS(h.image, h.gb) > 0) continue;
-    lost += h.expected * room.fetchS(h.gb);
+    // One place serves one of them at a time.
+    lost += Math.min(1, h.expected) * room.fetchS(h.gb);
   }
   return lost;
 }
