--- a/src/service/evictions.ts
+++ b/src/service/evictions.ts
@@ -178,6 +178,16 @@
       zones.set(o.zone, (zones.get(o.zone) ?? 0) + 1);
       got.push(o);
     }
+    const { log } = this.term.deps;
+    if (log.isLevelEnabled('debug')) {
+      const stopped = chosen.flatMap((c) => c.victims.map((v) => v.id));
+      const how = [...new Set(got.map((o) => o.how))];
+      const { id, class: cls } = spec;
+      log.debug(
+        { job: id, class: cls, tasks, got: got.length, stopped, how, inTime, ageS },
+        'room is made',
+      );
+    }
     // A gang gains nothing from room for some of its tasks.
     if (job.gang && got.length < tasks) return tasks;
     for (const { o, victims } of chosen) {
--- a/src/service/leader.ts
+++ b/src/service/leader.ts
@@ -58,7 +58,7 @@
       this.term,
       this.arrivals,
       (type) => this.upkeep.spotShort(type),
-      () => this.upkeep.target(false),
+      (spot) => this.upkeep.target(spot),
     );
     this.direct = new DirectCommands(this.term, () => this.schedule());
     this.store = new TermStore(this.term, deps.settings.node, state, deps.clock, deps.log, onLost);
--- a/src/service/scheduler.ts
+++ b/src/service/scheduler.ts
@@ -45,6 +45,8 @@
 }
 
 type May = (room: Room) => boolean;
+/** What work of a priority must leave of each machine type. */
+type Reserves = (priority: number) => Map<string, number>;
 const ANY: May = () => true;
 
 /** One pass of placing over a term: rank, place, make room, and say what is missing. */
@@ -59,8 +61,8 @@
     private readonly arrivals: Arrivals,
     /** Whether no spot machine of a type is to be had anywhere at present. */
     private readonly spotShort: (type: string) => boolean,
-    /** Room on ordinary machines that is kept free, in machines. */
-    private readonly warm: () => number,
+    /** Room that is kept free on spot or ordinary machines, in machines. */
+    private readonly warm: (spot: boolean) => number,
   ) {
     this.waits = new Waits(term.deps.settings.objectives);
     this.queue = new Queue(term);
@@ -120,11 +122,13 @@
     const now = term.now;
     const rooms = this.book.rooms((m) => this.usable(m));
     const usages = this.book.usages();
-    this.excess = freeRoom(rooms, false) - this.warm();
+    for (const spot of [false, true]) {
+      this.excess.set(spot, freeRoom(rooms, spot) - this.warm(spot));
+    }
     this.shortTypes.clear();
     const weights = this.weights();
     const jobs = this.queue.ranked(now);
-    const reserve = this.reserve(jobs, rooms);
+    const reserves = this.reserves(jobs, rooms);
     const demand: Demand[] = [];
     const evictions = new Evictions(term, rooms, usages, this.waits);
     const most = Math.ceil(term.deps.settings.state.write_rps * CLAIMS_PER_WRITE);
@@ -134,8 +138,8 @@
     for (const job of jobs) {
       if (placed >= most) break;
       const missing = job.gang
-        ? this.placeGang(job, rooms, usages, reserve, weights, now)
-        : this.placeTasks(job, rooms, usages, reserve, weights, now, most - placed, evictions);
+        ? this.placeGang(job, rooms, usages, reserves, weights, now)
+        : this.placeTasks(job, rooms, usages, reserves, weights, now, most - placed, evictions);
       placed += missing.placed;
       if (missing.short === 0) continue;
       // What finds no room may take it from lesser work; the rest is for the fleet to grow.
@@ -150,7 +154,7 @@
     job: LiveJob,
     rooms: Room[],
     usages: Usages,
-    reserve: Map<string, number>,
+    reserves: Reserves,
     weights: Weights,
     now: number,
   ): { placed: number; short: number } {
@@ -159,7 +163,7 @@
     if (job.holdingCount > 0) return none;
     if (job.pending(now, spec.tasks).length < spec.tasks) return none;
     if (!usages.allows(spec, spec.tasks)) return none;
-    const { may } = this.lent(job, rooms, reserve);
+    const { may } = this.lent(job, rooms, reserves);
     const zones = this.zonesOf(job);
     const got = placeGang(spec, rooms, { zones, may }, weights);
     if (got === null) return { placed: 0, short: spec.tasks };
@@ -173,7 +177,7 @@
     job: LiveJob,
     rooms: Room[],
     usages: Usages,
-    reserve: Map<string, number>,
+    reserves: Reserves,
     weights: Weights,
     now: number,
     left: number,
@@ -185,7 +189,7 @@
     const most = Math.min(usages.room(spec), left, suspect ? 1 - job.holdingCount : left);
     const indexes = job.pending(now, Math.max(0, most));
     if (indexes.length === 0) return { placed: 0, short: 0 };
-    const { may, taken } = this.lent(job, rooms, reserve);
+    const { may, taken } = this.lent(job, rooms, reserves);
     const avoid = suspect ? job.failedOn : undefined;
     // A hole on an ordinary machine costs nothing: for best-effort work it is as good as spot.
     const w = spec.priority < 3 ? weights : { ...weights, ordinaryS: 0 };
@@ -212,9 +216,9 @@
         }
         room = inTime ?? room;
       }
-      if (!room.spot) this.excess -= freeShare(room);
+      const before = freeShare(room);
       take(spec, room);
-      if (!room.spot) this.excess += freeShare(room);
+      this.excess.set(room.spot, this.excess.get(room.spot)! + freeShare(room) - before);
       taken(room);
       zones.set(room.zone, (zones.get(room.zone) ?? 0) + 1);
       this.claim(job, index, job.nextNumber(index, this.term.deps.token), room);
@@ -229,10 +233,29 @@
     return this.moves.vacate(rooms, (m) => this.usable(m), this.weights());
   }
 
-  /** GPUs (or cores) of each type that short work must leave to long work that waits. */
-  private reserve(jobs: LiveJob[], rooms: Room[]): Map<string, number> {
-    const out = new Map<string, number>();
+  /**
+   * GPUs (or cores) of each type that short work must leave to long work that waits: for work of each
+   * priority, that of its own and of higher ones. Gangs once waited for half a minute beside room that
+   * was held for long arrays of the least priority, and evicted others in vain meanwhile.
+   */
+  private reserves(jobs: LiveJob[], rooms: Room[]): Reserves {
     const long = jobs.filter((j) => j.long);
+    const of = new Map<number, Map<string, number>>();
+    return (priority) => {
+      let r = of.get(priority);
+      if (r === undefined) {
+        r = this.reserve(
+          long.filter((j) => j.spec.priority <= priority),
+          rooms,
+        );
+        of.set(priority, r);
+      }
+      return r;
+    };
+  }
+
+  private reserve(long: LiveJob[], rooms: Room[]): Map<string, number> {
+    const out = new Map<string, number>();
     if (long.length === 0) return out;
     const capacity = new Map<string, number>();
     for (const r of rooms) capacity.set(r.type, (capacity.get(r.type) ?? 0) + unit(r.whole));
@@ -255,11 +278,13 @@
   private lent(
     job: LiveJob,
     rooms: Room[],
-    reserve: Map<string, number>,
+    reserves: Reserves,
   ): { may: May; taken: (room: Room) => void } {
     const kept = this.warmKept(job);
     const exempt = job.long || job.spec.kind === 'service' || job.guaranteed;
-    if (exempt || reserve.size === 0) return { may: kept, taken: () => undefined };
+    if (exempt) return { may: kept, taken: () => undefined };
+    const reserve = reserves(job.spec.priority);
+    if (reserve.size === 0) return { may: kept, taken: () => undefined };
     const ofWhole = (r: Room, s: Size): number => (r.whole.gpus > 0 ? s.gpus : s.cores);
     const free = new Map<string, number>();
     for (const r of rooms) {
@@ -275,8 +300,8 @@
     };
   }
 
-  /** Free room on ordinary machines beyond what is kept warm. */
-  private excess = 0;
+  /** Free room beyond what is kept warm, on ordinary and on spot machines. */
+  private readonly excess = new Map<boolean, number>();
   private readonly shortTypes = new Map<string, boolean>();
 
   private noSpot(type: string): boolean {
@@ -288,17 +313,19 @@
   /**
    * Best-effort work goes to spot machines while they can be had. Of ordinary ones it gets what
    * others leave over on machines that stay anyway: a hole costs nothing, an empty machine that
-   * could be given back does.
+   * could be given back does. The room that is kept warm is left alone on both kinds: gangs that
+   * found it full of arrays waited until those had saved, which took longer than they may wait.
    */
   private warmKept(job: LiveJob): May {
     if (job.spec.priority < 3 || !job.spec.spot) return ANY;
     const { gpus } = job.spec;
     // What leaves at once when others come may use even the room that is kept for them.
     const soft = this.leaves(job.spec);
-    return (r) =>
-      r.spot ||
-      this.noSpot(r.type) ||
-      ((soft || this.excess >= gpus / Math.max(1, r.whole.gpus)) && this.book.inUse(r.id));
+    return (r) => {
+      const beyond = soft || this.excess.get(r.spot)! >= gpus / Math.max(1, r.whole.gpus);
+      if (r.spot) return beyond || job.guaranteed;
+      return this.noSpot(r.type) || (beyond && this.book.inUse(r.id));
+    };
   }
 
   private claim(job: LiveJob, index: number, number: number, room: Room): void {
--- a/test/pass.test.ts
+++ b/test/pass.test.ts
@@ -166,3 +166,20 @@
   b.pass();
   assert.equal(b.on('a', 'wk-000003'), 1);
 });
+
+test('the share for long work holds against its own and lesser priorities, not against higher ones', () => {
+  // Gangs once waited for half a minute beside room that was held for long best-effort arrays.
+  const cases: [string, 1 | 3, number][] = [
+    ['long work of least priority waits', 3, 1],
+    ['long work of the same priority waits', 1, 0],
+  ];
+  for (const [name, priority, placed] of cases) {
+    const b = new Bench();
+    b.report('a', []);
+    for (let i = 1; i <= 3; i++) b.job({ id: `wk-00001${i}`, gpus: 9, estimateS: 10 });
+    b.job({ id: 'wk-000001', tasks: 40, priority, estimateS: 1000 });
+    b.job({ id: 'wk-000002', kind: 'gang', gpus: 8, cores: 8, priority: 1 });
+    b.pass();
+    assert.equal(b.on('a', 'wk-000002'), placed, name);
+  }
+});
