--- a/src/service/evictions.ts
+++ b/src/service/evictions.ts
@@ -38,8 +38,6 @@
 const TIER = 1e6;
 /** A start that is late for its class counts as so many seconds, whatever its wait. */
 const LATE_S = 1e3;
-/** A start counts for users only if it is not stopped within so many seconds (protocol). */
-const COUNTED_S = 30;
 /** Commands and starts take so much of a report interval. */
 export const COMMAND_REPORTS = 0.3;
 
@@ -83,7 +81,7 @@
         group: job.gang ? a.job : `${a.job}/${a.index}`,
         lossS: 0,
         saveS: saves ? s.saveS : 0,
-        unsavedS: this.unsaved(job, ran, room),
+        unsavedS: saves ? ran % s.checkpointS : ran,
         cores: s.cores,
         gpus: s.gpus,
         memGb: s.memGb,
@@ -94,18 +92,6 @@
     return o;
   }
 
-  /**
-   * Seconds of work lost without saving. A replica loses none but those until it runs elsewhere. What
-   * began just now goes last: those that had waited for it would have waited in vain, and with "least
-   * run time lost" it was always the youngest that went.
-   */
-  private unsaved(job: LiveJob, ranS: number, room: Room): number {
-    const s = job.spec;
-    const young = ranS < COUNTED_S && this.waits.next(s.class, 0) !== null ? COUNTED_S : 0;
-    if (s.kind === 'service') return room.fetchS(s.imageGb) + young;
-    return (s.checkpointS > 0 ? ranS % s.checkpointS : ranS) + young;
-  }
-
   /** What stopping a task costs. Lesser work first; within it what loses least. */
   private priced(v: Held, how: Haste): Held {
     const { job } = v;
