--- a/src/service/evictions.ts
+++ b/src/service/evictions.ts
@@ -100,10 +100,8 @@
     return { ...v, lossS: lossS + (3 - job.spec.priority) * TIER };
   }
 
-  private mayEvict(job: LiveJob, victim: LiveJob, inTime: boolean): boolean {
+  private mayEvict(job: LiveJob, victim: LiveJob): boolean {
     if (victim === job) return false;
-    // For a start that has room but not in time nobody else's replica goes.
-    if (inTime && victim.spec.kind === 'service') return false;
     if (victim.spec.kind === 'service' && victim.spec.priority <= job.spec.priority) return false;
     if (victim.spec.priority > job.spec.priority) return true;
     // To give a team its guarantee, work that another team runs beyond its own may be stopped. Not
@@ -143,8 +141,7 @@
       if (!allowed(spec, room) || !mayUse(room)) continue;
       const { id, type, zone, spot } = room;
       // Most machines hold nothing that may be stopped: no need to look at each task there.
-      const may =
-        slot.least > from ? slot.victims.filter((v) => this.mayEvict(job, v.job, inTime)) : [];
+      const may = slot.least > from ? slot.victims.filter((v) => this.mayEvict(job, v.job)) : [];
       const imageS = room.imageWaitS(spec.image, spec.imageGb);
       const saveS = may.reduce((most, v) => Math.max(most, v.saveS), 0);
       const how = haste(leftS, saveS, imageS + slot.freeingS);
