A leader counts leases as run out only once a majority has acknowledged it

Guards against two controllers that are each refused alone by the state service, beside a third that is served: they passed for an outage to one another, renewed leases, and the third started the same tasks elsewhere. Acknowledged over the peer link, or in the store where that fails; every majority is counted from the settings.

--- a/src/cluster/election.ts
+++ b/src/cluster/election.ts
@@ -38,6 +38,9 @@
   private lease = 0;
   private validUntil = -Infinity;
   private promisedUntil = -Infinity;
+  /** The latest leader that this controller has acknowledged: it bears witness for no older one. */
+  acknowledged = 0;
+  private readonly startedAt: number;
   private stopped = false;
   private wake: (() => void) | null = null;
   readonly lifeS: number;
@@ -57,6 +60,7 @@
   ) {
     // A third of the workers' lease: the successor has two thirds to reach them all.
     this.lifeS = leaseS * 0.3;
+    this.startedAt = clock.now();
   }
 
   private become(role: Role): void {
@@ -228,7 +232,9 @@
    */
   private async endure(askedAt: number): Promise<void> {
     const forS = this.lifeS / 2;
+    if (this.acknowledged > this.token) return;
     if (!(await this.majorityRefused(this.token, forS))) return;
+    if (this.acknowledged > this.token) return;
     // The promises count from when they were given, which is after the question was sent.
     this.validUntil = Math.max(this.validUntil, askedAt + forS * (1 - 2 * DRIFT));
     if (this.role === 'leading') this.become('enduring');
@@ -237,7 +243,9 @@
   /** Asked by another node: looks at the state service now, not at what it said before. */
   async answerRefused(token: number, forMs: number): Promise<Record<string, unknown>> {
     const known = this.replica.leader;
-    if (known !== null && known.revision > token) return { refused: false };
+    if (this.acknowledged > token || (known !== null && known.revision > token)) {
+      return { refused: false };
+    }
     // One that only stands is as good a witness as any: it may stand again and again in an outage.
     if (this.role === 'leading' || this.role === 'enduring') return { refused: false };
     const promise =
@@ -258,6 +266,26 @@
     }
   }
 
+  /**
+   * A later leader asks for its backing, see `Mandate`. From now on this controller neither acts for
+   * an older one nor bears witness for it. Returns the seconds until its promises so far have ended.
+   */
+  acknowledge(token: number): number {
+    const now = this.clock.now();
+    let until = Math.max(this.promisedUntil, Math.min(now, this.keepUntil));
+    // A process that began just now does not know what the one before it promised.
+    until = Math.max(until, this.startedAt + this.lifeS * (1 + 2 * DRIFT));
+    if (token <= this.acknowledged) return until - now;
+    this.acknowledged = token;
+    this.keepUntil = -Infinity;
+    if (token > this.token && (this.role === 'leading' || this.role === 'enduring')) {
+      until = Math.max(until, Math.min(now, this.validUntil));
+      this.log.info({ token: this.token, later: token }, 'a later leader');
+      this.become('following');
+    }
+    return until - now;
+  }
+
   /**
    * Caretaking: nobody leads, nobody can take over, because the state service is down for all. Then
    * workers' leases are kept alive with the last leader's token and nothing else is done. It takes
@@ -277,7 +305,7 @@
   private async checkKeep(): Promise<boolean> {
     const askedAt = this.clock.now();
     const leader = this.replica.leader;
-    if (leader === null) return false;
+    if (leader === null || this.acknowledged > leader.revision) return false;
     try {
       await this.state.get(records.LEADER, 0.5);
       return false;
@@ -287,6 +315,7 @@
     const since = this.state.refusedSince;
     if (since === null || askedAt - since < this.lifeS * 0.4) return false;
     if (!(await this.majorityRefused(leader.revision, this.caretakeS))) return false;
+    if (this.acknowledged > leader.revision) return false;
     this.keepUntil = askedAt + this.caretakeS * (1 - 2 * DRIFT);
     this.log.info({ token: leader.revision }, 'leases are kept for a leader that is gone');
     return true;
--- /dev/null
+++ b/src/cluster/mandate.ts
@@ -0,0 +1,51 @@
+import type { Clock } from '../clock.js';
+
+/** What another controller says of a leader: it has acknowledged it, and what it promised others. */
+export interface Acknowledged {
+  /** Seconds until the last of its promises to others has ended; negative: it has. */
+  remainsS: number;
+}
+
+/**
+ * A leader's backing. Whoever acts on for a former leader, or in its place, because it takes a refusal
+ * for an outage (`Election.endure`, `Election.mayKeep`), needs a majority of controllers that say they
+ * are refused too. Two that are each refused alone can make one, beside a third that is served and
+ * elected. So before this leader counts any lease as run out, a majority must have acknowledged it:
+ * whoever has gives no such word for an older leader any more, and any two majorities share a node.
+ *
+ *   seeking  leases may be renewed by others at this moment
+ *   backed   they have not been since `keptUntil`, and never will be
+ */
+export class Mandate {
+  private readonly ends = new Map<string, number>();
+
+  constructor(
+    readonly token: number,
+    private readonly nodes: number,
+    private readonly clock: Clock,
+  ) {}
+
+  get state(): 'seeking' | 'backed' {
+    return this.ends.size >= this.needed ? 'backed' : 'seeking';
+  }
+
+  /** Others that make a majority together with this controller. */
+  private get needed(): number {
+    return Math.floor(this.nodes / 2);
+  }
+
+  has(node: string): boolean {
+    return this.ends.has(node);
+  }
+
+  note(node: string, a: Acknowledged): void {
+    if (!this.ends.has(node)) this.ends.set(node, this.clock.now() + a.remainsS);
+  }
+
+  /** Until when others may renew, or may have renewed, leases with an older token. */
+  get keptUntil(): number {
+    if (this.state === 'seeking') return this.clock.now();
+    const ends = [...this.ends.values()].sort((a, b) => a - b);
+    return this.needed === 0 ? -Infinity : ends[this.needed - 1]!;
+  }
+}
--- a/src/cluster/peers.ts
+++ b/src/cluster/peers.ts
@@ -47,6 +47,8 @@
   | { q: 'report'; body: string; hop: boolean }
   /** Does the state service refuse you too? Promise not to take over for a while if it does. */
   | { q: 'refused'; token: number; forMs: number }
+  /** A leader was elected: acknowledge it. */
+  | { q: 'elected'; token: number }
   /** Are you there? */
   | { q: 'there' }
   /** A user's request, passed on by a controller that the state service does not serve. */
--- /dev/null
+++ b/src/service/backing.ts
@@ -0,0 +1,102 @@
+import type { Election } from '../cluster/election.js';
+import { Mandate } from '../cluster/mandate.js';
+import type { PeerNet } from '../cluster/peers.js';
+import { sleep, type Clock } from '../clock.js';
+import type { Settings } from '../config/settings.js';
+import type { Log } from '../log.js';
+import type { StateClient } from '../state/client.js';
+import type { Replica } from '../state/replica.js';
+import * as records from '../state/records.js';
+
+/** A leader asks those that have not acknowledged it so many times in a lease. */
+const ASKS = 20;
+/** A leader that has not asked by the peer link within so many leases is told by the store. */
+const STORE_LEASES = 0.1;
+
+/** Both sides of a leader's backing: asking for it, and giving it by the peer link or the store. */
+export class Backing {
+  private mandate: Mandate | null = null;
+  private stopped = false;
+
+  constructor(
+    private readonly settings: Settings,
+    private readonly election: Election,
+    private readonly peers: () => PeerNet,
+    private readonly state: StateClient,
+    private readonly replica: Replica,
+    private readonly clock: Clock,
+    private readonly log: Log,
+  ) {}
+
+  /** Until when others may renew leases in the place of a leader before this one. */
+  keptUntil(token: number): number {
+    return this.mandate?.token === token ? this.mandate.keptUntil : this.clock.now();
+  }
+
+  /** This controller was elected. */
+  async seek(token: number): Promise<void> {
+    const mandate = new Mandate(token, this.settings.nodes, this.clock);
+    this.mandate = mandate;
+    for (const [node, { ack }] of this.replica.acks) this.acked(node, ack);
+    const pause = this.settings.workers.lease_s / ASKS;
+    while (!this.stopped && this.mandate === mandate && mandate.state === 'seeking') {
+      const missing = this.peers().names.filter((n) => !mandate.has(n));
+      await Promise.all(
+        missing.map(async (node) => {
+          const a = await this.peers().ask(node, { q: 'elected', token }, pause);
+          const remains = a?.remainsS;
+          if (typeof remains === 'number') mandate.note(node, { remainsS: remains });
+        }),
+      );
+      if (mandate.state === 'seeking') await sleep(pause);
+    }
+    if (this.mandate === mandate) this.log.debug({ token }, 'backed by a majority');
+  }
+
+  /** Seen in the store. */
+  acked(node: string, ack: records.AckRecord): void {
+    if (this.mandate?.token === ack.token) this.mandate.note(node, ack);
+  }
+
+  /** Asked by a leader over the peer link. */
+  asked(token: unknown): Record<string, unknown> {
+    if (typeof token !== 'number' || !Number.isSafeInteger(token)) return {};
+    return { remainsS: this.election.acknowledge(token) };
+  }
+
+  /**
+   * The store shows a leader. As a rule it asks by the peer link; when that does not work, it learns
+   * from the store that this controller is not refused, and is on its side.
+   */
+  async led(): Promise<void> {
+    const leader = this.replica.leader;
+    if (leader === null || leader.node === this.settings.node) return;
+    const token = leader.revision;
+    await sleep(this.settings.workers.lease_s * STORE_LEASES);
+    if (this.election.acknowledged >= token) return;
+    const key = records.ackKey(this.settings.node);
+    const remainsS = this.election.acknowledge(token);
+    const value = records.encodeAck({ token, remainsS });
+    while (!this.stopped && this.replica.leader?.revision === token) {
+      const revision = this.replica.acks.get(this.settings.node)?.revision ?? 0;
+      try {
+        this.state.writes.force(1);
+        const r = await this.state.commit(
+          [{ key, revision }],
+          [{ put: key, value }],
+          this.settings.workers.report_s * 1.5,
+        );
+        if (r.ok) return;
+      } catch (e) {
+        this.log.debug({ err: String(e) }, 'acknowledgement not stored');
+      }
+      // Carried out without an answer, or refused: what the store shows next tells which.
+      await sleep(this.settings.workers.lease_s * STORE_LEASES);
+      if (this.replica.acks.get(this.settings.node)?.ack.token === token) return;
+    }
+  }
+
+  stop(): void {
+    this.stopped = true;
+  }
+}
--- a/src/service/node.ts
+++ b/src/service/node.ts
@@ -16,6 +16,7 @@
 import { Intake } from '../state/intake.js';
 import { Replica } from '../state/replica.js';
 import { route } from '../wire/users.js';
+import { Backing } from './backing.js';
 import { Costs } from './costs.js';
 import { Front } from './front.js';
 import { Cancelling } from './cancelling.js';
@@ -38,6 +39,7 @@
   readonly follower: Follower;
   readonly election: Election;
   readonly peers: PeerNet;
+  private readonly backing: Backing;
   private readonly front: Front;
   /** Only where this controller is its zone's warden. */
   private readonly warden: Warden | null;
@@ -73,7 +75,11 @@
     this.replica.listener = {
       onJob: (j) => this.leader?.onJob(j),
       onCancelled: (j) => this.leader?.onCancelled(j),
-      onLeader: () => this.election.nudge(),
+      onLeader: () => {
+        this.election.nudge();
+        void this.backing.led();
+      },
+      onAck: (node, ack) => this.backing.acked(node, ack),
       onPresence: (node) => this.wards.changed(node),
     };
     this.follower = new Follower(
@@ -102,6 +108,15 @@
         onToldCancelled: (ids) => this.toldCancelled(ids),
       },
     );
+    this.backing = new Backing(
+      settings,
+      this.election,
+      () => this.peers,
+      this.state,
+      this.replica,
+      this.clock,
+      log,
+    );
     this.peers = new PeerNet(settings.node, settings.peers, (from, q) => this.answer(from, q), log);
     const byZone = wardens([settings, ...settings.peers]);
     this.wards = new WardenWatch(
@@ -206,6 +221,7 @@
     clearInterval(this.beat);
     clearTimeout(this.costsTimer);
     this.election.stop();
+    this.backing.stop();
     this.warden?.stop();
     this.follower.stop();
     this.leader?.stop();
@@ -257,7 +273,8 @@
         token,
         incarnation: this.incarnation,
         entitled: () => this.election.entitled && this.election.token === token,
-        keptUntil: () => this.state.refusedAt + this.election.caretakeS,
+        keptUntil: () =>
+          Math.max(this.state.refusedAt + this.election.caretakeS, this.backing.keptUntil(token)),
         zone: (zone) => this.wards.zone(zone),
         prove: () => void this.follower.sync().then((ok) => ok && this.leader?.term.stir()),
         writing: () => this.election.writing && this.election.token === token,
@@ -267,6 +284,7 @@
       () => this.election.nudge(),
       this.costs,
     );
+    void this.backing.seek(token);
     this.leader.start();
     if (this.fetched !== null && this.leader.term.types.size === 0)
       this.leader.onTypes(this.fetched);
@@ -318,6 +336,8 @@
         if (r instanceof Promise) return r.then((x) => ({ ...(x ?? { status: 504 }) }));
         return { ...r };
       }
+      case 'elected':
+        return this.backing.asked(q.token);
       case 'there':
         return { there: true };
       case 'user':
--- a/src/state/records.ts
+++ b/src/state/records.ts
@@ -8,6 +8,7 @@
  *   ps/m/<machine>           a machine, its owner and the attempts that may be on it
  *   ps/l                     the leader, attached to its lease; its revision is the token
  *   ps/n/<node>              a controller that is there, attached to a lease of its own
+ *   ps/a/<node>              the latest leader that a controller has acknowledged by way of the store
  *   ps/t                     the machine types, for times when the cloud does not answer
  *
  * Order in time is the order of revisions: of "done" and "cancelled" the older one counts.
@@ -17,11 +18,13 @@
 export const PROGRESS = 'ps/p/';
 export const MACHINES = 'ps/m/';
 export const NODES = 'ps/n/';
+export const ACKS = 'ps/a/';
 export const LEADER = 'ps/l';
 export const TYPES = 'ps/t';
 
 export const progressKey = (job: string, chunk: number): string => `${PROGRESS}${job}/${chunk}`;
 export const nodeKey = (node: string): string => `${NODES}${node}`;
+export const ackKey = (node: string): string => `${ACKS}${node}`;
 export const machineKey = (id: string): string => `${MACHINES}${id}`;
 
 /** An accepted job and the time of day of its acceptance in ms. */
@@ -163,5 +166,16 @@
   return { node: o.n, incarnation: o.i };
 }
 
+export interface AckRecord {
+  token: number;
+  remainsS: number;
+}
+
+export const encodeAck = (a: AckRecord): unknown => ({ t: a.token, r: a.remainsS });
+export function decodeAck(value: unknown): AckRecord {
+  const o = value as { t: number; r: number };
+  return { token: o.t, remainsS: o.r };
+}
+
 export const encodeTypes = (t: MachineType[]): unknown => t;
 export const decodeTypes = (value: unknown): MachineType[] => value as MachineType[];
--- a/src/state/replica.ts
+++ b/src/state/replica.ts
@@ -33,6 +33,7 @@
   onLeader?(): void;
   /** A controller's key was put or is gone. */
   onPresence?(node: string): void;
+  onAck?(node: string, ack: records.AckRecord): void;
 }
 
 /** A copy of the store, fed by listing and then by the stream of changes in their order. */
@@ -44,6 +45,8 @@
   leader: (records.LeaderRecord & { revision: number }) | null = null;
   /** Controllers whose key is there, with its revision. */
   readonly present = new Map<string, number>();
+  /** What controllers have acknowledged by way of the store, and the record's revision. */
+  readonly acks = new Map<string, { ack: records.AckRecord; revision: number }>();
   /** The highest token that is known. */
   lastToken = 0;
   types: MachineType[] | null = null;
@@ -102,6 +105,12 @@
         if ((this.present.get(node) ?? -1) >= revision) return;
         this.present.set(node, revision);
         this.listener.onPresence?.(node);
+      } else if (key.startsWith(records.ACKS)) {
+        const node = key.slice(records.ACKS.length);
+        if ((this.acks.get(node)?.revision ?? -1) >= revision) return;
+        const ack = records.decodeAck(value);
+        this.acks.set(node, { ack, revision });
+        this.listener.onAck?.(node, ack);
       } else if (key === records.LEADER) {
         if (this.leader !== null && this.leader.revision >= revision) return;
         this.leader = { ...records.decodeLeader(value), revision };
--- a/test/standins.ts
+++ b/test/standins.ts
@@ -81,6 +81,21 @@
   }
 }
 
+/** The state service as one controller sees it: it may refuse that one alone. */
+export class Refuser extends Stand {
+  refuses = false;
+
+  constructor(state: StateStand) {
+    super(async (method, url, body) => {
+      if (this.refuses) return [503, { error: 'trouble' }];
+      const answer = await state.handle(method, url, body);
+      // Open watches wait, as they would in an outage.
+      while (this.refuses) await new Promise((r) => setTimeout(r, 10));
+      return answer;
+    });
+  }
+}
+
 interface Entry {
   value: unknown;
   mark: number;
@@ -117,7 +132,7 @@
     }
   }
 
-  private async handle(method: string, url: URL, body: Json): Promise<[number, unknown]> {
+  async handle(method: string, url: URL, body: Json): Promise<[number, unknown]> {
     const path = url.pathname;
     if (this.down) return [503, { error: 'trouble' }];
     if (path === '/commit') return this.commit(body);
