--- a/src/service/evictions.ts
+++ b/src/service/evictions.ts
@@ -142,7 +142,7 @@
       const { id, type, zone, spot } = room;
       // Most machines hold nothing that may be stopped: no need to look at each task there.
       const may = slot.least > from ? slot.victims.filter((v) => this.mayEvict(job, v.job)) : [];
-      const imageS = room.imageWaitS(spec.image, spec.imageGb);
+      const imageS = room.imageWaitS(spec.image, spec.imageGb) * this.term.fetches.sure;
       const saveS = may.reduce((most, v) => Math.max(most, v.saveS), 0);
       const how = haste(leftS, saveS, imageS + slot.freeingS);
       if (inTime && how === 'late') continue;
--- a/src/service/scheduler.ts
+++ b/src/service/scheduler.ts
@@ -205,7 +205,7 @@
       let room = bestRoom(spec, rooms, { zones, avoid, may }, w);
       if (room === null) break;
       const late = (r: Room): boolean =>
-        leftS !== null && r.imageWaitS(spec.image, spec.imageGb) > leftS;
+        leftS !== null && r.imageWaitS(spec.image, spec.imageGb) * this.term.fetches.sure > leftS;
       if (late(room)) {
         // Too late there, because the image has to be fetched. Better where it is, whatever others
         // may want of that place, or where lesser work can make room in time.
@@ -345,6 +345,8 @@
       );
     }
     const a = makeAttempt(job.spec.id, index, number, m.id, 'claiming', this.term.now);
+    const fetchS = room.imageWaitS(job.spec.image, job.spec.imageGb);
+    if (fetchS === room.fetchS(job.spec.imageGb)) a.fetchS = fetchS;
     m.claim(a);
     job.claimed(a);
     this.term.dirtyMachines.add(m.id);
--- a/src/service/term.ts
+++ b/src/service/term.ts
@@ -5,6 +5,7 @@
 import type { Log } from '../log.js';
 import type { Policy } from '../operator/policy.js';
 import { outcome, type JobFacts, type Replica } from '../state/replica.js';
+import { FetchTimes } from '../sched/fetches.js';
 import { advance, holds, makeAttempt, mayBeThere, type Attempt } from '../workers/attempt.js';
 import { Machine, type Changes } from '../workers/machine.js';
 
@@ -39,6 +40,7 @@
   readonly removals = new Map<string, number>();
   /** Machines with commands that should not wait for the next check-in. */
   readonly urgent = new Set<string>();
+  readonly fetches = new FetchTimes();
   readonly startedAt: number;
   types = new Map<string, MachineType>();
   /** Set when something happened that placing should look at. */
@@ -215,6 +217,10 @@
       }
     }
     for (const a of c.moved) {
+      if (a.fetchS > 0 && a.sentAt !== null && (a.state === 'running' || a.state === 'waiting')) {
+        this.fetches.note(a.fetchS, now - a.sentAt);
+        a.fetchS = 0;
+      }
       const job = this.jobs.get(a.job);
       if (a.state !== 'running' || job === undefined) continue;
       this.deps.log.debug(
--- a/src/service/upkeep.ts
+++ b/src/service/upkeep.ts
@@ -210,7 +210,9 @@
     const kind = m.spot ? 1 : 0;
     const surplus = spare[kind]!;
     // What is held above the reserve goes back, with a margin against going back and forth.
-    const margin = this.term.jobs.size === 0 ? 0.9 : SURPLUS;
+    // Where nothing is kept even the last one goes: it once stayed for the rest of the day.
+    const none = this.term.jobs.size === 0 || (m.spot && this.target(true) === 0);
+    const margin = none ? 0.9 : SURPLUS;
     const early = m.spot || surplus >= MUCH_SURPLUS;
     if (surplus < margin || idle <= type.bootS * (early ? IDLE_EARLY_BOOTS : IDLE_BOOTS)) {
       return false;
--- a/src/workers/attempt.ts
+++ b/src/workers/attempt.ts
@@ -61,6 +61,10 @@
   startedAt: number | null;
   endedAt: number | null;
   resends: number;
+  /** Seconds of fetching that were predicted for it alone; 0: none, or it shares a fetch. */
+  fetchS: number;
+  /** When its start went out. */
+  sentAt: number | null;
 }
 
 export function makeAttempt(
@@ -89,6 +93,8 @@
     startedAt: null,
     endedAt: null,
     resends: 0,
+    fetchS: 0,
+    sentAt: null,
   };
 }
 
--- a/src/workers/machine.ts
+++ b/src/workers/machine.ts
@@ -296,6 +296,7 @@
       if (c.op === 'stop' && a.stop !== null) a.stop.sentAt ??= now;
       if (c.op === 'start') {
         if (a.state === 'claimed') advance(a, 'sent', now);
+        a.sentAt ??= now;
         a.session = this.session;
         if (via === 'checkin') a.viaCheckin = this.checkinSeq;
         else {
--- a/test/sched.test.ts
+++ b/test/sched.test.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import { FetchTimes } from '../src/sched/fetches.js';
 import { test } from 'node:test';
 import { planRent, type Demand } from '../src/cloud/plan.js';
 import { warmTarget } from '../src/cloud/warm.js';
@@ -298,3 +299,21 @@
     assert.equal(chooseVacated([candidate], classy, () => may, w) !== null, want, name);
   }
 });
+
+test('how long fetches take is learned from those seen, the odd ones aside', () => {
+  const cases: [string, [number, number][], number][] = [
+    ['nothing seen', [], 1],
+    ['too few', Array(7).fill([10, 20]), 1],
+    ['slower by a fifth', Array(8).fill([10, 12]), 1.2],
+    ['faster: promises do not rest on luck', Array(8).fill([10, 8]), 1],
+    ['hangs and shared lines say nothing', Array(20).fill([10, 100]), 1],
+    ['a quarter is slower than counted with', [...Array(9).fill([10, 11]), ...Array(3).fill([10, 14])], 1.4],
+    ['a tenth is', [...Array(18).fill([10, 11]), ...Array(2).fill([10, 14])], 1.1],
+    ['the last ones count', [...Array(64).fill([10, 14]), ...Array(64).fill([10, 11])], 1.1],
+  ]; // prettier-ignore
+  for (const [name, seen, sure] of cases) {
+    const f = new FetchTimes();
+    for (const [predicted, took] of seen) f.note(predicted, took);
+    assert.equal(f.sure, sure, name);
+  }
+});
