--- a/src/clock.ts
+++ b/src/clock.ts
@@ -8,6 +8,27 @@
 export const sleep = (seconds: number): Promise<void> =>
   new Promise((resolve) => setTimeout(resolve, Math.max(0, seconds * 1000)));
 
+/** A pause that can be ended early. */
+export class Pause {
+  private wake: (() => void) | null = null;
+
+  wait(seconds: number): Promise<void> {
+    return new Promise((resolve) => {
+      const done = (): void => {
+        clearTimeout(timer);
+        if (this.wake === done) this.wake = null;
+        resolve();
+      };
+      const timer = setTimeout(done, seconds * 1000);
+      this.wake = done;
+    });
+  }
+
+  end(): void {
+    this.wake?.();
+  }
+}
+
 /** Upper bound of how far two steady clocks drift apart (protocol: 0.05 %), taken twice over. */
 export const DRIFT = 0.001;
 
--- a/src/cloud/fleet.ts
+++ b/src/cloud/fleet.ts
@@ -1,5 +1,5 @@
 import { random } from '../random.js';
-import { sleep, type Clock } from '../clock.js';
+import { Pause, sleep, type Clock } from '../clock.js';
 import type { Log } from '../log.js';
 import type { MachineType } from '../jobs/types.js';
 import { RENT_MAX, RETURN_MAX, type ListedMachine, type RentRequest } from '../wire/cloud.js';
@@ -40,7 +40,7 @@
   private stopped = false;
   private listAt = -Infinity;
   private typesAt = -Infinity;
-  private wake: (() => void) | null = null;
+  private readonly pause = new Pause();
   listedOnce = false;
 
   constructor(
@@ -71,17 +71,7 @@
   }
 
   nudge(): void {
-    this.wake?.();
-  }
-
-  private pause(s: number): Promise<void> {
-    return new Promise((resolve) => {
-      const t = setTimeout(resolve, s * 1000);
-      this.wake = () => {
-        clearTimeout(t);
-        resolve();
-      };
-    });
+    this.pause.end();
   }
 
   async run(): Promise<void> {
@@ -92,7 +82,7 @@
         this.log.debug({ err: String(e) }, 'cloud round failed');
         await sleep(0.5 + random() * 0.5);
       }
-      await this.pause(0.5);
+      await this.pause.wait(0.5);
     }
   }
 
@@ -209,6 +199,6 @@
 
   stop(): void {
     this.stopped = true;
-    this.wake?.();
+    this.pause.end();
   }
 }
--- a/src/cluster/election.ts
+++ b/src/cluster/election.ts
@@ -1,5 +1,5 @@
 import { random } from '../random.js';
-import { DRIFT, sleep, type Clock } from '../clock.js';
+import { DRIFT, Pause, sleep, type Clock } from '../clock.js';
 import type { Log } from '../log.js';
 import { Refused, type StateClient } from '../state/client.js';
 import type { Follower } from '../state/follow.js';
@@ -42,7 +42,7 @@
   acknowledged = 0;
   private readonly startedAt: number;
   private stopped = false;
-  private wake: (() => void) | null = null;
+  private readonly pause = new Pause();
   readonly lifeS: number;
 
   constructor(
@@ -89,19 +89,7 @@
   }
 
   nudge(): void {
-    this.wake?.();
-  }
-
-  private pause(s: number): Promise<void> {
-    return new Promise((resolve) => {
-      const done = (): void => {
-        clearTimeout(timer);
-        if (this.wake === done) this.wake = null;
-        resolve();
-      };
-      const timer = setTimeout(done, s * 1000);
-      this.wake = done;
-    });
+    this.pause.end();
   }
 
   async run(): Promise<void> {
@@ -130,7 +118,7 @@
     // My own former process is dead for certain: nothing to wait for.
     const mine = leader !== null && leader.node === this.node;
     if (leader !== null && !mine) {
-      await this.pause(0.5);
+      await this.pause.wait(0.5);
       return;
     }
     if (!mine) {
@@ -341,6 +329,6 @@
 
   stop(): void {
     this.stopped = true;
-    this.wake?.();
+    this.pause.end();
   }
 }
--- a/src/service/store.ts
+++ b/src/service/store.ts
@@ -1,5 +1,5 @@
 import { random } from '../random.js';
-import { sleep, type Clock } from '../clock.js';
+import { Pause, sleep, type Clock } from '../clock.js';
 import type { Log } from '../log.js';
 import type { LiveJob } from '../jobs/live.js';
 import { Refused, type StateClient } from '../state/client.js';
@@ -40,7 +40,7 @@
  */
 export class TermStore {
   private stopped = false;
-  private wake: (() => void) | null = null;
+  private readonly pause = new Pause();
   typesDirty = false;
   private typesRevision: number | undefined;
 
@@ -55,23 +55,13 @@
   ) {}
 
   nudge(): void {
-    this.wake?.();
-  }
-
-  private pause(s: number): Promise<void> {
-    return new Promise((resolve) => {
-      const t = setTimeout(resolve, s * 1000);
-      this.wake = () => {
-        clearTimeout(t);
-        resolve();
-      };
-    });
+    this.pause.end();
   }
 
   async run(): Promise<void> {
     while (!this.stopped) {
       try {
-        if (!this.term.deps.writing() || !(await this.flush())) await this.pause(0.25);
+        if (!this.term.deps.writing() || !(await this.flush())) await this.pause.wait(0.25);
       } catch (e) {
         this.log.error({ err: String(e), stack: (e as Error).stack }, 'store round failed');
         await sleep(0.2);
@@ -311,6 +301,6 @@
 
   stop(): void {
     this.stopped = true;
-    this.wake?.();
+    this.pause.end();
   }
 }
--- a/test/helpers.ts
+++ b/test/helpers.ts
@@ -1,3 +1,5 @@
+import assert from 'node:assert/strict';
+import { createServer, type AddressInfo } from 'node:net';
 import { parseSettings, type Settings } from '../src/config/settings.js';
 import type { JobSpec, MachineType } from '../src/jobs/types.js';
 
@@ -102,3 +104,25 @@
   bootS: 1,
   zones: ['z1', 'z2'],
 };
+
+export async function freePort(): Promise<number> {
+  const s = createServer();
+  await new Promise<void>((r) => s.listen(0, '127.0.0.1', r));
+  const { port } = s.address() as AddressInfo;
+  await new Promise((r) => s.close(r));
+  return port;
+}
+
+export const wait = (ms: number): Promise<void> => new Promise((r) => setTimeout(r, ms));
+
+export async function until(
+  what: string,
+  is: () => boolean | Promise<boolean>,
+  s = 30,
+): Promise<void> {
+  const end = Date.now() + s * 1000;
+  while (!(await is())) {
+    assert.ok(Date.now() < end, `in time: ${what}`);
+    await wait(20);
+  }
+}
--- a/test/mandate.test.ts
+++ b/test/mandate.test.ts
@@ -1,12 +1,11 @@
 import assert from 'node:assert/strict';
-import { createServer, type AddressInfo } from 'node:net';
 import { after, test } from 'node:test';
 import { Mandate } from '../src/cluster/mandate.js';
 import { parseSettings } from '../src/config/settings.js';
 import { silentLog } from '../src/log.js';
 import { DEFAULT_POLICY } from '../src/operator/policy.js';
 import { Node } from '../src/service/node.js';
-import { settingsText, type Ports } from './helpers.js';
+import { freePort, settingsText, until, wait, type Ports } from './helpers.js';
 import { FleetStand, Gate, Refuser, StateStand } from './standins.js';
 
 test('a leader counts leases as run out only once a majority has acknowledged it', () => {
@@ -47,24 +46,6 @@
   state.close();
 });
 
-async function freePort(): Promise<number> {
-  const s = createServer();
-  await new Promise<void>((r) => s.listen(0, '127.0.0.1', r));
-  const { port } = s.address() as AddressInfo;
-  await new Promise((r) => s.close(r));
-  return port;
-}
-
-const wait = (ms: number): Promise<void> => new Promise((r) => setTimeout(r, ms));
-
-async function until(what: string, is: () => boolean | Promise<boolean>): Promise<void> {
-  const end = Date.now() + 30_000;
-  while (!(await is())) {
-    assert.ok(Date.now() < end, `in time: ${what}`);
-    await wait(50);
-  }
-}
-
 const leads = (i: number): boolean => nodes[i]!.leader !== null;
 
 test('two controllers that are each refused alone do not pass for an outage beside one that is served', async () => {
--- a/test/service.test.ts
+++ b/test/service.test.ts
@@ -1,11 +1,11 @@
 import assert from 'node:assert/strict';
-import { createServer, connect, type AddressInfo } from 'node:net';
+import { connect } from 'node:net';
 import { after, before, test } from 'node:test';
 import { parseSettings } from '../src/config/settings.js';
 import { silentLog } from '../src/log.js';
 import { DEFAULT_POLICY } from '../src/operator/policy.js';
 import { Node } from '../src/service/node.js';
-import { settingsText, type Ports } from './helpers.js';
+import { freePort, settingsText, until, type Ports } from './helpers.js';
 import { FleetStand, StateStand } from './standins.js';
 
 /** The main job end to end: three controllers against stand-ins that watch the rules. */
@@ -15,14 +15,6 @@
 const ports: Ports[] = [];
 const nodes: (Node | null)[] = [];
 
-async function freePort(): Promise<number> {
-  const s = createServer();
-  await new Promise<void>((r) => s.listen(0, '127.0.0.1', r));
-  const { port } = s.address() as AddressInfo;
-  await new Promise((r) => s.close(r));
-  return port;
-}
-
 async function startNode(i: number): Promise<void> {
   const text = settingsText(i, ports, fleet.port, state.port, LEASE);
   const node = new Node(parseSettings(text), DEFAULT_POLICY, silentLog());
@@ -49,14 +41,6 @@
   state.close();
 });
 
-async function until(what: string, is: () => boolean | Promise<boolean>, s = 30): Promise<void> {
-  const end = Date.now() + s * 1000;
-  while (!(await is())) {
-    assert.ok(Date.now() < end, `in time: ${what}`);
-    await new Promise((r) => setTimeout(r, 50));
-  }
-}
-
 async function call(
   i: number,
   method: string,
--- a/test/warden.test.ts
+++ b/test/warden.test.ts
@@ -1,5 +1,4 @@
 import assert from 'node:assert/strict';
-import { createServer, type AddressInfo } from 'node:net';
 import { after, test } from 'node:test';
 import { steadyClock } from '../src/clock.js';
 import { Warden, WardenWatch, wardens, wardenTimes } from '../src/cluster/warden.js';
@@ -8,19 +7,9 @@
 import { DEFAULT_POLICY } from '../src/operator/policy.js';
 import { Node } from '../src/service/node.js';
 import { Refused, Unanswered } from '../src/state/client.js';
-import { settingsText, type Ports } from './helpers.js';
+import { freePort, settingsText, until, wait, type Ports } from './helpers.js';
 import { FleetStand, Gate, StateStand } from './standins.js';
 
-const wait = (ms: number): Promise<void> => new Promise((r) => setTimeout(r, ms));
-
-async function until(what: string, is: () => boolean | Promise<boolean>): Promise<void> {
-  const end = Date.now() + 30_000;
-  while (!(await is())) {
-    assert.ok(Date.now() < end, `in time: ${what}`);
-    await wait(5);
-  }
-}
-
 test('a zone has a warden when exactly one of several zones’ controllers is in it', () => {
   const n = (node: string, zone: string): { node: string; zone: string } => ({ node, zone });
   const cases: [string, { node: string; zone: string }[], [string, string][]][] = [
@@ -174,14 +163,6 @@
   state.close();
 });
 
-async function freePort(): Promise<number> {
-  const s = createServer();
-  await new Promise<void>((r) => s.listen(0, '127.0.0.1', r));
-  const { port } = s.address() as AddressInfo;
-  await new Promise((r) => s.close(r));
-  return port;
-}
-
 async function gate(target: number): Promise<number> {
   const g = new Gate(target);
   gates.push(g);
