--- a/src/service/scheduler.ts
+++ b/src/service/scheduler.ts
@@ -322,7 +322,7 @@
     // What leaves at once when others come may use even the room that is kept for them.
     const soft = this.leaves(job.spec);
     return (r) => {
-      const beyond = (soft && (r.spot || this.noSpot(r.type))) || this.excess.get(r.spot)! >= gpus / Math.max(1, r.whole.gpus);
+      const beyond = soft || this.excess.get(r.spot)! >= gpus / Math.max(1, r.whole.gpus);
       if (r.spot) return beyond || job.guaranteed;
       return this.noSpot(r.type) || (beyond && this.book.inUse(r.id));
     };
