--- a/src/service/node.ts
+++ b/src/service/node.ts
@@ -24,7 +24,9 @@
 import { Reports } from './reports.js';
 import { Users } from './users.js';
 
-/** Costs are logged once in so many beats. */
+/** Jobs that are over stay whole in memory for so many leases after their acceptance. */
+const TRIM_LEASES = 60;
+/** Costs are logged, and old jobs trimmed, once in so many beats. */
 const COST_BEATS = 40;
 
 export interface NodeOptions {
@@ -212,7 +214,10 @@
     const interval = this.settings.workers.report_s / 2;
     if (this.beatAt !== null) this.costs.record('lag', now - this.beatAt - interval);
     this.beatAt = now;
-    if (++this.beats % COST_BEATS === 0) this.log.debug(this.costs.figures(), 'costs');
+    if (++this.beats % COST_BEATS === 0) {
+      this.log.debug(this.costs.figures(), 'costs');
+      this.replica.trim(this.wallMs() - this.settings.workers.lease_s * TRIM_LEASES * 1000);
+    }
     this.leader?.beat();
   }
 
--- a/src/service/scheduler.ts
+++ b/src/service/scheduler.ts
@@ -13,6 +13,7 @@
 } from '../sched/place.js';
 import { leavesSoon, Waits } from '../sched/objectives.js';
 import type { Usages } from '../sched/quota.js';
+import { specOf } from '../state/replica.js';
 import { makeAttempt } from '../workers/attempt.js';
 import type { Machine } from '../workers/machine.js';
 import { unit } from '../cloud/arrivals.js';
@@ -105,7 +106,10 @@
   }
 
   private specOf(job: string): JobSpec | null {
-    return this.term.jobs.get(job)?.spec ?? this.term.deps.replica.jobs.get(job)?.spec ?? null;
+    const live = this.term.jobs.get(job);
+    if (live !== undefined) return live.spec;
+    const facts = this.term.deps.replica.jobs.get(job);
+    return facts === undefined ? null : specOf(facts);
   }
 
   private zonesOf(job: LiveJob): Map<string, number> {
--- a/src/state/replica.ts
+++ b/src/state/replica.ts
@@ -1,4 +1,4 @@
-import type { MachineType } from '../jobs/types.js';
+import type { JobSpec, MachineType } from '../jobs/types.js';
 import { Bits, chunkCount, chunkSize, chunkTasks } from '../jobs/bits.js';
 import type { Change, Item } from '../wire/state.js';
 import * as records from './records.js';
@@ -19,6 +19,16 @@
   claims: number;
 }
 
+/** What is left of the description of a job that was over long ago, shared by all alike. */
+const LEAN: JobSpec = {
+  id: '', class: '', team: '', kind: 'array', priority: 3, tasks: 0, cores: 0, gpus: 0, memGb: 0,
+  image: '', imageGb: 0, types: null, zone: null, oneZone: false, scatter: false, spot: false,
+  estimateS: 0, checkpointS: 0, saveS: 0, deadlineS: null,
+}; // prettier-ignore
+
+/** Null: it is over, and what it asked for has left memory. */
+export const specOf = (j: JobFacts): JobSpec | null => (j.spec.id === '' ? null : j.spec);
+
 export type Outcome = 'open' | 'done' | 'cancelled';
 
 /** The older one of "done" and "cancelled" counts, on every node and for ever. */
@@ -67,6 +77,25 @@
     return this.perChunk;
   }
 
+  private readonly lean = new Map<number, JobSpec>();
+
+  /**
+   * Of jobs that are over and were accepted before this time only the outcome stays in memory: users
+   * may ask for ever, and what they are told needs no more. Not while a machine's record names one of
+   * its tasks: what that takes there must be known.
+   */
+  trim(beforeMs: number): void {
+    for (const [id, j] of this.jobs) {
+      if (j.atMs >= beforeMs || j.claims > 0 || j.spec.id === '' || outcome(j) === 'open') continue;
+      const { tasks } = j.spec;
+      let lean = this.lean.get(tasks);
+      if (lean === undefined) this.lean.set(tasks, (lean = { ...LEAN, tasks }));
+      const { atMs, acceptedAt, cancelledAt, doneAt, doneTasks } = j;
+      const over = { spec: lean, atMs, acceptedAt, cancelledAt, doneAt, doneTasks };
+      this.jobs.set(id, { ...over, attainedS: 0, chunks: null, claims: 0 });
+    }
+  }
+
   /** One item of a listing. Older copies of what is known already change nothing. */
   item(item: Item): void {
     this.put(item.key, item.value, item.revision);
--- a/test/replica.test.ts
+++ b/test/replica.test.ts
@@ -3,7 +3,7 @@
 import { Bits } from '../src/jobs/bits.js';
 import { LiveJob } from '../src/jobs/live.js';
 import * as records from '../src/state/records.js';
-import { outcome, Replica } from '../src/state/replica.js';
+import { outcome, Replica, specOf } from '../src/state/replica.js';
 import { makeAttempt } from '../src/workers/attempt.js';
 import { spec } from './helpers.js';
 
@@ -115,3 +115,36 @@
   assert.ok(live.dirtyChunks.has(0), 'what was done meanwhile is written next');
   assert.ok(live.finished);
 });
+
+test('of jobs that are over only the outcome stays in memory, and it stays the same', () => {
+  const claim = (revision: number, n: number) =>
+    put(
+      records.machineKey('host-1'),
+      records.encodeMachine({
+        owner: 'n', term: 1, addr: 'a', type: 'g8', zone: 'z1', spot: false, returning: false,
+        claims: Array.from({ length: n }, (_, index) => ({ job: 'wk-000001', index, attempt: 1 })),
+        images: [],
+      }),
+      revision,
+    ); // prettier-ignore
+  // Changes, the time before which jobs are trimmed (it was accepted at 5 ms), outcome, trimmed.
+  const cases: [string, ReturnType<typeof put>[], number, string, boolean][] = [
+    ['open', [job(1)], 10, 'open', false],
+    ['done', [job(1), done(2)], 10, 'done', true],
+    ['cancelled', [job(1), cancel(2)], 10, 'cancelled', true],
+    ['not old enough', [job(1), done(2)], 5, 'done', false],
+    ['still on a machine', [job(1), cancel(2), claim(3, 1)], 10, 'cancelled', false],
+    ['no longer on it', [job(1), claim(2, 2), cancel(3), claim(4, 0)], 10, 'cancelled', true],
+  ];
+  for (const [name, changes, before, out, trimmed] of cases) {
+    const r = new Replica(8192);
+    r.advance(9, changes);
+    r.trim(before);
+    const facts = r.jobs.get('wk-000001')!;
+    assert.equal(specOf(facts) === null, trimmed, name);
+    assert.equal(facts.spec.tasks, 2, name);
+    // What comes late, or again, changes nothing.
+    r.advance(12, [job(10), cancel(11), done(12)]);
+    if (out !== 'open') assert.equal(outcome(facts), out, name);
+  }
+});
