--- a/src/service/reports.ts
+++ b/src/service/reports.ts
@@ -1,7 +1,7 @@
 import type { Election } from '../cluster/election.js';
 import type { PeerNet } from '../cluster/peers.js';
 import type { Warden, WardenWatch } from '../cluster/warden.js';
-import { sleep, type Clock } from '../clock.js';
+import type { Clock } from '../clock.js';
 import type { Settings } from '../config/settings.js';
 import type { Reply } from '../http/server.js';
 import type { Log } from '../log.js';
@@ -25,34 +25,6 @@
 /** That controller has been there for so many report intervals before workers are sent to it. */
 const HOME_REPORTS = 2;
 
-/** Remembers for a while. */
-class Lately {
-  private readonly seen = new Map<string, number>();
-
-  constructor(
-    private readonly forS: number,
-    private readonly clock: Clock,
-  ) {}
-
-  has(id: string): boolean {
-    const at = this.seen.get(id);
-    return at !== undefined && this.clock.now() - at < this.forS;
-  }
-
-  add(id: string): void {
-    const now = this.clock.now();
-    this.seen.delete(id);
-    this.seen.set(id, now);
-    for (const [old, at] of this.seen) {
-      if (now - at < this.forS) break;
-      this.seen.delete(old);
-    }
-  }
-}
-
-/** A report that is held is looked after so many times in a report interval. */
-const HOLD_LOOKS = 10;
-
 interface Parts {
   settings: Settings;
   election: Election;
@@ -71,15 +43,10 @@
 
 /** Workers' reports as they come to any controller: answered, passed on, or sent home. */
 export class Reports {
-  /** Workers that were sent home, and those sent to a leader that could not be reached from here. */
-  private readonly sentHome: Lately;
-  private readonly sentOn: Lately;
+  /** When workers were last sent home. */
+  private readonly sentHome = new Map<string, number>();
 
-  constructor(private readonly parts: Parts) {
-    const { lease_s } = parts.settings.workers;
-    this.sentHome = new Lately(lease_s * HOME_LEASES, parts.clock);
-    this.sentOn = new Lately(lease_s, parts.clock);
-  }
+  constructor(private readonly parts: Parts) {}
 
   checkin(body: Buffer): Reply | Promise<Reply> {
     const { settings, election, replica, warden, clock, log } = this.parts;
@@ -113,13 +80,21 @@
    * than its lease. Seldom for each worker, so that it is never sent back and forth.
    */
   private homeOf(report: Report): string | null {
-    const { settings, replica, state, wards } = this.parts;
+    const { settings, replica, state, wards, clock } = this.parts;
     const home = wards.warden(report.zone);
     if (home === null || home === settings.node) return null;
     if (replica.leader === null || state.health !== 'served') return null;
-    if (!wards.steady(home, settings.workers.report_s * HOME_REPORTS)) return null;
-    if (this.sentHome.has(report.machine)) return null;
-    this.sentHome.add(report.machine);
+    const now = clock.now();
+    const { report_s, lease_s } = settings.workers;
+    if (!wards.steady(home, report_s * HOME_REPORTS)) return null;
+    const last = this.sentHome.get(report.machine);
+    if (last !== undefined && now - last < lease_s * HOME_LEASES) return null;
+    this.sentHome.delete(report.machine);
+    this.sentHome.set(report.machine, now);
+    for (const [machine, at] of this.sentHome) {
+      if (now - at < lease_s * HOME_LEASES) break;
+      this.sentHome.delete(machine);
+    }
     return home;
   }
 
@@ -156,27 +131,9 @@
       return this.keep(report, replica.lastToken);
     }
     if (reached) return { status: 503, retryAfter: 1 };
-    // It may reach a leader that this controller does not. One that has come back from there has not
-    // reached it either, and would only go round between controllers that are gone until its lease ran
-    // out: it waits here for the next leader.
-    const way = `${leader} ${report.machine}`;
-    if (this.sentOn.has(way)) return this.hold(report, leader, deadline);
-    this.sentOn.add(way);
     return { status: 421, body: encodeElsewhere(leader) };
   }
 
-  private async hold(report: Report, gone: string | null, deadline: number): Promise<Reply> {
-    const { settings, replica, election, clock } = this.parts;
-    while (clock.now() < deadline) {
-      const own = this.parts.leader();
-      if (own !== null && election.entitled) return own.checkin(report);
-      const leads = replica.leader?.node ?? null;
-      if (leads !== null && leads !== gone) return { status: 421, body: encodeElsewhere(leads) };
-      await sleep(settings.workers.report_s / HOLD_LOOKS);
-    }
-    return { status: 421, body: encodeElsewhere(null) };
-  }
-
   /** Renews a worker's lease in a leader's place. The only commands: cancelled tasks stop. */
   private keep(report: Report, token: number): Reply {
     const { replica, toldCancelled } = this.parts;
