--- a/src/service/reports.ts
+++ b/src/service/reports.ts
@@ -70,8 +70,9 @@
     const deadline = clock.now() + settings.workers.report_s * KEEP_REPORTS;
     const alone = warden?.state === 'alone';
     const leads = replica.leader;
-    if (!alone && leads === null) return { status: 503, retryAfter: 1 };
-    return this.relay(text, report, alone ? null : leads!.node, deadline);
+    const served = this.parts.state.health === 'served';
+    if (!alone && leads === null && served) return { status: 503, retryAfter: 1 };
+    return this.relay(text, report, alone ? null : (leads?.node ?? settings.node), deadline);
   }
 
   /**
@@ -111,23 +112,29 @@
     const { settings, peers, replica, election, warden } = this.parts;
     const { report_s } = settings.workers;
     const others = peers.names.filter((n) => n !== leader);
-    const ways = leader === null || leader === settings.node ? [] : [leader, ...others];
-    let reached = ways.length === 0;
+    // One that the state service does not serve may not know who leads by now, but others may: cut off
+    // from the store alone it once kept its zone's workers waiting, in vain, until their leases ran out.
+    const stale = this.parts.state.health !== 'served';
+    const nobody = leader === null || leader === settings.node;
+    const ways = nobody ? (leader !== null && stale ? others : []) : [leader, ...others];
+    let reached = nobody;
+    let answered = false;
     for (const to of ways) {
       const hop = to !== leader;
       const a = await peers.ask(to, { q: 'report', body, hop }, report_s * (hop ? 1.2 : 1));
       if (a?.status === 200 && typeof a.body === 'string') return { status: 200, body: a.body };
+      answered ||= a !== null;
       // It was reached and does not lead: nothing is gained by other ways.
       if (a?.status === 503 && !hop) {
         reached = true;
-        break;
+        if (!stale) break;
       }
     }
     const token = replica.leader?.revision;
     if (token !== undefined && (await election.mayKeep())) return this.keep(report, token);
     // Cut off together with this zone: what runs here goes on.
     const mine = report.zone === settings.zone;
-    if (mine && warden !== null && (await warden.settle(deadline))) {
+    if (mine && !answered && warden !== null && (await warden.settle(deadline))) {
       return this.keep(report, replica.lastToken);
     }
     if (reached) return { status: 503, retryAfter: 1 };
