--- a/src/cluster/peers.ts
+++ b/src/cluster/peers.ts
@@ -1,7 +1,7 @@
 import { random } from '../random.js';
 import { connect, createServer, type Server, type Socket } from 'node:net';
 import { Decoder, Encoder } from 'cbor-x';
-import type { Endpoint } from '../config/settings.js';
+import type { Endpoint } from '../config/endpoint.js';
 import type { Log } from '../log.js';
 
 /**
--- /dev/null
+++ b/src/config/endpoint.ts
@@ -0,0 +1,9 @@
+export interface Endpoint {
+  host: string;
+  port: number;
+}
+
+export function endpoint(text: string): Endpoint {
+  const colon = text.lastIndexOf(':');
+  return { host: text.slice(0, colon), port: Number(text.slice(colon + 1)) };
+}
--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -1,6 +1,7 @@
 import { readFileSync } from 'node:fs';
 import { parse } from 'smol-toml';
 import * as v from 'valibot';
+import { endpoint, type Endpoint } from './endpoint.js';
 
 /** The platform's settings file, checked. Fields that are not listed here are ignored. */
 
@@ -63,11 +64,6 @@
 
 export type Parsed = v.InferOutput<typeof schema>;
 
-export interface Endpoint {
-  host: string;
-  port: number;
-}
-
 export interface Team {
   name: string;
   cores: number;
@@ -96,11 +92,6 @@
 
 export class SettingsError extends Error {}
 
-export function endpoint(text: string): Endpoint {
-  const colon = text.lastIndexOf(':');
-  return { host: text.slice(0, colon), port: Number(text.slice(colon + 1)) };
-}
-
 export function parseSettings(text: string): Settings {
   let raw: unknown;
   try {
--- a/src/http/client.ts
+++ b/src/http/client.ts
@@ -1,6 +1,6 @@
 import { connect, type Socket } from 'node:net';
 import { HttpParser } from './parser.js';
-import type { Endpoint } from '../config/settings.js';
+import type { Endpoint } from '../config/endpoint.js';
 
 export interface Response {
   status: number;
--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -1,6 +1,6 @@
 import { createServer, type Server, type Socket } from 'node:net';
 import { HttpError, HttpParser, type Message } from './parser.js';
-import type { Endpoint } from '../config/settings.js';
+import type { Endpoint } from '../config/endpoint.js';
 
 export interface Reply {
   status: number;
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,8 +1,5 @@
 #!/usr/bin/env node
 import { loadSettings, SettingsError } from './config/settings.js';
-import { makeLog } from './log.js';
-import { DEFAULT_POLICY, type Policy } from './operator/policy.js';
-import { Node } from './service/node.js';
 
 export const VERSION = '0.1.0';
 
@@ -55,30 +52,16 @@
     if (e instanceof SettingsError) give(`settings ${args.config}: ${e.message}`);
     throw e;
   }
-  let policy: Policy = DEFAULT_POLICY;
-  if (args.operatorScript !== undefined) {
-    const { loadScript, ScriptError } = await import('./operator/script.js');
-    try {
-      policy = loadScript(args.operatorScript);
-    } catch (e) {
-      if (e instanceof ScriptError) give(`operator script ${args.operatorScript}: ${e.message}`);
-      throw e;
-    }
-  }
+  const { operatorScript } = args;
   if (args.check === true) {
+    const { readPolicy } = await import('./operator/policy.js');
+    const { wrong } = await readPolicy(operatorScript);
+    if (wrong !== null) give(wrong);
     process.stdout.write('settings are valid\n');
     return;
   }
-  const log = makeLog(settings.node);
-  // Whatever goes wrong in one request or one round must not end the controller.
-  process.on('uncaughtException', (e) => log.error({ err: String(e), stack: e.stack }, 'uncaught'));
-  process.on('unhandledRejection', (e) => log.error({ err: String(e) }, 'unhandled rejection'));
-  const node = new Node(settings, policy, log);
-  try {
-    await node.start();
-  } catch (e) {
-    give(`cannot listen: ${(e as Error).message}`);
-  }
+  const { runController } = await import('./service/thread.js');
+  runController({ settings, operatorScript }, give);
 }
 
 await main();
--- a/src/service/direct.ts
+++ b/src/service/direct.ts
@@ -1,4 +1,4 @@
-import { endpoint } from '../config/settings.js';
+import { endpoint } from '../config/endpoint.js';
 import { HttpClient, NoResponse } from '../http/client.js';
 import { encodeDirect, parseReport } from '../wire/workers.js';
 import type { Machine } from '../workers/machine.js';
--- a/src/service/node.ts
+++ b/src/service/node.ts
@@ -1,5 +1,6 @@
 import { random } from '../random.js';
 import { randomBytes } from 'node:crypto';
+import { getHeapStatistics } from 'node:v8';
 import { CloudClient } from '../cloud/client.js';
 import { Election } from '../cluster/election.js';
 import { PeerNet, type Answer, type Question } from '../cluster/peers.js';
@@ -369,6 +370,7 @@
       connections: this.server.connections,
       garbage: this.replica.garbage,
       memory_mb: Math.round(process.memoryUsage.rss() / 1e6),
+      heap_limit_mb: Math.round(getHeapStatistics().heap_size_limit / 2 ** 20),
       ...this.leader?.figures(),
       ...this.costs.figures(),
     };
--- a/src/service/status.ts
+++ b/src/service/status.ts
@@ -1,4 +1,4 @@
-import { endpoint } from '../config/settings.js';
+import { endpoint } from '../config/endpoint.js';
 import { HttpClient } from '../http/client.js';
 
 /** Prints a running controller's figures. Returns what went wrong, or null. */
