--- a/src/service/backing.ts
+++ b/src/service/backing.ts
@@ -84,7 +84,7 @@
         const r = await this.state.commit(
           [{ key, revision }],
           [{ put: key, value }],
-          this.settings.workers.report_s * 1.5,
+          this.settings.workers.lease_s * STORE_LEASES,
         );
         if (r.ok) return;
       } catch (e) {
--- a/src/service/cancelling.ts
+++ b/src/service/cancelling.ts
@@ -3,7 +3,10 @@
 import type { Clock } from '../clock.js';
 import type { Settings } from '../config/settings.js';
 import type { Replica } from '../state/replica.js';
+import { SUBMIT_WAIT_S } from '../wire/users.js';
 
+/** Of the time that a user waits for a cancellation, what telling the wardens may take. */
+const ASK_SHARE = 0.2;
 /** Cancellations remembered for what is kept in a leader's place, at most. */
 const MOST = 1000;
 
@@ -63,7 +66,7 @@
     const others = this.byZone.filter(([, node]) => node !== self);
     const told = await Promise.all(
       others.map(async ([zone, node]) => {
-        const a = await this.peers.ask(node, { q: 'cancelling', job }, workers.report_s);
+        const a = await this.peers.ask(node, { q: 'cancelling', job }, SUBMIT_WAIT_S * ASK_SHARE);
         return { zone, ok: a?.told === true };
       }),
     );
--- a/src/service/evictions.ts
+++ b/src/service/evictions.ts
@@ -4,6 +4,7 @@
 import { haste, type Haste, type Waits } from '../sched/objectives.js';
 import { cheapestEviction, type Occupied, type Victim } from '../sched/preempt.js';
 import type { Usages } from '../sched/quota.js';
+import { CHANGE_GAP_S } from '../wire/workers.js';
 import { holds, type Attempt } from '../workers/attempt.js';
 import type { Term } from './term.js';
 
@@ -38,8 +39,8 @@
 const TIER = 1e6;
 /** A start that is late for its class counts as so many seconds, whatever its wait. */
 const LATE_S = 1e3;
-/** Commands and starts take so much of a report interval. */
-export const COMMAND_REPORTS = 0.3;
+/** What commands and starts take: they are sent straight, and shown by a report of the change. */
+export const COMMAND_S = CHANGE_GAP_S * 0.6;
 
 /** Making room within one pass, by the protocol's rules on preemption. */
 export class Evictions {
@@ -133,8 +134,7 @@
     const from = spec.priority - (job.guaranteed ? 1 : 0);
     const ageS = this.term.now - job.submittedAt;
     const within = this.waits.next(spec.class, ageS);
-    const command = this.term.deps.settings.workers.report_s * COMMAND_REPORTS;
-    const leftS = within === null ? null : within - ageS - command;
+    const leftS = within === null ? null : within - ageS - COMMAND_S;
     const open: Open[] = [];
     for (const slot of this.slots) {
       const { room, freeing } = slot;
--- a/src/service/front.ts
+++ b/src/service/front.ts
@@ -2,14 +2,15 @@
 import type { Reply } from '../http/server.js';
 import type { StateClient } from '../state/client.js';
 import type { Follower } from '../state/follow.js';
+import { SUBMIT_WAIT_S } from '../wire/users.js';
 import type { Users } from './users.js';
 
 /** What a user asks for, in a form that can be passed on to another controller. */
 export type UserRequest =
   { to: 'submit'; body: Buffer } | { to: 'poll'; id: string } | { to: 'cancel'; id: string };
 
-/** How long another controller may take with a user's request, in report intervals. */
-const RELAY_REPORTS = 2.5;
+/** How long another controller may take with a user's request: half of what the user waits. */
+const RELAY_S = SUBMIT_WAIT_S / 2;
 /** For so many leases nobody was of help: users are better served elsewhere. */
 const ALONE_LEASES = 0.2;
 
@@ -28,7 +29,7 @@
     private readonly state: Pick<StateClient, 'health'>,
     private readonly follower: Pick<Follower, 'ready' | 'sync'>,
     private readonly peers: Pick<PeerNet, 'lately' | 'ask'>,
-    private readonly workers: { report_s: number; lease_s: number },
+    private readonly workers: { lease_s: number },
     private readonly now: () => number,
   ) {}
 
@@ -72,7 +73,7 @@
         : { q: 'user' as const, to: request.to, text: request.id };
     let reached = false;
     for (const node of this.peers.lately()) {
-      const a = await this.peers.ask(node, question, this.workers.report_s * RELAY_REPORTS);
+      const a = await this.peers.ask(node, question, RELAY_S);
       reached ||= a !== null;
       if (typeof a?.status !== 'number') continue;
       this.aloneSince = null;
--- a/src/service/leader.ts
+++ b/src/service/leader.ts
@@ -4,7 +4,7 @@
 import type { MachineType } from '../jobs/types.js';
 import type { StateClient } from '../state/client.js';
 import type { JobFacts } from '../state/replica.js';
-import { encodeOrders, type Report } from '../wire/workers.js';
+import { CHANGE_GAP_S, encodeOrders, type Report } from '../wire/workers.js';
 import { holds } from '../workers/attempt.js';
 import type { Machine } from '../workers/machine.js';
 import type { Costs } from './costs.js';
@@ -14,8 +14,8 @@
 import { Term, type TermDeps } from './term.js';
 import { Upkeep } from './upkeep.js';
 
-/** Events come in clusters: passes are at least this share of a report interval apart. */
-const PASS_GAP = 1 / 20;
+/** Events come in clusters: passes are at least so far apart. */
+const PASS_GAP_S = CHANGE_GAP_S / 10;
 /** The share of time that passes may take, so that reports and users never wait for placing. */
 const PASS_SHARE = 0.2;
 /** Records of machines that are silent and gone from the cloud's list are dropped after it. */
@@ -148,8 +148,7 @@
 
   private schedule(): void {
     if (this.stopped || this.timer !== null) return;
-    const gap = this.deps.settings.workers.report_s * PASS_GAP;
-    const wait = Math.max(gap / 4, this.nextPass - this.deps.clock.now());
+    const wait = Math.max(PASS_GAP_S / 4, this.nextPass - this.deps.clock.now());
     this.timer = setTimeout(() => {
       this.timer = null;
       try {
@@ -184,8 +183,7 @@
     this.direct.push();
     if (upkeep.demand.length > 0) upkeep.fleet.nudge();
     const end = deps.clock.now();
-    const gap = deps.settings.workers.report_s * PASS_GAP;
-    this.nextPass = Math.max(began + gap, end + (end - began) * (1 / PASS_SHARE - 1));
+    this.nextPass = Math.max(began + PASS_GAP_S, end + (end - began) * (1 / PASS_SHARE - 1));
   }
 
   private anyDirty(): boolean {
--- a/src/service/reports.ts
+++ b/src/service/reports.ts
@@ -9,6 +9,7 @@
 import { outcome, type Replica } from '../state/replica.js';
 import { BadMessage } from '../wire/users.js';
 import {
+  ANSWER_WAIT_S,
   encodeElsewhere,
   encodeOrders,
   MAX_COMMANDS,
@@ -18,8 +19,14 @@
 } from '../wire/workers.js';
 import type { Leader } from './leader.js';
 
-/** A worker waits for an answer for about four reports: so long it may be left waiting here. */
-const KEEP_REPORTS = 3.5;
+/**
+ * Of the time that a worker waits for an answer, what it may be left waiting here, and what one of the
+ * others may take. These were report intervals once. With reports every 2.5 s the answers came after
+ * workers had given up: those of a zone just cut off went to look elsewhere, which took a lease.
+ */
+const KEEP_SHARE = 0.875;
+const ASK_SHARE = 0.25;
+const HOP_SHARE = 0.3;
 /** A worker is sent to its zone's controller no more than once in so many leases. */
 const HOME_LEASES = 3;
 /** That controller has been there for so many report intervals before workers are sent to it. */
@@ -67,7 +74,7 @@
     if (warden?.mayKeep() === true && report.zone === settings.zone) {
       return this.keep(report, replica.lastToken);
     }
-    const deadline = clock.now() + settings.workers.report_s * KEEP_REPORTS;
+    const deadline = clock.now() + ANSWER_WAIT_S * KEEP_SHARE;
     const alone = warden?.state === 'alone';
     const leads = replica.leader;
     const served = this.parts.state.health === 'served';
@@ -109,8 +116,7 @@
     leader: string | null,
     deadline: number,
   ): Promise<Reply> {
-    const { settings, peers, replica, election, warden } = this.parts;
-    const { report_s } = settings.workers;
+    const { settings, peers, replica, election, warden, clock } = this.parts;
     const others = peers.names.filter((n) => n !== leader);
     // One that the state service does not serve may not know who leads by now, but others may: cut off
     // from the store alone it once kept its zone's workers waiting, in vain, until their leases ran out.
@@ -121,7 +127,12 @@
     let answered = false;
     for (const to of ways) {
       const hop = to !== leader;
-      const a = await peers.ask(to, { q: 'report', body, hop }, report_s * (hop ? 1.2 : 1));
+      const patience = Math.min(
+        ANSWER_WAIT_S * (hop ? HOP_SHARE : ASK_SHARE),
+        deadline - clock.now(),
+      );
+      if (patience <= 0) break;
+      const a = await peers.ask(to, { q: 'report', body, hop }, patience);
       if (a?.status === 200 && typeof a.body === 'string') return { status: 200, body: a.body };
       answered ||= a !== null;
       // It was reached and does not lead: nothing is gained by other ways.
@@ -165,7 +176,7 @@
     const leads = replica.leader?.node;
     if (!hop || leads === undefined || leads === settings.node) return { status: 503 };
     return peers
-      .ask(leads, { q: 'report', body, hop: false }, settings.workers.report_s)
+      .ask(leads, { q: 'report', body, hop: false }, ANSWER_WAIT_S * ASK_SHARE)
       .then((a) => a as unknown as Reply | null);
   }
 }
--- a/src/service/scheduler.ts
+++ b/src/service/scheduler.ts
@@ -14,10 +14,11 @@
 import { leavesSoon, Waits } from '../sched/objectives.js';
 import type { Usages } from '../sched/quota.js';
 import { specOf } from '../state/replica.js';
+import { CHANGE_GAP_S } from '../wire/workers.js';
 import { makeAttempt } from '../workers/attempt.js';
 import type { Machine } from '../workers/machine.js';
 import { unit } from '../cloud/arrivals.js';
-import { COMMAND_REPORTS, Evictions } from './evictions.js';
+import { COMMAND_S, Evictions } from './evictions.js';
 import { Moves } from './moves.js';
 import { Queue } from './queue.js';
 import { RoomBook, freeRoom } from './rooms.js';
@@ -34,8 +35,8 @@
 const SPREAD_BOOTS = 0.08;
 /** A machine that has not reported for so many intervals gets nothing new. */
 const HEARD_REPORTS = 2.5;
-/** Telling a task to stop, and hearing that it has, take so many report intervals. */
-const LEAVE_REPORTS = 1;
+/** What telling a task to stop, and hearing that it has, take. */
+const LEAVE_S = CHANGE_GAP_S * 2;
 /** A job that has failed on so many machines and never succeeded is doubted, not the machines. */
 export const SUSPECT_MACHINES = 3;
 
@@ -101,8 +102,7 @@
   }
 
   private leaves(spec: JobSpec): boolean {
-    const { report_s } = this.term.deps.settings.workers;
-    return leavesSoon(spec, this.waits, report_s * LEAVE_REPORTS);
+    return leavesSoon(spec, this.waits, LEAVE_S);
   }
 
   private specOf(job: string): JobSpec | null {
@@ -198,11 +198,10 @@
     // A hole on an ordinary machine costs nothing: for best-effort work it is as good as spot.
     const w = spec.priority < 3 ? weights : { ...weights, ordinaryS: 0 };
     const within = this.waits.next(spec.class, now - job.submittedAt);
-    const { report_s } = this.term.deps.settings.workers;
     const leftS =
       within === null || spec.priority === 3 || suspect
         ? null
-        : within - (now - job.submittedAt) - report_s * COMMAND_REPORTS;
+        : within - (now - job.submittedAt) - COMMAND_S;
     let made = 0;
     let placed = 0;
     for (const index of indexes) {
--- a/src/service/upkeep.ts
+++ b/src/service/upkeep.ts
@@ -2,9 +2,11 @@
 import type { CloudClient } from '../cloud/client.js';
 import { Fleet, type FleetHost } from '../cloud/fleet.js';
 import { comingRoom, planRent, type Demand, type Wanted } from '../cloud/plan.js';
+import type { LiveJob } from '../jobs/live.js';
 import type { MachineType } from '../jobs/types.js';
 import type { Room } from '../sched/place.js';
 import { MIN_CHARGE_S, RENT_MAX, type ListedMachine } from '../wire/cloud.js';
+import { holds } from '../workers/attempt.js';
 import type { Machine } from '../workers/machine.js';
 import { freeRoom } from './rooms.js';
 import type { Scheduler } from './scheduler.js';
@@ -27,6 +29,13 @@
 /** Leases between two machines that are emptied: as a rule, and while there is much room too much. */
 const EMPTY_SELDOM = 0.5;
 const EMPTY_OFTEN = 0.2;
+/**
+ * A machine that has been silent for this share of a lease will hardly be back in time. What must be
+ * started elsewhere once its lease has run out needs a boot: that begins now.
+ */
+const MISSED_LEASE = 0.4;
+/** When more of the fleet than this is silent, it is this controller that hears nothing. */
+const MISSED_MOST = 0.5;
 /** Warm machines rented at once, at most. */
 const WARM_AT_ONCE = 4;
 
@@ -104,6 +113,7 @@
     for (const m of term.machines.values()) perZone.set(m.zone, (perZone.get(m.zone) ?? 0) + 1);
     for (const c of this.fleet.coming.values()) perZone.set(c.zone, (perZone.get(c.zone) ?? 0) + 1);
     const rooms = [...this.comingRooms(), ...this.rooms];
+    const missed = this.missed();
     if (deps.log.isLevelEnabled('debug')) {
       const demand = new Map<string, number>();
       for (const d of this.demand) {
@@ -115,28 +125,74 @@
           free: [false, true].map((k) => freeRoom(this.rooms, k)),
           target: [false, true].map((k) => this.target(k)),
           coming: this.fleet.coming.size,
+          missed: missed.reduce((n, d) => n + d.tasks, 0),
           machines: [...term.machines.values()].filter((m) => m.held().length > 0).length,
         },
         'fleet',
       );
     }
     const wanted = planRent({
-      demand: this.demand,
+      demand: [...this.demand, ...missed],
       rooms,
       types: [...term.types.values()],
       zones: deps.settings.zones,
       short: (t: string, z: string, s: boolean) => this.fleet.short(t, z, s),
       perZone,
       weights: this.scheduler().weights(),
-      most: RENT_MAX,
+      // As many as the cloud's calls of a second can rent.
+      most: Math.ceil(deps.settings.cloud.rps) * RENT_MAX,
     });
     for (const spot of [false, true]) {
       const spare = this.spareWanted(rooms, perZone, spot);
-      if (spare !== null) wanted.push(spare);
+      if (spare === null) continue;
+      const same = wanted.find(
+        (w) => w.type === spare.type && w.zone === spare.zone && w.spot === spare.spot,
+      );
+      if (same === undefined) wanted.push(spare);
+      else same.count += spare.count;
     }
     return wanted;
   }
 
+  /**
+   * Replicas and gangs on machines that have fallen silent, as if their leases had run out already. Of a
+   * fleet of hundreds a fifth was cut off at once and more: their replicas were away for a lease, as they
+   * must be, and then for a boot, which could have passed meanwhile. Not where a cut zone's own
+   * controller may be keeping them, and not while it is rather this controller that hears nothing.
+   */
+  private missed(): Demand[] {
+    const { term } = this;
+    const now = term.now;
+    const patience = term.deps.settings.workers.lease_s * MISSED_LEASE;
+    const silent = new Set<Machine>();
+    let known = 0;
+    for (const m of term.machines.values()) {
+      if (m.state !== 'ready' && m.state !== 'fencing' && m.state !== 'unheard') continue;
+      known++;
+      if (now - m.heardAt > patience) silent.add(m);
+    }
+    if (silent.size === 0 || silent.size > known * MISSED_MOST) return [];
+    const lost = new Map<LiveJob, number>();
+    for (const m of silent) {
+      if (term.deps.zone(m.zone).keptUntil > now) continue;
+      for (const a of m.attempts.values()) {
+        const job = term.jobs.get(a.job);
+        if (job === undefined || job.phase !== 'open' || !holds(a) || a.stop !== null) continue;
+        if (job.spec.priority < 3) lost.set(job, (lost.get(job) ?? 0) + 1);
+      }
+    }
+    return [...lost].map(([job, n]) => {
+      const zones = new Map<string, number>();
+      for (const a of job.holding()) {
+        const m = term.machines.get(a.machine);
+        // A gang goes as a whole.
+        if (m === undefined || silent.has(m) || job.gang) continue;
+        zones.set(m.zone, (zones.get(m.zone) ?? 0) + 1);
+      }
+      return { spec: job.spec, tasks: job.gang ? job.spec.tasks : n, zones };
+    });
+  }
+
   /** Machines more when what is free after all demand is less than the warm reserve. */
   private spareWanted(rooms: Room[], perZone: Map<string, number>, spot: boolean): Wanted | null {
     const missing = this.target(spot) - freeRoom(rooms, spot);
--- a/src/wire/users.ts
+++ b/src/wire/users.ts
@@ -3,6 +3,9 @@
 
 /** Users' messages: the only place that knows their field names. */
 
+/** How long users wait for the answer to a submission or a cancellation (protocol). */
+export const SUBMIT_WAIT_S = 5;
+
 export class BadMessage extends Error {}
 
 const KINDS: Record<string, JobKind> = { batch: 'array', group: 'gang', daemon: 'service' };
--- a/src/wire/workers.ts
+++ b/src/wire/workers.ts
@@ -2,6 +2,11 @@
 
 /** Workers' reports and the commands to them: the only place that knows their field names. */
 
+/** Times that the protocol fixes, whatever a deployment's report interval: how long a worker waits for
+ * the answer to a report, and the least time between two reports when something changes. */
+export const ANSWER_WAIT_S = 4;
+export const CHANGE_GAP_S = 0.5;
+
 export type TaskState = 'fetching' | 'waiting' | 'running' | 'saving' | 'ended';
 export type Cause = 'done' | 'stopped' | 'peers' | 'alone' | 'error' | 'full' | 'busy' | 'unknown';
 
--- a/test/front.test.ts
+++ b/test/front.test.ts
@@ -34,7 +34,7 @@
     },
   };
   const follower = { ready: true, sync: () => Promise.resolve(false) };
-  const times = { report_s: 1, lease_s: 10 };
+  const times = { lease_s: 10 };
   const f = new Front(users, state, follower, net, times, () => clock.now);
   return { f, asked, clock, state };
 }
--- a/test/reports.test.ts
+++ b/test/reports.test.ts
@@ -1,9 +1,9 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { steadyClock } from '../src/clock.js';
 import type { Answer } from '../src/cluster/peers.js';
 import { silentLog } from '../src/log.js';
 import { Reports } from '../src/service/reports.js';
+import { ANSWER_WAIT_S } from '../src/wire/workers.js';
 import { settings } from './helpers.js';
 
 const report = Buffer.from(
@@ -17,7 +17,7 @@
   // Cut off from the store alone, a former leader took itself for the leader, and its workers waited.
   const ok = { status: 200, body: '{}' };
   const no = { status: 503 };
-  const cases: [string, string, string | null, Record<string, Answer | null>, number, string[]][] = [
+  const cases: [string, string, string | null, Record<string, Answer | null>, number, string[], string[]?][] = [
     ['straight to the leader', 'served', 'n-1', { 'n-1': ok }, 200, ['n-1']],
     ['by way of another', 'served', 'n-1', { 'n-1': null, 'n-2': ok }, 200, ['n-1', 'n-2 hop']],
     ['it does not lead', 'served', 'n-1', { 'n-1': no, 'n-2': ok }, 503, ['n-1']],
@@ -27,11 +27,13 @@
     ['cut off, the leader has changed', 'silent', 'n-1', { 'n-1': no, 'n-2': ok }, 200, ['n-1', 'n-2 hop']],
     ['refused since its start', 'refused', null, { 'n-1': ok }, 200, ['n-1 hop']],
     ['cut off from all', 'silent', 'n-0', {}, 503, ['n-1 hop', 'n-2 hop']],
+    ['cut off from many', 'silent', 'n-1', {}, 421, ['n-1', 'n-2 hop'], ['n-3', 'n-4', 'n-5', 'n-6']],
   ]; // prettier-ignore
-  for (const [name, health, leader, answers, status, asked] of cases) {
+  for (const [name, health, leader, answers, status, asked, more = []] of cases) {
     const seen: string[] = [];
+    let now = 0;
     const parts = {
-      settings: settings(),
+      settings: { ...settings(), workers: { ...settings().workers, report_s: 2.5 } },
       election: { entitled: false, mayKeep: () => Promise.resolve(false) },
       state: { health },
       replica: {
@@ -40,9 +42,10 @@
         lastToken: 5,
       },
       peers: {
-        names: ['n-1', 'n-2'],
-        ask: (node: string, q: { hop: boolean }) => {
+        names: ['n-1', 'n-2', ...more],
+        ask: (node: string, q: { hop: boolean }, patienceS: number) => {
           seen.push(q.hop ? `${node} hop` : node);
+          now += answers[node] === undefined || answers[node] === null ? patienceS : 0;
           return Promise.resolve(answers[node] ?? null);
         },
       },
@@ -50,10 +53,12 @@
       wards: { warden: () => null },
       leader: () => null,
       toldCancelled: () => false,
-      clock: steadyClock,
+      clock: { now: () => now },
       log: silentLog(),
     } as unknown as ConstructorParameters<typeof Reports>[0];
     assert.equal((await new Reports(parts).checkin(report)).status, status, name);
-    assert.deepEqual(seen, asked, name);
+    assert.deepEqual(more.length > 0 ? seen.slice(0, 2) : seen, asked, name);
+    // Reports came every 2.5 s, and their answers after the worker had gone elsewhere.
+    assert.ok(now < ANSWER_WAIT_S, `${name}: ${now} s`);
   }
 });
