--- a/src/cluster/warden.ts
+++ b/src/cluster/warden.ts
@@ -4,6 +4,7 @@
 import type { Follower } from '../state/follow.js';
 import type { Replica } from '../state/replica.js';
 import { Refused, type StateClient } from '../state/client.js';
+import { ANSWER_WAIT_S } from '../wire/workers.js';
 import type { PeerNet } from './peers.js';
 
 /**
@@ -22,15 +23,20 @@
  * a cancellation is taken only if the warden has been told, or if the bound ends in time.
  */
 
-/** Life of the key's lease, in leases of workers. */
+/**
+ * Life of the key's lease: so much of a worker's lease, and of the time that a worker waits for an answer.
+ * A worker must get one before it looks for other controllers, all of them outside the cut. By its lease
+ * alone, one of 15 s, the warden began when those that had reported in the cut's first moments had gone.
+ */
 const LIFE = 0.1;
+const LIFE_OF_WAIT = 0.25;
 /**
  * When a warden may begin, counted from the sending of the last renewal that was answered. Until then
  * the key is certainly gone: its life, once more for a renewal that was carried out without an answer
  * (there is never more than one of them), once more for an outage too short to be noticed, after
- * which leases have their full time again, and half a life for late ends.
+ * which leases have their full time again, and half a life for late ends. In lives.
  */
-const BEGIN = 0.35;
+const BEGIN = 3.5;
 /** The bound: longer cuts end like any other silence. */
 const KEEP = 7;
 /** Renewals within one life of the key. */
@@ -42,11 +48,10 @@
   keepS: number;
 }
 
-export const wardenTimes = (leaseS: number): Times => ({
-  lifeS: leaseS * LIFE,
-  beginS: leaseS * BEGIN,
-  keepS: leaseS * KEEP,
-});
+export function wardenTimes(leaseS: number): Times {
+  const lifeS = Math.min(leaseS * LIFE, ANSWER_WAIT_S * LIFE_OF_WAIT);
+  return { lifeS, beginS: lifeS * BEGIN, keepS: leaseS * KEEP };
+}
 
 /** The sole controller of each zone. With one zone only, nothing is cut off with a zone. */
 export function wardens(all: { node: string; zone: string }[]): Map<string, string> {
--- a/src/service/reports.ts
+++ b/src/service/reports.ts
@@ -24,7 +24,7 @@
  * others may take. These were report intervals once. With reports every 2.5 s the answers came after
  * workers had given up: those of a zone just cut off went to look elsewhere, which took a lease.
  */
-const KEEP_SHARE = 0.875;
+export const KEEP_SHARE = 0.875;
 const ASK_SHARE = 0.25;
 const HOP_SHARE = 0.3;
 /** A worker is sent to its zone's controller no more than once in so many leases. */
--- a/test/warden.test.ts
+++ b/test/warden.test.ts
@@ -6,7 +6,9 @@
 import { silentLog } from '../src/log.js';
 import { DEFAULT_POLICY } from '../src/operator/policy.js';
 import { Node } from '../src/service/node.js';
+import { KEEP_SHARE } from '../src/service/reports.js';
 import { Refused, Unanswered } from '../src/state/client.js';
+import { ANSWER_WAIT_S } from '../src/wire/workers.js';
 import { freePort, settingsText, until, wait, type Ports } from './helpers.js';
 import { FleetStand, Gate, StateStand } from './standins.js';
 
@@ -21,6 +23,15 @@
   for (const [name, nodes, want] of cases) assert.deepEqual([...wardens(nodes)], want, name);
 });
 
+test('a warden begins before workers give up waiting, whatever their lease', () => {
+  for (const lease of [2, 10, 13, 15.25, 120]) {
+    const { lifeS, beginS, keepS } = wardenTimes(lease);
+    assert.ok(beginS <= ANSWER_WAIT_S * KEEP_SHARE, `${lease}: ${beginS}`);
+    // Its key's life three times and half of it once more, see where they are reckoned.
+    assert.ok(beginS >= lifeS * 3.5 && keepS > lease && lifeS <= lease / 10, `${lease}`);
+  }
+});
+
 test('until when a zone may be kept, and what is certain of it', () => {
   const lease = 10;
   const { beginS, keepS } = wardenTimes(lease);
