Bounds go by what is held: cancellations, questions between controllers, submissions, direct connections

Cause, by reasoning for 830 machines: 1,000 cancellations remembered of far more in a cut; 256 questions on a link that carries hundreds of reports, and all of them lost with one that timed out; 500 submissions whatever can be stored; a connection to every machine beside one from each.

--- a/src/cluster/peers.ts
+++ b/src/cluster/peers.ts
@@ -11,7 +11,6 @@
  */
 const VERSION = 1;
 const MAX_FRAME = 256 * 1024;
-const MAX_PENDING = 256;
 
 const encoder = new Encoder({ useRecords: false, structuredClone: false });
 const decoder = new Decoder({ useRecords: false, structuredClone: false });
@@ -78,6 +77,7 @@
     private readonly self: string,
     private readonly to: Endpoint,
     private readonly log: Log,
+    private readonly maxPending: number,
   ) {}
 
   private become(state: LinkState): void {
@@ -143,14 +143,16 @@
   ask(question: Question, timeoutS: number): Promise<Answer | null> {
     if (this.state === 'down') this.open();
     const socket = this.socket;
-    if (socket === null || this.pending.size >= MAX_PENDING) return Promise.resolve(null);
+    if (socket === null || this.pending.size >= this.maxPending) return Promise.resolve(null);
     const id = this.nextId++;
+    const sentAt = performance.now();
     return new Promise((resolve) => {
       const timer = setTimeout(() => {
         this.pending.delete(id);
         resolve(null);
-        // Hanging, perhaps cut off: a new connection is the only way to find out.
-        if (this.socket === socket) this.become('down');
+        // Hanging, perhaps cut off: a new connection is the only way to find out. Not when others were
+        // answered meanwhile: hundreds of reports may be under way on this one.
+        if (this.socket === socket && this.answeredAt < sentAt) this.become('down');
       }, timeoutS * 1000);
       this.pending.set(id, { resolve, timer });
       socket.write(encodeFrame({ id, q: question }));
@@ -172,8 +174,10 @@
     peers: { node: string; addr: Endpoint }[],
     private readonly answerer: Answerer,
     private readonly log: Log,
+    /** Questions under way on one link: each comes from a connection of this controller's. */
+    private readonly maxPending: number,
   ) {
-    for (const p of peers) this.links.set(p.node, new Link(self, p.addr, log));
+    for (const p of peers) this.links.set(p.node, new Link(self, p.addr, log, maxPending));
     this.server = createServer((s) => this.accept(s));
     this.server.on('error', (e) => log.error({ err: e.message }, 'peer server'));
   }
@@ -206,7 +210,7 @@
           if (typeof f.id !== 'number' || f.q === null || typeof f.q !== 'object') {
             throw new Error('no question');
           }
-          if (++busy > MAX_PENDING) throw new Error('too many questions');
+          if (++busy > this.maxPending) throw new Error('too many questions');
           void this.answer(socket, from, f.id, f.q as Question).finally(() => busy--);
         }
       } catch (e) {
--- a/src/service/cancelling.ts
+++ b/src/service/cancelling.ts
@@ -2,35 +2,53 @@
 import type { WardenWatch } from '../cluster/warden.js';
 import type { Clock } from '../clock.js';
 import type { Settings } from '../config/settings.js';
-import type { Replica } from '../state/replica.js';
+import { outcome, type Replica } from '../state/replica.js';
 import { SUBMIT_WAIT_S } from '../wire/users.js';
 
 /** Of the time that a user waits for a cancellation, what telling the wardens may take. */
 const ASK_SHARE = 0.2;
-/** Cancellations remembered for what is kept in a leader's place, at most. */
-const MOST = 1000;
+/**
+ * Cancellations are remembered until the store shows the end of their jobs, and otherwise for so many
+ * leases: nothing is kept in a leader's place for that long. Never by their number: a fleet of hundreds
+ * ends more jobs within a cut than any round figure, and one that is forgotten lets its tasks run on.
+ */
+const REMEMBER_LEASES = 20;
 
-/** A set that forgets its oldest members. */
-class Recent {
-  private readonly ids = new Set<string>();
+/** Job ids, and when each was heard of last. */
+class Heard {
+  private readonly ids = new Map<string, number>();
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly forS: number,
+    private readonly over: (id: string) => boolean,
+  ) {}
 
   add(id: string): void {
+    const now = this.clock.now();
     this.ids.delete(id);
-    this.ids.add(id);
-    if (this.ids.size > MOST) this.ids.delete(this.ids.values().next().value!);
+    this.ids.set(id, now);
+    for (const [old, at] of this.ids) {
+      if (now - at <= this.forS && !this.over(old)) break;
+      this.ids.delete(old);
+    }
   }
 
   has(id: string): boolean {
     return this.ids.has(id);
   }
+
+  get size(): number {
+    return this.ids.size;
+  }
 }
 
 /** Cancellations that this controller has heard of before, or other than from, the store. */
 export class Cancelling {
   /** Stored, as another controller knows, but kept from this one by an outage. */
-  private readonly told = new Recent();
+  private readonly told: Heard;
   /** About to be stored. */
-  private readonly asked = new Recent();
+  private readonly asked: Heard;
 
   constructor(
     private readonly settings: Settings,
@@ -39,7 +57,20 @@
     private readonly replica: Replica,
     private readonly wards: WardenWatch,
     private readonly clock: Clock,
-  ) {}
+  ) {
+    const forS = settings.workers.lease_s * REMEMBER_LEASES;
+    const over = (id: string): boolean => {
+      const facts = replica.jobs.get(id);
+      return facts !== undefined && outcome(facts) !== 'open';
+    };
+    this.told = new Heard(clock, forS, over);
+    this.asked = new Heard(clock, forS, over);
+  }
+
+  /** How many are remembered. */
+  get size(): number {
+    return this.told.size + this.asked.size;
+  }
 
   noteTold(id: string): void {
     this.told.add(id);
--- a/src/service/direct.ts
+++ b/src/service/direct.ts
@@ -4,6 +4,11 @@
 import type { Machine } from '../workers/machine.js';
 import type { Term } from './term.js';
 
+/**
+ * Of the sockets, those for direct commands. A connection to every machine, beside one from each, is more
+ * than a large fleet's leader has: the ones not used for longest go.
+ */
+const SOCKETS_SHARE = 0.25;
 /** Direct messages wait for an answer for so many report intervals. */
 const ANSWER_REPORTS = 1.5;
 
@@ -36,10 +41,20 @@
     }
   }
 
-  private channel(m: Machine): Channel {
+  /** Null: all are busy, and what there is to say waits for the machine's next check-in. */
+  private channel(m: Machine): Channel | null {
     const known = this.channels.get(m.id);
-    if (known?.addr === m.addr) return known;
+    this.channels.delete(m.id);
+    if (known?.addr === m.addr) {
+      this.channels.set(m.id, known);
+      return known;
+    }
     known?.client.close();
+    if (this.channels.size >= this.term.deps.settings.limits.sockets * SOCKETS_SHARE) {
+      const idle = [...this.channels].find(([, c]) => !c.busy);
+      if (idle === undefined) return null;
+      this.forget(idle[0]);
+    }
     const made = { client: new HttpClient(endpoint(m.addr), 1, 4), addr: m.addr, busy: false };
     this.channels.set(m.id, made);
     return made;
@@ -49,7 +64,7 @@
     const { term } = this;
     const { deps } = term;
     const d = this.channel(m);
-    if (d.busy) return;
+    if (d === null || d.busy) return;
     const commands = m.commands(term.now, (a) => term.mayStart(a), false);
     term.urgent.delete(m.id);
     if (commands.every((c) => c.op === 'forget')) return;
--- a/src/service/node.ts
+++ b/src/service/node.ts
@@ -27,6 +27,8 @@
 
 /** Jobs that are over stay whole in memory for so many leases after their acceptance. */
 const TRIM_LEASES = 60;
+/** Of the sockets, those for users and workers. */
+const SERVER_SOCKETS = 0.6;
 /** Costs are logged, and old jobs trimmed, once in so many beats. */
 const COST_BEATS = 40;
 
@@ -120,7 +122,13 @@
       this.clock,
       log,
     );
-    this.peers = new PeerNet(settings.node, settings.peers, (from, q) => this.answer(from, q), log);
+    this.peers = new PeerNet(
+      settings.node,
+      settings.peers,
+      (from, q) => this.answer(from, q),
+      log,
+      settings.limits.sockets,
+    );
     const byZone = wardens([settings, ...settings.peers]);
     this.wards = new WardenWatch(
       byZone,
@@ -189,7 +197,7 @@
     );
     this.server = new HttpServer(
       (m) => this.handle(m),
-      { sockets: Math.floor(settings.limits.sockets * 0.6), readS: 5, idleS: 120 },
+      { sockets: Math.floor(settings.limits.sockets * SERVER_SOCKETS), readS: 5, idleS: 120 },
       () => this.clock.now(),
       (e) => log.error({ err: String(e), stack: (e as Error).stack }, 'request failed'),
     );
@@ -369,6 +377,7 @@
       jobs: this.replica.jobs.size,
       connections: this.server.connections,
       garbage: this.replica.garbage,
+      cancellations_heard: this.cancelling.size,
       memory_mb: Math.round(process.memoryUsage.rss() / 1e6),
       heap_limit_mb: Math.round(getHeapStatistics().heap_size_limit / 2 ** 20),
       ...this.leader?.figures(),
--- a/src/service/upkeep.ts
+++ b/src/service/upkeep.ts
@@ -36,8 +36,9 @@
 const MISSED_LEASE = 0.4;
 /** When more of the fleet than this is silent, it is this controller that hears nothing. */
 const MISSED_MOST = 0.5;
-/** Warm machines rented at once, at most. */
+/** Warm machines rented at once, at most: so many, or this share of what is kept. */
 const WARM_AT_ONCE = 4;
+const WARM_SHARE = 0.25;
 
 /** Keeps the fleet of a term as large as it should be: what to rent, what to give back. */
 export class Upkeep implements FleetHost {
@@ -207,7 +208,8 @@
         const cost = (price / unit(t)) * (1 + 0.001 * (perZone.get(zone) ?? 0));
         if (cost < bestCost) {
           bestCost = cost;
-          const count = Math.min(WARM_AT_ONCE, Math.ceil(missing));
+          const most = Math.max(WARM_AT_ONCE, Math.ceil(this.target(spot) * WARM_SHARE));
+          const count = Math.min(most, Math.ceil(missing));
           best = { type: t.name, zone, spot, count };
         }
       }
--- a/src/service/users.ts
+++ b/src/service/users.ts
@@ -20,8 +20,6 @@
 
 /** How long storing may take: users wait 5 s for a submission, and the next try may be elsewhere. */
 const SUBMIT_S = 2;
-/** More than this many requests waiting to be stored: shed the rest. */
-const QUEUE = 500;
 
 const UNSURE: Reply = { status: 503, retryAfter: 1 };
 
@@ -66,7 +64,7 @@
     const known = this.replica.jobs.get(spec.id);
     if (known !== undefined) return this.current(spec.id);
     const types = this.types();
-    if (!this.follower.ready || types === null || this.intake.waiting > QUEUE) return UNSURE;
+    if (!this.follower.ready || types === null || this.intake.full(SUBMIT_S)) return UNSURE;
     const never = neverRuns(spec, this.settings.teams, types);
     if (never !== null) return this.refuse(spec.id, 422, never);
     const o = await this.intake.accept({ spec, atMs: Math.round(this.wallMs()) }, SUBMIT_S);
--- a/src/state/replica.ts
+++ b/src/state/replica.ts
@@ -19,6 +19,9 @@
   claims: number;
 }
 
+/** Told to others in an outage: a quarter of a frame between controllers, at 64 bytes each. */
+const LAST_CANCELLED = 1024;
+
 /** What is left of the description of a job that was over long ago, shared by all alike. */
 const LEAN: JobSpec = {
   id: '', class: '', team: '', kind: 'array', priority: 3, tasks: 0, cores: 0, gpus: 0, memGb: 0,
@@ -214,7 +217,7 @@
         if (outcome(facts) === 'cancelled') {
           facts.chunks = null;
           this.lastCancelled.push(id);
-          if (this.lastCancelled.length > 100) this.lastCancelled.shift();
+          if (this.lastCancelled.length > LAST_CANCELLED) this.lastCancelled.shift();
           this.listener.onCancelled?.(facts);
         }
       }
--- a/test/front.test.ts
+++ b/test/front.test.ts
@@ -116,3 +116,24 @@
     assert.equal(commits, tries, name);
   }
 });
+
+test('what waits to be stored is bounded by what can be stored in the time allowed', async () => {
+  // By number, five hundred: far too many for one small value a second, too few for a large fleet.
+  const cases: [string, number, number, number, boolean][] = [
+    ['a value of 8 KiB a second', 1, 8192, 500, true],
+    ['nine of them', 9, 8192, 500, false],
+    ['nine, a wave of jobs', 9, 8192, 3000, true],
+    ['larger values', 9, 32768, 3000, false],
+  ];
+  for (const [name, rate, valueBytes, jobs, full] of cases) {
+    const state = { valueBytes, commit: () => new Promise(() => undefined) };
+    const budget = new Budget(rate, { now: () => 0 });
+    const intake = new Intake(
+      'n', state as unknown as StateClient, null!, null!, budget, steadyClock, silentLog(),
+    ); // prettier-ignore
+    for (let i = 0; i < jobs; i++)
+      void intake.accept({ spec: spec({ id: `wk-${i}` }), atMs: 0 }, 60);
+    await Promise.resolve();
+    assert.equal(intake.full(2), full, name);
+  }
+});
--- a/test/link.test.ts
+++ b/test/link.test.ts
@@ -23,13 +23,15 @@
   const server = new PeerNet(
     'a',
     [{ node: 'b', addr: at }],
-    (_f, q) => ({ saw: q.q }),
+    (_f, q) => (q.q === 'there' ? new Promise(() => undefined) : { saw: q.q }),
     silentLog(),
+    500,
   );
   await server.listen(at);
   const port = (server as unknown as { server: { address(): { port: number } } }).server.address()
     .port;
-  const client = new PeerNet('b', [{ node: 'a', addr: { ...at, port } }], () => ({}), silentLog());
+  const to = [{ node: 'a', addr: { ...at, port } }];
+  const client = new PeerNet('b', to, () => ({}), silentLog(), 500);
   assert.deepEqual(await client.ask('a', { q: 'report', body: 'x', hop: false }, 2), {
     saw: 'report',
   });
@@ -47,6 +49,13 @@
   assert.deepEqual(await client.ask('a', { q: 'report', body: 'y', hop: false }, 2), {
     saw: 'report',
   });
+  // One question without an answer took hundreds of reports with it that were under way beside it.
+  const asks = [client.ask('a', { q: 'there' }, 0.3)];
+  for (let i = 0; i < 300; i++) asks.push(client.ask('a', { q: 'elected', token: i }, 5));
+  const got = await Promise.all(asks);
+  assert.deepEqual([got[0], got.filter((a) => a?.saw === 'elected').length], [null, 300]);
+  const { accepted } = server as unknown as { accepted: Set<unknown> };
+  assert.equal(accepted.size, 1, 'the same connection throughout');
   assert.equal(await client.ask('nobody', { q: 'report', body: '', hop: false }, 1), null);
   client.close();
   server.close();
