--- a/test/pass.test.ts
+++ b/test/pass.test.ts
@@ -6,6 +6,7 @@
 import { DEFAULT_POLICY } from '../src/operator/policy.js';
 import { Scheduler } from '../src/service/scheduler.js';
 import { Term } from '../src/service/term.js';
+import { Upkeep } from '../src/service/upkeep.js';
 import * as records from '../src/state/records.js';
 import { Replica } from '../src/state/replica.js';
 import type { Machine } from '../src/workers/machine.js';
@@ -21,6 +22,9 @@
   private readonly replica = new Replica(8192);
   readonly term: Term;
   readonly scheduler: Scheduler;
+  readonly upkeep: Upkeep;
+  /** Until when a zone's warden may be keeping it. */
+  keptUntil = -Infinity;
 
   constructor(gpusMax = 100, withinS = 0) {
     this.replica.types = [g8];
@@ -39,7 +43,7 @@
       entitled: () => true,
       writing: () => true,
       keptUntil: () => -Infinity,
-      zone: () => ({ keptUntil: -Infinity, provenAt: Infinity }),
+      zone: () => ({ keptUntil: this.keptUntil, provenAt: Infinity }),
       prove: () => undefined,
     });
     const arrivals = new Arrivals(
@@ -53,6 +57,23 @@
       () => true,
       () => 0,
     );
+    this.upkeep = new Upkeep(
+      this.term,
+      null!,
+      () => this.scheduler,
+      arrivals,
+      () => undefined,
+      () => undefined,
+    );
+    this.upkeep.fleet.listedOnce = true;
+  }
+
+  /** Machines that would be rented now. */
+  rents(): number {
+    const { demand, rooms } = this.scheduler.pass();
+    this.upkeep.demand = demand;
+    this.upkeep.rooms = rooms;
+    return this.upkeep.wanted().reduce((n, w) => n + w.count, 0);
   }
 
   job(over: Partial<JobSpec>): void {
@@ -183,3 +204,29 @@
     assert.equal(b.on('a', 'wk-000002'), placed, name);
   }
 });
+
+test('boots for what is on silent machines begin before its lease has run out', () => {
+  // A fifth of a fleet was cut off: its replicas were away for a lease and then for a whole boot.
+  const lease = settings().workers.lease_s;
+  const ids = ['a', 'b', 'c', 'd'];
+  const cases: [string, number, string[], boolean, 0 | 3, number][] = [
+    ['not heard for a moment', 0.3, ['a'], false, 0, 0],
+    ['one of four', 0.5, ['a'], false, 0, 1],
+    ['two of four', 0.5, ['a', 'b'], false, 0, 2],
+    ['most: it is this controller that hears nothing', 0.5, ['a', 'b', 'c'], false, 0, 0],
+    ['its zone may be kept', 0.5, ['a'], true, 0, 0],
+    ['nothing but best effort', 0.5, ['a'], false, 3, 0],
+  ];
+  for (const [name, leases, silent, kept, priority, more] of cases) {
+    const b = new Bench();
+    for (const id of ids) b.report(id, []);
+    b.job({ kind: 'service', tasks: 32, priority });
+    b.pass();
+    for (const id of ids) b.settle(id, false);
+    const before = b.rents();
+    b.now += lease * leases;
+    for (const id of ids) if (!silent.includes(id)) b.settle(id, false);
+    if (kept) b.keptUntil = b.now + 1;
+    assert.equal(b.rents() - before, more, name);
+  }
+});
