--- a/src/service/leader.ts
+++ b/src/service/leader.ts
@@ -32,6 +32,8 @@
   private timer: NodeJS.Timeout | null = null;
   private nextPass = -Infinity;
   private stopped = false;
+  /** Whether it has been logged how long this term took to hear of its machines. */
+  private fencedLogged = false;
 
   constructor(
     private readonly deps: TermDeps,
@@ -159,9 +161,10 @@
     }, wait * 1000);
   }
 
-  /** Called about once a report interval, for what comes with time alone. */
+  /** Called about twice a report interval, for what comes with time alone. */
   beat(): void {
     if (this.stopped) return;
+    if (!this.fencedLogged) this.logFenced();
     this.upkeep.consolidate();
     this.sweep();
     this.term.stir();
@@ -186,6 +189,14 @@
     this.nextPass = Math.max(began + PASS_GAP_S, end + (end - began) * (1 / PASS_SHARE - 1));
   }
 
+  private logFenced(): void {
+    const { machines, now, startedAt } = this.term;
+    if (now - startedAt > this.deps.settings.workers.lease_s) this.fencedLogged = true;
+    for (const m of machines.values()) if (m.state === 'unheard' || m.state === 'fencing') return;
+    this.fencedLogged = true;
+    this.deps.log.info({ machines: machines.size, tookS: now - startedAt }, 'all machines fenced');
+  }
+
   private anyDirty(): boolean {
     for (const j of this.term.jobs.values()) if (j.dirtyChunks.size > 0) return true;
     return false;
--- a/src/state/follow.ts
+++ b/src/state/follow.ts
@@ -48,6 +48,7 @@
   }
 
   private async load(): Promise<void> {
+    const began = this.clock.now();
     const keys = new Set<string>();
     const first = await this.state.list(records.ROOT, (item) => {
       keys.add(item.key);
@@ -60,7 +61,9 @@
     if (r === null) throw new Error('listing too slow');
     this.replica.advance(r.revision, r.changes);
     this.ready = true;
-    this.log.info({ revision: this.replica.applied, jobs: this.replica.jobs.size }, 'store read');
+    const { applied: revision, jobs, machines } = this.replica;
+    const tookS = this.clock.now() - began;
+    this.log.info({ revision, jobs: jobs.size, machines: machines.size, tookS }, 'store read');
   }
 
   /**
--- /dev/null
+++ b/test/large.test.ts
@@ -0,0 +1,85 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { parseSettings } from '../src/config/settings.js';
+import { silentLog } from '../src/log.js';
+import { DEFAULT_POLICY } from '../src/operator/policy.js';
+import { Node } from '../src/service/node.js';
+import * as records from '../src/state/records.js';
+import { freePort, g8, settingsText, spec, until } from './helpers.js';
+import { FleetStand, StateStand } from './standins.js';
+
+const MACHINES = 800;
+const JOBS = 4000;
+/** Of the jobs, those that are not over: a task of each is on a machine. */
+const OPEN = 1600;
+
+test('a term begins with hundreds of machines and thousands of jobs, and knows all that runs', async () => {
+  const state = new StateStand();
+  const fleet = new FleetStand(60);
+  state.page = 100;
+  await state.listen();
+  await fleet.listen();
+  const put = (key: string, data: unknown): void => {
+    const value = JSON.parse(JSON.stringify(data)) as unknown;
+    state.keys.set(key, { value, mark: ++state.ledger, loan: undefined });
+  };
+  put(records.TYPES, records.encodeTypes([g8]));
+  const id = (i: number): string => `wk-${String(i).padStart(6, '0')}`;
+  const host = (i: number): string => `host-${String(i).padStart(6, '0')}`;
+  for (let i = 0; i < JOBS; i += 20) {
+    const jobs = Array.from({ length: 20 }, (_, k) => ({
+      spec: spec({ id: id(i + k), kind: 'service' }),
+      atMs: Date.now(),
+    }));
+    const cancels = i < OPEN ? [] : jobs.map((j) => j.spec.id);
+    put(`${records.JOBS}x-${i}`, records.encodeIntake({ jobs, cancels }));
+  }
+  const images = Array.from({ length: 32 }, (_, k): [string, number] => [`image-${k}`, 34.3]);
+  const claims = (i: number): records.Claim[] =>
+    [0, 1].map((k) => ({ job: id((i * 2 + k) % OPEN), index: 0, attempt: 1 }));
+  for (let i = 0; i < MACHINES; i++) {
+    const value = records.encodeMachine({
+      owner: 'n-1', term: 1, addr: '127.0.0.1:1', type: 'g8', zone: 'z1', spot: false,
+      returning: false, claims: claims(i), images,
+    }); // prettier-ignore
+    assert.ok(JSON.stringify(value).length < 8192, 'fits into the smallest value');
+    put(records.machineKey(host(i)), value);
+  }
+  const ports = [{ bind: await freePort(), peer: await freePort() }];
+  const text = settingsText(0, ports, fleet.port, state.port, 60);
+  const node = new Node(parseSettings(text), DEFAULT_POLICY, silentLog());
+  await node.start();
+  try {
+    await until('leads', () => node.leader !== null);
+    assert.equal(node.leader!.figures().machines_unheard, MACHINES);
+    assert.equal(node.leader!.figures().jobs_open, OPEN);
+    assert.equal(node.leader!.figures().attempts_inherited, MACHINES * 2);
+    const token = node.election.token;
+    const report = async (i: number, tally: number, hallmark: number): Promise<void> => {
+      const body = JSON.stringify({
+        bench: host(i), addr: '127.0.0.1:1', casting: 'g8', yard: 'z1', loaner: false, shift: 1,
+        tally, hallmark, recall_s: null,
+        pieces: claims(i).map((c) => ({ piece: `${c.job}/0`, pour: 1, temper: 'running' })),
+      }); // prettier-ignore
+      const r = await fetch(`http://127.0.0.1:${ports[0]!.bind}/checkin`, { method: 'POST', body });
+      assert.equal(r.status, 200);
+      const answer = (await r.json()) as { hallmark: number; orders: unknown[] };
+      // What runs is kept: nothing on its machine is stopped, nothing is started a second time.
+      assert.deepEqual(answer, { hallmark: token, orders: [] });
+    };
+    for (const [tally, hallmark] of [
+      [1, 1],
+      [2, token],
+    ] as const) {
+      for (let i = 0; i < MACHINES; i += 50) {
+        await Promise.all(Array.from({ length: 50 }, (_, k) => report(i + k, tally, hallmark)));
+      }
+    }
+    assert.equal(node.leader!.figures().machines_ready, MACHINES);
+    assert.equal(node.leader!.figures().attempts_running, MACHINES * 2);
+  } finally {
+    node.stop();
+    fleet.close();
+    state.close();
+  }
+});
--- a/test/standins.ts
+++ b/test/standins.ts
@@ -105,6 +105,8 @@
 export class StateStand extends Stand {
   ledger = 0;
   down = false;
+  /** Items in a page of a listing: few, so that reading in pages is exercised. */
+  page = 3;
   readonly keys = new Map<string, Entry>();
   private readonly log: Json[] = [];
   private readonly loans = new Map<number, { until: number; life: number }>();
@@ -167,11 +169,10 @@
       const prefix = url.searchParams.get('prefix')!;
       const after = url.searchParams.get('after') ?? '';
       const names = [...this.keys.keys()].filter((k) => k.startsWith(prefix) && k > after).sort();
-      // Small pages, so that reading in pages is exercised.
       const items = names
-        .slice(0, 3)
+        .slice(0, this.page)
         .map((k) => ({ path: k, data: this.keys.get(k)!.value, mark: this.keys.get(k)!.mark }));
-      return [200, { items, more: names.length > 3, ledger: this.ledger }];
+      return [200, { items, more: names.length > this.page, ledger: this.ledger }];
     }
     const key = path.slice('/keys/'.length);
     const e = this.keys.get(key);
