Users are told of a cancellation only once a majority of controllers knows of it

Cause, by reading the paths: a controller confirmed a cancellation as soon as the store held it. With the leader refused alone and then an outage for all, the leader went on with a majority's word that need not contain the confirming controller, and renewed the leases of cancelled tasks all through the outage. A restarted controller that had not read the store counted as a witness too. Now every answer that says 'cancelled' waits for a majority to have noted it, only controllers that have read the store bear witness, and both a leader and a caretaker renew no longer than a bound after the last proof of knowing every cancellation (src/cluster/renewal.ts).

In a listing the progress of a job comes after its cancellation: a job done before it was cancelled read as cancelled on a controller that had just started, and a cancelled job could be announced as open. Both are mended.

--- a/src/cluster/election.ts
+++ b/src/cluster/election.ts
@@ -6,6 +6,7 @@
 import type { Replica } from '../state/replica.js';
 import * as records from '../state/records.js';
 import type { PeerNet } from './peers.js';
+import { renewalAllowanceS, UNHEARD_CONFIRM_S, type WorkerTimes } from './renewal.js';
 
 /**
  * Who leads. The leader's key hangs on a lease; its revision is the token, so tokens only rise.
@@ -25,11 +26,22 @@
   enduring: ['leading', 'following'],
 };
 
+/** Cancellations told in one answer, at most: a third of a frame between controllers. */
+const MAX_CANCELLATIONS = 4096;
+
+/** A majority's word that the state service refuses it. */
+interface MajorityRefused {
+  /** Steady time up to which the majority together knows every stored cancellation. */
+  freshAt: number;
+}
+
 export interface ElectionEvents {
   onElected(token: number): void;
   onDeposed(): void;
   /** Cancellations that another controller knows to be stored. */
   onToldCancelled(ids: string[]): void;
+  /** Stored cancellations after a revision, as far as this controller knows of any. */
+  cancelledSince(revision: number): string[];
 }
 
 export class Election {
@@ -44,12 +56,14 @@
   private stopped = false;
   private readonly pause = new Pause();
   readonly lifeS: number;
+  /** Seconds for which leases may be renewed after the last proof of knowing every cancellation. */
+  private readonly allowanceS: number;
 
   constructor(
     private readonly node: string,
     private readonly incarnation: string,
     private readonly nodes: number,
-    leaseS: number,
+    workers: WorkerTimes,
     private readonly state: StateClient,
     private readonly follower: Follower,
     private readonly replica: Replica,
@@ -59,7 +73,8 @@
     private readonly events: ElectionEvents,
   ) {
     // A third of the workers' lease: the successor has two thirds to reach them all.
-    this.lifeS = leaseS * 0.3;
+    this.lifeS = workers.lease_s * 0.3;
+    this.allowanceS = renewalAllowanceS(workers, this.lifeS);
     this.startedAt = clock.now();
   }
 
@@ -78,9 +93,17 @@
 
   /** Whether this node may act for the controllers at this moment. */
   get entitled(): boolean {
-    return (
-      (this.role === 'leading' || this.role === 'enduring') && this.clock.now() < this.validUntil
-    );
+    if (this.role !== 'leading' && this.role !== 'enduring') return false;
+    return this.clock.now() < this.actsUntil;
+  }
+
+  /**
+   * A leader whose lease is renewed but whose reads are not answered hears of no cancellation: it
+   * must stop renewing workers' leases in time. In an outage `validUntil` counts with this already.
+   */
+  private get actsUntil(): number {
+    if (this.role === 'enduring') return this.validUntil;
+    return Math.min(this.validUntil, this.follower.freshAt + this.allowanceS);
   }
 
   /** Entitled, and commits can be expected to go through. */
@@ -166,7 +189,7 @@
     this.validUntil = this.until(grantSentAt);
     this.state.setRole('leader');
     // Everything that former leaders stored must be in the picture before anything is decided.
-    while (this.replica.applied < token) {
+    while (this.replica.applied < token || this.follower.freshAt < grantSentAt) {
       if (this.clock.now() >= this.validUntil) {
         this.state.setRole('follower');
         return false;
@@ -191,6 +214,7 @@
       if (await this.state.extend(this.lease, Math.max(0.3, Math.min(1, left / 2)))) {
         this.validUntil = Math.max(this.validUntil, this.until(sentAt));
         if (this.role === 'enduring') this.become('leading');
+        this.refresh();
       } else {
         this.log.info({ token: this.token }, 'lease has ended');
         this.become('following');
@@ -206,7 +230,7 @@
       return;
     }
     if (refused) await this.endure(sentAt);
-    if (this.clock.now() >= this.validUntil) {
+    if (this.clock.now() >= this.actsUntil) {
       this.log.info({ token: this.token }, 'entitlement has run out');
       this.become('following');
       return;
@@ -214,6 +238,11 @@
     await sleep(this.role === 'enduring' || refused ? this.lifeS / 12 : this.lifeS / 5);
   }
 
+  /** Reads the store when the watch has had nothing to show for a while. */
+  private refresh(): void {
+    if (this.clock.now() - this.follower.freshAt > this.lifeS) void this.follower.sync();
+  }
+
   /**
    * Refused by the state service: an outage, or this node alone? Only in an outage do leases stand
    * still. A node that is served says so, and then this one yields when its time is up.
@@ -221,15 +250,24 @@
   private async endure(askedAt: number): Promise<void> {
     const forS = this.lifeS / 2;
     if (this.acknowledged > this.token) return;
-    if (!(await this.majorityRefused(this.token, forS))) return;
-    if (this.acknowledged > this.token) return;
+    const majority = await this.majorityRefused(this.token, forS);
+    if (majority === null || this.acknowledged > this.token) return;
     // The promises count from when they were given, which is after the question was sent.
-    this.validUntil = Math.max(this.validUntil, askedAt + forS * (1 - 2 * DRIFT));
+    const until = Math.min(askedAt + forS * (1 - 2 * DRIFT), this.outageBound(majority));
+    if (until <= this.clock.now()) return;
+    this.validUntil = Math.max(this.validUntil, until);
     if (this.role === 'leading') this.become('enduring');
   }
 
   /** Asked by another node: looks at the state service now, not at what it said before. */
-  async answerRefused(token: number, forMs: number): Promise<Record<string, unknown>> {
+  async answerRefused(
+    token: number,
+    forMs: number,
+    applied: number,
+  ): Promise<Record<string, unknown>> {
+    // A process that has not read the store knows neither the leader nor the cancellations that the
+    // one before it had acknowledged: its word would make a majority that knows of neither.
+    if (!this.follower.ready) return {};
     const known = this.replica.leader;
     if (this.acknowledged > token || (known !== null && known.revision > token)) {
       return { refused: false };
@@ -247,7 +285,10 @@
     } catch (e) {
       if (e instanceof Refused && e.status === 503) {
         // An outage may keep the last cancellations from the leader: their tasks must go all the same.
-        return { refused: true, cancelled: this.replica.lastCancelled };
+        const cancelled = this.events.cancelledSince(applied);
+        if (!this.follower.ready || cancelled.length > MAX_CANCELLATIONS) return {};
+        const freshAgeS = this.clock.now() - this.follower.freshAt;
+        return { refused: true, cancelled, freshAgeS };
       }
       this.promisedUntil = before;
       return {};
@@ -294,6 +335,7 @@
     const askedAt = this.clock.now();
     const leader = this.replica.leader;
     if (leader === null || this.acknowledged > leader.revision) return false;
+    if (!this.follower.ready) return false;
     try {
       await this.state.get(records.LEADER, 0.5);
       return false;
@@ -302,9 +344,11 @@
     }
     const since = this.state.refusedSince;
     if (since === null || askedAt - since < this.lifeS * 0.4) return false;
-    if (!(await this.majorityRefused(leader.revision, this.caretakeS))) return false;
-    if (this.acknowledged > leader.revision) return false;
-    this.keepUntil = askedAt + this.caretakeS * (1 - 2 * DRIFT);
+    const majority = await this.majorityRefused(leader.revision, this.caretakeS);
+    if (majority === null || this.acknowledged > leader.revision) return false;
+    const until = askedAt + this.caretakeS * (1 - 2 * DRIFT);
+    this.keepUntil = Math.min(until, this.outageBound(majority));
+    if (this.clock.now() >= this.keepUntil) return false;
     this.log.info({ token: leader.revision }, 'leases are kept for a leader that is gone');
     return true;
   }
@@ -314,17 +358,36 @@
     return this.lifeS / 3;
   }
 
-  private async majorityRefused(token: number, forS: number): Promise<boolean> {
+  /**
+   * Until when leases may be renewed on a majority's word. What one of it knows, all know by its
+   * answer. A cancellation that none of it knows was stored after `freshAt`, and no user was told of
+   * it before a further `UNHEARD_CONFIRM_S`.
+   */
+  private outageBound(majority: MajorityRefused): number {
+    return majority.freshAt + UNHEARD_CONFIRM_S + this.allowanceS;
+  }
+
+  /** Null: no majority is refused, or not all of those that answered are. */
+  private async majorityRefused(token: number, forS: number): Promise<MajorityRefused | null> {
     const net = this.peers();
-    const question = { q: 'refused', token, forMs: Math.ceil(forS * 1000) } as const;
+    const askedAt = this.clock.now();
+    const question = {
+      q: 'refused',
+      token,
+      forMs: Math.ceil(forS * 1000),
+      applied: this.replica.applied,
+    } as const;
     const answers = await Promise.all(
       net.names.map((n) => net.ask(n, question, Math.min(0.8, this.lifeS / 4))),
     );
     for (const a of answers) {
       if (Array.isArray(a?.cancelled)) this.events.onToldCancelled(a.cancelled.map(String));
     }
-    if (answers.some((a) => a?.refused === false)) return false;
-    return (1 + answers.filter((a) => a?.refused === true).length) * 2 > this.nodes;
+    if (answers.some((a) => a?.refused === false)) return null;
+    const ages = answers.flatMap((a) => (a?.refused === true ? [Number(a.freshAgeS)] : []));
+    if ((1 + ages.length) * 2 <= this.nodes) return null;
+    const freshest = Math.max(this.follower.freshAt, ...ages.map((age) => askedAt - age));
+    return { freshAt: freshest };
   }
 
   stop(): void {
--- a/src/cluster/peers.ts
+++ b/src/cluster/peers.ts
@@ -44,8 +44,11 @@
 export type Question =
   /** A worker's report, passed on as it came. `hop`: pass it on to the leader if you do not lead. */
   | { q: 'report'; body: string; hop: boolean }
-  /** Does the state service refuse you too? Promise not to take over for a while if it does. */
-  | { q: 'refused'; token: number; forMs: number }
+  /**
+   * Does the state service refuse you too? Promise not to take over for a while if it does, and tell
+   * the cancellations stored after the revision `applied`.
+   */
+  | { q: 'refused'; token: number; forMs: number; applied: number }
   /** A leader was elected: acknowledge it. */
   | { q: 'elected'; token: number }
   /** Are you there? */
@@ -53,7 +56,9 @@
   /** A user's request, passed on by a controller that the state service does not serve. */
   | { q: 'user'; to: 'submit' | 'poll' | 'cancel'; text: string }
   /** A cancellation is about to be stored: stop its tasks if your zone is cut off. */
-  | { q: 'cancelling'; job: string };
+  | { q: 'cancelling'; job: string }
+  /** A cancellation is stored: note it, whatever the state service shows you. */
+  | { q: 'cancelled'; job: string };
 
 export type Answer = Record<string, unknown>;
 export type Answerer = (from: string, question: Question) => Promise<Answer> | Answer;
--- a/src/service/cancelling.ts
+++ b/src/service/cancelling.ts
@@ -41,6 +41,10 @@
   get size(): number {
     return this.ids.size;
   }
+
+  keys(): IterableIterator<string> {
+    return this.ids.keys();
+  }
 }
 
 /** Cancellations that this controller has heard of before, or other than from, the store. */
@@ -80,6 +84,11 @@
     this.asked.add(id);
   }
 
+  /** Stored cancellations after a revision, by the store's copy and by what others have told. */
+  storedSince(revision: number): string[] {
+    return [...new Set([...this.replica.cancelledSince(revision), ...this.told.keys()])];
+  }
+
   knows(id: string): boolean {
     return this.told.has(id) || this.asked.has(id);
   }
--- /dev/null
+++ b/src/service/confirmation.ts
@@ -0,0 +1,89 @@
+import type { PeerNet } from '../cluster/peers.js';
+import { UNHEARD_CONFIRM_S } from '../cluster/renewal.js';
+import type { Clock } from '../clock.js';
+import type { JobFacts, Replica } from '../state/replica.js';
+import { SUBMIT_WAIT_S } from '../wire/users.js';
+
+/** Of the time that a user waits for an answer, what the other controllers may take. */
+const ASK_SHARE = 0.2;
+
+export interface ConfirmationOptions {
+  /** Number of controllers, this one included. */
+  nodes: number;
+  peers: Pick<PeerNet, 'names' | 'ask'>;
+  replica: Pick<Replica, 'lastToken'>;
+  clock: Clock;
+  /** Seconds for which what is known of a job's confirmation is kept. */
+  rememberS: number;
+}
+
+interface Pending {
+  /** When this controller was first asked about the cancelled job, in seconds of its clock. */
+  since: number;
+  confirmed: boolean;
+  asking: Promise<boolean> | null;
+}
+
+/**
+ * Decides when users may be told that a job is cancelled. The cancellation is stored by then; before
+ * anybody is told, a majority of controllers has to know of it. In an outage of the state service
+ * leases are renewed on the word of a majority, and any two majorities share a controller: so none of
+ * them renews the lease of a task whose user counts on its end.
+ */
+export class CancellationConfirmation {
+  private readonly pending = new Map<string, Pending>();
+
+  constructor(private readonly options: ConfirmationOptions) {}
+
+  /** True: users may be told. False: not yet; the same question may be asked again later. */
+  async confirm(facts: JobFacts, id: string): Promise<boolean> {
+    if (this.nothingRuns(facts)) return true;
+    const entry = this.entry(id);
+    if (entry.confirmed) return true;
+    if (this.options.clock.now() - entry.since >= UNHEARD_CONFIRM_S) {
+      entry.confirmed = true;
+      return true;
+    }
+    entry.asking ??= this.tellMajority(id).finally(() => (entry.asking = null));
+    if (await entry.asking) entry.confirmed = true;
+    return entry.confirmed;
+  }
+
+  /**
+   * No machine's record names a task of the job, and the present leader read its cancellation before
+   * it began: none will be named again, and nobody has a task whose lease could be renewed.
+   */
+  private nothingRuns(facts: JobFacts): boolean {
+    const { cancelledAt, claims } = facts;
+    return claims === 0 && cancelledAt !== null && cancelledAt < this.options.replica.lastToken;
+  }
+
+  private entry(id: string): Pending {
+    const now = this.options.clock.now();
+    let entry = this.pending.get(id);
+    if (entry === undefined) {
+      entry = { since: now, confirmed: false, asking: null };
+      this.pending.set(id, entry);
+    }
+    for (const [oldest, { since }] of this.pending) {
+      if (now - since <= this.options.rememberS) break;
+      this.pending.delete(oldest);
+    }
+    return entry;
+  }
+
+  /** Resolves as soon as a majority, this controller included, is known to have heard. */
+  private tellMajority(id: string): Promise<boolean> {
+    const { nodes, peers } = this.options;
+    let missing = Math.floor(nodes / 2);
+    if (missing === 0) return Promise.resolve(true);
+    return new Promise((resolve) => {
+      const answers = peers.names.map(async (node) => {
+        const question = { q: 'cancelled', job: id } as const;
+        const answer = await peers.ask(node, question, SUBMIT_WAIT_S * ASK_SHARE);
+        if (answer?.noted === true && --missing === 0) resolve(true);
+      });
+      void Promise.all(answers).then(() => resolve(false));
+    });
+  }
+}
--- a/src/service/node.ts
+++ b/src/service/node.ts
@@ -21,6 +21,7 @@
 import { Costs } from './costs.js';
 import { Front } from './front.js';
 import { Cancelling } from './cancelling.js';
+import { CancellationConfirmation } from './confirmation.js';
 import { Leader } from './leader.js';
 import { Reports } from './reports.js';
 import { Users } from './users.js';
@@ -31,6 +32,8 @@
 const SERVER_SOCKETS = 0.6;
 /** Costs are logged, and old jobs trimmed, once in so many beats. */
 const COST_BEATS = 40;
+/** What is known of the confirmation of cancellations is kept for so many leases. */
+const CONFIRMED_LEASES = 20;
 
 export interface NodeOptions {
   clock?: Clock;
@@ -100,7 +103,7 @@
       settings.node,
       this.incarnation,
       settings.nodes,
-      settings.workers.lease_s,
+      settings.workers,
       this.state,
       this.follower,
       this.replica,
@@ -111,6 +114,7 @@
         onElected: (token) => this.elected(token),
         onDeposed: () => this.deposed(),
         onToldCancelled: (ids) => this.toldCancelled(ids),
+        cancelledSince: (revision) => this.cancelling.storedSince(revision),
       },
     );
     this.backing = new Backing(
@@ -182,6 +186,13 @@
       this.clock,
       log,
     );
+    const confirmation = new CancellationConfirmation({
+      nodes: settings.nodes,
+      peers: this.peers,
+      replica: this.replica,
+      clock: this.clock,
+      rememberS: settings.workers.lease_s * CONFIRMED_LEASES,
+    });
     const users = new Users(
       settings,
       this.follower,
@@ -189,6 +200,7 @@
       intake,
       () => this.types(),
       (job) => this.cancelling.wait(job),
+      (facts, job) => confirmation.confirm(facts, job),
       this.wallMs,
       log,
     );
@@ -360,8 +372,12 @@
         if (typeof q.job !== 'string' || q.job.length > 200) return {};
         this.cancelling.noteAsked(q.job);
         return { told: true };
+      case 'cancelled':
+        if (typeof q.job !== 'string' || q.job.length > 200) return {};
+        this.toldCancelled([q.job]);
+        return { noted: true };
       case 'refused':
-        return this.election.answerRefused(Number(q.token), Number(q.forMs));
+        return this.election.answerRefused(Number(q.token), Number(q.forMs), Number(q.applied));
       default:
         return {};
     }
--- a/src/service/users.ts
+++ b/src/service/users.ts
@@ -33,6 +33,8 @@
     private readonly types: () => MachineType[] | null,
     /** Seconds after which a cancellation can be taken; 0: now. */
     private readonly mayCancel: (id: string) => Promise<number>,
+    /** Whether users may be told of a stored cancellation. */
+    private readonly mayTellCancelled: (facts: JobFacts, id: string) => Promise<boolean>,
     private readonly wallMs: () => number,
     private readonly log: Log,
   ) {}
@@ -69,7 +71,7 @@
     if (never !== null) return this.refuse(spec.id, 422, never);
     const o = await this.intake.accept({ spec, atMs: Math.round(this.wallMs()) }, SUBMIT_S);
     const facts = this.replica.jobs.get(spec.id);
-    if (o === null || facts === undefined) return UNSURE;
+    if (o === null || facts === undefined || !(await this.tellable(facts, spec.id))) return UNSURE;
     return { status: 201, body: encodeAccepted(spec.id, this.shown(facts)) };
   }
 
@@ -95,9 +97,19 @@
   private async current(id: string): Promise<Reply> {
     const facts = await this.fresh(id);
     if (facts === null || facts === undefined) return UNSURE;
+    if (!(await this.tellable(facts, id))) return UNSURE;
     return { status: 200, body: encodeAccepted(id, this.shown(facts)) };
   }
 
+  /**
+   * Whether what is known of a job may be told. A cancellation is told, by whatever answer, only once
+   * a majority of controllers knows of it: an outage may begin at this moment, and the leases of its
+   * tasks must not be renewed all through it.
+   */
+  private async tellable(facts: JobFacts, id: string): Promise<boolean> {
+    return outcome(facts) !== 'cancelled' || this.mayTellCancelled(facts, id);
+  }
+
   /** The job as of now; undefined: nobody submitted it; null: unsure. A final state never changes. */
   private async fresh(id: string): Promise<JobFacts | undefined | null> {
     const before = this.replica.jobs.get(id);
@@ -111,6 +123,7 @@
     const facts = await this.fresh(id);
     if (facts === null) return UNSURE;
     if (facts === undefined) return { status: 404, body: encodeError('no such job') };
+    if (!(await this.tellable(facts, id))) return UNSURE;
     const state = this.shown(facts);
     const done = state === 'done' ? facts.spec.tasks : facts.doneTasks;
     const running = state === 'running' ? Math.min(facts.claims, facts.spec.tasks - done) : 0;
@@ -129,6 +142,7 @@
       o = await this.intake.cancel(id, SUBMIT_S);
     }
     if (o !== 'done' && o !== 'cancelled') return UNSURE;
+    if (!(await this.tellable(facts, id))) return UNSURE;
     return { status: 200, body: encodeAccepted(id, o) };
   }
 }
--- a/src/state/follow.ts
+++ b/src/state/follow.ts
@@ -8,7 +8,7 @@
 /** Keeps a replica up with the store, and answers "is it as new as now?". */
 export class Follower {
   ready = false;
-  /** When the last read that showed everything up to then had been sent. */
+  /** Steady time at which the last read was sent whose answer is in the replica. */
   freshAt = -Infinity;
   private stopped = false;
   private syncing: Promise<boolean> | null = null;
@@ -32,12 +32,14 @@
       try {
         if (!this.ready) await this.load();
         const from = this.replica.applied;
+        const sentAt = this.clock.now();
         const r = await this.state.changes(records.ROOT, from, 10, 30);
         if (r === null) {
           this.ready = false;
           continue;
         }
         this.replica.advance(r.revision, r.changes);
+        this.freshAt = Math.max(this.freshAt, sentAt);
         await sleep(this.pauseS());
       } catch (e) {
         if (this.stopped) return;
@@ -60,6 +62,8 @@
     const r = await this.state.changes(records.ROOT, first, 0, 5);
     if (r === null) throw new Error('listing too slow');
     this.replica.advance(r.revision, r.changes);
+    this.replica.listed();
+    this.freshAt = Math.max(this.freshAt, began);
     this.ready = true;
     const { applied: revision, jobs, machines } = this.replica;
     const tookS = this.clock.now() - began;
@@ -91,7 +95,8 @@
     if (wait > 0) await sleep(wait);
     // The read is sent after this point; whoever joins later waits for the next one.
     this.syncSent = true;
-    this.lastSyncAt = this.clock.now();
+    const sentAt = this.clock.now();
+    this.lastSyncAt = sentAt;
     if (!this.ready) return false;
     try {
       const r = await this.state.changes(records.ROOT, this.replica.applied, 0, 1.5);
@@ -100,7 +105,7 @@
         return false;
       }
       this.replica.advance(r.revision, r.changes);
-      this.freshAt = this.lastSyncAt;
+      this.freshAt = Math.max(this.freshAt, sentAt);
       return true;
     } catch {
       return false;
--- a/src/state/replica.ts
+++ b/src/state/replica.ts
@@ -19,9 +19,6 @@
   claims: number;
 }
 
-/** Told to others in an outage: a quarter of a frame between controllers, at 64 bytes each. */
-const LAST_CANCELLED = 1024;
-
 /** What is left of the description of a job that was over long ago, shared by all alike. */
 const LEAN: JobSpec = {
   id: '', class: '', team: '', kind: 'array', priority: 3, tasks: 0, cores: 0, gpus: 0, memGb: 0,
@@ -65,11 +62,11 @@
   types: MachineType[] | null = null;
   typesRevision = 0;
   garbage = 0;
-  /** The latest cancellations, for controllers that an outage kept them from. */
-  readonly lastCancelled: string[] = [];
   private readonly perChunk: number;
   private earlyCancels = new Map<string, number>();
   private earlyProgress = new Map<string, Item[]>();
+  private listing = false;
+  private lastCancelled = { since: -1, applied: -1, ids: [] as readonly string[] };
   listener: Listener = {};
 
   constructor(valueBytes: number) {
@@ -99,11 +96,40 @@
     }
   }
 
-  /** One item of a listing. Older copies of what is known already change nothing. */
+  /**
+   * One item of a listing. Older copies of what is known already change nothing. A listing goes by
+   * key, not by revision: a job's progress comes after its cancellation even where it is older, and
+   * then the job is done. So nothing is concluded from a cancellation before `listed`.
+   */
   item(item: Item): void {
+    this.listing = true;
     this.put(item.key, item.value, item.revision);
   }
 
+  /** The listing is complete, with the changes since its first page. */
+  listed(): void {
+    this.listing = false;
+    for (const facts of this.jobs.values()) {
+      if (facts.chunks !== null && outcome(facts) === 'cancelled') this.closeCancelled(facts);
+    }
+  }
+
+  /**
+   * Ids of jobs whose cancellation was stored after `revision`, as far as this copy goes. Rarely
+   * asked for, and then several times for the same revision: the last result is kept.
+   */
+  cancelledSince(revision: number): readonly string[] {
+    const last = this.lastCancelled;
+    if (last.since === revision && last.applied === this.applied) return last.ids;
+    const ids: string[] = [];
+    for (const [id, facts] of this.jobs) {
+      if (facts.cancelledAt === null || facts.cancelledAt <= revision) continue;
+      if (outcome(facts) === 'cancelled') ids.push(id);
+    }
+    this.lastCancelled = { since: revision, applied: this.applied, ids };
+    return ids;
+  }
+
   /** Keys that a fresh listing lacks are gone. */
   retain(keys: Set<string>): void {
     for (const id of [...this.machines.keys()]) {
@@ -184,8 +210,12 @@
       const id = accepted.spec.id;
       const old = this.jobs.get(id);
       if (old !== undefined) {
-        // Two nodes accepted the same job at once: the same job, the older acceptance counts.
-        if (revision < old.acceptedAt) old.acceptedAt = revision;
+        // Two nodes accepted the same job at once: the same job, the older acceptance counts, in
+        // whatever order a listing shows the two.
+        if (revision < old.acceptedAt) {
+          old.acceptedAt = revision;
+          if (specOf(old) !== null) Object.assign(old, accepted);
+        }
         continue;
       }
       const facts: JobFacts = {
@@ -204,7 +234,7 @@
         this.progress(item.key, item.value, item.revision);
       }
       this.earlyProgress.delete(id);
-      this.listener.onJob?.(facts);
+      if (outcome(facts) === 'open') this.listener.onJob?.(facts);
     }
     for (const id of r.cancels) {
       const facts = this.jobs.get(id);
@@ -214,16 +244,16 @@
         this.earlyCancels.set(id, Math.min(early ?? Infinity, revision));
       } else if (facts.cancelledAt === null || revision < facts.cancelledAt) {
         facts.cancelledAt = revision;
-        if (outcome(facts) === 'cancelled') {
-          facts.chunks = null;
-          this.lastCancelled.push(id);
-          if (this.lastCancelled.length > LAST_CANCELLED) this.lastCancelled.shift();
-          this.listener.onCancelled?.(facts);
-        }
+        if (!this.listing && outcome(facts) === 'cancelled') this.closeCancelled(facts);
       }
     }
   }
 
+  private closeCancelled(facts: JobFacts): void {
+    facts.chunks = null;
+    this.listener.onCancelled?.(facts);
+  }
+
   private progress(key: string, value: unknown, revision: number): void {
     const rest = key.slice(records.PROGRESS.length);
     const slash = rest.indexOf('/');
