Late copies of reports, machines that reach no controller, records removed late

A late copy of a report made a returned machine appear again, and moved the end of a lease. A machine that only answers direct commands got new work while its lease ran out. A machine that reported again while its record was being removed lost its new record to the repeated removal: a later leader would not have known of what runs there.

--- a/src/service/leader.ts
+++ b/src/service/leader.ts
@@ -117,8 +117,11 @@
     if (!deps.entitled()) return { status: 503, retryAfter: 1 };
     // Of a later leader: it would drop an answer from here, and its lease would run out meanwhile.
     if (report.token > deps.token) return { status: 503, retryAfter: 1 };
+    // A copy that was held back. Taken for a machine, work would be placed on it.
+    if (term.returned.has(report.machine)) return { status: 503, retryAfter: 1 };
     const now = term.now;
     const m = this.machineOf(report);
+    const repeated = m.hasSeen(report);
     const changes = m.apply(report, true, now);
     if (!changes.stale) term.digest(m, changes);
     const fresh =
@@ -128,7 +131,7 @@
     const commands = fresh ? m.commands(now, (a) => term.mayStart(a), true) : [];
     m.mark(commands, 'checkin', now);
     if (fresh) term.urgent.delete(m.id);
-    m.renewed(now);
+    if (!repeated) m.renewed(now);
     return { status: 200, body: encodeOrders(term.deps.token, commands) };
   }
 
@@ -225,9 +228,7 @@
   }
 
   private forget(m: Machine): void {
-    this.term.machines.delete(m.id);
-    this.term.dirtyMachines.delete(m.id);
-    if (m.revision > 0) this.term.removals.set(m.id, m.revision);
+    this.term.forget(m);
     this.direct.forget(m.id);
   }
 
--- a/src/service/scheduler.ts
+++ b/src/service/scheduler.ts
@@ -96,7 +96,9 @@
       m.takenAt === null &&
       !m.faulty &&
       m.vacatedAt === null &&
-      now - m.heardAt < report_s * HEARD_REPORTS &&
+      // Not by answers to direct commands: a worker that reaches no controller gives those too, while
+      // its lease runs out.
+      now - m.checkinAt < report_s * HEARD_REPORTS &&
       now >= m.shunnedUntil
     );
   }
--- a/src/service/store.ts
+++ b/src/service/store.ts
@@ -273,12 +273,9 @@
       { remove: key },
       {
         begin: () => undefined,
-        stored: () => this.term.removals.delete(id),
+        stored: () => this.term.removed(id, null),
         failed: () => undefined,
-        reread: (item) => {
-          if (item === null) this.term.removals.delete(id);
-          else this.term.removals.set(id, item.revision);
-        },
+        reread: (item) => this.term.removed(id, item?.revision ?? null),
       },
     );
   }
--- a/src/service/term.ts
+++ b/src/service/term.ts
@@ -38,6 +38,8 @@
   readonly dirtyMachines = new Set<string>();
   /** Records of machines that are gone for good. */
   readonly removals = new Map<string, number>();
+  /** Machines that the cloud has taken back. Names never recur: what still reports is a late copy. */
+  readonly returned = new Set<string>();
   /** Machines with commands that should not wait for the next check-in. */
   readonly urgent = new Set<string>();
   readonly fetches = new FetchTimes();
@@ -183,11 +185,30 @@
     let m = this.machines.get(id);
     if (m === undefined) {
       m = new Machine(id, this.deps.token, this.deps.settings.workers.lease_s, this.now);
+      // Forgotten, and back before its record was removed: a removal that is tried once more would
+      // take away the claims of what is started there from now on.
+      m.revision = this.removals.get(id) ?? 0;
+      this.removals.delete(id);
       this.machines.set(id, m);
     }
     return m;
   }
 
+  /** Nothing is known of a machine any more; its record goes too. */
+  forget(m: Machine): void {
+    this.machines.delete(m.id);
+    this.dirtyMachines.delete(m.id);
+    if (m.state === 'returned') this.returned.add(m.id);
+    if (m.revision > 0) this.removals.set(m.id, m.revision);
+  }
+
+  /** The record of a forgotten machine was removed, or has now this revision. */
+  removed(id: string, revision: number | null): void {
+    if (this.machines.has(id)) return;
+    if (revision === null) this.removals.delete(id);
+    else this.removals.set(id, revision);
+  }
+
   mayStart(a: Attempt): boolean {
     const job = this.jobs.get(a.job);
     const m = this.machines.get(a.machine);
--- a/src/workers/machine.ts
+++ b/src/workers/machine.ts
@@ -45,8 +45,11 @@
   spot = false;
   session = 0;
   seq = 0;
-  /** The last check-in's number in this session; answers of /do count separately. */
+  /** The last fenced check-in's number in this session; answers of /do count separately. */
   checkinSeq = 0;
+  /** The newest check-in that came by itself, fenced or not, and when. */
+  private lastCheckin = { session: 0, seq: -1 };
+  checkinAt = -Infinity;
   heardAt: number;
   firstHeardAt: number | null = null;
   /** When the worker's lease has run out for certain. */
@@ -107,6 +110,15 @@
     this.version++;
   }
 
+  /**
+   * Whether a check-in at least as new has come by itself before. Then it is a late copy: the worker
+   * has long stopped waiting for its answer, which renews nothing.
+   */
+  hasSeen(r: Report): boolean {
+    const { session, seq } = this.lastCheckin;
+    return r.session < session || (r.session === session && r.seq <= seq);
+  }
+
   /** A 200 to a check-in is about to be sent: it renews the lease, counted from the sending. */
   renewed(now: number): void {
     this.leaseEnd = Math.max(this.leaseEnd, now + this.leaseSpan());
@@ -126,6 +138,10 @@
       sessionMoved: false,
       stale: false,
     };
+    if (checkin && !this.hasSeen(r)) {
+      this.lastCheckin = { session: r.session, seq: r.seq };
+      this.checkinAt = now;
+    }
     if (r.session < this.session || (r.session === this.session && r.seq <= this.seq)) {
       // A late copy, or overtaken by the answer to a direct message. It proves nothing new.
       c.stale = true;
