--- /dev/null
+++ b/test/meeting-helpers.ts
@@ -0,0 +1,410 @@
+/**
+ * Fixtures of the meeting tests: a state service in memory whose transactions can be late or lose
+ * their answers, workers that follow the protocol, and a leader over both. Time moves by hand, and
+ * nothing opens a socket.
+ */
+import type { CloudClient } from '../src/cloud/client.js';
+import type { Settings } from '../src/config/settings.js';
+import type { JobSpec } from '../src/jobs/types.js';
+import { silentLog } from '../src/log.js';
+import { DEFAULT_POLICY } from '../src/operator/policy.js';
+import { Costs } from '../src/service/costs.js';
+import { Leader } from '../src/service/leader.js';
+import type { Scheduler } from '../src/service/scheduler.js';
+import type { Upkeep } from '../src/service/upkeep.js';
+import { Refused, Unanswered, type CommitResult, type StateClient } from '../src/state/client.js';
+import * as records from '../src/state/records.js';
+import { Replica } from '../src/state/replica.js';
+import type { Change, Guard, Item, Op } from '../src/wire/state.js';
+import type { Command, Report, TaskReport } from '../src/wire/workers.js';
+import { attemptKey } from '../src/workers/attempt.js';
+import type { Machine } from '../src/workers/machine.js';
+import { g8, settings, spec } from './helpers.js';
+
+/** What becomes of the next transactions. */
+export type Mode = 'serve' | 'refuse' | 'lose answers' | 'hold back';
+
+/** A state service by the protocol. Its methods are those of the client that the code under test uses. */
+export class MemoryStore {
+  mode: Mode = 'serve';
+  ledger = 0;
+  commits = 0;
+  readonly valueBytes = 8192;
+  readonly txnOps = 20;
+  readonly refusedSince: number | null = null;
+  readonly writes = { available: 1e6, capacity: 1e6, force: () => undefined, wait: () => 0 };
+  private readonly items = new Map<string, Item>();
+  private readonly log: Change[] = [];
+  private readonly held: (() => void)[] = [];
+  private leases = 0;
+
+  client(): StateClient {
+    return this as unknown as StateClient;
+  }
+
+  setRole(): void {
+    // No limits to share out.
+  }
+
+  private apply(guards: Guard[], ops: Op[]): CommitResult {
+    const failed = guards.filter((g) => (this.items.get(g.key)?.revision ?? 0) !== g.revision);
+    if (failed.length > 0) return { ok: false, failed: failed.map((g) => g.key) };
+    if (ops.length > 0) this.ledger++;
+    for (const op of ops) {
+      const revision = this.ledger;
+      if ('remove' in op) {
+        this.items.delete(op.remove);
+        this.log.push({ kind: 'removed', key: op.remove, revision });
+      } else {
+        const item = { key: op.put, value: JSON.parse(JSON.stringify(op.value)), revision };
+        this.items.set(op.put, item);
+        this.log.push({ kind: 'put', ...item });
+      }
+    }
+    return { ok: true, revision: this.ledger };
+  }
+
+  commit(guards: Guard[], ops: Op[]): Promise<CommitResult> {
+    this.commits++;
+    if (this.mode === 'refuse') return Promise.reject(new Refused(503));
+    if (this.mode === 'hold back') {
+      this.held.push(() => this.apply(guards, ops));
+      return Promise.reject(new Unanswered('held back'));
+    }
+    const result = this.apply(guards, ops);
+    if (this.mode === 'lose answers') return Promise.reject(new Unanswered('answer lost'));
+    return Promise.resolve(result);
+  }
+
+  /** What was held back is carried out now. */
+  deliver(): void {
+    for (const late of this.held.splice(0)) late();
+  }
+
+  get(key: string): Promise<Item | null> {
+    if (this.mode === 'refuse') return Promise.reject(new Refused(503));
+    return Promise.resolve(this.items.get(key) ?? null);
+  }
+
+  changes(_prefix: string, after: number): Promise<{ revision: number; changes: Change[] }> {
+    if (this.mode === 'refuse') return Promise.reject(new Refused(503));
+    const changes = this.log.filter((c) => c.revision > after);
+    return Promise.resolve({ revision: this.ledger, changes });
+  }
+
+  grant(): Promise<number> {
+    return Promise.resolve(++this.leases);
+  }
+
+  extend(): Promise<boolean> {
+    return Promise.resolve(true);
+  }
+
+  put(key: string, value: unknown): number {
+    this.apply([], [{ put: key, value }]);
+    return this.ledger;
+  }
+
+  value(key: string): unknown {
+    return this.items.get(key)?.value;
+  }
+
+  revision(key: string): number {
+    return this.items.get(key)?.revision ?? 0;
+  }
+
+  /** Keys begin with the controller that writes them: what comes later may be listed first. */
+  accept(over: Partial<JobSpec>, atMs = 0, writer = 'b'): number {
+    const value = records.encodeIntake({ jobs: [{ spec: spec(over), atMs }], cancels: [] });
+    return this.put(`${records.JOBS}${writer}-${this.ledger}`, value);
+  }
+
+  cancel(id: string, writer = 'b'): number {
+    const value = records.encodeIntake({ jobs: [], cancels: [id] });
+    return this.put(`${records.JOBS}${writer}-${this.ledger}`, value);
+  }
+
+  /** Feeds a replica with the stream of changes. */
+  feed(replica: Replica): Replica {
+    replica.advance(this.ledger, this.log);
+    return replica;
+  }
+
+  /** A replica that lists the store afresh, in the order of keys. */
+  listed(listener: Replica['listener'] = {}): Replica {
+    const replica = new Replica(this.valueBytes);
+    replica.listener = listener;
+    const keys = [...this.items.keys()].sort();
+    for (const key of keys) replica.item(this.items.get(key)!);
+    replica.retain(new Set(keys));
+    replica.applied = this.ledger;
+    return replica;
+  }
+}
+
+export type Broken = string[];
+
+/** A worker by the protocol; images are there at once. */
+export class Worker {
+  session = 1;
+  seq = 0;
+  token = 0;
+  /** Its reports arrive, nothing reaches it. */
+  deaf = false;
+  /** Its reports don't arrive. */
+  mute = false;
+  noticeS: number | null = null;
+  answeredAt: number;
+  readonly tasks = new Map<string, TaskReport>();
+
+  constructor(
+    readonly id: string,
+    readonly fleet: Fleet,
+    readonly zone = 'z1',
+  ) {
+    this.answeredAt = fleet.now;
+  }
+
+  report(): Report {
+    this.seq++;
+    return {
+      machine: this.id, addr: '127.0.0.1:1', type: 'g8', zone: this.zone, spot: false,
+      session: this.session, seq: this.seq, token: this.token, noticeS: this.noticeS,
+      tasks: [...this.tasks.values()].map((t) => ({ ...t })),
+    }; // prettier-ignore
+  }
+
+  /** Its lease may have run out. */
+  tick(): void {
+    if (this.fleet.now - this.answeredAt <= this.fleet.leaseS) return;
+    this.tasks.clear();
+    this.session++;
+    this.answeredAt = this.fleet.now;
+  }
+
+  answered(token: number, orders: Command[], sentAt: number): void {
+    if (this.deaf || token < this.token) return;
+    this.token = token;
+    this.answeredAt = sentAt;
+    this.execute(orders);
+  }
+
+  /** Null: refused, or lost. */
+  direct(token: number, session: number, orders: Command[]): Report | null {
+    if (token < this.token || session !== this.session) return null;
+    this.token = token;
+    this.execute(orders);
+    return this.report();
+  }
+
+  private execute(orders: Command[]): void {
+    for (const c of orders) {
+      const key = attemptKey(c.job, c.index, c.attempt);
+      const task = this.tasks.get(key);
+      if (c.op === 'forget' && task?.state === 'ended') this.tasks.delete(key);
+      if (c.op === 'stop' && task !== undefined) this.end(task, 'stopped');
+      if (c.op !== 'start' || task !== undefined) continue;
+      this.fleet.started(this, c);
+      const { job, index, attempt } = c;
+      this.tasks.set(key, { job, index, attempt, state: 'running', cause: null, saved: false });
+    }
+  }
+
+  end(task: TaskReport, cause: TaskReport['cause']): void {
+    if (task.state === 'ended') return;
+    task.state = 'ended';
+    task.cause = cause;
+  }
+
+  running(job: string): TaskReport[] {
+    return [...this.tasks.values()].filter((t) => t.job === job && t.state !== 'ended');
+  }
+}
+
+/** All workers, and the rules that they can see broken. */
+export class Fleet {
+  now = 0;
+  readonly workers = new Map<string, Worker>();
+  readonly starts = new Map<string, number>();
+  /** Jobs whose users were told that they are cancelled. */
+  readonly cancelled = new Set<string>();
+  readonly broken: Broken = [];
+
+  constructor(readonly leaseS: number) {}
+
+  add(id: string, zone = 'z1'): Worker {
+    const worker = new Worker(id, this, zone);
+    this.workers.set(id, worker);
+    return worker;
+  }
+
+  started(on: Worker, c: Command): void {
+    const name = `${c.job}/${c.index}`;
+    this.starts.set(name, (this.starts.get(name) ?? 0) + 1);
+    if (this.cancelled.has(c.job)) this.broken.push(`ran_cancelled ${name}`);
+    for (const other of this.workers.values()) {
+      if (other.running(c.job).some((t) => t.index === c.index)) {
+        this.broken.push(`ran_twice ${name}: ${on.id} and ${other.id}`);
+      }
+    }
+  }
+
+  running(job: string): number {
+    return [...this.workers.values()].reduce((n, w) => n + w.running(job).length, 0);
+  }
+}
+
+/** What runs from timers in a leader, driven by hand here. */
+interface LeaderParts {
+  schedule(): void;
+  pass(): void;
+  sweep(): void;
+  forget(m: Machine): void;
+  store: { flush(): Promise<boolean>; collect(): { make(): { stored(r: number): void } }[] };
+  scheduler: Scheduler;
+  upkeep: Upkeep;
+  direct: { push(): void };
+}
+
+/** A leader over a store and a fleet. `takeOver` ends it, and another one begins. */
+export class World {
+  readonly settings: Settings = settings();
+  readonly store = new MemoryStore();
+  readonly fleet = new Fleet(this.settings.workers.lease_s);
+  leader!: Leader;
+  parts!: LeaderParts;
+  replica!: Replica;
+  token = 0;
+  writing = true;
+  zone = { keptUntil: -Infinity, provenAt: Infinity };
+  returned: string[] = [];
+
+  constructor(gpusMax = 100) {
+    this.settings.teams.set('t', { name: 't', cores: 0, coresMax: 0, gpus: 0, gpusMax });
+    this.store.put(records.TYPES, [g8]);
+    this.takeOver();
+  }
+
+  get now(): number {
+    return this.fleet.now;
+  }
+
+  get term(): Leader['term'] {
+    return this.leader.term;
+  }
+
+  machine(id: string): Machine {
+    return this.term.machines.get(id)!;
+  }
+
+  /** The leader ends with all that it has in memory; another controller leads from now on. */
+  takeOver(): void {
+    const value = records.encodeLeader({ node: 'n', incarnation: `n-${this.store.ledger}` });
+    this.token = this.store.put(records.LEADER, value);
+    const { token } = this;
+    const replica = this.store.listed();
+    this.replica = replica;
+    this.leader = new Leader(
+      {
+        settings: this.settings,
+        clock: { now: () => this.now },
+        wallMs: () => 1e9 + this.now * 1000,
+        log: silentLog(),
+        replica,
+        policy: DEFAULT_POLICY,
+        token,
+        incarnation: 'n',
+        entitled: () => this.token === token,
+        writing: () => this.writing && this.token === token,
+        keptUntil: () => -Infinity,
+        zone: () => this.zone,
+        prove: () => undefined,
+      },
+      this.store.client(),
+      { list: () => Promise.resolve([]) } as unknown as CloudClient,
+      () => undefined,
+      new Costs(() => this.now),
+    );
+    const leader = this.leader;
+    this.parts = leader as unknown as LeaderParts;
+    this.parts.schedule = () => undefined;
+    this.parts.direct.push = () => undefined;
+    replica.listener = {
+      onJob: (facts) => leader.onJob(facts),
+      onCancelled: (facts) => leader.onCancelled(facts),
+    };
+    this.parts.upkeep.fleet.listedOnce = true;
+  }
+
+  job(over: Partial<JobSpec> = {}): void {
+    this.store.accept(over, 1e9 + this.now * 1000);
+    this.store.feed(this.replica);
+  }
+
+  /** The user is told so as soon as it is stored. */
+  cancel(id: string): void {
+    this.store.cancel(id);
+    this.fleet.cancelled.add(id);
+  }
+
+  /** A worker reports and gets its answer. */
+  checkin(worker: Worker): void {
+    if (worker.mute) return;
+    const sentAt = this.now;
+    const reply = this.leader.checkin(worker.report());
+    if (reply.status !== 200) return;
+    const { hallmark, orders } = JSON.parse(String(reply.body)) as {
+      hallmark: number;
+      orders: { verb: string; piece: string; pour: number; cooling_s?: number }[];
+    };
+    worker.answered(hallmark, orders.map(asCommand), sentAt);
+  }
+
+  /** A direct command goes out; the caller says what becomes of it. */
+  sendDirect(id: string): { arrive(): void; unanswered(): void } {
+    const m = this.machine(id);
+    const worker = this.fleet.workers.get(id)!;
+    const commands = m.commands(this.now, (a) => this.term.mayStart(a), false);
+    const { session } = m;
+    const { token } = this;
+    m.mark(commands, 'direct', this.now);
+    return {
+      arrive: () => void worker.direct(token, session, commands),
+      unanswered: () => m.directDone(commands, 'unknown', session, this.now),
+    };
+  }
+
+  async flush(): Promise<void> {
+    for (let i = 0; i < 20 && this.writing && (await this.parts.store.flush()); i++);
+    this.store.feed(this.replica);
+  }
+
+  pass(): void {
+    this.store.feed(this.replica);
+    this.parts.pass();
+  }
+
+  /** Time passes: workers report every interval, the leader places, stores and commands. */
+  async run(seconds: number): Promise<void> {
+    const { report_s } = this.settings.workers;
+    for (let left = seconds; left > 1e-9; left -= report_s) {
+      this.fleet.now += report_s;
+      for (const w of this.fleet.workers.values()) {
+        w.tick();
+        this.checkin(w);
+      }
+      this.pass();
+      await this.flush();
+      this.leader.beat();
+    }
+  }
+}
+
+const OPS = { start: 'start', kill: 'stop', reap: 'forget' } as const;
+
+function asCommand(o: { verb: string; piece: string; pour: number; cooling_s?: number }): Command {
+  const [job, index] = o.piece.split('/') as [string, string];
+  const base = { job, index: Number(index), attempt: o.pour };
+  const op = OPS[o.verb as keyof typeof OPS];
+  return op === 'stop' ? { op, ...base, graceS: o.cooling_s ?? 0 } : { op, ...base };
+}
