--- a/src/cluster/election.ts
+++ b/src/cluster/election.ts
@@ -48,6 +48,8 @@
   role: Role = 'following';
   token = 0;
   private lease = 0;
+  /** How often this process has stood. */
+  private attempts = 0;
   private validUntil = -Infinity;
   private promisedUntil = -Infinity;
   /** The latest leader that this controller has acknowledged: it bears witness for no older one. */
@@ -160,6 +162,8 @@
   private async stand(guard: number): Promise<boolean> {
     const grantSentAt = this.clock.now();
     const lease = await this.state.grant(this.lifeS, 1);
+    // An earlier attempt's key may turn up late. It hangs on that one's lease, which nobody renews.
+    const incarnation = `${this.incarnation}/${++this.attempts}`;
     let token = 0;
     try {
       const r = await this.state.commit(
@@ -167,7 +171,7 @@
         [
           {
             put: records.LEADER,
-            value: records.encodeLeader({ node: this.node, incarnation: this.incarnation }),
+            value: records.encodeLeader({ node: this.node, incarnation }),
             lease,
           },
         ],
@@ -179,7 +183,7 @@
       if (e instanceof Refused) return false;
       // Not answered: read it back.
       const item = await this.state.get(records.LEADER, 1);
-      if (item === null || records.decodeLeader(item.value).incarnation !== this.incarnation) {
+      if (item === null || records.decodeLeader(item.value).incarnation !== incarnation) {
         return false;
       }
       token = item.revision;
@@ -277,10 +281,15 @@
     const promise =
       this.clock.now() + (Math.min(forMs, this.lifeS * 1000) / 1000) * (1 + 2 * DRIFT);
     const before = this.promisedUntil;
-    this.promisedUntil = Math.max(before, promise);
+    const given = Math.max(before, promise);
+    this.promisedUntil = given;
+    // Another answer may have promised more meanwhile: that stays.
+    const takeBack = (): void => {
+      if (this.promisedUntil === given) this.promisedUntil = before;
+    };
     try {
       await this.state.get(records.LEADER, 0.5);
-      this.promisedUntil = before;
+      takeBack();
       return { refused: false };
     } catch (e) {
       if (e instanceof Refused && e.status === 503) {
@@ -290,7 +299,7 @@
         const freshAgeS = this.clock.now() - this.follower.freshAt;
         return { refused: true, cancelled, freshAgeS };
       }
-      this.promisedUntil = before;
+      takeBack();
       return {};
     }
   }
--- a/src/jobs/live.ts
+++ b/src/jobs/live.ts
@@ -109,6 +109,8 @@
       if (rest.length > 0) this.live.set(a.index, rest);
       else this.live.delete(a.index);
     }
+    // A worker's report may show a task that the job does not have.
+    if (a.index >= this.spec.tasks) return;
     if (!this.done.has(a.index) && !this.live.has(a.index)) this.requeued.add(a.index);
   }
 
@@ -120,6 +122,16 @@
     this.retries.set(index, r);
   }
 
+  /**
+   * A task has run for so long: not a job whose tasks fail wherever they start. Services never have a
+   * task that is done; one whose replicas had met three faulty machines once got no replica any more.
+   */
+  noteRun(ranS: number, provenS: number): void {
+    if (ranS < provenS) return;
+    this.succeeded = true;
+    this.failedOn.clear();
+  }
+
   markDone(index: number, now: number): boolean {
     this.succeeded = true;
     if (!this.done.add(index)) return false;
--- a/src/sched/quota.ts
+++ b/src/sched/quota.ts
@@ -1,5 +1,5 @@
 import type { Team } from '../config/settings.js';
-import { within, type JobSpec, type MachineType, fits } from '../jobs/types.js';
+import { within, type JobSpec, type MachineType, fits, scatterCap } from '../jobs/types.js';
 
 export interface Usage {
   cores: number;
@@ -70,7 +70,13 @@
       (spec.types === null || spec.types.includes(t.name)) &&
       (spec.zone === null || t.zones.includes(spec.zone)),
   );
-  if (!allowed.some((t) => fits(spec, t))) return 'fits no allowed machine type';
+  const fitting = allowed.filter((t) => fits(spec, t));
+  if (fitting.length === 0) return 'fits no allowed machine type';
+  if (spec.kind === 'gang' && spec.scatter) {
+    const zones = new Set(fitting.flatMap((t) => t.zones));
+    const usable = spec.zone !== null || spec.oneZone ? 1 : zones.size;
+    if (scatterCap(spec.tasks) * usable < spec.tasks) return 'no zones can hold all its tasks';
+  }
   const n = spec.kind === 'array' ? 1 : spec.tasks;
   if (!within(spec.cores * n, team.coresMax) || !within(spec.gpus * n, team.gpusMax)) {
     return "over the team's limit";
--- /dev/null
+++ b/src/sched/reservation.ts
@@ -0,0 +1,74 @@
+import { fits, scatterCap, type JobSpec, type Size } from '../jobs/types.js';
+import { allowed, freeShare, type Room } from './place.js';
+
+/**
+ * A reservation for a gang that has waited long: as in backfill scheduling, the machines on which it can
+ * start soonest take no further work of its own or a lesser priority until it has started. Without one, a
+ * gang of whole machines never starts beside a steady stream of small work of equal priority.
+ */
+export interface ReservableMachine {
+  room: Room;
+  /** What is free there once all work that ends by itself has ended. */
+  eventual: Size;
+}
+
+/** How many tasks fit into a size. */
+function tasksIn(spec: JobSpec, size: Size): number {
+  const left = { ...size };
+  let tasks = 0;
+  while (tasks < spec.tasks && fits(spec, left)) {
+    left.cores -= spec.cores;
+    left.gpus -= spec.gpus;
+    left.memGb -= spec.memGb;
+    tasks++;
+  }
+  return tasks;
+}
+
+/** Machines for all tasks of a gang, those with most free room first; null: not enough of them. */
+function fill(
+  spec: JobSpec,
+  machines: ReservableMachine[],
+  perZone: number,
+): ReservableMachine[] | null {
+  const chosen: ReservableMachine[] = [];
+  const inZone = new Map<string, number>();
+  let missing = spec.tasks;
+  for (const machine of machines) {
+    if (missing <= 0) break;
+    const { zone } = machine.room;
+    const used = inZone.get(zone) ?? 0;
+    const tasks = Math.min(tasksIn(spec, machine.eventual), perZone - used, missing);
+    if (tasks <= 0) continue;
+    inZone.set(zone, used + tasks);
+    missing -= tasks;
+    chosen.push(machine);
+  }
+  return missing <= 0 ? chosen : null;
+}
+
+/** Names of the machines to reserve for a gang; null: no set of machines will ever hold it. */
+export function chooseReservation(
+  spec: JobSpec,
+  machines: readonly ReservableMachine[],
+): Set<string> | null {
+  const candidates = machines.filter(({ room }) => allowed(spec, room));
+  candidates.sort((a, b) => freeShare(b.room) - freeShare(a.room));
+  const perZone = spec.scatter ? scatterCap(spec.tasks) : spec.tasks;
+  const groups = spec.oneZone
+    ? [...new Set(candidates.map(({ room }) => room.zone))].map((zone) =>
+        candidates.filter(({ room }) => room.zone === zone),
+      )
+    : [candidates];
+  let best: ReservableMachine[] | null = null;
+  let bestFree = -1;
+  for (const group of groups) {
+    const chosen = fill(spec, group, perZone);
+    if (chosen === null) continue;
+    const free = chosen.reduce((sum, { room }) => sum + freeShare(room), 0);
+    if (free <= bestFree) continue;
+    best = chosen;
+    bestFree = free;
+  }
+  return best === null ? null : new Set(best.map(({ room }) => room.id));
+}
--- a/src/service/direct.ts
+++ b/src/service/direct.ts
@@ -68,16 +68,16 @@
     const commands = m.commands(term.now, (a) => term.mayStart(a), false);
     term.urgent.delete(m.id);
     if (commands.every((c) => c.op === 'forget')) return;
-    const session = m.session;
+    const { session, token } = m;
     m.mark(commands, 'direct', term.now);
     d.busy = true;
     const timeout = deps.settings.workers.report_s * ANSWER_REPORTS;
     try {
-      const body = encodeDirect(deps.token, session, commands);
+      const body = encodeDirect(token, session, commands);
       const r = await d.client.request('POST', '/do', body, timeout);
       if (this.stopped) return;
       const how = r.status === 200 ? 'done' : 'refused';
-      m.directDone(commands, how, session, term.now);
+      m.directDone(commands, how, session, term.now, token);
       if (r.status === 200 || r.status === 409) {
         const report = parseReport(JSON.parse(r.body.toString('utf8')));
         if (report.machine === m.id) term.digest(m, m.apply(report, false, term.now));
@@ -85,7 +85,7 @@
     } catch (e) {
       if (this.stopped) return;
       const never = e instanceof NoResponse && !e.sent;
-      m.directDone(commands, never ? 'refused' : 'unknown', session, term.now);
+      m.directDone(commands, never ? 'refused' : 'unknown', session, term.now, token);
       deps.log.debug({ machine: m.id, err: String(e) }, 'direct commands not answered');
     } finally {
       d.busy = false;
--- a/src/service/leader.ts
+++ b/src/service/leader.ts
@@ -116,23 +116,25 @@
     const { term, deps } = this;
     if (!deps.entitled()) return { status: 503, retryAfter: 1 };
     // Of a later leader: it would drop an answer from here, and its lease would run out meanwhile.
-    if (report.token > deps.token) return { status: 503, retryAfter: 1 };
+    if (term.isLater(report.token)) return { status: 503, retryAfter: 1 };
     // A copy that was held back. Taken for a machine, work would be placed on it.
     if (term.returned.has(report.machine)) return { status: 503, retryAfter: 1 };
     const now = term.now;
     const m = this.machineOf(report);
     const repeated = m.hasSeen(report);
+    // Fenced once by this term, forgotten, and back.
+    if (report.token > m.token) m.raiseToken(term.latestRevision);
     const changes = m.apply(report, true, now);
     if (!changes.stale) term.digest(m, changes);
     const fresh =
       !changes.stale &&
       (m.state === 'ready' || m.state === 'returning') &&
-      report.token === term.deps.token;
+      report.token === m.token;
     const commands = fresh ? m.commands(now, (a) => term.mayStart(a), true) : [];
     m.mark(commands, 'checkin', now);
     if (fresh) term.urgent.delete(m.id);
     if (!repeated) m.renewed(now);
-    return { status: 200, body: encodeOrders(term.deps.token, commands) };
+    return { status: 200, body: encodeOrders(m.token, commands) };
   }
 
   private machineOf(report: Report): Machine {
@@ -169,6 +171,7 @@
     if (this.stopped) return;
     if (!this.fencedLogged) this.logFenced();
     this.upkeep.consolidate();
+    if (this.deps.writing()) this.term.fenceUnanswered();
     this.sweep();
     this.term.stir();
   }
--- a/src/service/reports.ts
+++ b/src/service/reports.ts
@@ -153,8 +153,10 @@
   }
 
   /** Renews a worker's lease in a leader's place. The only commands: cancelled tasks stop. */
-  private keep(report: Report, token: number): Reply {
+  private keep(report: Report, leaderToken: number): Reply {
     const { replica, toldCancelled } = this.parts;
+    const record = replica.machines.get(report.machine)?.record;
+    const token = (record?.term === leaderToken ? record.token : undefined) ?? leaderToken;
     // It knows of a leader that this controller does not: what it got from here it would drop, and
     // stay here while its lease runs out.
     if (report.token > token) return { status: 503, retryAfter: 1 };
--- a/src/service/rooms.ts
+++ b/src/service/rooms.ts
@@ -178,6 +178,21 @@
     return u;
   }
 
+  /** What is free on a machine once all but its services has ended. */
+  eventual(id: string): Size | null {
+    const entry = this.entries.get(id);
+    if (entry === undefined) return null;
+    const { cores, gpus, memGb } = entry.type;
+    const left = { cores, gpus, memGb };
+    for (const spec of entry.held) {
+      if (spec.kind !== 'service') continue;
+      left.cores -= spec.cores;
+      left.gpus -= spec.gpus;
+      left.memGb -= spec.memGb;
+    }
+    return left;
+  }
+
   inUse(id: string): boolean {
     return this.entries.get(id)?.inUse ?? false;
   }
--- a/src/service/scheduler.ts
+++ b/src/service/scheduler.ts
@@ -11,6 +11,7 @@
   type Room,
   type Weights,
 } from '../sched/place.js';
+import { chooseReservation, type ReservableMachine } from '../sched/reservation.js';
 import { leavesSoon, Waits } from '../sched/objectives.js';
 import type { Usages } from '../sched/quota.js';
 import { specOf } from '../state/replica.js';
@@ -29,6 +30,9 @@
  * record takes many claims, and what is placed before it can be stored only waits.
  */
 const CLAIMS_PER_WRITE = 12;
+/** Of the largest value that the store takes, what a machine's claims may take; and one of them. */
+const CLAIMS_SHARE = 0.5;
+const CLAIM_BYTES = 64;
 /** Work that may run on spot machines waits so many boots for one before it takes a dear one. */
 const ORDINARY_BOOTS = 0.8;
 /** What a wholly empty machine costs against a full one, in boots. */
@@ -40,6 +44,14 @@
 /** A job that has failed on so many machines and never succeeded is doubted, not the machines. */
 export const SUSPECT_MACHINES = 3;
 
+/** A gang that has waited for so many leases gets machines reserved. */
+const RESERVE_LEASES = 3;
+
+interface Reservation {
+  job: LiveJob;
+  machines: Set<string>;
+}
+
 export interface PassResult {
   placed: number;
   demand: Demand[];
@@ -134,7 +146,8 @@
     this.shortTypes.clear();
     const weights = this.weights();
     const jobs = this.queue.ranked(now);
-    const reserves = this.reserves(jobs, rooms);
+    this.updateReservation(jobs, rooms, usages);
+    const reserves = this.reserves(jobs, rooms, usages);
     const demand: Demand[] = [];
     const evictions = new Evictions(term, rooms, usages, this.waits);
     const most = Math.ceil(term.deps.settings.state.write_rps * CLAIMS_PER_WRITE);
@@ -149,13 +162,23 @@
       placed += missing.placed;
       if (missing.short === 0) continue;
       // What finds no room may take it from lesser work; the rest is for the fleet to grow.
-      const may = this.warmKept(job);
+      const may = this.mayUse(job);
       const left = evictions.make(job, missing.short, this.zonesOf(job), may);
       if (left > 0) demand.push({ spec: job.spec, tasks: left, zones: this.zonesOf(job) });
     }
     return { placed, demand, rooms };
   }
 
+  /** Whether the job, rather than the machines, is doubted: its tasks fail wherever they start. */
+  private suspect(job: LiveJob): boolean {
+    if (job.succeeded || job.failedOn.size < SUSPECT_MACHINES) return false;
+    const { lease_s } = this.term.deps.settings.workers;
+    for (const a of job.holding()) {
+      if (a.startedAt !== null) job.noteRun(this.term.now - a.startedAt, lease_s);
+    }
+    return !job.succeeded;
+  }
+
   private placeGang(
     job: LiveJob,
     rooms: Room[],
@@ -191,7 +214,7 @@
   ): { placed: number; short: number } {
     const { spec } = job;
     const zones = this.zonesOf(job);
-    const suspect = !job.succeeded && job.failedOn.size >= SUSPECT_MACHINES;
+    const suspect = this.suspect(job);
     const most = Math.min(usages.room(spec), left, suspect ? 1 - job.holdingCount : left);
     const indexes = job.pending(now, Math.max(0, most));
     if (indexes.length === 0) return { placed: 0, short: 0 };
@@ -243,14 +266,19 @@
    * priority, that of its own and of higher ones. Gangs once waited for half a minute beside room that
    * was held for long arrays of the least priority, and evicted others in vain meanwhile.
    */
-  private reserves(jobs: LiveJob[], rooms: Room[]): Reserves {
-    const long = jobs.filter((j) => j.long);
+  private reserves(jobs: LiveJob[], rooms: Room[], usages: Usages): Reserves {
+    // Nothing is held for what may not start: its team is at its limit, or its tasks are to wait.
+    const startable = new Map<LiveJob, number>();
+    for (const j of jobs) {
+      if (!j.long || j.pending(this.term.now, 1).length === 0) continue;
+      startable.set(j, Math.min(j.pendingCount, usages.room(j.spec)));
+    }
     const of = new Map<number, Map<string, number>>();
     return (priority) => {
       let r = of.get(priority);
       if (r === undefined) {
         r = this.reserve(
-          long.filter((j) => j.spec.priority <= priority),
+          [...startable].filter(([j]) => j.spec.priority <= priority),
           rooms,
         );
         of.set(priority, r);
@@ -259,16 +287,16 @@
     };
   }
 
-  private reserve(long: LiveJob[], rooms: Room[]): Map<string, number> {
+  private reserve(long: [LiveJob, number][], rooms: Room[]): Map<string, number> {
     const out = new Map<string, number>();
     if (long.length === 0) return out;
     const capacity = new Map<string, number>();
     for (const r of rooms) capacity.set(r.type, (capacity.get(r.type) ?? 0) + unit(r.whole));
     for (const [type, whole] of capacity) {
       let wanted = 0;
-      for (const j of long) {
+      for (const [j, tasks] of long) {
         if (j.spec.types !== null && !j.spec.types.includes(type)) continue;
-        wanted += unit(j.spec) * Math.min(j.pendingCount, whole / Math.max(unit(j.spec), 1e-9));
+        wanted += unit(j.spec) * Math.min(tasks, whole / Math.max(unit(j.spec), 1e-9));
       }
       const share = reserved(whole, this.term.deps.policy.rho, wanted);
       if (share > 0) out.set(type, share);
@@ -285,7 +313,7 @@
     rooms: Room[],
     reserves: Reserves,
   ): { may: May; taken: (room: Room) => void } {
-    const kept = this.warmKept(job);
+    const kept = this.mayUse(job);
     const exempt = job.long || job.spec.kind === 'service' || job.guaranteed;
     if (exempt) return { may: kept, taken: () => undefined };
     const reserve = reserves(job.spec.priority);
@@ -305,6 +333,64 @@
     };
   }
 
+  /** For one gang at a time. It is kept until that gang has started, or cannot any more. */
+  private reservation: Reservation | null = null;
+
+  private updateReservation(jobs: LiveJob[], rooms: Room[], usages: Usages): void {
+    const starved = jobs.filter((job) => this.isStarved(job, usages));
+    const { reservation } = this;
+    if (reservation !== null) {
+      const there = rooms.filter((room) => reservation.machines.has(room.id));
+      const whole = there.length === reservation.machines.size;
+      if (whole && starved.includes(reservation.job)) return;
+    }
+    this.reservation = null;
+    if (starved.length === 0) return;
+    const machines = rooms.flatMap((room): ReservableMachine[] => {
+      const eventual = this.book.eventual(room.id);
+      return eventual === null ? [] : [{ room, eventual }];
+    });
+    for (const job of starved) {
+      const chosen = chooseReservation(job.spec, machines);
+      if (chosen === null) continue;
+      this.reservation = { job, machines: chosen };
+      this.term.deps.log.info({ job: job.spec.id, machines: chosen.size }, 'machines reserved');
+      return;
+    }
+  }
+
+  private isStarved(job: LiveJob, usages: Usages): boolean {
+    const { now, deps } = this.term;
+    if (!job.gang || now - job.submittedAt < deps.settings.workers.lease_s * RESERVE_LEASES) {
+      return false;
+    }
+    const { spec } = job;
+    if (job.holdingCount > 0 || job.pending(now, spec.tasks).length < spec.tasks) return false;
+    return usages.allows(spec, spec.tasks);
+  }
+
+  private isReservedFrom(job: LiveJob, machine: string): boolean {
+    const { reservation } = this;
+    if (reservation === null || reservation.job === job) return false;
+    return reservation.machines.has(machine) && job.spec.priority >= reservation.job.spec.priority;
+  }
+
+  /** The rooms a job may use, whatever is held for long work. */
+  private mayUse(job: LiveJob): May {
+    const kept = this.warmKept(job);
+    return (room) =>
+      !this.isReservedFrom(job, room.id) && this.hasClaimsLeft(room.id) && kept(room);
+  }
+
+  /**
+   * A machine's record names all claims on it and may not outgrow a value of the store. With tasks of a
+   * thousandth of a core one did, and nothing could be stored any more.
+   */
+  private hasClaimsLeft(id: string): boolean {
+    const bytes = this.term.deps.settings.state.value_kb * 1024 * CLAIMS_SHARE;
+    return this.term.machines.get(id)!.attempts.size < Math.max(1, bytes / CLAIM_BYTES);
+  }
+
   /** Free room beyond what is kept warm, on ordinary and on spot machines. */
   private readonly excess = new Map<boolean, number>();
   private readonly shortTypes = new Map<string, boolean>();
--- a/src/service/store.ts
+++ b/src/service/store.ts
@@ -108,6 +108,7 @@
       );
       if (this.stopped) return;
       if (r.ok) {
+        this.term.latestRevision = Math.max(this.term.latestRevision, r.revision);
         for (const w of batch) w.stored(r.revision);
         return;
       }
@@ -122,7 +123,7 @@
       if (this.stopped) return;
       for (const w of batch) w.failed();
       if (e instanceof Refused) {
-        if (e.status === 400) this.log.error({ keys: batch.map((w) => w.key) }, 'commit malformed');
+        if (e.status === 400) await this.rejected(batch);
         await sleep(0.1 + random() * 0.1);
         return;
       }
@@ -131,6 +132,18 @@
     }
   }
 
+  /** One malformed write must not keep the others of its batch from being stored. */
+  private async rejected(batch: Write[]): Promise<void> {
+    this.log.error({ keys: batch.map((w) => w.key) }, 'commit malformed');
+    if (batch.length === 1) return;
+    for (const w of batch) {
+      if (this.stopped) return;
+      this.state.writes.force(1);
+      w.begin();
+      await this.commit([w]);
+    }
+  }
+
   private async reread(batch: Write[]): Promise<void> {
     for (const w of batch) {
       while (!this.stopped) {
@@ -168,7 +181,7 @@
       const claiming = this.claiming(m);
       const make = (): Write => this.machine(m, m.claims());
       if (claiming !== null) due.push({ urgency: claiming, make });
-      else if (m.state === 'returning') due.push({ urgency: SOON, make });
+      else if (m.state === 'returning' || m.nextToken > m.token) due.push({ urgency: SOON, make });
       else if (m.revision === 0 && m.attempts.size === 0) term.dirtyMachines.delete(id);
       // Claims too many are safe; they are dropped with the next write, or when there is time.
       else due.push({ urgency: LATER, make });
@@ -205,9 +218,11 @@
     const { term } = this;
     const key = records.machineKey(m.id);
     const returning = m.state === 'returning';
+    const token = m.nextToken;
     const value = records.encodeMachine({
       owner: this.node,
       term: term.deps.token,
+      ...(token > term.deps.token ? { token } : {}),
       addr: m.addr,
       type: m.type,
       zone: m.zone,
@@ -225,6 +240,7 @@
         stored: (revision) => {
           m.revision = revision;
           m.recordTerm = term.deps.token;
+          m.raiseToken(token);
           if (returning) m.returnStored = true;
           for (const a of claims) term.stored(a);
         },
@@ -257,7 +273,9 @@
         reread: (item) => {
           // Stored after all: writing it again would make "done" younger than it is, and a
           // cancellation in between would seem to have come first.
-          if (item !== null && JSON.stringify(item.value) === JSON.stringify(value)) {
+          // The time attained may differ by now: what is done decides.
+          const bits = item === null ? undefined : records.decodeProgress(item.value).bits;
+          if (item !== null && (bits === null || bits === records.decodeProgress(value).bits)) {
             stored(item.revision);
           } else job.chunkRevisions.set(chunk, item?.revision ?? 0);
         },
--- a/src/service/term.ts
+++ b/src/service/term.ts
@@ -44,6 +44,11 @@
   readonly urgent = new Set<string>();
   readonly fetches = new FetchTimes();
   readonly startedAt: number;
+  /**
+   * Revision of the latest commit of this term. Commits are guarded by the leader's key, so it is above
+   * the term's token and below that of every later leader: machines may be fenced with it.
+   */
+  latestRevision: number;
   types = new Map<string, MachineType>();
   /** Set when something happened that placing should look at. */
   stirred = true;
@@ -51,6 +56,7 @@
 
   constructor(readonly deps: TermDeps) {
     this.startedAt = deps.clock.now();
+    this.latestRevision = deps.token;
     this.setTypes(deps.replica.types ?? []);
     // In the order of acceptance, as those that come later are: guarantees go by it.
     const open = [...deps.replica.jobs.values()].filter((f) => outcome(f) === 'open');
@@ -69,7 +75,8 @@
         m.images.set(image, { gb, at: now });
         m.fetchedGb += gb;
       }
-      if (record.returning) m.become('returning');
+      // The record says so already: without this no round would ever name it to the cloud again.
+      if (record.returning && m.become('returning')) m.returnStored = true;
       for (const c of record.claims) {
         const a = makeAttempt(c.job, c.index, c.attempt, id, 'inherited', now);
         m.claim(a);
@@ -151,10 +158,7 @@
     if (!holds(a)) return;
     const m = this.machines.get(a.machine);
     if (a.state === 'claimed' && m !== undefined) {
-      m.withdraw(a, this.now);
-      this.dirtyMachines.add(m.id);
-      this.jobs.get(a.job)?.release(a);
-      this.stir();
+      this.withdraw(m, a);
       return;
     }
     if (a.stop === null || graceS < a.stop.graceS) {
@@ -165,6 +169,14 @@
     this.stir();
   }
 
+  /** A claim whose start was never sent, or provably not carried out. */
+  private withdraw(m: Machine, a: Attempt): void {
+    m.withdraw(a, this.now);
+    this.dirtyMachines.add(m.id);
+    this.jobs.get(a.job)?.release(a);
+    this.stir();
+  }
+
   /** A gang goes as a whole: every task is told within the same moment. */
   stopGang(job: LiveJob, graceS: number): void {
     for (const list of [...job.live.values()]) for (const a of [...list]) this.stop(a, graceS);
@@ -209,6 +221,24 @@
     else this.removals.set(id, revision);
   }
 
+  /**
+   * Fences machines anew whose direct starts were never answered, once one of those keeps something
+   * from being done. The record names the new token before a worker sees it: whoever renews leases in
+   * this leader's place must be able to give it.
+   */
+  fenceUnanswered(): void {
+    for (const m of this.machines.values()) {
+      if (m.state !== 'ready' || !m.blockedByUnanswered()) continue;
+      if (this.latestRevision > m.token) m.nextToken = this.latestRevision;
+      this.dirtyMachines.add(m.id);
+    }
+  }
+
+  /** A later leader's token, as far as can be told: none that this term has given. */
+  isLater(token: number): boolean {
+    return token > this.latestRevision;
+  }
+
   mayStart(a: Attempt): boolean {
     const job = this.jobs.get(a.job);
     const m = this.machines.get(a.machine);
@@ -238,6 +268,9 @@
       }
     }
     for (const a of c.moved) {
+      // Its start provably went nowhere, and it is not wanted any more. Left as it was, it held its room
+      // and its task for the rest of the term.
+      if (a.state === 'claimed' && a.stop !== null) this.withdraw(m, a);
       if (a.fetchS > 0 && a.sentAt !== null && (a.state === 'running' || a.state === 'waiting')) {
         this.fetches.note(a.fetchS, now - a.sentAt);
         a.fetchS = 0;
@@ -300,7 +333,10 @@
       a.settled = true;
       return;
     }
-    if (a.startedAt !== null) job.attainedS += now - a.startedAt;
+    if (a.startedAt !== null) {
+      job.attainedS += now - a.startedAt;
+      job.noteRun(now - a.startedAt, this.deps.settings.workers.lease_s);
+    }
     if (a.state === 'ended' && a.cause === 'done' && !job.cancelled) {
       this.done(m, job, a);
       return;
@@ -367,18 +403,29 @@
   /** A machine is faulty when tasks of jobs that do well elsewhere fail on it, one after another. */
   private judge(m: Machine): void {
     const recent = this.now - this.deps.settings.workers.lease_s * 12;
+    const doubted = new Set<string>();
     let against = 0;
     for (const [task, at] of m.errors) {
-      const job = this.jobs.get(task.slice(0, task.lastIndexOf('/')));
+      const id = task.slice(0, task.lastIndexOf('/'));
       if (at < recent) m.errors.delete(task);
-      else if (job === undefined || job.succeeded || job.failedOn.size === 1) against++;
+      else if (this.hasSucceeded(id)) against++;
+      // Several tasks of a job with a mistake fail together where it is tried first: that counts once.
+      else if (this.jobs.get(id)?.failedOn.size === 1) doubted.add(id);
     }
-    if (against >= 2 && !m.faulty) {
+    if (against + doubted.size >= 2 && !m.faulty) {
       m.faulty = true;
       this.deps.log.info({ machine: m.id }, 'faulty machine put aside');
     }
   }
 
+  /** Whether some task of a job has done well somewhere. */
+  private hasSucceeded(id: string): boolean {
+    const job = this.jobs.get(id);
+    if (job !== undefined) return job.succeeded;
+    const facts = this.deps.replica.jobs.get(id);
+    return facts !== undefined && outcome(facts) === 'done';
+  }
+
   /** The cloud is about to take the machine: what can be saved is saved now. */
   private drain(m: Machine): void {
     for (const a of [...m.attempts.values()]) {
--- a/src/service/upkeep.ts
+++ b/src/service/upkeep.ts
@@ -222,6 +222,8 @@
   toReturn(): string[] {
     const { term } = this;
     const now = term.now;
+    // It came after all, while the cloud did not answer: there may be work on it by now.
+    for (const id of this.neverCame) if (term.machines.has(id)) this.neverCame.delete(id);
     const ids: string[] = [...this.failedListed, ...this.neverCame];
     const spare = [false, true].map((spot) => freeRoom(this.rooms, spot) - this.target(spot));
     // Machines with few images go first: what others have cached spares the next task its fetch.
--- a/src/state/follow.ts
+++ b/src/state/follow.ts
@@ -56,7 +56,7 @@
       keys.add(item.key);
       this.replica.item(item);
     });
-    this.replica.retain(keys);
+    this.replica.retain(keys, first);
     this.replica.applied = Math.max(this.replica.applied, first);
     // Pages differ in age: only with the changes since the first one do they make one picture.
     const r = await this.state.changes(records.ROOT, first, 0, 5);
--- a/src/state/records.ts
+++ b/src/state/records.ts
@@ -114,6 +114,8 @@
   /** The controller that owns the machine. Its term is the revision of its leadership. */
   owner: string;
   term: number;
+  /** Token that its worker may have been given, where that is above `term`. */
+  token?: number;
   addr: string;
   type: string;
   zone: string;
@@ -127,6 +129,7 @@
 export const encodeMachine = (m: MachineRecord): unknown => ({
   o: m.owner,
   e: m.term,
+  ...(m.token === undefined ? {} : { k: m.token }),
   a: m.addr,
   c: m.type,
   z: m.zone,
@@ -141,6 +144,7 @@
   return {
     owner: o.o as string,
     term: o.e as number,
+    ...(typeof o.k === 'number' ? { token: o.k } : {}),
     addr: o.a as string,
     type: o.c as string,
     zone: o.z as string,
--- a/src/state/replica.ts
+++ b/src/state/replica.ts
@@ -130,16 +130,15 @@
     return ids;
   }
 
-  /** Keys that a fresh listing lacks are gone. */
-  retain(keys: Set<string>): void {
-    for (const id of [...this.machines.keys()]) {
-      const key = records.machineKey(id);
-      if (!keys.has(key)) this.removed(key);
-    }
-    for (const node of [...this.present.keys()]) {
-      if (!keys.has(records.nodeKey(node))) this.removed(records.nodeKey(node));
-    }
-    if (this.leader !== null && !keys.has(records.LEADER)) this.removed(records.LEADER);
+  /**
+   * Keys that a fresh listing lacks are gone. `revision`: of its first page. What has been put since may
+   * be missing from it, and the changes show it.
+   */
+  retain(keys: Set<string>, revision: number): void {
+    const known = [...this.machines.keys()].map(records.machineKey);
+    known.push(...[...this.present.keys()].map(records.nodeKey));
+    if (this.leader !== null) known.push(records.LEADER);
+    for (const key of known) if (!keys.has(key)) this.removed(key, revision + 1);
   }
 
   /** Changes after some revision at or below `applied`, up to `revision`. */
@@ -184,7 +183,7 @@
     }
   }
 
-  private removed(key: string, revision = Infinity): void {
+  private removed(key: string, revision: number): void {
     if (key === records.LEADER) {
       if (this.leader !== null && this.leader.revision < revision) {
         this.leader = null;
--- a/src/workers/attempt.ts
+++ b/src/workers/attempt.ts
@@ -49,8 +49,11 @@
   viaCheckin: number | null;
   /** A direct message with the start is under way. */
   direct: boolean;
-  /** A direct message with the start was never answered: it may arrive at any time in its session. */
-  loose: boolean;
+  /**
+   * Token of a direct message with the start that was never answered: it may arrive at any time in its
+   * session, unless the worker has seen a higher token. Null: there is none.
+   */
+  unanswered: number | null;
   cause: Cause | null;
   saved: boolean;
   /** Wanted gone: since when and with what grace. */
@@ -84,7 +87,7 @@
     session: null,
     viaCheckin: null,
     direct: false,
-    loose: false,
+    unanswered: null,
     cause: null,
     saved: false,
     stop: null,
--- a/src/workers/machine.ts
+++ b/src/workers/machine.ts
@@ -81,12 +81,17 @@
   returnStored = false;
   listedAgeS: number | null = null;
 
+  /** The token that its record is to name next; above `token`: the machine is to be fenced anew. */
+  nextToken: number;
+
   constructor(
     readonly id: string,
-    readonly token: number,
+    /** What commands to it carry: the term's token, or a later revision of the term's own commits. */
+    public token: number,
     private readonly leaseS: number,
     readonly knownAt: number,
   ) {
+    this.nextToken = token;
     this.heardAt = knownAt;
     this.idleSince = knownAt;
     // Whoever led before may have renewed its lease until this term began; a caretaker, in an outage
@@ -105,6 +110,30 @@
     return true;
   }
 
+  /** Its record names a higher token: from now on it is given that, and trusted once it shows it. */
+  raiseToken(token: number): void {
+    if (token <= this.token) return;
+    this.token = token;
+    this.nextToken = Math.max(this.nextToken, token);
+    if (this.state === 'ready') this.become('fencing');
+  }
+
+  /** Whether an unanswered start that may still arrive keeps a task from ending or being forgotten. */
+  blockedByUnanswered(): boolean {
+    for (const a of this.attempts.values()) {
+      if (a.unanswered === null || a.direct) continue;
+      if (a.stop !== null || a.state === 'ended') return true;
+    }
+    return false;
+  }
+
+  /** It has shown its token: starts that were sent with a lower one are not carried out any more. */
+  private settleUnanswered(): void {
+    for (const a of this.attempts.values()) {
+      if (a.unanswered !== null && a.unanswered < this.token) a.unanswered = null;
+    }
+  }
+
   /** What is on it has changed. */
   touch(): void {
     this.version++;
@@ -149,6 +178,9 @@
     }
     if (r.session > this.session) {
       c.sessionMoved = this.session !== 0;
+      // Shown by the answer to a direct command perhaps, which renews nothing: but a session begins
+      // with a lease of its own, and what is started in it may be there until that has run out.
+      this.renewed(now);
       this.session = r.session;
       for (const a of [...this.attempts.values()]) {
         // A session that has moved on takes everything with it, late messages included.
@@ -175,6 +207,7 @@
       return c;
     }
     this.become('ready');
+    this.settleUnanswered();
     if (checkin) this.checkinSeq = r.seq;
     this.compare(r.tasks, checkin, now, c);
     return c;
@@ -211,7 +244,7 @@
         case 'gone':
           break;
         case 'sent':
-          if (!checkin || a.direct || a.loose) break;
+          if (!checkin || a.direct || a.unanswered !== null) break;
           if (a.viaCheckin !== null && this.checkinSeq <= a.viaCheckin) break;
           // The answer that carried the start is over and it is not there: it never will be.
           advance(a, 'claimed', now);
@@ -277,7 +310,7 @@
       const { job, index, number: attempt } = a;
       if (a.state === 'ended') {
         // A start that may still arrive would begin anew what has been forgotten.
-        if (a.settled && !a.loose && !a.direct) {
+        if (a.settled && a.unanswered === null && !a.direct) {
           forget.push({ op: 'forget', job, index, attempt });
           forgotten.add(`${job}/${index}`);
         }
@@ -288,7 +321,7 @@
       }
     }
     for (const a of this.attempts.values()) {
-      const again = a.state === 'sent' && a.loose && !a.direct && repeatStops;
+      const again = a.state === 'sent' && a.unanswered !== null && !a.direct && repeatStops;
       if (a.stop !== null || (a.state !== 'claimed' && !again)) continue;
       if (a.direct || !mayStart(a)) continue;
       if (this.otherAttempt(a) && !forgotten.has(`${a.job}/${a.index}`)) continue;
@@ -329,6 +362,8 @@
     how: 'done' | 'refused' | 'unknown',
     session: number,
     now: number,
+    /** What the message carried. */
+    token = this.token,
   ): void {
     for (const c of commands) {
       const a = this.attempts.get(attemptKey(c.job, c.index, c.attempt));
@@ -336,8 +371,8 @@
       if (c.op === 'stop' && how !== 'done' && a.stop !== null) a.stop.sentAt = null;
       if (c.op !== 'start') continue;
       a.direct = false;
-      if (how === 'unknown' && a.session === session) a.loose = true;
-      if (how === 'refused' && a.state === 'sent' && !a.loose) {
+      if (how === 'unknown' && a.session === session) a.unanswered = token;
+      if (how === 'refused' && a.state === 'sent' && a.unanswered === null) {
         advance(a, 'claimed', now);
       }
     }
--- a/test/meeting-helpers.ts
+++ b/test/meeting-helpers.ts
@@ -136,8 +136,9 @@
     replica.listener = listener;
     const keys = [...this.items.keys()].sort();
     for (const key of keys) replica.item(this.items.get(key)!);
-    replica.retain(new Set(keys));
+    replica.retain(new Set(keys), this.ledger);
     replica.applied = this.ledger;
+    replica.listed();
     return replica;
   }
 }
--- a/test/meeting-records.test.ts
+++ b/test/meeting-records.test.ts
@@ -45,7 +45,7 @@
     onJob: (facts) => void (outcome(facts) === 'open' && open.push(facts.spec.id)),
   });
   assert.equal(outcome(replica.jobs.get(JOB)!), 'cancelled');
-  assert.deepEqual(replica.lastCancelled, [JOB], 'told to others in an outage');
+  assert.deepEqual(replica.cancelledSince(0), [JOB], 'told to others in an outage');
 });
 
 test('of two acceptances of a job the older one describes it, whatever the order of listing', () => {
--- a/test/meeting-witness.test.ts
+++ b/test/meeting-witness.test.ts
@@ -9,7 +9,7 @@
 import * as records from '../src/state/records.js';
 import { MemoryStore } from './meeting-helpers.js';
 
-const LEASE = 10;
+const WORKERS = { lease_s: 10, cancel_s: 30 };
 const LONG_AGO = -1000;
 
 /** A controller that began long ago, over a store. */
@@ -24,14 +24,19 @@
     'a',
     'a-1',
     3,
-    LEASE,
+    WORKERS,
     store.client(),
-    { ready, sync } as unknown as Follower,
+    { ready, sync, freshAt: 0 } as unknown as Follower,
     replica,
     () => ({ names: [] }) as unknown as PeerNet,
     { now: () => clock.now },
     silentLog(),
-    { onElected: () => undefined, onDeposed: () => undefined, onToldCancelled: () => undefined },
+    {
+      onElected: () => undefined,
+      onDeposed: () => undefined,
+      onToldCancelled: () => undefined,
+      cancelledSince: () => [],
+    },
   );
   clock.now = 0;
   const parts = election as unknown as { stand(guard: number): Promise<boolean> };
@@ -50,8 +55,8 @@
   const { election } = controller(store);
   const looks: ((e: Error) => void)[] = [];
   store.get = () => new Promise((_, reject) => looks.push(reject));
-  const unsure = election.answerRefused(1, 1000);
-  const refused = election.answerRefused(1, 2000);
+  const unsure = election.answerRefused(1, 1000, 0);
+  const refused = election.answerRefused(1, 2000, 0);
   looks[0]!(new Unanswered('no answer'));
   assert.equal((await unsure).refused, undefined);
   looks[1]!(new Refused(503));
@@ -64,7 +69,7 @@
   const store = new MemoryStore();
   const { election } = controller(store, false);
   store.mode = 'refuse';
-  assert.notEqual((await election.answerRefused(3, 1000)).refused, true);
+  assert.notEqual((await election.answerRefused(3, 1000, 0)).refused, true);
 });
 
 test("an earlier attempt's key that turns up late is not taken for this attempt's", async () => {
