--- /dev/null
+++ b/test/known-red.test.ts
@@ -0,0 +1,64 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { judge, parseKnownFailures, parseTap, type TestResult } from './tools/known-red.js';
+
+const LINE = 'a # test | a cause | 14';
+
+test('the list of known failures is short and whole', () => {
+  const cases: [string, string, number | RegExp][] = [
+    ['empty', '', 0],
+    ['blank lines', '\n\n', 0],
+    ['one line', `${LINE}\n`, 1],
+    ['three lines', `a | b | 1\nc | d | 2\ne | f | 3\n`, 3],
+    ['four lines', `a | b | 1\nc | d | 2\ne | f | 3\ng | h | 4\n`, /4 lines/],
+    ['no issue', 'a | b', /not "test name/],
+    ['an empty cause', 'a | | 1', /not "test name/],
+    ['listed twice', `${LINE}\n${LINE}`, /twice/],
+  ];
+  for (const [name, text, want] of cases) {
+    if (typeof want === 'number') assert.equal(parseKnownFailures(text).length, want, name);
+    else assert.throws(() => parseKnownFailures(text), want, name);
+  }
+});
+
+test('only listed tests may fail, and they must', () => {
+  const other: TestResult = { name: 'other', passed: true };
+  const failing: TestResult = { name: 'a # test', passed: false };
+  const cases: [string, string, TestResult[], number, number, number][] = [
+    ['all pass', '', [other], 0, 0, 0],
+    ['a failure that is not listed', '', [other, failing], 1, 1, 0],
+    ['a listed one', LINE, [other, failing], 1, 0, 1],
+    ['a listed one beside another', LINE, [{ ...other, passed: false }, failing], 1, 1, 1],
+    ['listed, but passes', LINE, [other, { ...failing, passed: true }], 0, 1, 0],
+    ['listed, but no such test', LINE, [other], 0, 1, 0],
+    ['the run failed without a result', '', [other], 1, 1, 0],
+  ];
+  for (const [name, list, results, exitStatus, errors, passedOver] of cases) {
+    const verdict = judge(parseKnownFailures(list), results, exitStatus);
+    assert.deepEqual(
+      [verdict.errors.length, verdict.passedOver.length],
+      [errors, passedOver],
+      name,
+    );
+  }
+});
+
+test('results are read from the whole stream', () => {
+  const tap = `TAP version 13
+# Subtest: a \\# test
+not ok 1 - a \\# test
+  ---
+  error: 'ok 5 - not a result'
+      ok 6 - a subtest
+  ...
+ok 2 - b # SKIP
+1..2
+# fail 1
+`;
+  assert.deepEqual(parseTap(tap), [
+    { name: 'a # test', passed: false },
+    { name: 'b', passed: true },
+  ]);
+  assert.throws(() => parseTap(tap.replace('1..2', '1..3')), /not whole/);
+  assert.throws(() => parseTap('error TS2304: no such name\n'), /not whole/);
+});
--- /dev/null
+++ b/test/tools/known-red.ts
@@ -0,0 +1,80 @@
+/**
+ * Judges a test run against the list of known failures. A listed test may fail, and nothing else may;
+ * the list itself must be short and right.
+ */
+
+/** Lines that the list may have. */
+export const MAX_KNOWN = 3;
+
+/** One line of the list: `test name | cause | issue`. */
+export interface KnownFailure {
+  test: string;
+  cause: string;
+  issue: string;
+}
+
+export interface TestResult {
+  name: string;
+  passed: boolean;
+}
+
+export interface Verdict {
+  errors: string[];
+  /** The listed tests that failed, to be printed. */
+  passedOver: KnownFailure[];
+}
+
+/** Reads the list; throws an error that names the line at fault. */
+export function parseKnownFailures(text: string): KnownFailure[] {
+  const lines = text.split('\n').filter((line) => line.trim() !== '');
+  if (lines.length > MAX_KNOWN) throw new Error(`${lines.length} lines, at most ${MAX_KNOWN}`);
+  const known = lines.map((line) => {
+    const parts = line.split('|').map((part) => part.trim());
+    const [test, cause, issue] = parts;
+    if (parts.length !== 3 || !test || !cause || !issue) {
+      throw new Error(`not "test name | cause | issue": ${line}`);
+    }
+    return { test, cause, issue };
+  });
+  const names = new Set(known.map((failure) => failure.test));
+  if (names.size < known.length) throw new Error('a test is listed twice');
+  return known;
+}
+
+/** The top-level results of a TAP stream; throws when the stream is not whole. */
+export function parseTap(text: string): TestResult[] {
+  const results: TestResult[] = [];
+  let planned: number | null = null;
+  for (const line of text.split('\n')) {
+    const result = /^(not )?ok \d+ - (.*?)(?: # (?:SKIP|TODO).*)?$/.exec(line);
+    if (result !== null) {
+      results.push({ name: unescapeTap(result[2]!), passed: result[1] === undefined });
+    }
+    const plan = /^1\.\.(\d+)$/.exec(line);
+    if (plan !== null) planned = Number(plan[1]);
+  }
+  if (planned === null || planned !== results.length) {
+    throw new Error(`the test run is not whole: ${results.length} results, ${planned} planned`);
+  }
+  return results;
+}
+
+function unescapeTap(name: string): string {
+  return name.replace(/\\([\\#])/g, '$1');
+}
+
+/** `exitStatus` is the test run's own: a failure that no result shows is an error too. */
+export function judge(known: KnownFailure[], results: TestResult[], exitStatus: number): Verdict {
+  const errors: string[] = [];
+  const listed = new Set(known.map((failure) => failure.test));
+  const failed = results.filter((result) => !result.passed);
+  for (const { name } of failed) if (!listed.has(name)) errors.push(`fails: ${name}`);
+  for (const { test } of known) {
+    const mine = results.filter((result) => result.name === test);
+    if (mine.length === 0) errors.push(`listed, but no such test: ${test}`);
+    else if (mine.every((result) => result.passed)) errors.push(`listed, but passes: ${test}`);
+  }
+  if (exitStatus !== 0 && failed.length === 0) errors.push(`the test run ended with ${exitStatus}`);
+  const passedOver = known.filter(({ test }) => failed.some((result) => result.name === test));
+  return { errors, passedOver };
+}
