Stand-ins that misbehave, and a checker that watches every rule in every test

test/standins.ts is split into the state service, the cloud, workers, gates, users and the checker, put together by a cluster fixture. The state service loses answers, carries transactions out late or twice, answers slowly, and refuses one controller alone. Workers hang and go on, are deaf or mute, and carry out direct commands late; a lease ends on time also while a report waits for its answer. The users' client hands every answer to the checker, and closing a cluster fails when any rule was broken.

The end-to-end tests use the fixture with all their assertions; the machine that was cut off from reporting is now called mute, which is what it was.

--- a/test/helpers.ts
+++ b/test/helpers.ts
@@ -3,6 +3,10 @@
 import { parseSettings, type Settings } from '../src/config/settings.js';
 import type { JobSpec, MachineType } from '../src/jobs/types.js';
 
+/** GPUs that the only team may use at most. */
+export const TEAMS_GPUS_MAX = 12;
+export const GANG_PEER_S = 1;
+
 export interface Ports {
   bind: number;
   peer: number;
@@ -16,6 +20,7 @@
   state = 4,
   leaseS = 2,
   zones = ports.map(() => 'z1'),
+  cancelS = 6,
 ): string {
   const seeds = ports
     .map((p, i) => [p, i] as const)
@@ -44,13 +49,13 @@
 cpus = 0.0
 cpus_max = 0.0
 gpus = 4.0
-gpus_max = 12.0
+gpus_max = ${TEAMS_GPUS_MAX}.0
 [settings.workers]
 report_s = ${leaseS / 10}
 lease_s = ${leaseS}
 gang_wait_s = 4.0
-gang_peer_s = 1.0
-cancel_s = 6.0
+gang_peer_s = ${GANG_PEER_S}.0
+cancel_s = ${cancelS}
 [settings.state]
 rps = 1000.0
 write_rps = 200.0
--- a/test/large.test.ts
+++ b/test/large.test.ts
@@ -6,7 +6,9 @@
 import { Node } from '../src/service/node.js';
 import * as records from '../src/state/records.js';
 import { freePort, g8, settingsText, spec, until } from './helpers.js';
-import { FleetStand, StateStand } from './standins.js';
+import { Cloud, MACHINE_GPUS } from './standins/cloud.js';
+import { RuleChecker } from './standins/rules.js';
+import { StateService } from './standins/state.js';
 
 const MACHINES = 800;
 const JOBS = 4000;
@@ -14,11 +16,13 @@
 const OPEN = 1600;
 
 test('a term begins with hundreds of machines and thousands of jobs, and knows all that runs', async () => {
-  const state = new StateStand();
-  const fleet = new FleetStand(60);
+  const state = new StateService();
+  const teams = new Map<string, number>();
+  const rules = new RuleChecker({ cancelS: 60, teams, machineGpus: MACHINE_GPUS });
+  const cloud = new Cloud(rules, { leaseS: 60, gangPeerS: 1 });
   state.page = 100;
   await state.listen();
-  await fleet.listen();
+  await cloud.listen();
   const put = (key: string, data: unknown): void => {
     const value = JSON.parse(JSON.stringify(data)) as unknown;
     state.keys.set(key, { value, mark: ++state.ledger, loan: undefined });
@@ -46,7 +50,7 @@
     put(records.machineKey(host(i)), value);
   }
   const ports = [{ bind: await freePort(), peer: await freePort() }];
-  const text = settingsText(0, ports, fleet.port, state.port, 60);
+  const text = settingsText(0, ports, cloud.port, state.port, 60);
   const node = new Node(parseSettings(text), DEFAULT_POLICY, silentLog());
   await node.start();
   try {
@@ -79,7 +83,8 @@
     assert.equal(node.leader!.figures().attempts_running, MACHINES * 2);
   } finally {
     node.stop();
-    fleet.close();
+    cloud.close();
+    rules.close();
     state.close();
   }
 });
--- /dev/null
+++ b/test/rules.test.ts
@@ -0,0 +1,79 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { RuleChecker, type Question, type Submission } from './standins/rules.js';
+import { submission } from './standins/users.js';
+import { Worker, type Place, type Task } from './standins/worker.js';
+
+/** A checker, one job and a way to put tasks on machines. */
+class Scene {
+  readonly rules = new RuleChecker({ cancelS: 0.05, teams: new Map([['t', 3]]), machineGpus: 2 });
+  private machines = 0;
+
+  constructor(over: Partial<Submission>) {
+    this.rules.jobs.set('wk-1', {
+      submission: submission('wk-1', over), runS: 1, accepted: true, final: null,
+      cancelAsked: false, cancelledAt: null, completed: new Set(),
+    }); // prettier-ignore
+  }
+
+  start(index: number, place: Partial<Place> = {}): void {
+    const id = `host-${this.machines++}`;
+    const times = { leaseS: 1, gangPeerS: 1 };
+    const around = { rules: this.rules, times, gpus: 2, controllers: [], unreachable: [] };
+    const worker = new Worker(around, id, { type: 'g8', zone: 'z1', spot: false, ...place });
+    const piece = `wk-1/${index}`;
+    const task: Task = { piece, pour: 1, temper: 'running', cause: undefined, timer: undefined };
+    worker.tasks.push(task);
+    this.rules.workers.set(id, worker);
+    this.rules.started(worker, task, false);
+  }
+
+  answer(question: Question, status: number, state = '', ref = 'wk-1'): void {
+    this.rules.answered(question, ref, this.rules.told(ref), status, state);
+  }
+
+  cancelled(agoMs = 0): void {
+    this.rules.jobs.get('wk-1')!.cancelAsked = true;
+    this.answer('cancel', 200, 'cancelled');
+    this.rules.jobs.get('wk-1')!.cancelledAt = Date.now() - agoMs;
+  }
+}
+
+test('the checker sees each rule that is broken, and none where all is well', async (t) => {
+  const cases: [string, Partial<Submission>, (scene: Scene) => void, string | null][] = [
+    ['one task', {}, (s) => s.start(0), null],
+    ['one task twice', {}, (s) => [0, 0].forEach((i) => s.start(i)), 'ran_twice'],
+    ['at the limit', {}, (s) => [0, 1, 2].forEach((i) => s.start(i)), null],
+    ['over the limit', {}, (s) => [0, 1, 2, 3].forEach((i) => s.start(i)), 'quota'],
+    ['another type', { castings: ['g4'] }, (s) => s.start(0), 'wrong_place'],
+    ['another zone', { yard: 'z2' }, (s) => s.start(0), 'wrong_place'],
+    ['spot', { loaner: false }, (s) => s.start(0, { spot: true }), 'wrong_place'],
+    ['spot allowed', { loaner: true }, (s) => s.start(0, { spot: true }), null],
+    ['two zones', { one_zone: true }, (s) => (s.start(0), s.start(1, { zone: 'z2' })), 'wrong_place'],
+    ['not scattered', { scatter: true, pieces: 3 }, (s) => [0, 1, 2].forEach((i) => s.start(i)), 'wrong_place'],
+    ['scattered', { scatter: true, pieces: 3 }, (s) => [0, 1].forEach((i) => s.start(i)), null],
+    ['on a machine for too long', {}, (s) => (s.start(0), s.cancelled()), 'ran_cancelled'],
+    ['started long after', {}, (s) => (s.cancelled(1000), s.start(0)), 'started_cancelled'],
+    ['unknown later', {}, (s) => s.answer('poll', 404), 'forgotten'],
+    ['refused later', {}, (s) => s.answer('submit', 422), 'forgotten'],
+    ['never submitted', {}, (s) => s.answer('poll', 200, 'queued', 'wk-2'), 'invented'],
+    ['done too early', {}, (s) => s.answer('poll', 200, 'done'), 'not_done'],
+    ['cancelled by nobody', {}, (s) => s.answer('poll', 200, 'cancelled'), 'went_back'],
+    ['cancelled, then running', {}, (s) => (s.cancelled(), s.answer('poll', 200, 'running')), 'went_back'],
+    ['cancelled, then done', {}, (s) => (s.cancelled(), s.rules.completed('wk-1/0'), s.answer('poll', 200, 'done')), 'went_back'],
+    ['accepted, over the limit', { form: 'group', pieces: 4 }, (s) => ((s.rules.jobs.get('wk-1')!.accepted = false), s.answer('submit', 201, 'queued')), 'cannot_run'],
+  ]; // prettier-ignore
+  const scenes = cases.map(([name, over, play, rule]) => {
+    const scene = new Scene(over);
+    t.after(() => scene.rules.close());
+    play(scene);
+    return { name, scene, rule };
+  });
+  // Longer than the time allowed after a cancellation, and the checker's slack.
+  await new Promise((resolve) => setTimeout(resolve, 250));
+  for (const { name, scene, rule } of scenes) {
+    const seen = scene.rules.violations.map((violation) => violation.split(':')[0]);
+    assert.equal(seen.includes(rule ?? ''), rule !== null, `${name}: ${seen.join()}`);
+    if (rule === null) assert.deepEqual(seen, [], name);
+  }
+});
--- /dev/null
+++ b/test/standins/cloud.ts
@@ -0,0 +1,67 @@
+import { HttpStandIn, type Answer, type Json } from './http.js';
+import type { RuleChecker } from './rules.js';
+import { Worker, type FleetTimes, type Surroundings } from './worker.js';
+
+/** GPUs of the only machine type. */
+export const MACHINE_GPUS = 8;
+
+const MACHINE_TYPE = {
+  name: 'g8', cores: 8, gpus: MACHINE_GPUS, mem_gb: 64, local_gb: 100, pull_gb_per_s: 100,
+  hourly: 10, spot_price: 3, startup_s: 0.3, yards: ['z1', 'z2'],
+}; // prettier-ignore
+
+/** The cloud: rents machines of one type, each with its worker. */
+export class Cloud extends HttpStandIn {
+  readonly around: Surroundings;
+  bootMs = 200;
+  private readonly hires = new Map<string, string[]>();
+  private counter = 0;
+
+  constructor(
+    private readonly rules: RuleChecker,
+    times: FleetTimes,
+  ) {
+    super((method, url, body) => this.handle(method, url.pathname, body));
+    this.around = { rules, times, gpus: MACHINE_GPUS, controllers: [], unreachable: [] };
+  }
+
+  private handle(method: string, path: string, body: Json): Answer {
+    if (path === '/machine_types') return [200, { castings: [MACHINE_TYPE] }];
+    if (path === '/hosts/return') {
+      for (const id of body.benches as string[]) this.rules.workers.get(id)?.end();
+      return [200, {}];
+    }
+    return method === 'POST' ? this.rent(body) : this.list();
+  }
+
+  private rent(body: Json): Answer {
+    const hire = body.hire as string;
+    const known = this.hires.get(hire);
+    if (known !== undefined) return [200, { benches: known }];
+    const benches = Array.from({ length: body.number as number }, () => this.boot(body));
+    this.hires.set(hire, benches);
+    return [200, { benches }];
+  }
+
+  private boot({ casting, yard, loaner }: Json): string {
+    const id = `host-${String(++this.counter).padStart(6, '0')}`;
+    const place = { type: casting as string, zone: yard as string, spot: loaner as boolean };
+    const worker = new Worker(this.around, id, place);
+    this.rules.workers.set(id, worker);
+    setTimeout(() => void worker.start(), this.bootMs);
+    return id;
+  }
+
+  private list(): Answer {
+    const benches = [...this.rules.workers.values()].map(({ id, port, type, zone, spot }) => ({
+      ref: id, addr: `127.0.0.1:${port}`, casting: type, yard: zone, loaner: spot,
+      temper: 'running', age_s: 90,
+    })); // prettier-ignore
+    return [200, { benches, more: false }];
+  }
+
+  override close(): void {
+    for (const worker of this.rules.workers.values()) worker.end();
+    super.close();
+  }
+}
--- /dev/null
+++ b/test/standins/cluster.ts
@@ -0,0 +1,181 @@
+import assert from 'node:assert/strict';
+import { parseSettings } from '../../src/config/settings.js';
+import { silentLog } from '../../src/log.js';
+import { DEFAULT_POLICY } from '../../src/operator/policy.js';
+import { Node } from '../../src/service/node.js';
+import {
+  freePort,
+  GANG_PEER_S,
+  settingsText,
+  TEAMS_GPUS_MAX,
+  until,
+  type Ports,
+} from '../helpers.js';
+import { Cloud, MACHINE_GPUS } from './cloud.js';
+import { Gate } from './gate.js';
+import { RuleChecker } from './rules.js';
+import { StateAccess, StateService } from './state.js';
+import { Users } from './users.js';
+import { occupies, type Task, type Worker } from './worker.js';
+
+export interface ClusterOptions {
+  leaseS: number;
+  cancelS: number;
+  /** The zone of each controller. */
+  zones: string[];
+}
+
+const DEFAULTS: ClusterOptions = { leaseS: 2, cancelS: 6, zones: ['z1', 'z1', 'z1'] };
+
+/** Controllers and all that surrounds them. Every way between them can be cut. */
+export class Cluster {
+  readonly state = new StateService();
+  readonly access: StateAccess[] = [];
+  readonly rules: RuleChecker;
+  readonly cloud: Cloud;
+  readonly users: Users;
+  readonly ports: Ports[] = [];
+  readonly controllers: (Node | null)[] = [];
+  /** The way to the state service of each controller. */
+  readonly stateGates: Gate[] = [];
+  /** The way from one controller to another. */
+  private readonly links: { from: number; to: number; gate: Gate }[] = [];
+
+  private constructor(private readonly options: ClusterOptions) {
+    const { leaseS, cancelS } = options;
+    const teams = new Map([['t', TEAMS_GPUS_MAX]]);
+    this.rules = new RuleChecker({ cancelS, teams, machineGpus: MACHINE_GPUS });
+    this.cloud = new Cloud(this.rules, { leaseS, gangPeerS: GANG_PEER_S });
+    this.users = new Users(this.ports, this.rules);
+  }
+
+  static async start(options: Partial<ClusterOptions> = {}): Promise<Cluster> {
+    const cluster = new Cluster({ ...DEFAULTS, ...options });
+    await cluster.listen();
+    for (const index of cluster.indexes) await cluster.startController(index);
+    return cluster;
+  }
+
+  private async listen(): Promise<void> {
+    await this.state.listen();
+    await this.cloud.listen();
+    for (const index of this.indexes) {
+      this.ports.push({ bind: await freePort(), peer: await freePort() });
+      const access = new StateAccess(this.state);
+      await access.listen();
+      const gate = new Gate(access.port);
+      await gate.listen();
+      this.access[index] = access;
+      this.stateGates[index] = gate;
+    }
+    for (const from of this.indexes)
+      for (const to of this.indexes) {
+        if (from === to) continue;
+        const gate = new Gate(this.ports[to]!.peer);
+        await gate.listen();
+        this.links.push({ from, to, gate });
+      }
+    this.cloud.around.controllers = this.ports.map((p) => p.bind);
+  }
+
+  get indexes(): number[] {
+    return [...this.options.zones.keys()];
+  }
+
+  // Controllers
+
+  async startController(index: number): Promise<void> {
+    const { leaseS, cancelS, zones } = this.options;
+    // Each of the others is known by its gate.
+    const seen = this.ports.map((own, to) => {
+      const link = this.links.find((l) => l.from === index && l.to === to);
+      return { ...own, peer: link?.gate.port ?? own.peer };
+    });
+    const stateGate = this.stateGates[index]!.port;
+    const text = settingsText(index, seen, this.cloud.port, stateGate, leaseS, zones, cancelS);
+    const controller = new Node(parseSettings(text), DEFAULT_POLICY, silentLog());
+    await controller.start();
+    this.controllers[index] = controller;
+  }
+
+  stopController(index: number): void {
+    this.controllers[index]?.stop();
+    this.controllers[index] = null;
+  }
+
+  leads(index: number): boolean {
+    return (this.controllers[index]?.leader ?? null) !== null;
+  }
+
+  /** The only leader; -1 when there is none, or more than one. */
+  leader(): number {
+    const leading = this.indexes.filter((index) => this.leads(index));
+    return leading.length === 1 ? leading[0]! : -1;
+  }
+
+  /** Waits for a leader other than the given one. */
+  async newLeader(other = -1): Promise<number> {
+    await until('a leader', () => this.leader() >= 0 && this.leader() !== other);
+    return this.leader();
+  }
+
+  /** Cuts or restores all links of these controllers with any other. */
+  cutLinks(cut: boolean, ...of: number[]): void {
+    for (const { from, to, gate } of this.links) {
+      if (of.includes(from) || of.includes(to)) gate.set(cut);
+    }
+  }
+
+  // Machines
+
+  get workers(): Worker[] {
+    return [...this.rules.workers.values()];
+  }
+
+  /** Machines with tasks of a job on them. */
+  hosts(ref: string): Worker[] {
+    return this.workers.filter((worker) => this.tasks(ref, [worker]).length > 0);
+  }
+
+  /** Tasks of a job that are on machines. */
+  tasks(ref: string, workers = this.workers): Task[] {
+    return workers.flatMap((worker) =>
+      worker.tasks.filter((task) => task.piece.startsWith(`${ref}/`) && occupies(task)),
+    );
+  }
+
+  async runs(ref: string, count: number): Promise<void> {
+    await until(
+      `${count} of ${ref} run`,
+      () => this.tasks(ref).filter((task) => task.temper === 'running').length === count,
+    );
+  }
+
+  async gone(ref: string): Promise<void> {
+    await until(`${ref} is gone`, () => this.tasks(ref).length === 0);
+  }
+
+  // The end
+
+  assertRules(): void {
+    assert.deepEqual(this.rules.violations, []);
+  }
+
+  /** Ends everything; fails if any rule of the protocol was broken. */
+  close(): void {
+    // What is held back would keep the process alive.
+    for (const access of this.access) access.refuses = false;
+    for (const index of this.indexes) this.stopController(index);
+    for (const { gate } of this.links) gate.close();
+    for (const standIn of [
+      ...this.stateGates,
+      ...this.access,
+      this.cloud,
+      this.state,
+      this.rules,
+    ]) {
+      standIn.close();
+    }
+    this.assertRules();
+  }
+}
--- /dev/null
+++ b/test/standins/gate.ts
@@ -0,0 +1,44 @@
+import { connect, createServer, type AddressInfo, type Socket } from 'node:net';
+
+/** A way between two processes that can be cut: connections are reset, and new ones refused. */
+export class Gate {
+  port = 0;
+  private cut = false;
+  private readonly sockets = new Set<Socket>();
+  private readonly server = createServer((from) => {
+    if (this.cut) {
+      from.destroy();
+      return;
+    }
+    const to = connect(this.target, '127.0.0.1');
+    for (const socket of [from, to]) {
+      this.sockets.add(socket);
+      socket.on('error', () => undefined);
+      socket.on('close', () => {
+        this.sockets.delete(socket);
+        from.destroy();
+        to.destroy();
+      });
+    }
+    from.pipe(to);
+    to.pipe(from);
+  });
+
+  constructor(private readonly target: number) {}
+
+  async listen(): Promise<number> {
+    await new Promise<void>((resolve) => this.server.listen(0, '127.0.0.1', resolve));
+    this.port = (this.server.address() as AddressInfo).port;
+    return this.port;
+  }
+
+  set(cut: boolean): void {
+    this.cut = cut;
+    if (cut) for (const socket of this.sockets) socket.destroy();
+  }
+
+  close(): void {
+    this.set(true);
+    this.server.close();
+  }
+}
--- /dev/null
+++ b/test/standins/state.ts
@@ -0,0 +1,207 @@
+import { wait } from '../helpers.js';
+import { HttpStandIn, type Answer, type Json } from './http.js';
+
+interface Entry {
+  value: unknown;
+  mark: number;
+  loan: number | undefined;
+}
+
+interface Operation {
+  put?: string;
+  data?: unknown;
+  loan?: number;
+  remove?: string;
+}
+
+/**
+ * What becomes of a transaction: carried out at once with its answer lost; no answer, and carried
+ * out later, after newer ones; carried out, and once more later.
+ */
+export type Fate = { how: 'answer_lost' } | { how: 'late' | 'doubled'; afterS: number };
+
+interface Trouble {
+  prefix: string;
+  fate: Fate;
+  left: number;
+}
+
+const POLL_MS = 10;
+const EXPIRY_MS = 20;
+const VALUE_BYTES = 8192;
+const TRANSACTION_BYTES = 65536;
+const TRANSACTION_OPERATIONS = 8;
+
+/** The state service. */
+export class StateService extends HttpStandIn {
+  ledger = 0;
+  /** An outage for all: requests are refused, leases stand still. */
+  down = false;
+  /** Every answer takes so long. */
+  slowMs = 0;
+  /** Items in a page of a listing: few, so that reading in pages is exercised. */
+  page = 3;
+  readonly keys = new Map<string, Entry>();
+  private readonly log: Json[] = [];
+  private readonly loans = new Map<number, { until: number; life: number }>();
+  private nextLoan = 1;
+  private troubles: Trouble[] = [];
+  private closed = false;
+  private readonly timer = setInterval(() => this.expire(), EXPIRY_MS);
+
+  constructor() {
+    super((method, url, body) => this.handle(method, url, body));
+  }
+
+  /** The next `times` transactions that touch a key with the prefix meet this fate. */
+  disturb(prefix: string, fate: Fate, times = Infinity): void {
+    this.troubles.push({ prefix, fate, left: times });
+  }
+
+  /** From now on transactions are carried out as they come. */
+  settle(): void {
+    this.troubles = [];
+  }
+
+  private expire(): void {
+    const now = Date.now();
+    for (const [id, loan] of this.loans) {
+      // Leases stand still in an outage and have their full time after it.
+      if (this.down) loan.until = now + loan.life;
+      else if (loan.until < now) this.endLease(id);
+    }
+  }
+
+  private endLease(id: number): void {
+    this.loans.delete(id);
+    for (const [key, entry] of this.keys) {
+      if (entry.loan !== id) continue;
+      this.keys.delete(key);
+      this.log.push({ remove: key, mark: ++this.ledger });
+    }
+  }
+
+  async handle(method: string, url: URL, body: Json): Promise<Answer | null> {
+    const path = url.pathname;
+    if (this.slowMs > 0) await wait(this.slowMs);
+    if (this.down) return [503, { error: 'trouble' }];
+    if (path === '/commit') return this.disturbedCommit(body);
+    if (path === '/grants') return this.grant(body.life_ms as number);
+    const grant = /^\/grants\/(\d+)(\/extend)?$/.exec(path);
+    if (grant !== null) return this.renew(method, Number(grant[1]));
+    if (path === '/changes') return this.changes(url.searchParams);
+    if (path === '/keys') return this.list(url.searchParams);
+    const key = path.slice('/keys/'.length);
+    const entry = this.keys.get(key);
+    return entry === undefined
+      ? [404, { ledger: this.ledger }]
+      : [200, { path: key, data: entry.value, mark: entry.mark }];
+  }
+
+  private grant(life: number): Answer {
+    const id = this.nextLoan++;
+    this.loans.set(id, { until: Date.now() + life, life });
+    return [200, { loan: id }];
+  }
+
+  private renew(method: string, id: number): Answer {
+    const loan = this.loans.get(id);
+    if (loan === undefined) return [404, {}];
+    loan.until = method === 'DELETE' ? 0 : Date.now() + loan.life;
+    return [200, {}];
+  }
+
+  private async changes(query: URLSearchParams): Promise<Answer> {
+    const after = Number(query.get('after'));
+    const prefix = query.get('prefix')!;
+    const end = Date.now() + Number(query.get('block_ms') ?? 0);
+    for (;;) {
+      const log = this.log.filter(
+        (e) => (e.mark as number) > after && String(e.put ?? e.remove).startsWith(prefix),
+      );
+      if (!this.down && (log.length > 0 || Date.now() >= end)) {
+        return [200, { ledger: this.ledger, log }];
+      }
+      await wait(POLL_MS);
+    }
+  }
+
+  private list(query: URLSearchParams): Answer {
+    const prefix = query.get('prefix')!;
+    const after = query.get('after') ?? '';
+    const names = [...this.keys.keys()].filter((k) => k.startsWith(prefix) && k > after).sort();
+    const items = names.slice(0, this.page).map((path) => {
+      const { value, mark } = this.keys.get(path)!;
+      return { path, data: value, mark };
+    });
+    return [200, { items, more: names.length > this.page, ledger: this.ledger }];
+  }
+
+  private disturbedCommit(body: Json): Answer | null {
+    const apply = body.apply as Operation[];
+    const touches = (prefix: string): boolean =>
+      apply.some((o) => (o.put ?? o.remove!).startsWith(prefix));
+    const trouble = this.troubles.find((t) => t.left > 0 && touches(t.prefix));
+    if (trouble === undefined) return this.commit(body);
+    trouble.left--;
+    const { fate } = trouble;
+    if (fate.how !== 'answer_lost')
+      setTimeout(() => void this.commitLate(body), fate.afterS * 1000);
+    const answer = fate.how === 'late' ? null : this.commit(body);
+    return fate.how === 'doubled' ? answer : null;
+  }
+
+  private async commitLate(body: Json): Promise<void> {
+    while (this.down && !this.closed) await wait(POLL_MS);
+    if (!this.closed) this.commit(body);
+  }
+
+  private commit(body: Json): Answer {
+    const guards = body.guards as { path: string; mark: number }[];
+    const apply = body.apply as Operation[];
+    const failed = guards
+      .filter((g) => (this.keys.get(g.path)?.mark ?? 0) !== g.mark)
+      .map((g) => g.path);
+    if (failed.length > 0) return [409, { failed, ledger: this.ledger }];
+    if (apply.some((o) => o.loan !== undefined && !this.loans.has(o.loan))) {
+      return [400, { error: 'no such lease' }];
+    }
+    if (apply.length > TRANSACTION_OPERATIONS || JSON.stringify(body).length > TRANSACTION_BYTES) {
+      return [400, { error: 'too large' }];
+    }
+    if (apply.some((o) => o.put !== undefined && JSON.stringify(o.data).length > VALUE_BYTES)) {
+      return [400, { error: 'value too large' }];
+    }
+    this.ledger++;
+    for (const operation of apply) this.apply(operation);
+    return [200, { ledger: this.ledger }];
+  }
+
+  private apply({ put, data, loan, remove }: Operation): void {
+    if (put !== undefined) {
+      this.keys.set(put, { value: data, mark: this.ledger, loan });
+      this.log.push({ put, data, mark: this.ledger });
+    } else if (this.keys.delete(remove!)) this.log.push({ remove, mark: this.ledger });
+  }
+
+  override close(): void {
+    this.closed = true;
+    clearInterval(this.timer);
+    super.close();
+  }
+}
+
+/** The state service as one controller sees it: it may refuse that one alone. */
+export class StateAccess extends HttpStandIn {
+  refuses = false;
+
+  constructor(state: StateService) {
+    super(async (method, url, body) => {
+      if (this.refuses) return [503, { error: 'trouble' }];
+      const answer = await state.handle(method, url, body);
+      // Open watches wait, as they would in an outage.
+      while (this.refuses) await wait(POLL_MS);
+      return answer;
+    });
+  }
+}
--- /dev/null
+++ b/test/standins/users.ts
@@ -0,0 +1,108 @@
+import { until, type Ports } from '../helpers.js';
+import type { Json } from './http.js';
+import type { Question, RuleChecker, Submission } from './rules.js';
+
+/** Users give up waiting after so long. */
+const PATIENCE_MS = 5000;
+
+export interface Reply {
+  /** 0: no answer. */
+  status: number;
+  /** The job's state, or nothing. */
+  state: string;
+}
+
+export function submission(ref: string, over: Partial<Submission> = {}): Submission {
+  return {
+    ref, guild: 'c', crew: 't', form: 'batch', rank: 'standard', pieces: 1, cores: 1, gpus: 1,
+    mem_gb: 1, mould: 'i', image_gb: 1, castings: null, yard: null, one_zone: over.form === 'group',
+    scatter: false, loaner: false, reckon_s: 1, stamp_s: 0, stamping_s: 0, due_s: null, ...over,
+  }; // prettier-ignore
+}
+
+/** The users: every answer that they get goes to the rule checker. */
+export class Users {
+  constructor(
+    private readonly ports: Ports[],
+    private readonly rules: RuleChecker,
+  ) {}
+
+  /** Any request at a controller. */
+  async request(at: number, method: string, path: string, body?: Json): Promise<Reply> {
+    const asked = this.questionOf(method, path, body);
+    const before = this.rules.told(asked?.ref ?? '');
+    const reply = await this.send(at, method, path, body);
+    if (asked !== null) {
+      this.rules.answered(asked.question, asked.ref, before, reply.status, reply.state);
+    }
+    return reply;
+  }
+
+  private questionOf(
+    method: string,
+    path: string,
+    body?: Json,
+  ): { question: Question; ref: string } | null {
+    const [, root, ref, action] = path.split('/');
+    if (root !== 'submissions') return null;
+    if (ref === undefined) {
+      return body?.ref === undefined ? null : { question: 'submit', ref: body.ref as string };
+    }
+    if (action === undefined) return { question: 'poll', ref };
+    const job = this.rules.jobs.get(ref);
+    if (job !== undefined) job.cancelAsked = true;
+    return { question: 'cancel', ref };
+  }
+
+  private async send(at: number, method: string, path: string, body?: Json): Promise<Reply> {
+    try {
+      const response = await fetch(`http://127.0.0.1:${this.ports[at]!.bind}${path}`, {
+        method,
+        body: body === undefined ? undefined : JSON.stringify(body),
+        signal: AbortSignal.timeout(PATIENCE_MS),
+      });
+      const answer = (await response.json().catch(() => ({}))) as Json;
+      return { status: response.status, state: String(answer.temper ?? '') };
+    } catch {
+      return { status: 0, state: '' };
+    }
+  }
+
+  /** One attempt to submit. The description is there for workers from the first one on. */
+  submitOnce(at: number, wanted: Submission, runS = 0.3): Promise<Reply> {
+    if (!this.rules.jobs.has(wanted.ref)) {
+      this.rules.jobs.set(wanted.ref, {
+        submission: wanted, runS, accepted: false, final: null, cancelAsked: false,
+        cancelledAt: null, completed: new Set(),
+      }); // prettier-ignore
+    }
+    return this.request(at, 'POST', '/submissions', wanted);
+  }
+
+  async submit(at: number, ref: string, over: Partial<Submission> = {}, runS = 0.3): Promise<void> {
+    const wanted = submission(ref, over);
+    await until(`accepted ${ref}`, async () => {
+      const { status } = await this.submitOnce(at, wanted, runS);
+      return status === 200 || status === 201;
+    });
+  }
+
+  poll(at: number, ref: string): Promise<Reply> {
+    return this.request(at, 'GET', `/submissions/${ref}`);
+  }
+
+  cancelOnce(at: number, ref: string): Promise<Reply> {
+    return this.request(at, 'POST', `/submissions/${ref}/withdraw`, {});
+  }
+
+  async cancel(at: number, ref: string): Promise<void> {
+    await until(
+      `cancelled ${ref}`,
+      async () => (await this.cancelOnce(at, ref)).state === 'cancelled',
+    );
+  }
+
+  async sees(at: number, ref: string, state: string): Promise<void> {
+    await until(`${ref} is ${state}`, async () => (await this.poll(at, ref)).state === state);
+  }
+}
--- /dev/null
+++ b/test/standins/worker.ts
@@ -0,0 +1,299 @@
+import { wait } from '../helpers.js';
+import { HttpStandIn, type Answer, type Json } from './http.js';
+import type { RuleChecker } from './rules.js';
+
+export interface Task {
+  piece: string;
+  pour: number;
+  temper: 'gathering' | 'running' | 'ended';
+  cause: string | undefined;
+  timer: NodeJS.Timeout | undefined;
+}
+
+/** Whether a task is on its machine. */
+export const occupies = (task: Task): boolean => task.temper !== 'ended';
+
+export interface Place {
+  type: string;
+  zone: string;
+  spot: boolean;
+}
+
+export interface FleetTimes {
+  leaseS: number;
+  gangPeerS: number;
+}
+
+/** What the workers of a fleet have in common. */
+export interface Surroundings {
+  rules: RuleChecker;
+  times: FleetTimes;
+  gpus: number;
+  /** Ports of the controllers, in the order of their names. */
+  controllers: number[];
+  /** Controllers that new machines cannot reach. */
+  unreachable: number[];
+}
+
+/** In leases. */
+const REPORT_INTERVAL = 0.05;
+const ANSWER_WAIT = 0.4;
+const LEASE_CHECK_MS = 10;
+
+/** One machine's worker. */
+export class Worker extends HttpStandIn {
+  tasks: Task[] = [];
+  /** Its reports reach no controller, direct commands reach it. */
+  mute = false;
+  /** Its reports arrive, answers and direct commands are lost. */
+  deaf = false;
+  /** Controllers that it cannot reach. */
+  readonly unreachable: Set<number>;
+  /** The last report that it sent. */
+  lastReport = '{}';
+  private hanging = false;
+  private heldUpMs = 0;
+  private shift = 1;
+  private tally = 0;
+  private hallmark = 0;
+  private ended = false;
+  private target = 0;
+  private renewed = Date.now();
+  private leaseTimer: NodeJS.Timeout | undefined;
+
+  constructor(
+    private readonly around: Surroundings,
+    readonly id: string,
+    readonly place: Place,
+  ) {
+    super((_method, url, body) => this.answer(url.pathname, body));
+    this.unreachable = new Set(around.unreachable);
+  }
+
+  get type(): string {
+    return this.place.type;
+  }
+
+  get zone(): string {
+    return this.place.zone;
+  }
+
+  get spot(): boolean {
+    return this.place.spot;
+  }
+
+  async start(): Promise<void> {
+    if (this.ended) return;
+    await this.listen();
+    this.renewed = Date.now();
+    this.leaseTimer = setInterval(() => this.checkLease(), LEASE_CHECK_MS);
+    void this.run();
+  }
+
+  // Troubles
+
+  /** It stops doing anything at all, with its tasks on it. */
+  hang(): void {
+    this.hanging = true;
+  }
+
+  /** It goes on where it stopped, but for what its lease has ended. */
+  goOn(): void {
+    this.hanging = false;
+    this.checkLease();
+  }
+
+  /** Direct commands are not answered, and carried out once so much later if they are still valid. */
+  holdUpDirect(ms: number): void {
+    this.heldUpMs = ms;
+  }
+
+  private async awake(): Promise<void> {
+    while (this.hanging && !this.ended) await wait(LEASE_CHECK_MS);
+  }
+
+  // Direct commands
+
+  private async answer(path: string, body: Json): Promise<Answer | null> {
+    if (this.deaf) return null;
+    await this.awake();
+    if (path === '/status') return [200, this.report()];
+    if (this.heldUpMs > 0) {
+      setTimeout(() => this.executeDirect(body, true), this.heldUpMs);
+      return null;
+    }
+    return [this.executeDirect(body, false) ? 200 : 409, this.report()];
+  }
+
+  private executeDirect(body: Json, heldUp: boolean): boolean {
+    const hallmark = body.hallmark as number;
+    if (this.ended || hallmark < this.hallmark || body.shift !== this.shift) return false;
+    this.hallmark = hallmark;
+    this.execute(body.orders as Json[], heldUp);
+    return true;
+  }
+
+  // Reports
+
+  private report(): Json {
+    const { id, port, type, zone, spot, shift, hallmark } = this;
+    const pieces = this.tasks.map(({ piece, pour, temper, cause }) => ({
+      piece, pour, temper, cause,
+    })); // prettier-ignore
+    return {
+      bench: id, addr: `127.0.0.1:${port}`, casting: type, yard: zone, loaner: spot, shift,
+      tally: ++this.tally, hallmark, recall_s: null, pieces,
+    }; // prettier-ignore
+  }
+
+  private checkLease(): void {
+    if (this.hanging || Date.now() - this.renewed <= this.around.times.leaseS * 1000) return;
+    for (const task of this.tasks) this.exit(task, 'halted');
+    this.tasks = [];
+    this.shift++;
+    this.renewed = Date.now();
+  }
+
+  private async run(): Promise<void> {
+    while (!this.ended) {
+      await wait(this.around.times.leaseS * REPORT_INTERVAL * 1000);
+      await this.awake();
+      if (this.ended || this.mute) continue;
+      try {
+        await this.checkIn();
+      } catch {
+        this.target++;
+      }
+    }
+  }
+
+  private async checkIn(): Promise<void> {
+    const { controllers, times } = this.around;
+    const index = this.target % controllers.length;
+    if (this.unreachable.has(index)) throw new Error('unreachable');
+    const sentAt = Date.now();
+    const { shift } = this;
+    this.lastReport = JSON.stringify(this.report());
+    const response = await fetch(`http://127.0.0.1:${controllers[index]}/checkin`, {
+      method: 'POST',
+      body: this.lastReport,
+      signal: AbortSignal.timeout(times.leaseS * ANSWER_WAIT * 1000),
+    });
+    const body = (await response.json()) as Json;
+    await this.awake();
+    const late = Date.now() - sentAt > times.leaseS * ANSWER_WAIT * 1000;
+    if (this.deaf || late) throw new Error('no answer in time');
+    if (response.status === 200) this.accept(body, sentAt, shift);
+    else if (response.status === 421 && typeof body.foreman === 'string') {
+      this.target = Number(body.foreman.split('-')[1]);
+    } else this.target++;
+  }
+
+  private accept(body: Json, sentAt: number, shift: number): void {
+    if ((body.hallmark as number) < this.hallmark || shift !== this.shift) return;
+    this.hallmark = body.hallmark as number;
+    this.renewed = sentAt;
+    this.execute(body.orders as Json[], false);
+  }
+
+  // Tasks
+
+  private execute(orders: Json[], heldUp: boolean): void {
+    for (const { verb, piece, pour } of orders) {
+      const task = this.tasks.find((t) => t.piece === piece && t.pour === pour);
+      if (verb === 'start' && task === undefined) {
+        this.begin(piece as string, pour as number, heldUp);
+      }
+      if (verb === 'kill' && task !== undefined && occupies(task)) this.exit(task, 'halted');
+      if (verb === 'reap' && task?.temper === 'ended') {
+        this.tasks.splice(this.tasks.indexOf(task), 1);
+      }
+    }
+  }
+
+  private begin(piece: string, pour: number, heldUp: boolean): void {
+    const { rules } = this.around;
+    const refusal = this.refusal(piece);
+    const task: Task = { piece, pour, temper: 'running', cause: undefined, timer: undefined };
+    this.tasks.push(task);
+    if (refusal !== null) {
+      task.temper = 'ended';
+      task.cause = refusal;
+      return;
+    }
+    const { submission, runS } = rules.jobs.get(jobOf(task))!;
+    if (submission.form === 'group') task.temper = 'gathering';
+    rules.started(this, task, heldUp);
+    if (submission.form === 'group') this.gather(jobOf(task), pour);
+    else if (submission.form === 'batch') this.runFor(task, runS);
+  }
+
+  private refusal(piece: string): string | null {
+    const { jobs } = this.around.rules;
+    const job = jobs.get(piece.split('/')[0]!);
+    if (job === undefined) return 'no_such';
+    const here = this.tasks.filter(occupies);
+    if (here.some((task) => task.piece === piece)) return 'in_use';
+    const used = here.reduce((sum, task) => sum + jobs.get(jobOf(task))!.submission.gpus, 0);
+    return used + job.submission.gpus > this.around.gpus ? 'full' : null;
+  }
+
+  /** Gangs run once all tasks of an attempt wait. */
+  private gather(job: string, pour: number): void {
+    const { submission, runS } = this.around.rules.jobs.get(job)!;
+    const waiting = this.gang(job, pour).filter(({ task }) => task.temper === 'gathering');
+    if (waiting.length < submission.pieces) return;
+    for (const { worker, task } of waiting) worker.runFor(task, runS);
+  }
+
+  private gang(job: string, pour: number): { worker: Worker; task: Task }[] {
+    return [...this.around.rules.workers.values()].flatMap((worker) =>
+      worker.tasks
+        .filter((task) => jobOf(task) === job && task.pour === pour)
+        .map((task) => ({ worker, task })),
+    );
+  }
+
+  private runFor(task: Task, runS: number): void {
+    task.temper = 'running';
+    task.timer = setTimeout(() => void this.complete(task), runS * 1000);
+  }
+
+  private async complete(task: Task): Promise<void> {
+    await this.awake();
+    if (!occupies(task)) return;
+    this.around.rules.completed(task.piece);
+    this.exit(task, 'done');
+  }
+
+  private exit(task: Task, cause: string): void {
+    clearTimeout(task.timer);
+    const ran = task.temper === 'running';
+    task.temper = 'ended';
+    task.cause = cause;
+    const job = this.around.rules.jobs.get(jobOf(task));
+    if (job?.submission.form === 'group' && ran && cause !== 'done') this.leaveGang(task);
+  }
+
+  /** The other tasks of a running gang notice that one is gone. */
+  private leaveGang(gone: Task): void {
+    setTimeout(() => {
+      for (const { worker, task } of this.gang(jobOf(gone), gone.pour)) {
+        if (task.temper === 'running') worker.exit(task, 'mates_gone');
+      }
+    }, this.around.times.gangPeerS * 1000);
+  }
+
+  end(): void {
+    this.ended = true;
+    clearInterval(this.leaseTimer);
+    for (const task of this.tasks) this.exit(task, 'halted');
+    this.tasks = [];
+    this.around.rules.workers.delete(this.id);
+    this.close();
+  }
+}
+
+function jobOf(task: Task): string {
+  return task.piece.split('/')[0]!;
+}
--- a/test/warden.test.ts
+++ b/test/warden.test.ts
@@ -1,16 +1,13 @@
 import assert from 'node:assert/strict';
-import { after, test } from 'node:test';
+import { test } from 'node:test';
 import { steadyClock } from '../src/clock.js';
 import { Warden, WardenWatch, wardens, wardenTimes } from '../src/cluster/warden.js';
-import { parseSettings } from '../src/config/settings.js';
 import { silentLog } from '../src/log.js';
-import { DEFAULT_POLICY } from '../src/operator/policy.js';
-import { Node } from '../src/service/node.js';
 import { KEEP_SHARE } from '../src/service/reports.js';
 import { Refused, Unanswered } from '../src/state/client.js';
 import { ANSWER_WAIT_S } from '../src/wire/workers.js';
-import { freePort, settingsText, until, wait, type Ports } from './helpers.js';
-import { FleetStand, Gate, StateStand } from './standins.js';
+import { until, wait } from './helpers.js';
+import { Cluster } from './standins/cluster.js';
 
 test('a zone has a warden when exactly one of several zones’ controllers is in it', () => {
   const n = (node: string, zone: string): { node: string; zone: string } => ({ node, zone });
@@ -161,107 +158,40 @@
 // A zone with its controller and its machines, cut off from everything else.
 
 const LEASE = 2;
-const state = new StateStand();
-const fleet = new FleetStand(LEASE);
-const nodes: Node[] = [];
-const gates: Gate[] = [];
-const ports: Ports[] = [];
 
-after(() => {
-  for (const n of nodes) n.stop();
-  for (const g of gates) g.close();
-  fleet.close();
-  state.close();
-});
-
-async function gate(target: number): Promise<number> {
-  const g = new Gate(target);
-  gates.push(g);
-  return g.listen();
-}
-
-async function call(
-  i: number,
-  method: string,
-  path: string,
-  body?: unknown,
-): Promise<[number, string]> {
-  try {
-    const r = await fetch(`http://127.0.0.1:${ports[i]!.bind}${path}`, {
-      method,
-      body: body === undefined ? undefined : JSON.stringify(body),
-      signal: AbortSignal.timeout(5000),
-    });
-    return [r.status, ((await r.json().catch(() => ({}))) as { temper?: string }).temper ?? ''];
-  } catch {
-    return [0, ''];
-  }
-}
-
-test('what runs in a zone that is cut off goes on; a cancellation waits until it can be held to', async () => {
-  await state.listen();
-  await fleet.listen();
-  for (let i = 0; i < 3; i++) ports.push({ bind: await freePort(), peer: await freePort() });
-  const zones = ['z1', 'z2', 'z3'];
-  for (let i = 0; i < 3; i++) {
-    // Every way to and from the controller of z2 goes through a gate.
-    const seen: Ports[] = [];
-    for (let k = 0; k < 3; k++) {
-      const apart = i !== k && (i === 1 || k === 1);
-      seen.push({ ...ports[k]!, peer: apart ? await gate(ports[k]!.peer) : ports[k]!.peer });
-    }
-    const store = i === 1 ? await gate(state.port) : state.port;
-    const text = settingsText(i, seen, fleet.port, store, LEASE, zones);
-    const node = new Node(parseSettings(text), DEFAULT_POLICY, silentLog());
-    nodes.push(node);
-    await node.start();
-  }
-  fleet.controllers = ports.map((p) => p.bind);
+test('what runs in a zone that is cut off goes on; a cancellation waits until it can be held to', async (t) => {
+  const cluster = await Cluster.start({ leaseS: LEASE, zones: ['z1', 'z2', 'z3'] });
+  t.after(() => cluster.close());
+  const { users } = cluster;
+  const inZone = (zone: string) => cluster.workers.filter((worker) => worker.zone === zone);
   const jobs = { 'wk-000001': 'z1', 'wk-000002': 'z2', 'wk-000003': 'z2' };
   for (const [ref, yard] of Object.entries(jobs)) {
-    fleet.jobs.set(ref, { tasks: 1, gang: false, service: true, runS: 0 });
-    const submission = {
-      ref, guild: 'c', crew: 't', form: 'daemon', rank: 'standard', pieces: 1, cores: 1, gpus: 1,
-      mem_gb: 1, mould: 'i', image_gb: 1, castings: null, yard, one_zone: false, scatter: false,
-      loaner: false, reckon_s: 0, stamp_s: 0, stamping_s: 0, due_s: null,
-    }; // prettier-ignore
-    await until(
-      `accepted ${ref}`,
-      async () => (await call(0, 'POST', '/submissions', submission))[0] === 201,
-    );
+    await users.submit(0, ref, { form: 'daemon', yard });
   }
-  const onZone = (zone: string, ref: string): number =>
-    [...fleet.workers.values()]
-      .filter((w) => w.zone === zone)
-      .flatMap((w) => w.tasks)
-      .filter((t) => t.piece === `${ref}/0` && t.temper === 'running').length;
-  for (const [ref, yard] of Object.entries(jobs))
-    await until(`runs ${ref}`, () => onZone(yard, ref) === 1);
+  for (const ref of Object.keys(jobs)) await cluster.runs(ref, 1);
 
-  for (const g of gates) g.set(true);
-  for (const w of fleet.workers.values()) {
-    w.reach = w.zone === 'z2' ? [ports[1]!.bind] : [ports[0]!.bind, ports[2]!.bind];
+  const cut = (is: boolean): void => {
+    cluster.cutLinks(is, 1);
+    cluster.stateGates[1]!.set(is);
+  };
+  cut(true);
+  for (const worker of cluster.workers) {
+    for (const at of worker.zone === 'z2' ? [0, 2] : [1]) worker.unreachable.add(at);
   }
   // Longer than a lease: without its warden the zone would have lost everything.
   await wait(LEASE * 1000 * 1.5);
-  assert.equal(onZone('z2', 'wk-000002'), 1);
-  const withdraw = (ref: string): Promise<[number, string]> =>
-    call(0, 'POST', `/submissions/${ref}/withdraw`, {});
+  assert.equal(cluster.tasks('wk-000002', inZone('z2')).length, 1);
   // Its tasks live on unheard for longer than is allowed after "cancelled" has been told.
-  assert.equal((await withdraw('wk-000003'))[0], 503);
-  assert.notEqual((await call(2, 'GET', '/submissions/wk-000003'))[1], 'cancelled');
-  await until('cancelled elsewhere', async () => (await withdraw('wk-000001'))[1] === 'cancelled');
+  assert.equal((await users.cancelOnce(0, 'wk-000003')).status, 503);
+  assert.notEqual((await users.poll(2, 'wk-000003')).state, 'cancelled');
+  await users.cancel(0, 'wk-000001');
   await wait(LEASE * 1000);
 
-  for (const g of gates) g.set(false);
-  for (const w of fleet.workers.values()) w.reach = null;
-  await until('cancelled', async () => (await withdraw('wk-000003'))[1] === 'cancelled');
-  await until('gone', () => onZone('z2', 'wk-000003') === 0);
-  await until(
-    'shown',
-    async () => (await call(1, 'GET', '/submissions/wk-000002'))[1] === 'running',
-  );
-  assert.equal(onZone('z2', 'wk-000002'), 1);
-  assert.equal(fleet.starts.get('wk-000002/0'), 1, 'never started again');
-  assert.deepEqual(fleet.broken, []);
+  cut(false);
+  for (const worker of cluster.workers) worker.unreachable.clear();
+  await users.cancel(0, 'wk-000003');
+  await cluster.gone('wk-000003');
+  await users.sees(1, 'wk-000002', 'running');
+  assert.equal(cluster.tasks('wk-000002', inZone('z2')).length, 1);
+  assert.equal(cluster.rules.starts.get('wk-000002/0'), 1, 'never started again');
 });
