--- a/src/cluster/election.ts
+++ b/src/cluster/election.ts
@@ -341,7 +341,6 @@
   }
 
   private async checkKeep(): Promise<boolean> {
-    const askedAt = this.clock.now();
     const leader = this.replica.leader;
     if (leader === null || this.acknowledged > leader.revision) return false;
     if (!this.follower.ready) return false;
@@ -352,6 +351,8 @@
       if (!(e instanceof Refused) || e.status !== 503) return false;
     }
     const since = this.state.refusedSince;
+    // The promises count from when they were given, which is after the question was sent.
+    const askedAt = this.clock.now();
     if (since === null || askedAt - since < this.lifeS * 0.4) return false;
     const majority = await this.majorityRefused(leader.revision, this.caretakeS);
     if (majority === null || this.acknowledged > leader.revision) return false;
