--- a/src/main.ts
+++ b/src/main.ts
@@ -60,8 +60,8 @@
     process.stdout.write('settings are valid\n');
     return;
   }
-  const { runController } = await import('./service/thread.js');
-  runController({ settings, operatorScript }, give);
+  const { runController } = await import('./service/run.js');
+  await runController(settings, operatorScript, give);
 }
 
-await main();
+void main();
--- a/src/service/node.ts
+++ b/src/service/node.ts
@@ -1,6 +1,4 @@
-import { random } from '../random.js';
-import { randomBytes } from 'node:crypto';
-import { getHeapStatistics } from 'node:v8';
+import { random, uniqueName } from '../random.js';
 import { CloudClient } from '../cloud/client.js';
 import { Election } from '../cluster/election.js';
 import { PeerNet, type Answer, type Question } from '../cluster/peers.js';
@@ -74,7 +72,7 @@
     this.costs = new Costs(() => this.clock.now());
     this.wallMs = options.wallMs ?? Date.now;
     // Never the same twice: names of requests and of stored batches begin with it.
-    this.incarnation = `${settings.node}-${randomBytes(6).toString('hex')}`;
+    this.incarnation = `${settings.node}-${uniqueName()}`;
     this.state = new StateClient(settings, this.clock);
     this.replica = new Replica(this.state.valueBytes);
     this.replica.listener = {
@@ -379,7 +377,7 @@
       garbage: this.replica.garbage,
       cancellations_heard: this.cancelling.size,
       memory_mb: Math.round(process.memoryUsage.rss() / 1e6),
-      heap_limit_mb: Math.round(getHeapStatistics().heap_size_limit / 2 ** 20),
+      heap_mb: Math.round(process.memoryUsage().heapTotal / 1e6),
       ...this.leader?.figures(),
       ...this.costs.figures(),
     };
--- /dev/null
+++ b/src/service/run.ts
@@ -0,0 +1,28 @@
+import type { Settings } from '../config/settings.js';
+import { makeLog } from '../log.js';
+import { readPolicy } from '../operator/policy.js';
+import { limitHeapGrowth } from './heap.js';
+import { Node } from './node.js';
+
+/**
+ * Runs a controller until the process is killed. What keeps it from starting goes to `giveUp`, in one
+ * line.
+ */
+export async function runController(
+  settings: Settings,
+  operatorScript: string | undefined,
+  giveUp: (message: string) => never,
+): Promise<void> {
+  const { policy, wrong } = await readPolicy(operatorScript);
+  if (wrong !== null) giveUp(wrong);
+  const log = makeLog(settings.node);
+  // Whatever goes wrong in one request or one round must not end the controller.
+  process.on('uncaughtException', (e) => log.error({ err: String(e), stack: e.stack }, 'uncaught'));
+  process.on('unhandledRejection', (e) => log.error({ err: String(e) }, 'unhandled rejection'));
+  try {
+    await new Node(settings, policy, log).start();
+  } catch (e) {
+    giveUp(`cannot listen: ${(e as Error).message}`);
+  }
+  limitHeapGrowth();
+}
