--- /dev/null
+++ b/test/costs.test.ts
@@ -0,0 +1,17 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Costs } from '../src/service/costs.js';
+
+test('figures of costs are in microseconds, whatever is measured', () => {
+  const costs = new Costs(() => 0);
+  for (let i = 1; i <= 100; i++) costs.record('report', i / 1e4);
+  for (const seconds of [-1, 0, 1e-9, 1e6]) costs.record('lag', seconds);
+  const figures = costs.figures();
+  assert.equal(figures.report_count, 100);
+  assert.ok(Math.abs(figures.report_us_p50! - 5000) <= 60);
+  assert.ok(Math.abs(figures.report_us_p99! - 9900) <= 110);
+  assert.ok(Math.abs(figures.report_us_max! - 10_000) <= 110);
+  assert.equal(figures.lag_count, 4);
+  assert.equal(figures.lag_us_p50, 1);
+  assert.equal(figures.pass_count, undefined);
+});
