--- a/test/helpers.ts
+++ b/test/helpers.ts
@@ -1,5 +1,5 @@
 import assert from 'node:assert/strict';
-import { createServer, type AddressInfo } from 'node:net';
+import { createServer } from 'node:net';
 import { parseSettings, type Settings } from '../src/config/settings.js';
 import type { JobSpec, MachineType } from '../src/jobs/types.js';
 
@@ -110,12 +110,24 @@
   zones: ['z1', 'z2'],
 };
 
+/** Below the ports that the system gives out by itself, and apart from those of other processes. */
+const FIRST_PORT = 10_000 + (process.pid % 220) * 100;
+let portsGiven = 0;
+
+/** A port that nobody else is given: neither by this function nor by listening on port 0. */
 export async function freePort(): Promise<number> {
-  const s = createServer();
-  await new Promise<void>((r) => s.listen(0, '127.0.0.1', r));
-  const { port } = s.address() as AddressInfo;
-  await new Promise((r) => s.close(r));
-  return port;
+  for (;;) {
+    const port = FIRST_PORT + (portsGiven++ % 100);
+    if (await isFree(port)) return port;
+  }
+}
+
+function isFree(port: number): Promise<boolean> {
+  const server = createServer();
+  return new Promise((resolve) => {
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
+  });
 }
 
 export const wait = (ms: number): Promise<void> => new Promise((r) => setTimeout(r, ms));
--- /dev/null
+++ b/test/meetings-users.test.ts
@@ -0,0 +1,102 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { JOBS, LEADER, PROGRESS } from '../src/state/records.js';
+import { until, wait } from './helpers.js';
+import { playAll, type Cluster, type Row } from './standins/cluster.js';
+import type { StateService } from './standins/state.js';
+import { submission } from './standins/users.js';
+
+const LEASE = 2;
+/** Times in a row that users ask all controllers. */
+const LOOKS = 5;
+
+/** Users ask at all controllers and repeat the submission, again and again within milliseconds. */
+async function look(cluster: Cluster, ref: string): Promise<void> {
+  const looks: Promise<unknown>[] = [];
+  for (let i = 0; i < LOOKS; i++) {
+    for (const at of cluster.indexes) {
+      looks.push(cluster.users.poll(at, ref), cluster.users.submitOnce(at, submission(ref)));
+    }
+    await wait(2);
+  }
+  await Promise.all(looks);
+}
+
+async function acceptedThenEnded(cluster: Cluster, at: number, ref: string): Promise<void> {
+  await cluster.users.submit(at, ref, {}, 0.1);
+  await look(cluster, ref);
+  await until(`${ref} ends`, async () => {
+    const replies = await Promise.all(cluster.indexes.map((i) => cluster.users.poll(i, ref)));
+    return replies.some((reply) => reply.state === 'done');
+  });
+  await look(cluster, ref);
+}
+
+async function acceptedThenCancelled(cluster: Cluster, at: number, ref: string): Promise<void> {
+  await cluster.users.submit(at, ref, {}, 60);
+  await Promise.all([cluster.users.cancel((at + 1) % 3, ref), look(cluster, ref)]);
+  await look(cluster, ref);
+  await cluster.gone(ref);
+}
+
+/** The cancellation meets the end of the last task. */
+async function cancelledAtTheEnd(cluster: Cluster, at: number, ref: string): Promise<void> {
+  await cluster.users.submit(at, ref, {}, 0.2);
+  await until(`${ref} ends`, () => cluster.rules.jobs.get(ref)!.completed.size === 1);
+  const final = (): boolean => cluster.rules.jobs.get(ref)!.final !== null;
+  await until(`${ref} is over`, async () => {
+    await Promise.all(cluster.indexes.map((i) => cluster.users.cancelOnce(i, ref)));
+    return final();
+  });
+  await look(cluster, ref);
+}
+
+interface Troubled extends Row {
+  trouble(state: StateService): void;
+}
+
+test('users ask everywhere right after a job was accepted, ended or cancelled: no answer is older', async () => {
+  const lost = { how: 'answer_lost' } as const;
+  const late = { how: 'late', afterS: 0.3 } as const;
+  const doubled = { how: 'doubled', afterS: 0.3 } as const;
+  const rows: Troubled[] = [
+    { name: 'no trouble', trouble: () => undefined },
+    { name: 'the state service is slow', trouble: (s) => (s.slowMs = 30) },
+    { name: 'answers to what users asked are lost', trouble: (s) => s.disturb(JOBS, lost, 6) },
+    { name: 'answers to ends are lost', trouble: (s) => s.disturb(PROGRESS, lost, 6) },
+    { name: 'what users asked is stored late', trouble: (s) => s.disturb(JOBS, late, 6) },
+    { name: 'ends are stored late', trouble: (s) => s.disturb(PROGRESS, late, 6) },
+    { name: 'what users asked is stored twice', trouble: (s) => s.disturb(JOBS, doubled) },
+    { name: 'ends are stored twice', trouble: (s) => s.disturb(PROGRESS, doubled) },
+  ];
+  await playAll(rows, { leaseS: LEASE }, async (cluster, { trouble }) => {
+    await cluster.newLeader();
+    trouble(cluster.state);
+    for (const [round, at] of cluster.indexes.entries()) {
+      await Promise.all([
+        acceptedThenEnded(cluster, at, `wk-00001${round}`),
+        acceptedThenCancelled(cluster, at, `wk-00002${round}`),
+        cancelledAtTheEnd(cluster, at, `wk-00003${round}`),
+      ]);
+    }
+  });
+});
+
+test('a leader whose election was not answered leads, and nobody beside it', async () => {
+  const rows = [
+    { name: 'carried out at once', fate: { how: 'answer_lost' } as const },
+    { name: 'carried out twice', fate: { how: 'doubled', afterS: 0.2 } as const },
+    { name: 'carried out late', fate: { how: 'late', afterS: 0.2 } as const },
+  ];
+  await playAll(rows, { leaseS: LEASE }, async (cluster, { fate }) => {
+    const ref = 'wk-000001';
+    await cluster.users.submit(0, ref, { form: 'daemon', pieces: 2 });
+    await cluster.runs(ref, 2);
+    cluster.state.disturb(LEADER, fate, 2);
+    const old = await cluster.endLeader();
+    await cluster.newLeader(old);
+    await cluster.users.sees((old + 1) % 3, ref, 'running');
+    await cluster.runs(ref, 2);
+    assert.equal(cluster.rules.starts.get(`${ref}/0`), 1);
+  });
+});
--- a/test/standins/cluster.ts
+++ b/test/standins/cluster.ts
@@ -126,6 +126,24 @@
     }
   }
 
+  /** Ends the leader; returns its number. */
+  async endLeader(): Promise<number> {
+    const old = await this.newLeader();
+    this.stopController(old);
+    return old;
+  }
+
+  /** Delivers a copy of a report to every controller that is there. */
+  async deliver(report: string): Promise<void> {
+    await Promise.all(
+      this.ports.map(({ bind }) =>
+        fetch(`http://127.0.0.1:${bind}/checkin`, { method: 'POST', body: report })
+          .then((response) => response.arrayBuffer())
+          .catch(() => undefined),
+      ),
+    );
+  }
+
   // Machines
 
   get workers(): Worker[] {
@@ -164,7 +182,8 @@
   /** Ends everything; fails if any rule of the protocol was broken. */
   close(): void {
     // What is held back would keep the process alive.
-    for (const access of this.access) access.refuses = false;
+    for (const access of this.access) access.refuses = access.holdsWatches = false;
+    this.state.down = false;
     for (const index of this.indexes) this.stopController(index);
     for (const { gate } of this.links) gate.close();
     for (const standIn of [
@@ -179,3 +198,46 @@
     this.assertRules();
   }
 }
+
+/** A row of a table of meetings. */
+export interface Row {
+  name: string;
+}
+
+/** Rows that are played at once: more would make a busy machine late for their leases. */
+const AT_ONCE = 3;
+
+/** Plays every row with a cluster of its own; names the rows that fail. */
+export async function playAll<R extends Row>(
+  rows: R[],
+  options: Partial<ClusterOptions>,
+  play: (cluster: Cluster, row: R) => Promise<void>,
+): Promise<void> {
+  const failures: string[] = [];
+  for (let i = 0; i < rows.length; i += AT_ONCE) {
+    const batch = rows.slice(i, i + AT_ONCE).map((row) =>
+      playOne(options, row, play).catch((error) => {
+        failures.push(`${row.name}: ${String(error)}`);
+      }),
+    );
+    await Promise.all(batch);
+  }
+  assert.deepEqual(failures, []);
+}
+
+async function playOne<R extends Row>(
+  options: Partial<ClusterOptions>,
+  row: R,
+  play: (cluster: Cluster, row: R) => Promise<void>,
+): Promise<void> {
+  const cluster = await Cluster.start(options);
+  let failure: unknown = null;
+  try {
+    await play(cluster, row);
+  } catch (error) {
+    failure = error;
+  }
+  // A broken rule says more than what followed from it.
+  cluster.close();
+  if (failure !== null) throw failure as Error;
+}
--- a/test/standins/state.ts
+++ b/test/standins/state.ts
@@ -119,7 +119,7 @@
       const log = this.log.filter(
         (e) => (e.mark as number) > after && String(e.put ?? e.remove).startsWith(prefix),
       );
-      if (!this.down && (log.length > 0 || Date.now() >= end)) {
+      if (this.closed || (!this.down && (log.length > 0 || Date.now() >= end))) {
         return [200, { ledger: this.ledger, log }];
       }
       await wait(POLL_MS);
@@ -194,13 +194,16 @@
 /** The state service as one controller sees it: it may refuse that one alone. */
 export class StateAccess extends HttpStandIn {
   refuses = false;
+  /** Answers to watches do not come through. */
+  holdsWatches = false;
 
   constructor(state: StateService) {
     super(async (method, url, body) => {
       if (this.refuses) return [503, { error: 'trouble' }];
       const answer = await state.handle(method, url, body);
       // Open watches wait, as they would in an outage.
-      while (this.refuses) await wait(POLL_MS);
+      const watch = Number(url.searchParams.get('block_ms') ?? 0) > 0;
+      while (this.refuses || (watch && this.holdsWatches)) await wait(POLL_MS);
       return answer;
     });
   }
--- a/test/standins/worker.ts
+++ b/test/standins/worker.ts
@@ -100,7 +100,6 @@
   /** It goes on where it stopped, but for what its lease has ended. */
   goOn(): void {
     this.hanging = false;
-    this.checkLease();
   }
 
   /** Direct commands are not answered, and carried out once so much later if they are still valid. */
@@ -146,8 +145,9 @@
     }; // prettier-ignore
   }
 
+  /** Tasks of a hanging machine too are gone for good when its lease ends: they never go on. */
   private checkLease(): void {
-    if (this.hanging || Date.now() - this.renewed <= this.around.times.leaseS * 1000) return;
+    if (Date.now() - this.renewed <= this.around.times.leaseS * 1000) return;
     for (const task of this.tasks) this.exit(task, 'halted');
     this.tasks = [];
     this.shift++;
