Red tests: a cancellation known to its confirming controller only, and an end read after a later cancellation

The listing order in the replica test: a cancellation drops the job's progress, so that an older end which a listing brings after it is never seen.

--- a/test/meetings-gap.test.ts
+++ b/test/meetings-gap.test.ts
@@ -14,6 +14,8 @@
   /** From the refusal of the leader to the cancellation, and from its confirmation to the outage. */
   beforeS: number;
   gapS: number;
+  /** The controller that confirmed ends right after. */
+  ends?: boolean;
   /** Links between all controllers are refused from the cancellation to so long into the outage. */
   linksS?: number;
   /** The third controller's watch is slow: it does not hear of the cancellation. */
@@ -63,6 +65,7 @@
   const confirmed = await cancelled(cluster, confirming, ref);
   // Without links it may be refused; it is never confirmed and then not held to.
   if (row.linksS === undefined) assert.ok(confirmed, 'confirmed');
+  if (row.ends === true) cluster.stopController(confirming);
   await wait(row.gapS * 1000);
   state.down = true;
   const restoredS = Math.min(row.linksS ?? 0, CANCEL + BEYOND);
@@ -79,6 +82,17 @@
   await cluster.gone(ref);
 }
 
+test('the controller that confirmed a cancellation ends, then an outage: the tasks go in time', async () => {
+  const rows: Gap[] = [
+    { name: 'at once', beforeS: 0, gapS: 0, only: true, ends: true },
+    { name: 'later', beforeS: 0.1, gapS: 0.1, only: true, ends: true },
+    { name: 'as the new leader', beforeS: 1.6, gapS: 0, only: true, ends: true },
+    { name: 'links refused', beforeS: 0, gapS: 0, only: true, linksS: 0.6, ends: true },
+    { name: 'the third lags', beforeS: 0.1, gapS: 0, only: true, lags: true, ends: true },
+  ];
+  await playAll(rows, { leaseS: LEASE, cancelS: CANCEL }, playGap);
+});
+
 test('one cancels while the leader is refused and cut off from the others, its machines are not', async () => {
   const rows = [
     { name: 'through the new leader', wait: 2 },
--- a/test/meetings-users.test.ts
+++ b/test/meetings-users.test.ts
@@ -79,6 +79,35 @@
         cancelledAtTheEnd(cluster, at, `wk-00003${round}`),
       ]);
     }
+    // One that reads the whole store anew sees the same.
+    const returned = await cluster.endLeader();
+    await cluster.startController(returned);
+    await cluster.newLeader();
+    for (const ref of cluster.rules.jobs.keys()) {
+      await cluster.users.sees(returned, ref, cluster.rules.jobs.get(ref)!.final!);
+    }
+  });
+});
+
+test('a cancellation stored after the end, whose answers are lost, leaves the job done', async () => {
+  const rows = [{ name: 'late cancellation' }];
+  await playAll(rows, { leaseS: LEASE }, async (cluster) => {
+    const { users, state } = cluster;
+    const ref = 'wk-000001';
+    await users.submit(0, ref, {}, 0.3);
+    await cluster.runs(ref, 1);
+    state.disturb(JOBS, { how: 'late', afterS: 1.5 });
+    state.disturb(PROGRESS, { how: 'answer_lost' });
+    const cancelling = users.cancelOnce(1, ref);
+    await users.sees(2, ref, 'done');
+    await cancelling;
+    // The late cancellation has come by now, and an end written again would be younger than it.
+    await wait(2000);
+    state.settle();
+    const old = await cluster.endLeader();
+    await cluster.startController(old);
+    await users.sees(old, ref, 'done');
+    for (const at of cluster.indexes) assert.equal((await users.poll(at, ref)).state, 'done');
   });
 });
 
--- a/test/replica.test.ts
+++ b/test/replica.test.ts
@@ -39,7 +39,9 @@
     ['half done', [job(1), done(2, 'AQ==')], 'open'],
   ];
   for (const [name, changes, want] of cases) {
-    const orders = [changes, [...changes].reverse()];
+    // A listing goes by key: cancellations come before ends.
+    const listed = [...changes].sort((a, b) => (a.key < b.key ? -1 : 1));
+    const orders = [changes, [...changes].reverse(), listed];
     for (const order of orders) {
       const r = new Replica(8192);
       for (const c of order) r.item(c);
