--- /dev/null
+++ b/test/meeting-elections.test.ts
@@ -0,0 +1,162 @@
+/** Meetings of refusals, outages and lost answers with the question of who leads. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Election } from '../src/cluster/election.js';
+import type { Answer, PeerNet, Question } from '../src/cluster/peers.js';
+import { silentLog } from '../src/log.js';
+import type { Follower } from '../src/state/follow.js';
+import * as records from '../src/state/records.js';
+import { MemoryStore } from './meeting-helpers.js';
+
+/** So short that the pauses between steps, which are real, take a moment only. */
+const LEASE = 0.5;
+const LIFE = LEASE * 0.3;
+
+interface Steps {
+  stand(guard: number): Promise<boolean>;
+  leadStep(): Promise<void>;
+}
+
+class Controller {
+  now = 0;
+  readonly election: Election;
+  readonly steps: Steps;
+  readonly told: string[] = [];
+  deposed = 0;
+
+  constructor(
+    readonly store: MemoryStore,
+    private readonly name = 'a',
+    private readonly others: () => (Answer | null)[] = () => [null, null],
+  ) {
+    const replica = store.listed();
+    const sync = (): Promise<boolean> => Promise.resolve(store.feed(replica) !== null);
+    const names = ['x', 'y'];
+    const peers = {
+      names,
+      ask: (to: string, _q: Question) => Promise.resolve(this.others()[names.indexOf(to)] ?? null),
+    } as unknown as PeerNet;
+    this.election = new Election(
+      this.name,
+      `${this.name}-1`,
+      3,
+      LEASE,
+      store.client(),
+      { ready: true, sync } as unknown as Follower,
+      replica,
+      () => peers,
+      { now: () => this.now },
+      silentLog(),
+      {
+        onElected: () => undefined,
+        onDeposed: () => void this.deposed++,
+        onToldCancelled: (ids) => void this.told.push(...ids),
+      },
+    );
+    this.steps = this.election as unknown as Steps;
+    this.now = 100;
+  }
+
+  async stand(guard = 0): Promise<boolean> {
+    this.election.role = 'standing';
+    const won = await this.steps.stand(guard);
+    if (!won) this.election.role = 'following';
+    return won;
+  }
+}
+
+test('one of several that stand at once leads, also when the answers are lost', async () => {
+  for (const mode of ['serve', 'lose answers'] as const) {
+    const store = new MemoryStore();
+    const [a, b] = [new Controller(store, 'a'), new Controller(store, 'b')];
+    store.mode = mode;
+    const won = [await a.stand(), await b.stand()];
+    assert.deepEqual(won, [true, false], mode);
+    assert.equal(a.election.token, store.revision(records.LEADER), mode);
+    assert.equal(a.election.entitled, true, mode);
+    assert.equal(b.election.entitled, false, mode);
+  }
+  const store = new MemoryStore();
+  const late = new Controller(store);
+  store.mode = 'hold back';
+  assert.equal(await late.stand(), false, 'nobody knows');
+});
+
+test('a leader that the store refuses acts on only while a majority is refused too', async () => {
+  const refused = { refused: true, cancelled: ['wk-1'] };
+  const served = { refused: false };
+  const cases: [string, (Answer | null)[], boolean][] = [
+    ['cut from everybody', [null, null], false],
+    ['an outage', [refused, refused], true],
+    ['an outage, and one is away', [refused, null], true],
+    ['refused alone', [served, served], false],
+    ['another is refused too, a third is served', [refused, served], false],
+    ['one answers nothing of use', [{}, null], false],
+  ];
+  for (const [name, answers, endures] of cases) {
+    const store = new MemoryStore();
+    const c = new Controller(store, 'a', () => answers);
+    await c.stand();
+    store.mode = 'refuse';
+    store.extend = () => store.get('').then(() => true);
+    c.now += LIFE * 0.7;
+    await c.steps.leadStep();
+    c.now += LIFE * 0.35;
+    assert.equal(c.election.entitled, endures, name);
+    assert.equal(c.election.writing, false, `${name}: nothing new`);
+    if (answers.includes(refused)) assert.deepEqual([...new Set(c.told)], ['wk-1'], name);
+    // One that has acknowledged a later leader is over at once.
+    c.election.acknowledge(c.election.token + 1);
+    assert.equal(c.election.entitled, false, name);
+    assert.equal(c.deposed, 1, name);
+  }
+});
+
+test('whoever bears witness promises not to stand, and never for a leader that is over', async () => {
+  const cases: [string, MemoryStore['mode'], number, number, boolean | undefined][] = [
+    ['served', 'serve', 0, 0, false],
+    ['refused', 'refuse', 0, 0, true],
+    ['refused, but it has acknowledged a later one', 'refuse', 9, 0, false],
+    ['refused, but it knows of a later one', 'refuse', 0, 1, false],
+  ];
+  for (const [name, mode, acknowledged, later, want] of cases) {
+    const store = new MemoryStore();
+    const token = store.put(records.LEADER, records.encodeLeader({ node: 'b', incarnation: 'b' }));
+    store.accept({ id: 'wk-1' });
+    store.cancel('wk-1');
+    if (later > 0) store.put(records.LEADER, records.encodeLeader({ node: 'c', incarnation: 'c' }));
+    const c = new Controller(store);
+    if (acknowledged > 0) c.election.acknowledge(token + acknowledged);
+    store.mode = mode;
+    const answer = await c.election.answerRefused(token, 100);
+    assert.equal(answer.refused, want, name);
+    if (want !== true) continue;
+    assert.deepEqual(answer.cancelled, ['wk-1'], 'whoever was refused earlier learns of it');
+    assert.ok(c.election.acknowledge(token + 1) >= 0.1, 'a later leader waits for the promise');
+  }
+});
+
+test('leases are kept for a leader that is gone in an outage only, and for no older one', async () => {
+  const refused = { refused: true };
+  const cases: [string, (Answer | null)[], number, boolean, boolean][] = [
+    ['an outage', [refused, null], 1, false, true],
+    ['it has only begun', [refused, null], 0.1, false, false],
+    ['refused alone', [{ refused: false }, refused], 1, false, false],
+    ['nobody else is there', [null, null], 1, false, false],
+    ['a later one was acknowledged', [refused, refused], 1, true, false],
+  ];
+  for (const [name, answers, forLives, acknowledged, keeps] of cases) {
+    const store = new MemoryStore();
+    const token = store.put(records.LEADER, records.encodeLeader({ node: 'b', incarnation: 'b' }));
+    const c = new Controller(store, 'a', () => answers);
+    store.mode = 'refuse';
+    Object.assign(store, { refusedSince: c.now - LIFE * forLives });
+    if (acknowledged) c.election.acknowledge(token + 1);
+    assert.equal(await c.election.mayKeep(), keeps, name);
+    if (!keeps) continue;
+    c.election.acknowledge(token + 1);
+    assert.equal(await c.election.mayKeep(), false, 'no more once a later one is acknowledged');
+    c.now += LIFE;
+    assert.equal(await c.election.mayKeep(), false);
+  }
+});
--- /dev/null
+++ b/test/meeting-users.test.ts
@@ -0,0 +1,209 @@
+/** Meetings of users' requests with one another and with a state service that answers late or not. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { silentLog } from '../src/log.js';
+import { Users } from '../src/service/users.js';
+import { Follower } from '../src/state/follow.js';
+import { Intake } from '../src/state/intake.js';
+import * as records from '../src/state/records.js';
+import { outcome, type Replica } from '../src/state/replica.js';
+import type { Budget } from '../src/clock.js';
+import { g8, settings } from './helpers.js';
+import { MemoryStore } from './meeting-helpers.js';
+
+const JOB = 'wk-000412';
+const VALID = {
+  ref: JOB, guild: 'train', crew: 't', form: 'batch', rank: 'high', pieces: 2, cores: 1.0,
+  gpus: 1.0, mem_gb: 6.0, mould: 'i', image_gb: 6.2, castings: ['g8'], yard: null, one_zone: true,
+  scatter: false, loaner: true, reckon_s: 240.0, stamp_s: 30.0, stamping_s: 4.0, due_s: 900.0,
+}; // prettier-ignore
+
+const body = (change: Record<string, unknown> = {}): Buffer =>
+  Buffer.from(JSON.stringify({ ...VALID, ...change }));
+
+interface Controller {
+  users: Users;
+  follower: Follower;
+  replica: Replica;
+}
+
+/** A controller's side for users; it knows of the store what it reads when it has to. */
+function controller(store: MemoryStore, name: string): Controller {
+  const clock = { now: () => 0 };
+  const log = silentLog();
+  const replica = store.listed();
+  const client = store.client();
+  const follower = new Follower(client, replica, clock, log, () => 0, 0);
+  follower.ready = true;
+  const budget = { take: () => true, capacity: 100 } as unknown as Budget;
+  const intake = new Intake(name, client, follower, replica, budget, clock, log);
+  const mayCancel = (): Promise<number> => Promise.resolve(0);
+  const types = (): (typeof g8)[] => [g8];
+  const users = new Users(settings(), follower, replica, intake, types, mayCancel, () => 1000, log);
+  return { users, follower, replica };
+}
+
+/** What a user is told: the status, and the state of the job. */
+async function told(reply: Promise<{ status: number; body?: unknown }>): Promise<string> {
+  const { status, body: text } = await reply;
+  const { temper = '' } = JSON.parse(String(text ?? '{}')) as { temper?: string };
+  return `${status} ${temper}`.trim();
+}
+
+const finish = (store: MemoryStore): number =>
+  store.put(records.progressKey(JOB, 0), records.encodeProgress({ bits: null, attainedS: 1 }));
+
+test('what one controller has told, no other contradicts within the same moment', async () => {
+  const cases: [string, string][] = [
+    ['accepted', 'queued'],
+    ['done', 'done'],
+    ['cancelled', 'cancelled'],
+    ['done, then cancelled', 'done'],
+    ['cancelled, then done', 'cancelled'],
+  ];
+  for (const [name, want] of cases) {
+    const store = new MemoryStore();
+    const all = ['a', 'b', 'c'].map((n) => controller(store, n));
+    const [a, b] = all as [Controller, Controller, Controller];
+    assert.equal(await told(b.users.poll(JOB)), '404');
+    // All three are asked at once; whoever is slower repeats it.
+    const accepted = await Promise.all(all.map((c) => told(c.users.submit(body()))));
+    assert.ok(
+      accepted.every((x) => x === '201 queued' || x === '200 queued'),
+      accepted.join(),
+    );
+    for (const step of name.split(', then ')) {
+      if (step === 'done') finish(store);
+      if (step === 'cancelled') assert.equal(await told(a.users.cancel(JOB)), `200 ${want}`);
+      if (step === 'done') assert.equal(await told(a.users.poll(JOB)), `200 ${want}`);
+    }
+    for (const c of all) {
+      const answers = await Promise.all([
+        told(c.users.poll(JOB)),
+        told(c.users.submit(body())),
+        told(c.users.poll('wk-1')),
+      ]);
+      assert.deepEqual(answers, [`200 ${want}`, `200 ${want}`, '404'], name);
+      if (want !== 'queued') assert.equal(await told(c.users.cancel(JOB)), `200 ${want}`, name);
+    }
+  }
+});
+
+test('a question waits for a read that began after it, not for one that is under way', async () => {
+  const store = new MemoryStore();
+  const a = controller(store, 'a');
+  const changes = store.changes.bind(store);
+  const answers: (() => void)[] = [];
+  store.changes = async (prefix, after) => {
+    const read = await changes(prefix, after);
+    await new Promise<void>((resolve) => answers.push(resolve));
+    return read;
+  };
+  const early = a.users.poll(JOB);
+  await new Promise(setImmediate);
+  store.accept({ id: JOB });
+  const late = a.users.poll(JOB);
+  const third = a.users.poll(JOB);
+  for (let i = 0; i < 4; i++) {
+    answers.splice(0).forEach((answer) => answer());
+    await new Promise(setImmediate);
+  }
+  assert.equal((await early).status, 404);
+  assert.equal((await late).status, 200);
+  assert.equal((await third).status, 200);
+});
+
+test('a submission or cancellation whose answer is lost, or that comes late, counts once', async () => {
+  for (const mode of ['lose answers', 'hold back', 'refuse'] as const) {
+    const store = new MemoryStore();
+    const [a, b] = [controller(store, 'a'), controller(store, 'b')];
+    store.mode = mode;
+    assert.equal(await told(a.users.submit(body())), '503', mode);
+    assert.equal(store.ledger, mode === 'lose answers' ? 1 : 0, 'stored once');
+    store.mode = 'serve';
+    assert.match(await told(b.users.submit(body())), /^20[01] queued$/, mode);
+    store.mode = mode;
+    assert.equal(await told(a.users.cancel(JOB)), '503', mode);
+    store.mode = 'serve';
+    const cancelled = await told(b.users.cancel(JOB));
+    assert.equal(cancelled, '200 cancelled', mode);
+    const at = b.replica.jobs.get(JOB)!.cancelledAt;
+    // What was held back comes now: after newer ones.
+    store.deliver();
+    finish(store);
+    store.feed(b.replica);
+    for (const c of [a, b, controller(store, 'c')]) {
+      assert.equal(await told(c.users.poll(JOB)), '200 cancelled', mode);
+      assert.equal(outcome(c.replica.jobs.get(JOB)!), 'cancelled', mode);
+    }
+    assert.equal(b.replica.jobs.get(JOB)!.cancelledAt, at, mode);
+  }
+});
+
+test('while the state service refuses, nothing is told but what never changes any more', async () => {
+  const store = new MemoryStore();
+  const a = controller(store, 'a');
+  await a.users.submit(body());
+  await a.users.submit(body({ ref: 'wk-2' }));
+  await a.users.cancel('wk-2');
+  store.mode = 'refuse';
+  assert.equal(await told(a.users.poll(JOB)), '503');
+  assert.equal(await told(a.users.cancel(JOB)), '503');
+  assert.equal(await told(a.users.submit(body())), '503');
+  assert.equal(await told(a.users.poll('wk-3')), '503', 'nor that nobody submitted it');
+  assert.equal(await told(a.users.poll('wk-2')), '200 cancelled');
+  assert.equal(await told(a.users.cancel('wk-2')), '200 cancelled');
+  store.mode = 'serve';
+  assert.equal(await told(a.users.poll(JOB)), '200 queued');
+});
+
+test('an accepted job is known for ever, whatever its repetition looks like', async () => {
+  const defects: [string, Record<string, unknown>][] = [
+    ['as it was', {}],
+    ['a field is missing', { guild: undefined }],
+    ['a wrong type', { cores: 'many' }],
+    ['a team that nobody knows', { crew: 'x' }],
+    ['too large', { gpus: 1000 }],
+    ['of another size', { pieces: 7 }],
+  ];
+  for (const [name, change] of defects) {
+    const store = new MemoryStore();
+    const [a, b] = [controller(store, 'a'), controller(store, 'b')];
+    await a.users.submit(body());
+    assert.match(await told(b.users.submit(body(change))), /^20[01] queued$/, name);
+    assert.equal(b.replica.jobs.get(JOB)!.spec.tasks, 2, name);
+    finish(store);
+    assert.equal(await told(b.users.submit(body(change))), '200 done', name);
+  }
+});
+
+test('a submission that lacks a field, or can never run, is refused and leaves nothing behind', async () => {
+  const nullable = ['castings', 'yard', 'due_s'];
+  const store = new MemoryStore();
+  const a = controller(store, 'a');
+  for (const field of Object.keys(VALID)) {
+    const ref = { ref: 'wk-7' };
+    const without = body({ ...ref, [field]: undefined });
+    const empty = body({ ...ref, [field]: null });
+    if (nullable.includes(field)) continue;
+    assert.equal((await a.users.submit(without)).status, 400, `without ${field}`);
+    assert.equal((await a.users.submit(empty)).status, 400, `${field}: null`);
+  }
+  const never: Record<string, unknown>[] = [
+    { crew: 'x' },
+    { gpus: 9 },
+    { castings: ['h1'] },
+    { castings: [] },
+    { yard: 'z9' },
+    { form: 'group', pieces: 13 },
+    { form: 'daemon', pieces: 13 },
+  ];
+  for (const change of never) {
+    assert.equal((await a.users.submit(body(change))).status, 422, JSON.stringify(change));
+  }
+  assert.equal(store.ledger, 0);
+  for (const field of nullable) {
+    const change = { ref: `wk-${nullable.indexOf(field)}`, [field]: undefined };
+    assert.equal(await told(a.users.submit(body(change))), '201 queued', field);
+  }
+});
