--- a/test/meeting-leaders.test.ts
+++ b/test/meeting-leaders.test.ts
@@ -96,7 +96,7 @@
       const late = w.machine('a').held().length > 0 ? w.sendDirect('a') : null;
       w.cancel(JOB);
       if (seen === 'by word of another') w.leader.onToldCancelled(JOB);
-      if (seen === 'by the old leader') w.store.feed(w.replica);
+      if (seen === 'by the old leader' || seen === 'no change') w.store.feed(w.replica);
       if (seen !== 'by the next') await w.parts.store.flush();
       if (seen !== 'no change') w.takeOver();
       else late?.unanswered();
@@ -136,10 +136,10 @@
   const tasks = (): TaskReport[] =>
     [...w.fleet.workers.values()].flatMap((x) => [...x.tasks.values()]);
   for (let failures = 0; failures < 2; failures++) {
-    const old = tasks().find((t) => t.job === JOB)!;
+    const old = tasks().find((t) => t.job === JOB && t.index === 0)!;
     for (const x of w.fleet.workers.values()) x.end(old, 'error');
     await w.run(5);
-    const again = tasks().find((t) => t.job === JOB && t.index === old.index)!;
+    const again = tasks().find((t) => t.job === JOB && t.index === 0)!;
     assert.equal(again.state, 'running');
     assert.ok(again.attempt > old.attempt, 'with a number of its own');
   }
@@ -484,38 +484,38 @@
   assert.deepEqual(w.fleet.broken, []);
 });
 
-test('a start that was not answered may come at any time until the session ends', async () => {
+test('nothing starts before the store names it', async () => {
   const w = await world(['a']);
   w.job({ id: JOB });
   w.pass();
-  await w.flush();
-  const start = w.sendDirect('a');
-  start.unanswered();
   const a = w.fleet.workers.get('a')!;
-  a.deaf = true;
   w.checkin(a);
-  a.deaf = false;
-  w.fleet.add('b');
-  const job = w.term.jobs.get(JOB)!;
-  w.term.stopTask(job, [...job.holding()][0]!);
-  await w.run(1);
-  start.arrive();
-  await w.run(1);
-  assert.deepEqual(w.fleet.broken, []);
-  // Nothing of an earlier session comes.
-  w.job({ id: OTHER });
-  w.pass();
+  assert.equal(w.fleet.running(JOB), 0);
   await w.flush();
-  const on = w.fleet.workers.get(w.term.jobs.get(OTHER)!.live.get(0)![0]!.machine)!;
-  const lost = w.sendDirect(on.id);
-  lost.unanswered();
-  on.mute = true;
-  await w.run(w.settings.workers.lease_s * 1.5);
-  on.mute = false;
-  await w.run(w.settings.workers.lease_s * 2);
-  lost.arrive();
-  assert.equal(w.fleet.running(OTHER), 1);
-  assert.deepEqual(w.fleet.broken, []);
+  w.checkin(a);
+  assert.equal(w.fleet.running(JOB), 1);
+});
+
+test('a start that was not answered may come at any time until the session ends', async () => {
+  for (const ends of [false, true]) {
+    const w = await world(['a']);
+    w.job({ id: JOB });
+    w.pass();
+    await w.flush();
+    const start = w.sendDirect('a');
+    start.unanswered();
+    const a = w.fleet.workers.get('a')!;
+    w.fleet.add('b');
+    // The machine is to be taken: its task is wanted elsewhere.
+    a.noticeS = 60;
+    if (ends) a.session++;
+    await w.run(2);
+    if (ends) assert.equal(w.fleet.running(JOB), 1);
+    start.arrive();
+    await w.run(5);
+    assert.equal(w.fleet.running(JOB), 1);
+    assert.deepEqual(w.fleet.broken, []);
+  }
 });
 
 test('a machine with a start under way is not returned; one that is being returned gets none', async () => {
