--- /dev/null
+++ b/test/meeting-records.test.ts
@@ -0,0 +1,115 @@
+/** Records that are written, listed and removed while transactions and reports come late. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { outcome } from '../src/state/replica.js';
+import * as records from '../src/state/records.js';
+import { MemoryStore, World } from './meeting-helpers.js';
+
+const JOB = 'wk-000001';
+
+const done = (store: MemoryStore): number =>
+  store.put(records.progressKey(JOB, 0), records.encodeProgress({ bits: null, attainedS: 1 }));
+
+type Event = (store: MemoryStore) => number;
+const accepted: Event = (s) => s.accept({ id: JOB });
+const cancelled: Event = (s) => s.cancel(JOB);
+
+test('a fresh listing tells the same of a job as the stream of changes', () => {
+  const cases: [string, Event[], string][] = [
+    ['accepted', [accepted], 'open'],
+    ['done', [accepted, done], 'done'],
+    ['cancelled', [accepted, cancelled], 'cancelled'],
+    ['done, then cancelled', [accepted, done, cancelled], 'done'],
+    ['cancelled, then done', [accepted, cancelled, done], 'cancelled'],
+    ['cancelled twice around its end', [accepted, cancelled, done, cancelled], 'cancelled'],
+    ['accepted again after its end', [accepted, done, accepted, cancelled], 'done'],
+  ];
+  for (const [name, events, want] of cases) {
+    const store = new MemoryStore();
+    const stream = store.listed();
+    for (const event of events) {
+      event(store);
+      store.feed(stream);
+    }
+    assert.equal(outcome(stream.jobs.get(JOB)!), want, `${name}: by the stream`);
+    assert.equal(outcome(store.listed().jobs.get(JOB)!), want, `${name}: by a listing`);
+  }
+});
+
+test('a cancellation that is listed before its job is never announced as an open job', () => {
+  const store = new MemoryStore();
+  store.accept({ id: JOB });
+  store.cancel(JOB, 'a');
+  const open: string[] = [];
+  const replica = store.listed({
+    onJob: (facts) => void (outcome(facts) === 'open' && open.push(facts.spec.id)),
+  });
+  assert.equal(outcome(replica.jobs.get(JOB)!), 'cancelled');
+  assert.deepEqual(replica.lastCancelled, [JOB], 'told to others in an outage');
+});
+
+test('of two acceptances of a job the older one describes it, whatever the order of listing', () => {
+  const store = new MemoryStore();
+  store.accept({ id: JOB, gpus: 2 });
+  store.accept({ id: JOB, gpus: 4 }, 0, 'a');
+  for (const replica of [store.listed(), store.feed(new MemoryStore().listed())]) {
+    assert.equal(replica.jobs.get(JOB)!.spec.gpus, 2);
+  }
+});
+
+test('the record of a job that is done is never written again', async () => {
+  // A gang over two machines: its end is stored late, after the other machine's report.
+  const w = new World();
+  const ids = ['a', 'b'];
+  for (const id of ids) w.fleet.add(id);
+  w.job({ id: JOB, kind: 'gang', tasks: 2, gpus: 8, cores: 8 });
+  await w.run(2);
+  assert.equal(w.fleet.running(JOB), 2);
+  const [a, b] = ids.map((id) => w.fleet.workers.get(id)!);
+  await w.run(10);
+  a!.end(a!.running(JOB)[0]!, 'done');
+  w.checkin(a!);
+  w.store.mode = 'hold back';
+  await w.parts.store.flush();
+  w.store.mode = 'serve';
+  b!.end(b!.running(JOB)[0]!, 'done');
+  w.checkin(b!);
+  w.store.deliver();
+  const first = w.store.revision(records.progressKey(JOB, 0));
+  assert.ok(first > 0);
+  w.store.cancel(JOB);
+  await w.flush();
+  assert.equal(w.store.revision(records.progressKey(JOB, 0)), first);
+  assert.equal(outcome(w.store.listed().jobs.get(JOB)!), 'done');
+});
+
+test('the record of a machine that reports again is not removed by an earlier removal', async () => {
+  const lost = [
+    ['serve', false],
+    ['lose answers', true],
+    ['hold back', true],
+  ] as const;
+  for (const [mode, underWay] of lost) {
+    const w = new World();
+    const a = w.fleet.add('a');
+    w.job({ id: JOB, tasks: 2 });
+    await w.run(2);
+    // Its lease ran out long ago; it comes back with a new session.
+    w.term.lose(w.machine('a'));
+    w.parts.forget(w.machine('a'));
+    a.tasks.clear();
+    a.session++;
+    w.store.mode = mode;
+    const flushed = underWay ? w.parts.store.flush() : Promise.resolve(false);
+    w.checkin(a);
+    await flushed;
+    w.store.mode = 'serve';
+    await w.run(2);
+    w.store.deliver();
+    await w.run(2);
+    const record = w.store.value(records.machineKey('a'));
+    assert.ok(record !== undefined, mode);
+    assert.equal(records.decodeMachine(record).claims.length, 2, mode);
+    assert.equal(w.fleet.running(JOB), 2, mode);
+  }
+});
