--- /dev/null
+++ b/test/meeting-limits.test.ts
@@ -0,0 +1,58 @@
+/** Requests and records at the edge of what the protocol allows. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { JobSpec } from '../src/jobs/types.js';
+import { neverRuns } from '../src/sched/quota.js';
+import * as records from '../src/state/records.js';
+import { g8, settings, spec } from './helpers.js';
+import { World } from './meeting-helpers.js';
+
+const JOB = 'wk-000001';
+
+test('a gang that no zones can hold as it asks is never accepted', () => {
+  const gang = { kind: 'gang' as const, tasks: 3 };
+  const onlyZone = [{ ...g8, zones: ['z1'] }];
+  const cases: [string, Partial<JobSpec>, typeof onlyZone, boolean][] = [
+    ['scattered over two zones', { ...gang, scatter: true }, [g8], true],
+    ['a single task', { kind: 'gang', tasks: 1, scatter: true, oneZone: true }, [g8], true],
+    ['scattered, and in one zone', { ...gang, scatter: true, oneZone: true }, [g8], false],
+    ['scattered, and bound to a zone', { ...gang, scatter: true, zone: 'z1' }, [g8], false],
+    ['scattered, and its types are in one zone', { ...gang, scatter: true }, onlyZone, false],
+    [
+      'an array goes on one task after another',
+      { tasks: 3, scatter: true, zone: 'z1' },
+      [g8],
+      true,
+    ],
+  ];
+  for (const [name, over, types, runs] of cases) {
+    assert.equal(neverRuns(spec(over), settings().teams, types) === null, runs, name);
+  }
+});
+
+test('however small the tasks, a machine gets no more than its record can name', async () => {
+  const w = new World();
+  w.fleet.add('a');
+  await w.run(1);
+  w.job({ id: JOB, tasks: 1000, cores: 0.001, gpus: 0, memGb: 0 });
+  await w.run(1);
+  const record = JSON.stringify(w.store.value(records.machineKey('a')));
+  assert.ok(record.length <= w.store.valueBytes, `${record.length} bytes`);
+});
+
+test('a machine that reports at last is not returned as one that never came', async () => {
+  const w = new World();
+  const ageS = 1000;
+  await w.run(w.settings.workers.lease_s * 4);
+  const listed = {
+    id: 'a', addr: '', type: 'g8', zone: 'z1', spot: false, state: 'booting' as const, ageS,
+  }; // prettier-ignore
+  w.parts.upkeep.listed([listed]);
+  assert.deepEqual(w.parts.upkeep.toReturn(), ['a']);
+  // The cloud didn't answer; before it is asked again the machine is there, and has work.
+  w.fleet.add('a');
+  w.job({ id: JOB });
+  await w.run(2);
+  assert.equal(w.fleet.running(JOB), 1);
+  assert.deepEqual(w.parts.upkeep.toReturn(), []);
+});
--- a/test/meeting-waiting.test.ts
+++ b/test/meeting-waiting.test.ts
@@ -129,3 +129,18 @@
     assert.equal(w.fleet.running(JOB), 1, `${jobs} jobs`);
   }
 });
+
+test('room is not held for long work that may not start: its team is at its limit', async () => {
+  const w = new World(1);
+  w.settings.teams.set('u', { name: 'u', cores: 0, coresMax: 0, gpus: 0, gpusMax: 100 });
+  w.fleet.add('a');
+  await w.run(1);
+  // Jobs that fit no machine make what is long stand out.
+  for (let i = 1; i <= 3; i++) w.job({ id: `wk-00001${i}`, gpus: 9, estimateS: 10 });
+  w.job({ id: JOB, tasks: 40, estimateS: 10_000 });
+  await w.run(2);
+  assert.equal(w.fleet.running(JOB), 1);
+  w.job({ id: OTHER, tasks: 7, team: 'u', estimateS: 10 });
+  await w.run(PATIENCE_S);
+  assert.equal(w.fleet.running(OTHER), 7);
+});
--- /dev/null
+++ b/test/meeting-witness.test.ts
@@ -0,0 +1,82 @@
+/** Who leads, and who bears witness for whom, when answers are lost and looks at the store differ. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Election } from '../src/cluster/election.js';
+import type { PeerNet } from '../src/cluster/peers.js';
+import { silentLog } from '../src/log.js';
+import { Refused, Unanswered } from '../src/state/client.js';
+import type { Follower } from '../src/state/follow.js';
+import * as records from '../src/state/records.js';
+import { MemoryStore } from './meeting-helpers.js';
+
+const LEASE = 10;
+const LONG_AGO = -1000;
+
+/** A controller that began long ago, over a store. */
+function controller(
+  store: MemoryStore,
+  ready = true,
+): { election: Election; stand(): Promise<boolean> } {
+  const clock = { now: LONG_AGO };
+  const replica = store.listed();
+  const sync = (): Promise<boolean> => Promise.resolve(store.feed(replica) !== null);
+  const election = new Election(
+    'a',
+    'a-1',
+    3,
+    LEASE,
+    store.client(),
+    { ready, sync } as unknown as Follower,
+    replica,
+    () => ({ names: [] }) as unknown as PeerNet,
+    { now: () => clock.now },
+    silentLog(),
+    { onElected: () => undefined, onDeposed: () => undefined, onToldCancelled: () => undefined },
+  );
+  clock.now = 0;
+  const parts = election as unknown as { stand(guard: number): Promise<boolean> };
+  const stand = async (): Promise<boolean> => {
+    election.role = 'standing';
+    const won = await parts.stand(0);
+    if (!won) election.role = 'following';
+    return won;
+  };
+  return { election, stand };
+}
+
+test('a promise that one answer gave is not erased by another answer that ends meanwhile', async () => {
+  const store = new MemoryStore();
+  store.put(records.LEADER, records.encodeLeader({ node: 'b', incarnation: 'b-1' }));
+  const { election } = controller(store);
+  const looks: ((e: Error) => void)[] = [];
+  store.get = () => new Promise((_, reject) => looks.push(reject));
+  const unsure = election.answerRefused(1, 1000);
+  const refused = election.answerRefused(1, 2000);
+  looks[0]!(new Unanswered('no answer'));
+  assert.equal((await unsure).refused, undefined);
+  looks[1]!(new Refused(503));
+  assert.equal((await refused).refused, true);
+  assert.ok(election.acknowledge(5) >= 2, 'promised for two seconds');
+});
+
+test('a controller that has never read the store bears no witness for a leader', async () => {
+  // The process before it may have acknowledged a later one.
+  const store = new MemoryStore();
+  const { election } = controller(store, false);
+  store.mode = 'refuse';
+  assert.notEqual((await election.answerRefused(3, 1000)).refused, true);
+});
+
+test("an earlier attempt's key that turns up late is not taken for this attempt's", async () => {
+  // It hangs on the earlier attempt's lease, which nobody renews.
+  const store = new MemoryStore();
+  const { stand } = controller(store);
+  store.mode = 'hold back';
+  assert.equal(await stand(), false);
+  const get = store.get.bind(store);
+  store.get = (key) => {
+    store.deliver();
+    return get(key);
+  };
+  assert.equal(await stand(), false);
+});
