--- a/test/meeting-waiting.test.ts
+++ b/test/meeting-waiting.test.ts
@@ -31,6 +31,7 @@
     assert.equal(w.fleet.running(JOB), 0, name);
     const job = w.term.jobs.get(JOB)!;
     w.term.stopTask(job, [...job.holding()][0]!);
+    w.fleet.add('b');
     await w.run(PATIENCE_S);
     assert.equal(w.fleet.running(JOB), job.spec.tasks, name);
     assert.deepEqual(w.fleet.broken, [], name);
