--- /dev/null
+++ b/test/meeting-random.test.ts
@@ -0,0 +1,221 @@
+/** Days of random troubles, each told by its seed: whatever meets, the rules hold, and all work ends. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { JobKind } from '../src/jobs/types.js';
+import { outcome } from '../src/state/replica.js';
+import type { Report, TaskReport } from '../src/wire/workers.js';
+import type { Machine } from '../src/workers/machine.js';
+import { World, type Worker } from './meeting-helpers.js';
+
+const DAYS = 60;
+const STEP_S = 0.2;
+/** Troubles come for so long; then all must be well within the time after it. */
+const TROUBLES_S = 40;
+const AFTER_S = 60;
+const LATEST_JOB_S = 35;
+const GPUS_MAX = 20;
+const CANCEL_S = 6;
+
+/** Numbers from 0 to 1 that a seed determines (mulberry32). */
+function randomFrom(seed: number): () => number {
+  let state = seed;
+  return () => {
+    state = (state + 0x6d2b79f5) | 0;
+    let t = Math.imul(state ^ (state >>> 15), state | 1);
+    t ^= t + Math.imul(t ^ (t >>> 7), t | 61);
+    return ((t ^ (t >>> 14)) >>> 0) / 2 ** 32;
+  };
+}
+
+interface Job {
+  kind: JobKind;
+  tasks: number;
+  /** When each of its runs ends. */
+  ends: Map<string, number>;
+}
+
+class Day {
+  readonly w = new World(GPUS_MAX);
+  readonly jobs = new Map<string, Job>();
+  readonly cancelledAt = new Map<string, number>();
+  readonly broken = new Set<string>();
+  private late: { at: number; arrive(): void }[] = [];
+
+  constructor(private readonly random: () => number) {
+    for (const id of ['a', 'b']) this.w.fleet.add(id, 'z1');
+    for (const id of ['c', 'd']) this.w.fleet.add(id, 'z2');
+    const started = this.w.fleet.started.bind(this.w.fleet);
+    this.w.fleet.started = (on, command) => {
+      started(on, command);
+      const at = this.cancelledAt.get(command.job) ?? Infinity;
+      if (this.w.now - at > CANCEL_S) this.broken.add(`start after cancellation: ${command.job}`);
+    };
+  }
+
+  private chance(p: number): boolean {
+    return this.random() < p;
+  }
+
+  private pick<T>(from: readonly T[]): T {
+    return from[Math.floor(this.random() * from.length)]!;
+  }
+
+  private delay(inS: number, arrive: () => void): void {
+    this.late.push({ at: this.w.now + inS, arrive });
+  }
+
+  /** What users and troubles bring about. */
+  private happen(): void {
+    const { w } = this;
+    if (this.chance(0.1) && w.now < LATEST_JOB_S) {
+      const id = `wk-${1000 + this.jobs.size}`;
+      const kind = this.pick(['array', 'array', 'gang', 'service'] as const);
+      const tasks = 1 + Math.floor(this.random() * 4);
+      this.jobs.set(id, { kind, tasks, ends: new Map() });
+      w.job({ id, kind, tasks });
+    }
+    if (this.chance(0.05) && this.jobs.size > 0) this.cancel(this.pick([...this.jobs.keys()]));
+    if (this.chance(0.02)) w.takeOver();
+    const worker = this.pick([...w.fleet.workers.values()]);
+    if (this.chance(0.02)) worker.deaf = !worker.deaf;
+    if (this.chance(0.02)) worker.mute = !worker.mute;
+    const live = [...w.term.jobs.values()].filter((j) => j.holdingCount > 0);
+    if (this.chance(0.01) && live.length > 0) {
+      const job = this.pick(live);
+      w.term.stopTask(job, this.pick([...job.holding()]));
+    }
+  }
+
+  private cancel(id: string): void {
+    const { w } = this;
+    if (outcome(w.store.feed(w.replica).jobs.get(id)!) !== 'open') return;
+    w.store.cancel(id);
+    this.cancelledAt.set(id, w.now);
+  }
+
+  /** Tasks of arrays and whole gangs end after a while. */
+  private work(worker: Worker, troubles: boolean): void {
+    const { w } = this;
+    for (const task of worker.tasks.values()) {
+      const job = this.jobs.get(task.job)!;
+      if (task.state === 'ended' || job.kind === 'service') continue;
+      const run = `${worker.id} ${task.index} ${task.attempt}`;
+      const at = job.ends.get(run) ?? w.now + 1 + this.random() * 4;
+      job.ends.set(run, at);
+      if (at > w.now) continue;
+      if (job.kind === 'array') worker.end(task, troubles && this.chance(0.1) ? 'error' : 'done');
+      else this.endGang(job, task);
+    }
+  }
+
+  private endGang(job: Job, { job: id, attempt }: TaskReport): void {
+    const workers = [...this.w.fleet.workers.values()];
+    const mates = workers.flatMap((x) => x.running(id).filter((t) => t.attempt === attempt));
+    const whole = mates.length === job.tasks;
+    for (const x of workers) for (const t of mates) x.end(t, whole ? 'done' : 'peers');
+  }
+
+  private reports(troubles: boolean): void {
+    const { w } = this;
+    for (const worker of w.fleet.workers.values()) {
+      worker.tick();
+      this.work(worker, troubles);
+      if (troubles && this.chance(0.03)) {
+        const copy: Report = worker.report();
+        this.delay(this.random() * 6, () => void w.leader.checkin(copy));
+      }
+      w.checkin(worker);
+    }
+  }
+
+  /** Direct commands: answered, unanswered, late or lost. */
+  private direct(m: Machine, troubles: boolean): void {
+    const { w } = this;
+    const worker = w.fleet.workers.get(m.id)!;
+    const commands = m.commands(w.now, (a) => w.term.mayStart(a), false);
+    if (commands.every((c) => c.op === 'forget')) return;
+    const { session } = m;
+    const { token } = w;
+    m.mark(commands, 'direct', w.now);
+    const how = worker.deaf ? 'lost' : troubles ? this.random() : 'answered';
+    if (how === 'lost' || Number(how) > 0.85) {
+      m.directDone(commands, 'unknown', session, w.now);
+    } else if (Number(how) > 0.7) {
+      this.delay(this.random() * 8, () => void worker.direct(token, session, commands));
+      m.directDone(commands, 'unknown', session, w.now);
+    } else {
+      const report = worker.direct(token, session, commands);
+      const answered = Number(how) > 0.6 ? 'unknown' : report === null ? 'refused' : 'done';
+      m.directDone(commands, answered, session, w.now);
+      if (answered === 'unknown') return;
+      w.term.digest(m, m.apply(report ?? worker.report(), false, w.now));
+    }
+  }
+
+  private async lead(troubles: boolean): Promise<void> {
+    const { w } = this;
+    w.pass();
+    if (troubles && this.chance(0.1)) w.store.mode = this.pick(['lose answers', 'hold back']);
+    await w.parts.store.flush();
+    w.store.mode = 'serve';
+    if (this.chance(0.2)) w.store.deliver();
+    for (const id of [...w.term.urgent]) {
+      w.term.urgent.delete(id);
+      const m = w.term.machines.get(id);
+      if (m?.state === 'ready') this.direct(m, troubles);
+    }
+    w.leader.beat();
+  }
+
+  async step(troubles: boolean): Promise<void> {
+    const { w } = this;
+    w.fleet.now += STEP_S;
+    if (troubles) this.happen();
+    const due = this.late.filter((l) => l.at <= w.now);
+    this.late = this.late.filter((l) => l.at > w.now);
+    for (const l of due) l.arrive();
+    this.reports(troubles);
+    await this.lead(troubles);
+    let used = 0;
+    for (const id of this.jobs.keys()) used += w.fleet.running(id);
+    if (used > GPUS_MAX) this.broken.add(`quota: ${used}`);
+    for (const [id, at] of this.cancelledAt) {
+      if (w.now - at > CANCEL_S && w.fleet.running(id) > 0)
+        this.broken.add(`cancelled, runs: ${id}`);
+    }
+    for (const rule of w.fleet.broken) if (rule.startsWith('ran_twice')) this.broken.add(rule);
+  }
+
+  endTroubles(): void {
+    for (const x of this.w.fleet.workers.values()) x.deaf = x.mute = false;
+  }
+
+  /** What is not as it must be in the end. */
+  left(): string[] {
+    const { w } = this;
+    w.store.feed(w.replica);
+    const open = [...this.jobs].filter(([id]) => outcome(w.replica.jobs.get(id)!) === 'open');
+    const wanted = open.reduce((n, [, job]) => n + job.tasks, 0);
+    const left: string[] = [];
+    for (const id of this.jobs.keys()) {
+      const told = outcome(w.replica.jobs.get(id)!);
+      if (told === 'cancelled' && !this.cancelledAt.has(id)) left.push(`never cancelled: ${id}`);
+    }
+    for (const [id, job] of open) {
+      if (job.kind !== 'service' && wanted <= GPUS_MAX) left.push(`not done: ${id}`);
+      const missing = job.tasks - w.fleet.running(id);
+      if (wanted <= GPUS_MAX && missing > 0) left.push(`waits: ${id}, ${missing} tasks`);
+    }
+    return left;
+  }
+}
+
+test('whatever troubles meet at random, no rule is broken, and everything runs in the end', async () => {
+  for (let seed = 1; seed <= DAYS; seed++) {
+    const day = new Day(randomFrom(seed));
+    while (day.w.now < TROUBLES_S) await day.step(true);
+    day.endTroubles();
+    while (day.w.now < TROUBLES_S + AFTER_S) await day.step(false);
+    assert.deepEqual([...day.broken, ...day.left()], [], `seed ${seed}`);
+  }
+});
