--- a/src/cluster/election.ts
+++ b/src/cluster/election.ts
@@ -394,7 +394,9 @@
       if (Array.isArray(a?.cancelled)) this.events.onToldCancelled(a.cancelled.map(String));
     }
     if (answers.some((a) => a?.refused === false)) return null;
-    const ages = answers.flatMap((a) => (a?.refused === true ? [Number(a.freshAgeS)] : []));
+    const ages = answers.flatMap((a) =>
+      a?.refused === true && Number.isFinite(a.freshAgeS) ? [a.freshAgeS as number] : [],
+    );
     if ((1 + ages.length) * 2 <= this.nodes) return null;
     const freshest = Math.max(this.follower.freshAt, ...ages.map((age) => askedAt - age));
     return { freshAt: freshest };
