--- a/src/service/node.ts
+++ b/src/service/node.ts
@@ -57,7 +57,6 @@
   private readonly incarnation: string;
   private stopped = false;
   private beat: NodeJS.Timeout | undefined;
-  private costsTimer: NodeJS.Timeout | undefined;
   private readonly costs: Costs;
   private beatAt: number | null = null;
   private beats = 0;
@@ -209,10 +208,6 @@
     void this.warden?.run();
     void this.fetchTypes();
     this.beat = setInterval(() => this.onBeat(), this.settings.workers.report_s * 500);
-    this.costsTimer = setTimeout(
-      () => void this.costs.load(),
-      this.settings.workers.lease_s * 2000,
-    );
     this.log.info({ bind: this.settings.bind }, 'started');
   }
 
@@ -231,7 +226,6 @@
   stop(): void {
     this.stopped = true;
     clearInterval(this.beat);
-    clearTimeout(this.costsTimer);
     this.election.stop();
     this.backing.stop();
     this.warden?.stop();
