--- a/src/service/run.ts
+++ b/src/service/run.ts
@@ -4,6 +4,9 @@
 import { limitHeapGrowth } from './heap.js';
 import { Node } from './node.js';
 
+/** Between two looks at the heap's growth, in milliseconds. */
+const HEAP_REVIEW_MS = 500;
+
 /**
  * Runs a controller until the process is killed. What keeps it from starting goes to `giveUp`, in one
  * line.
@@ -24,5 +27,8 @@
   } catch (e) {
     giveUp(`cannot listen: ${(e as Error).message}`);
   }
-  limitHeapGrowth();
+  const reviewHeap = limitHeapGrowth(settings.limits.mem_mb);
+  const timer = setInterval(() => {
+    if (reviewHeap()) clearInterval(timer);
+  }, HEAP_REVIEW_MS);
 }
