A stopped controller stays stopped: an election under way made a leader nobody ended

Cause: a controller that was stopped between the commit of the leader's key and the read that follows became leader after its stop, opened new connections and ran until its process was killed.

--- a/src/cluster/election.ts
+++ b/src/cluster/election.ts
@@ -194,12 +194,14 @@
     this.state.setRole('leader');
     // Everything that former leaders stored must be in the picture before anything is decided.
     while (this.replica.applied < token || this.follower.freshAt < grantSentAt) {
-      if (this.clock.now() >= this.validUntil) {
+      if (this.stopped || this.clock.now() >= this.validUntil) {
         this.state.setRole('follower');
         return false;
       }
       if (!(await this.follower.sync())) await sleep(0.05);
     }
+    // Stopped while it was being elected: it would lead on with nobody to stop it again.
+    if (this.stopped) return false;
     this.become('leading');
     this.events.onElected(token);
     return true;
--- a/src/cluster/peers.ts
+++ b/src/cluster/peers.ts
@@ -200,6 +200,7 @@
   private readonly server: Server;
   private readonly links = new Map<string, Link>();
   private readonly accepted = new Set<Socket>();
+  private closed = false;
 
   constructor(
     self: string,
@@ -286,10 +287,13 @@
 
   /** Null: no answer. */
   ask(node: string, question: Question, timeoutS: number): Promise<Answer | null> {
+    if (this.closed) return Promise.resolve(null);
     return this.links.get(node)?.ask(question, timeoutS) ?? Promise.resolve(null);
   }
 
+  /** Ends all connections; every later question has no answer. */
   close(): void {
+    this.closed = true;
     this.server.close();
     for (const l of this.links.values()) l.close();
     for (const s of this.accepted) s.destroy();
--- a/src/http/client.ts
+++ b/src/http/client.ts
@@ -112,6 +112,7 @@
   private readonly idle: Line[] = [];
   private readonly lines = new Set<Line>();
   private readonly queue: Job[] = [];
+  private closed = false;
 
   constructor(
     readonly at: Endpoint,
@@ -126,6 +127,10 @@
     timeoutS: number,
   ): Promise<Response> {
     return new Promise((resolve, reject) => {
+      if (this.closed) {
+        reject(new NoResponse('client closed', false));
+        return;
+      }
       if (this.queue.length >= this.maxQueue) {
         reject(new NoResponse('too many requests wait', false));
         return;
@@ -163,7 +168,10 @@
     }
   }
 
+  /** Ends all connections. Requests that wait, and all later ones, are rejected. */
   close(): void {
+    this.closed = true;
+    for (const job of this.queue.splice(0)) job.reject(new NoResponse('client closed', false));
     for (const l of this.lines) l.destroy();
     this.lines.clear();
     this.idle.length = 0;
--- a/src/service/node.ts
+++ b/src/service/node.ts
@@ -212,9 +212,15 @@
     );
   }
 
+  /** Rejects, with everything closed again, when one of its addresses cannot be had. */
   async start(): Promise<void> {
-    await this.server.listen(this.settings.bind);
-    await this.peers.listen(this.settings.peerBind);
+    try {
+      await this.server.listen(this.settings.bind);
+      await this.peers.listen(this.settings.peerBind);
+    } catch (error) {
+      this.stop();
+      throw error;
+    }
     void this.follower.run();
     void this.election.run();
     void this.warden?.run();
--- a/test/helpers.ts
+++ b/test/helpers.ts
@@ -1,5 +1,5 @@
 import assert from 'node:assert/strict';
-import { createServer } from 'node:net';
+import { createServer, type Server } from 'node:net';
 import { parseSettings, type Settings } from '../src/config/settings.js';
 import type { JobSpec, MachineType } from '../src/jobs/types.js';
 
@@ -110,23 +110,51 @@
   zones: ['z1', 'z2'],
 };
 
-/** Below the ports that the system gives out by itself, and apart from those of other processes. */
-const FIRST_PORT = 10_000 + (process.pid % 220) * 100;
+/** Ports below those that the system gives out by itself, in blocks: one for each process. */
+const FIRST_PORT = 10_000;
+const BLOCK_PORTS = 100;
+const BLOCKS = 220;
+
+/** The first port of the block that this process holds, once it has asked for a port. */
+let block: Promise<number> | null = null;
 let portsGiven = 0;
 
 /** A port that nobody else is given: neither by this function nor by listening on port 0. */
 export async function freePort(): Promise<number> {
+  const first = await (block ??= holdBlock());
   for (;;) {
-    const port = FIRST_PORT + (portsGiven++ % 100);
+    const port = first + 1 + (portsGiven++ % (BLOCK_PORTS - 1));
     if (await isFree(port)) return port;
   }
 }
 
-function isFree(port: number): Promise<boolean> {
+/**
+ * Holds a block until the process exits, by listening on its first port. Blocks were once chosen by
+ * the process's number alone: two test files with the same block took each other's ports now and then.
+ */
+async function holdBlock(): Promise<number> {
+  for (let i = 0; i < BLOCKS; i++) {
+    const first = FIRST_PORT + ((process.pid + i) % BLOCKS) * BLOCK_PORTS;
+    const holder = createServer();
+    if (await listens(holder, first)) {
+      holder.unref();
+      return first;
+    }
+  }
+  throw new Error('no block of ports is free');
+}
+
+async function isFree(port: number): Promise<boolean> {
   const server = createServer();
+  const free = await listens(server, port);
+  if (free) await new Promise((resolve) => server.close(resolve));
+  return free;
+}
+
+function listens(server: Server, port: number): Promise<boolean> {
   return new Promise((resolve) => {
     server.once('error', () => resolve(false));
-    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
+    server.listen(port, '127.0.0.1', () => resolve(true));
   });
 }
 
--- a/test/standins/cluster.ts
+++ b/test/standins/cluster.ts
@@ -51,8 +51,14 @@
 
   static async start(options: Partial<ClusterOptions> = {}): Promise<Cluster> {
     const cluster = new Cluster({ ...DEFAULTS, ...options });
-    await cluster.listen();
-    for (const index of cluster.indexes) await cluster.startController(index);
+    try {
+      await cluster.listen();
+      for (const index of cluster.indexes) await cluster.startController(index);
+    } catch (error) {
+      // What has begun would keep the process alive.
+      cluster.close();
+      throw error;
+    }
     return cluster;
   }
 
--- /dev/null
+++ b/test/stop.test.ts
@@ -0,0 +1,84 @@
+import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { connect, createServer } from 'node:net';
+import { test } from 'node:test';
+import { parseSettings } from '../src/config/settings.js';
+import { silentLog } from '../src/log.js';
+import { DEFAULT_POLICY } from '../src/operator/policy.js';
+import { Node } from '../src/service/node.js';
+import { freePort, settingsText, wait } from './helpers.js';
+import { Cloud } from './standins/cloud.js';
+import { RuleChecker } from './standins/rules.js';
+import { StateAccess, StateService } from './standins/state.js';
+
+const LEASE_S = 0.5;
+
+async function isRefused(port: number): Promise<boolean> {
+  const socket = connect(port, '127.0.0.1');
+  try {
+    await once(socket, 'connect');
+    return false;
+  } catch {
+    return true;
+  } finally {
+    socket.destroy();
+  }
+}
+
+/** Counts what reaches the state service. */
+class CountingState extends StateService {
+  requests = 0;
+
+  override handle(
+    ...request: Parameters<StateService['handle']>
+  ): ReturnType<StateService['handle']> {
+    this.requests++;
+    return super.handle(...request);
+  }
+}
+
+/** A controller that stops after so long; returns whether it led, and what it still asked later. */
+async function stopAfter(ms: number): Promise<{ led: boolean; asked: number }> {
+  const rules = new RuleChecker({ cancelS: 1, teams: new Map(), machineGpus: 8 });
+  const cloud = new Cloud(rules, { leaseS: LEASE_S, gangPeerS: 1 });
+  const state = new CountingState();
+  state.slowMs = 40;
+  const access = new StateAccess(state);
+  await Promise.all([cloud.listen(), access.listen()]);
+  const ports = [{ bind: await freePort(), peer: await freePort() }];
+  const text = settingsText(0, ports, cloud.port, access.port, LEASE_S);
+  const controller = new Node(parseSettings(text), DEFAULT_POLICY, silentLog());
+  await controller.start();
+  await wait(ms);
+  controller.stop();
+  // What was on its way arrives.
+  await wait(LEASE_S * 200);
+  const before = state.requests;
+  await wait(LEASE_S * 1000);
+  const outcome = { led: controller.leader !== null, asked: state.requests - before };
+  controller.stop();
+  for (const standIn of [cloud, access, state, rules]) standIn.close();
+  return outcome;
+}
+
+// One that stopped as it was being elected led on, unseen, and kept its process alive for ever.
+test('a controller that is stopped does nothing more, whatever it was doing', async () => {
+  const moments = Array.from({ length: 40 }, (_, i) => i * 10);
+  const outcomes = await Promise.all(moments.map(stopAfter));
+  outcomes.forEach((outcome, i) => {
+    assert.deepEqual(outcome, { led: false, asked: 0 }, `stopped after ${moments[i]} ms`);
+  });
+});
+
+test('a controller that cannot have one of its addresses gives up the other', async () => {
+  const bind = await freePort();
+  const taken = createServer();
+  const peer = await freePort();
+  taken.listen(peer, '127.0.0.1');
+  await once(taken, 'listening');
+  const settings = parseSettings(settingsText(0, [{ bind, peer }]));
+  const controller = new Node(settings, DEFAULT_POLICY, silentLog());
+  await assert.rejects(controller.start(), /EADDRINUSE/);
+  assert.ok(await isRefused(bind));
+  taken.close();
+});
