--- a/scripts/profile.ts
+++ b/scripts/profile.ts
@@ -129,7 +129,7 @@
     const kind = isOver ? 'array' : 'service';
     const jobs = [{ spec: spec({ id: jobId(i), kind, cores: 0.1 }), atMs: Date.now() - 300_000 }];
     const cancels = isOver ? [jobId(i)] : [];
-    put(`${records.JOBS}x-${i}`, records.encodeIntake({ jobs, cancels }));
+    put(`${records.JOBS}x-${i}`, records.encodeSubmissions({ jobs, cancels }));
   }
   const images = Array.from({ length: 12 }, (_, k): [string, number] => [`image-${k}`, 34.3]);
   for (let i = 0; i < MACHINES; i++) {
--- a/src/cluster/election.ts
+++ b/src/cluster/election.ts
@@ -11,19 +11,19 @@
 /**
  * Who leads. The leader's key hangs on a lease; its revision is the token, so tokens only rise.
  *
- *   following -> standing -> leading <-> enduring -> following
+ *   following -> standing -> leading <-> continuing -> following
  *
- * `leading`: entitled by the lease. `enduring`: the state service refuses this node, and a majority
+ * `leading`: entitled by the lease. `continuing`: the state service refuses this node, and a majority
  * of controllers (this one among them) has just been refused too, which only an outage does; leases
  * stand still in one. Whatever the state, `entitled` is what counts for every answer and command.
  */
-export type Role = 'following' | 'standing' | 'leading' | 'enduring';
+export type Role = 'following' | 'standing' | 'leading' | 'continuing';
 
 const ALLOWED: Record<Role, Role[]> = {
   following: ['standing'],
   standing: ['leading', 'following'],
-  leading: ['enduring', 'following'],
-  enduring: ['leading', 'following'],
+  leading: ['continuing', 'following'],
+  continuing: ['leading', 'following'],
 };
 
 /** Cancellations told in one answer, at most: a third of a frame between controllers. */
@@ -39,7 +39,7 @@
   onElected(token: number): void;
   onDeposed(): void;
   /** Cancellations that another controller knows to be stored. */
-  onToldCancelled(ids: string[]): void;
+  onKnownCancelled(ids: string[]): void;
   /** Stored cancellations after a revision, as far as this controller knows of any. */
   cancelledSince(revision: number): string[];
 }
@@ -84,7 +84,7 @@
     if (role === this.role) return;
     if (!ALLOWED[this.role].includes(role)) throw new Error(`${this.role} -> ${role}`);
     this.log.info({ from: this.role, to: role, token: this.token }, 'role');
-    const led = this.role === 'leading' || this.role === 'enduring';
+    const led = this.role === 'leading' || this.role === 'continuing';
     this.role = role;
     if (role === 'following' && led) {
       this.validUntil = -Infinity;
@@ -95,7 +95,7 @@
 
   /** Whether this node may act for the controllers at this moment. */
   get entitled(): boolean {
-    if (this.role !== 'leading' && this.role !== 'enduring') return false;
+    if (this.role !== 'leading' && this.role !== 'continuing') return false;
     return this.clock.now() < this.actsUntil;
   }
 
@@ -104,7 +104,7 @@
    * must stop renewing workers' leases in time. In an outage `validUntil` counts with this already.
    */
   private get actsUntil(): number {
-    if (this.role === 'enduring') return this.validUntil;
+    if (this.role === 'continuing') return this.validUntil;
     return Math.min(this.validUntil, this.follower.freshAt + this.allowanceS);
   }
 
@@ -219,7 +219,7 @@
     try {
       if (await this.state.extend(this.lease, Math.max(0.3, Math.min(1, left / 2)))) {
         this.validUntil = Math.max(this.validUntil, this.until(sentAt));
-        if (this.role === 'enduring') this.become('leading');
+        if (this.role === 'continuing') this.become('leading');
         this.refresh();
       } else {
         this.log.info({ token: this.token }, 'lease has ended');
@@ -235,13 +235,13 @@
       this.become('following');
       return;
     }
-    if (refused) await this.endure(sentAt);
+    if (refused) await this.continueInOutage(sentAt);
     if (this.clock.now() >= this.actsUntil) {
       this.log.info({ token: this.token }, 'entitlement has run out');
       this.become('following');
       return;
     }
-    await sleep(this.role === 'enduring' || refused ? this.lifeS / 12 : this.lifeS / 5);
+    await sleep(this.role === 'continuing' || refused ? this.lifeS / 12 : this.lifeS / 5);
   }
 
   /** Reads the store when the watch has had nothing to show for a while. */
@@ -253,7 +253,7 @@
    * Refused by the state service: an outage, or this node alone? Only in an outage do leases stand
    * still. A node that is served says so, and then this one yields when its time is up.
    */
-  private async endure(askedAt: number): Promise<void> {
+  private async continueInOutage(askedAt: number): Promise<void> {
     const forS = this.lifeS / 2;
     if (this.acknowledged > this.token) return;
     const majority = await this.majorityRefused(this.token, forS);
@@ -262,7 +262,7 @@
     const until = Math.min(askedAt + forS * (1 - 2 * DRIFT), this.outageBound(majority));
     if (until <= this.clock.now()) return;
     this.validUntil = Math.max(this.validUntil, until);
-    if (this.role === 'leading') this.become('enduring');
+    if (this.role === 'leading') this.become('continuing');
   }
 
   /** Asked by another node: looks at the state service now, not at what it said before. */
@@ -279,7 +279,7 @@
       return { refused: false };
     }
     // One that only stands is as good a witness as any: it may stand again and again in an outage.
-    if (this.role === 'leading' || this.role === 'enduring') return { refused: false };
+    if (this.role === 'leading' || this.role === 'continuing') return { refused: false };
     const promise =
       this.clock.now() + (Math.min(forMs, this.lifeS * 1000) / 1000) * (1 + 2 * DRIFT);
     const before = this.promisedUntil;
@@ -307,8 +307,9 @@
   }
 
   /**
-   * A later leader asks for its backing, see `Mandate`. From now on this controller neither acts for
-   * an older one nor bears witness for it. Returns the seconds until its promises so far have ended.
+   * A later leader asks to be acknowledged, see `QuorumAcknowledgement`. From now on this controller
+   * neither acts for an older one nor bears witness for it. Returns the seconds until its promises so
+   * far have ended.
    */
   acknowledge(token: number): number {
     const now = this.clock.now();
@@ -318,7 +319,7 @@
     if (token <= this.acknowledged) return until - now;
     this.acknowledged = token;
     this.keepUntil = -Infinity;
-    if (token > this.token && (this.role === 'leading' || this.role === 'enduring')) {
+    if (token > this.token && (this.role === 'leading' || this.role === 'continuing')) {
       until = Math.max(until, Math.min(now, this.validUntil));
       this.log.info({ token: this.token, later: token }, 'a later leader');
       this.become('following');
@@ -327,16 +328,16 @@
   }
 
   /**
-   * Caretaking: nobody leads, nobody can take over, because the state service is down for all. Then
+   * Substituting: nobody leads, nobody can take over, because the state service is down for all. Then
    * workers' leases are kept alive with the last leader's token and nothing else is done. It takes
-   * what enduring takes, a majority that is being refused, for longer than a leader takes to notice
+   * what continuing takes, a majority that is being refused, for longer than a leader takes to notice
    * the outage itself; every later decision on leases counts with what was renewed here.
    */
   private keepUntil = -Infinity;
   private keeping: Promise<boolean> | null = null;
 
   mayKeep(): Promise<boolean> {
-    if (this.role === 'leading' || this.role === 'enduring') return Promise.resolve(false);
+    if (this.role === 'leading' || this.role === 'continuing') return Promise.resolve(false);
     if (this.clock.now() < this.keepUntil) return Promise.resolve(true);
     this.keeping ??= this.checkKeep().finally(() => (this.keeping = null));
     return this.keeping;
@@ -356,17 +357,17 @@
     // The promises count from when they were given, which is after the question was sent.
     const askedAt = this.clock.now();
     if (since === null || askedAt - since < this.lifeS * 0.4) return false;
-    const majority = await this.majorityRefused(leader.revision, this.caretakeS);
+    const majority = await this.majorityRefused(leader.revision, this.substituteS);
     if (majority === null || this.acknowledged > leader.revision) return false;
-    const until = askedAt + this.caretakeS * (1 - 2 * DRIFT);
+    const until = askedAt + this.substituteS * (1 - 2 * DRIFT);
     this.keepUntil = Math.min(until, this.outageBound(majority));
     if (this.clock.now() >= this.keepUntil) return false;
     this.log.info({ token: leader.revision }, 'leases are kept for a leader that is gone');
     return true;
   }
 
-  /** How long after the last proof of an outage a caretaker may still renew. */
-  get caretakeS(): number {
+  /** How long after the last proof of an outage a substitute may still renew. */
+  get substituteS(): number {
     return this.lifeS / 3;
   }
 
@@ -393,7 +394,7 @@
       net.names.map((n) => net.ask(n, question, Math.min(0.8, this.lifeS / 4))),
     );
     for (const a of answers) {
-      if (Array.isArray(a?.cancelled)) this.events.onToldCancelled(a.cancelled.map(String));
+      if (Array.isArray(a?.cancelled)) this.events.onKnownCancelled(a.cancelled.map(String));
     }
     if (answers.some((a) => a?.refused === false)) return null;
     const ages = answers.flatMap((a) =>
--- a/src/cluster/mandate.ts
+++ b/src/cluster/quorum.ts
@@ -7,16 +7,17 @@
 }
 
 /**
- * A leader's backing. Whoever acts on for a former leader, or in its place, because it takes a refusal
- * for an outage (`Election.endure`, `Election.mayKeep`), needs a majority of controllers that say they
- * are refused too. Two that are each refused alone can make one, beside a third that is served and
- * elected. So before this leader counts any lease as run out, a majority must have acknowledged it:
- * whoever has gives no such word for an older leader any more, and any two majorities share a node.
+ * The acknowledgement of a leader by a majority. Whoever renews leases for a former leader, because it
+ * takes a refusal for an outage (`Election.continueInOutage`, `Election.mayKeep`), needs a majority of
+ * controllers that say they are refused too. Two that are each refused alone can make one, beside a
+ * third that is served and elected. So before this leader counts any lease as run out, a majority must
+ * have acknowledged it: whoever has gives no such word for an older leader any more, and any two
+ * majorities share a node.
  *
- *   seeking  leases may be renewed by others at this moment
- *   backed   they have not been since `keptUntil`, and never will be
+ *   pending  leases may be renewed by others at this moment
+ *   reached  they have not been since `keptUntil`, and never will be
  */
-export class Mandate {
+export class QuorumAcknowledgement {
   private readonly ends = new Map<string, number>();
 
   constructor(
@@ -25,8 +26,8 @@
     private readonly clock: Clock,
   ) {}
 
-  get state(): 'seeking' | 'backed' {
-    return this.ends.size >= this.needed ? 'backed' : 'seeking';
+  get state(): 'pending' | 'reached' {
+    return this.ends.size >= this.needed ? 'reached' : 'pending';
   }
 
   /** Others that make a majority together with this controller. */
@@ -44,7 +45,7 @@
 
   /** Until when others may renew, or may have renewed, leases with an older token. */
   get keptUntil(): number {
-    if (this.state === 'seeking') return this.clock.now();
+    if (this.state === 'pending') return this.clock.now();
     const ends = [...this.ends.values()].sort((a, b) => a - b);
     return this.needed === 0 ? -Infinity : ends[this.needed - 1]!;
   }
--- a/src/cluster/warden.ts
+++ b/src/cluster/zone-lease.ts
@@ -9,29 +9,29 @@
 
 /**
  * Zones that go on working by themselves. Where a zone has exactly one controller, that one is its
- * warden: cut off together with its zone, it keeps renewing the leases of the zone's machines with
+ * zone keeper: cut off together with its zone, it keeps renewing the leases of the zone's machines with
  * the last token, so that what runs there goes on. It starts nothing.
  *
- * What the others must know is when a warden may be doing so. Each warden holds a key on a short
+ * What the others must know is when a zone keeper may be doing so. Each zone keeper holds a key on a short
  * lease; it keeps no machine before that key is certainly gone, and none for longer than a bound
  * after the last proof that the key was there:
  *
- *   key there, by a fresh read      the warden keeps nothing, and has not since the key was put
+ *   key there, by a fresh read      the zone keeper keeps nothing, and has not since the key was put
  *   key gone                        it may keep until the bound has passed since it went
  *
  * So a silent machine counts as lost only when its lease has run out and either is proven since, and
- * a cancellation is taken only if the warden has been told, or if the bound ends in time.
+ * a cancellation is taken only if the zone keeper has been told, or if the bound ends in time.
  */
 
 /**
  * Life of the key's lease: so much of a worker's lease, and of the time that a worker waits for an answer.
  * A worker must get one before it looks for other controllers, all of them outside the cut. By its lease
- * alone, one of 15 s, the warden began when those that had reported in the cut's first moments had gone.
+ * alone, one of 15 s, the zone keeper began when those that had reported in the cut's first moments had gone.
  */
 const LIFE = 0.1;
 const LIFE_OF_WAIT = 0.25;
 /**
- * When a warden may begin, counted from the sending of the last renewal that was answered. Until then
+ * When a zone keeper may begin, counted from the sending of the last renewal that was answered. Until then
  * the key is certainly gone: its life, once more for a renewal that was carried out without an answer
  * (there is never more than one of them), once more for an outage too short to be noticed, after
  * which leases have their full time again, and half a life for late ends. In lives.
@@ -48,13 +48,13 @@
   keepS: number;
 }
 
-export function wardenTimes(leaseS: number): Times {
+export function zoneLeaseTimes(leaseS: number): Times {
   const lifeS = Math.min(leaseS * LIFE, ANSWER_WAIT_S * LIFE_OF_WAIT);
   return { lifeS, beginS: lifeS * BEGIN, keepS: leaseS * KEEP };
 }
 
 /** The sole controller of each zone. With one zone only, nothing is cut off with a zone. */
-export function wardens(all: { node: string; zone: string }[]): Map<string, string> {
+export function zoneLeaseKeepers(all: { node: string; zone: string }[]): Map<string, string> {
   const by = new Map<string, string[]>();
   for (const n of all) by.set(n.zone, [...(by.get(n.zone) ?? []), n.node]);
   const out = new Map<string, string>();
@@ -64,24 +64,24 @@
 }
 
 /**
- * A warden's own side:
+ * A zone keeper's own side:
  *
  *   away     no key of this process is known to be in the store
  *   present  it is
  *   doubting a renewal was not answered: none is sent until the store is heard again
  *   alone    neither the store nor any other controller answers
  */
-export type WardenState = 'away' | 'present' | 'doubting' | 'alone';
+export type ZoneLeaseKeeperState = 'away' | 'present' | 'doubting' | 'alone';
 
-const ALLOWED: Record<WardenState, WardenState[]> = {
+const ALLOWED: Record<ZoneLeaseKeeperState, ZoneLeaseKeeperState[]> = {
   away: ['present'],
   present: ['away', 'doubting'],
   doubting: ['present', 'alone'],
   alone: ['present', 'doubting'],
 };
 
-export class Warden {
-  state: WardenState = 'away';
+export class ZoneLeaseKeeper {
+  state: ZoneLeaseKeeperState = 'away';
   /** When the last renewal that was carried out had been sent. */
   private provenAt = -Infinity;
   private lease = 0;
@@ -99,13 +99,13 @@
     private readonly clock: Clock,
     private readonly log: Log,
   ) {
-    this.times = wardenTimes(leaseS);
+    this.times = zoneLeaseTimes(leaseS);
   }
 
-  private become(to: WardenState): void {
+  private become(to: ZoneLeaseKeeperState): void {
     if (to === this.state) return;
-    if (!ALLOWED[this.state].includes(to)) throw new Error(`warden: ${this.state} -> ${to}`);
-    this.log.info({ from: this.state, to }, 'warden');
+    if (!ALLOWED[this.state].includes(to)) throw new Error(`zoneKeeper: ${this.state} -> ${to}`);
+    this.log.info({ from: this.state, to }, 'zoneKeeper');
     this.state = to;
   }
 
@@ -192,8 +192,8 @@
   }
 }
 
-/** What a controller knows of the wardens, itself included. */
-export class WardenWatch {
+/** What a controller knows of the zone keepers, itself included. */
+export class ZoneLeaseWatch {
   private readonly seenAt = new Map<string, number>();
   private readonly goneAt = new Map<string, number>();
   private readonly times: Times;
@@ -206,10 +206,10 @@
     private readonly client: Pick<StateClient, 'refusedAt'>,
     private readonly clock: Clock,
   ) {
-    this.times = wardenTimes(leaseS);
+    this.times = zoneLeaseTimes(leaseS);
   }
 
-  warden(zone: string): string | null {
+  keeper(zone: string): string | null {
     return this.byZone.get(zone) ?? null;
   }
 
@@ -219,7 +219,7 @@
     return this.replica.present.has(node) && seen !== undefined && this.clock.now() - seen >= forS;
   }
 
-  /** A warden's key was put anew or is gone. */
+  /** A zone keeper's key was put anew or is gone. */
   changed(node: string): void {
     const now = this.clock.now();
     if (this.replica.present.has(node)) this.seenAt.set(node, now);
@@ -227,7 +227,7 @@
   }
 
   /**
-   * `keptUntil`: until when a zone's warden may renew, or may have renewed, leases of its machines.
+   * `keptUntil`: until when a zone's zone keeper may renew, or may have renewed, leases of its machines.
    * `provenAt`: up to which moment that is certain.
    */
   zone(zone: string): { keptUntil: number; provenAt: number } {
--- a/src/service/cancelling.ts
+++ b/src/service/cancellation-notices.ts
@@ -1,12 +1,10 @@
 import type { PeerNet } from '../cluster/peers.js';
-import type { WardenWatch } from '../cluster/warden.js';
+import type { ZoneLeaseWatch } from '../cluster/zone-lease.js';
 import type { Clock } from '../clock.js';
 import type { Settings } from '../config/settings.js';
 import { outcome, type Replica } from '../state/replica.js';
-import { SUBMIT_WAIT_S } from '../wire/users.js';
+import { TELL_WAIT_S } from './confirmation.js';
 
-/** Of the time that a user waits for a cancellation, what telling the wardens may take. */
-const ASK_SHARE = 0.2;
 /**
  * Cancellations are remembered until the store shows the end of their jobs, and otherwise for so many
  * leases: nothing is kept in a leader's place for that long. Never by their number: a fleet of hundreds
@@ -15,7 +13,7 @@
 const REMEMBER_LEASES = 20;
 
 /** Job ids, and when each was heard of last. */
-class Heard {
+class RecentIds {
   private readonly ids = new Map<string, number>();
 
   constructor(
@@ -48,18 +46,18 @@
 }
 
 /** Cancellations that this controller has heard of before, or other than from, the store. */
-export class Cancelling {
+export class CancellationNotices {
   /** Stored, as another controller knows, but kept from this one by an outage. */
-  private readonly told: Heard;
+  private readonly stored: RecentIds;
   /** About to be stored. */
-  private readonly asked: Heard;
+  private readonly announced: RecentIds;
 
   constructor(
     private readonly settings: Settings,
     private readonly byZone: [string, string][],
     private readonly peers: PeerNet,
     private readonly replica: Replica,
-    private readonly wards: WardenWatch,
+    private readonly zoneLeases: ZoneLeaseWatch,
     private readonly clock: Clock,
   ) {
     const forS = settings.workers.lease_s * REMEMBER_LEASES;
@@ -67,46 +65,46 @@
       const facts = replica.jobs.get(id);
       return facts !== undefined && outcome(facts) !== 'open';
     };
-    this.told = new Heard(clock, forS, over);
-    this.asked = new Heard(clock, forS, over);
+    this.stored = new RecentIds(clock, forS, over);
+    this.announced = new RecentIds(clock, forS, over);
   }
 
   /** How many are remembered. */
   get size(): number {
-    return this.told.size + this.asked.size;
+    return this.stored.size + this.announced.size;
   }
 
-  noteTold(id: string): void {
-    this.told.add(id);
+  noteStored(id: string): void {
+    this.stored.add(id);
   }
 
-  noteAsked(id: string): void {
-    this.asked.add(id);
+  noteAnnounced(id: string): void {
+    this.announced.add(id);
   }
 
   /** Stored cancellations after a revision, by the store's copy and by what others have told. */
   storedSince(revision: number): string[] {
-    return [...new Set([...this.replica.cancelledSince(revision), ...this.told.keys()])];
+    return [...new Set([...this.replica.cancelledSince(revision), ...this.stored.keys()])];
   }
 
   knows(id: string): boolean {
-    return this.told.has(id) || this.asked.has(id);
+    return this.stored.has(id) || this.announced.has(id);
   }
 
   /**
-   * A zone that is cut off does not hear of a cancellation, and its warden would keep the job's
-   * tasks alive for longer than is allowed after it has been told. So either the wardens know of it
+   * A zone that is cut off does not hear of a cancellation, and its zone keeper would keep the job's
+   * tasks alive for longer than is allowed after it has been told. So either the zone keepers know of it
    * before it is stored, or what they may keep ends in time. Returns the seconds after which to ask
    * again; 0: it may be stored.
    */
   async wait(job: string): Promise<number> {
     if (this.byZone.length === 0) return 0;
-    this.noteAsked(job);
+    this.noteAnnounced(job);
     const { workers, node: self } = this.settings;
     const others = this.byZone.filter(([, node]) => node !== self);
     const told = await Promise.all(
       others.map(async ([zone, node]) => {
-        const a = await this.peers.ask(node, { q: 'cancelling', job }, SUBMIT_WAIT_S * ASK_SHARE);
+        const a = await this.peers.ask(node, { q: 'cancelling', job }, TELL_WAIT_S);
         return { zone, ok: a?.told === true };
       }),
     );
@@ -115,7 +113,7 @@
     let wait = 0;
     for (const { record } of this.replica.machines.values()) {
       if (!unsure.has(record.zone) || !record.claims.some((c) => c.job === job)) continue;
-      const z = this.wards.zone(record.zone);
+      const z = this.zoneLeases.zone(record.zone);
       const present = z.provenAt < Infinity;
       // Kept to the bound, then a lease, all of it before the time allowed has passed.
       const gone = z.keptUntil + workers.lease_s * 1.1 + workers.report_s;
--- a/src/service/upkeep.ts
+++ b/src/service/capacity.ts
@@ -41,7 +41,7 @@
 const WARM_SHARE = 0.25;
 
 /** Keeps the fleet of a term as large as it should be: what to rent, what to give back. */
-export class Upkeep implements FleetHost {
+export class CapacityManager implements FleetHost {
   readonly fleet: Fleet;
   demand: Demand[] = [];
   rooms: Room[] = [];
@@ -314,7 +314,7 @@
       if (l.ageS > limit && now - term.startedAt > lease_s * 3) this.neverCame.add(l.id);
     }
     for (const id of [...this.neverCame]) if (term.machines.has(id)) this.neverCame.delete(id);
-    term.stir();
+    term.requestPass();
   }
 
   /** When there is a machine's worth of room too much, a machine is emptied to be given back. */
--- a/src/service/confirmation.ts
+++ b/src/service/confirmation.ts
@@ -4,8 +4,11 @@
 import type { JobFacts, Replica } from '../state/replica.js';
 import { SUBMIT_WAIT_S } from '../wire/users.js';
 
-/** Of the time that a user waits for an answer, what the other controllers may take. */
-const ASK_SHARE = 0.2;
+/**
+ * Seconds within which another controller answers that it has noted a cancellation: a share of the time
+ * that a user waits for an answer.
+ */
+export const TELL_WAIT_S = SUBMIT_WAIT_S * 0.2;
 
 export interface ConfirmationOptions {
   /** Number of controllers, this one included. */
@@ -80,7 +83,7 @@
     return new Promise((resolve) => {
       const answers = peers.names.map(async (node) => {
         const question = { q: 'cancelled', job: id } as const;
-        const answer = await peers.ask(node, question, SUBMIT_WAIT_S * ASK_SHARE);
+        const answer = await peers.ask(node, question, TELL_WAIT_S);
         if (answer?.noted === true && --missing === 0) resolve(true);
       });
       void Promise.all(answers).then(() => resolve(false));
--- a/src/service/backing.ts
+++ b/src/service/leader-acknowledgements.ts
@@ -1,5 +1,5 @@
 import type { Election } from '../cluster/election.js';
-import { Mandate } from '../cluster/mandate.js';
+import { QuorumAcknowledgement } from '../cluster/quorum.js';
 import type { PeerNet } from '../cluster/peers.js';
 import { sleep, type Clock } from '../clock.js';
 import type { Settings } from '../config/settings.js';
@@ -13,9 +13,9 @@
 /** A leader that has not asked by the peer link within so many leases is told by the store. */
 const STORE_LEASES = 0.1;
 
-/** Both sides of a leader's backing: asking for it, and giving it by the peer link or the store. */
-export class Backing {
-  private mandate: Mandate | null = null;
+/** Acknowledgements of a leader: collected as the leader, and given by the peer link or the store. */
+export class LeaderAcknowledgements {
+  private quorum: QuorumAcknowledgement | null = null;
   private stopped = false;
 
   constructor(
@@ -30,36 +30,36 @@
 
   /** Until when others may renew leases in the place of a leader before this one. */
   keptUntil(token: number): number {
-    return this.mandate?.token === token ? this.mandate.keptUntil : this.clock.now();
+    return this.quorum?.token === token ? this.quorum.keptUntil : this.clock.now();
   }
 
   /** This controller was elected. */
-  async seek(token: number): Promise<void> {
-    const mandate = new Mandate(token, this.settings.nodes, this.clock);
-    this.mandate = mandate;
-    for (const [node, { ack }] of this.replica.acks) this.acked(node, ack);
+  async collect(token: number): Promise<void> {
+    const quorum = new QuorumAcknowledgement(token, this.settings.nodes, this.clock);
+    this.quorum = quorum;
+    for (const [node, { ack }] of this.replica.acks) this.noteStored(node, ack);
     const pause = this.settings.workers.lease_s / ASKS;
-    while (!this.stopped && this.mandate === mandate && mandate.state === 'seeking') {
-      const missing = this.peers().names.filter((n) => !mandate.has(n));
+    while (!this.stopped && this.quorum === quorum && quorum.state === 'pending') {
+      const missing = this.peers().names.filter((n) => !quorum.has(n));
       await Promise.all(
         missing.map(async (node) => {
           const a = await this.peers().ask(node, { q: 'elected', token }, pause);
           const remains = a?.remainsS;
-          if (typeof remains === 'number') mandate.note(node, { remainsS: remains });
+          if (typeof remains === 'number') quorum.note(node, { remainsS: remains });
         }),
       );
-      if (mandate.state === 'seeking') await sleep(pause);
+      if (quorum.state === 'pending') await sleep(pause);
     }
-    if (this.mandate === mandate) this.log.debug({ token }, 'backed by a majority');
+    if (this.quorum === quorum) this.log.debug({ token }, 'backed by a majority');
   }
 
   /** Seen in the store. */
-  acked(node: string, ack: records.AckRecord): void {
-    if (this.mandate?.token === ack.token) this.mandate.note(node, ack);
+  noteStored(node: string, ack: records.AckRecord): void {
+    if (this.quorum?.token === ack.token) this.quorum.note(node, ack);
   }
 
   /** Asked by a leader over the peer link. */
-  asked(token: unknown): Record<string, unknown> {
+  answer(token: unknown): Record<string, unknown> {
     if (typeof token !== 'number' || !Number.isSafeInteger(token)) return {};
     return { remainsS: this.election.acknowledge(token) };
   }
@@ -68,7 +68,7 @@
    * The store shows a leader. As a rule it asks by the peer link; when that does not work, it learns
    * from the store that this controller is not refused, and is on its side.
    */
-  async led(): Promise<void> {
+  async acknowledgeLeader(): Promise<void> {
     const leader = this.replica.leader;
     if (leader === null || leader.node === this.settings.node) return;
     const token = leader.revision;
--- a/src/service/leader.ts
+++ b/src/service/leader.ts
@@ -12,7 +12,7 @@
 import { Scheduler } from './scheduler.js';
 import { TermStore } from './store.js';
 import { Term, type TermDeps } from './term.js';
-import { Upkeep } from './upkeep.js';
+import { CapacityManager } from './capacity.js';
 
 /** Events come in clusters: passes are at least so far apart. */
 const PASS_GAP_S = CHANGE_GAP_S / 10;
@@ -26,7 +26,7 @@
   readonly term: Term;
   private readonly scheduler: Scheduler;
   private readonly store: TermStore;
-  private readonly upkeep: Upkeep;
+  private readonly capacity: CapacityManager;
   private readonly direct: DirectCommands;
   private readonly arrivals: Arrivals;
   private timer: NodeJS.Timeout | null = null;
@@ -48,7 +48,7 @@
       ...this.term.types.values(),
     ]);
     for (const j of deps.replica.jobs.values()) this.arrivals.add(j.spec, j.atMs);
-    this.upkeep = new Upkeep(
+    this.capacity = new CapacityManager(
       this.term,
       cloud,
       () => this.scheduler,
@@ -59,8 +59,8 @@
     this.scheduler = new Scheduler(
       this.term,
       this.arrivals,
-      (type) => this.upkeep.spotShort(type),
-      (spot) => this.upkeep.target(spot),
+      (type) => this.capacity.spotShort(type),
+      (spot) => this.capacity.target(spot),
     );
     this.direct = new DirectCommands(this.term, () => this.schedule());
     this.store = new TermStore(this.term, deps.settings.node, state, deps.clock, deps.log, onLost);
@@ -69,14 +69,14 @@
 
   start(): void {
     void this.store.run();
-    void this.upkeep.fleet.run();
+    void this.capacity.fleet.run();
     this.schedule();
   }
 
   stop(): void {
     this.stopped = true;
     this.store.stop();
-    this.upkeep.fleet.stop();
+    this.capacity.fleet.stop();
     if (this.timer !== null) clearTimeout(this.timer);
     this.direct.stop();
   }
@@ -91,7 +91,7 @@
       this.store.typesDirty = true;
       this.store.nudge();
     }
-    this.term.stir();
+    this.term.requestPass();
   }
 
   onJob(facts: JobFacts): void {
@@ -105,8 +105,8 @@
   }
 
   /** Stored, as another controller knows, but kept from this one by an outage. */
-  onToldCancelled(id: string): void {
-    this.term.toldCancelled(id);
+  onKnownCancelled(id: string): void {
+    this.term.knownCancelled(id);
   }
 
   // Reports
@@ -145,8 +145,8 @@
         { machine: m.id, type: report.type, zone: report.zone },
         'machine reports',
       );
-      this.upkeep.fleet.heard(m.id);
-      this.term.stir();
+      this.capacity.fleet.heard(m.id);
+      this.term.requestPass();
     }
     return m;
   }
@@ -167,30 +167,30 @@
   }
 
   /** Called about twice a report interval, for what comes with time alone. */
-  beat(): void {
+  tick(): void {
     if (this.stopped) return;
     if (!this.fencedLogged) this.logFenced();
-    this.upkeep.consolidate();
+    this.capacity.consolidate();
     if (this.deps.writing()) this.term.fenceUnanswered();
     this.sweep();
-    this.term.stir();
+    this.term.requestPass();
   }
 
   private pass(): void {
     if (this.stopped) return;
     const began = this.deps.clock.now();
-    const { term, deps, upkeep } = this;
+    const { term, deps, capacity } = this;
     if (!deps.entitled()) return;
     term.expire();
     if (deps.writing()) {
       const r = this.scheduler.pass();
-      upkeep.demand = r.demand;
-      upkeep.rooms = r.rooms;
+      capacity.demand = r.demand;
+      capacity.rooms = r.rooms;
     }
     for (const m of term.machines.values()) if (m.holdsAny()) m.idleSince = began;
     if (term.dirtyMachines.size > 0 || this.anyDirty()) this.store.nudge();
     this.direct.push();
-    if (upkeep.demand.length > 0) upkeep.fleet.nudge();
+    if (capacity.demand.length > 0) capacity.fleet.nudge();
     const end = deps.clock.now();
     this.nextPass = Math.max(began + PASS_GAP_S, end + (end - began) * (1 / PASS_SHARE - 1));
   }
@@ -226,7 +226,7 @@
     for (const m of [...term.machines.values()]) {
       if (m.state !== 'silent' || term.now - m.heardAt < patience) continue;
       // Not in the cloud's list either: nothing is left to give back.
-      if (this.upkeep.unlisted(m.id)) this.forget(m);
+      if (this.capacity.unlisted(m.id)) this.forget(m);
     }
   }
 
@@ -245,9 +245,9 @@
         if (holds(a)) by[`attempts_${a.state}`] = (by[`attempts_${a.state}`] ?? 0) + 1;
       }
     }
-    by.machines_coming = this.upkeep.fleet.coming.size;
+    by.machines_coming = this.capacity.fleet.coming.size;
     by.jobs_open = this.term.jobs.size;
-    by.demand_tasks = this.upkeep.demand.reduce((n, d) => n + d.tasks, 0);
+    by.demand_tasks = this.capacity.demand.reduce((n, d) => n + d.tasks, 0);
     return by;
   }
 }
--- a/src/service/node.ts
+++ b/src/service/node.ts
@@ -2,7 +2,7 @@
 import { CloudClient } from '../cloud/client.js';
 import { Election } from '../cluster/election.js';
 import { PeerNet, type Answer, type Question } from '../cluster/peers.js';
-import { Warden, WardenWatch, wardens } from '../cluster/warden.js';
+import { ZoneLeaseKeeper, ZoneLeaseWatch, zoneLeaseKeepers } from '../cluster/zone-lease.js';
 import { sleep, steadyClock, type Clock } from '../clock.js';
 import type { Settings } from '../config/settings.js';
 import type { Message } from '../http/parser.js';
@@ -12,13 +12,13 @@
 import type { Policy } from '../operator/policy.js';
 import { StateClient } from '../state/client.js';
 import { Follower } from '../state/follow.js';
-import { Intake } from '../state/intake.js';
+import { RequestWriter } from '../state/request-writer.js';
 import { Replica } from '../state/replica.js';
 import { route } from '../wire/users.js';
-import { Backing } from './backing.js';
+import { LeaderAcknowledgements } from './leader-acknowledgements.js';
 import { Costs } from './costs.js';
-import { Front } from './front.js';
-import { Cancelling } from './cancelling.js';
+import { RequestForwarder } from './request-forwarder.js';
+import { CancellationNotices } from './cancellation-notices.js';
 import { CancellationConfirmation } from './confirmation.js';
 import { Leader } from './leader.js';
 import { Reports } from './reports.js';
@@ -28,8 +28,8 @@
 const TRIM_LEASES = 60;
 /** Of the sockets, those for users and workers. */
 const SERVER_SOCKETS = 0.6;
-/** Costs are logged, and old jobs trimmed, once in so many beats. */
-const COST_BEATS = 40;
+/** Costs are logged, and old jobs trimmed, once in so many ticks. */
+const COST_TICKS = 40;
 /** What is known of the confirmation of cancellations is kept for so many leases. */
 const CONFIRMED_LEASES = 20;
 
@@ -45,12 +45,12 @@
   readonly follower: Follower;
   readonly election: Election;
   readonly peers: PeerNet;
-  private readonly backing: Backing;
-  private readonly front: Front;
-  /** Only where this controller is its zone's warden. */
-  private readonly warden: Warden | null;
-  private readonly wards: WardenWatch;
-  private readonly cancelling: Cancelling;
+  private readonly acknowledgements: LeaderAcknowledgements;
+  private readonly forwarder: RequestForwarder;
+  /** Only where this controller is its zone's keeper. */
+  private readonly zoneKeeper: ZoneLeaseKeeper | null;
+  private readonly zoneLeases: ZoneLeaseWatch;
+  private readonly cancellationNotices: CancellationNotices;
   private readonly reports: Reports;
   readonly server: HttpServer;
   leader: Leader | null = null;
@@ -59,10 +59,10 @@
   private readonly wallMs: () => number;
   private readonly incarnation: string;
   private stopped = false;
-  private beat: NodeJS.Timeout | undefined;
+  private tickTimer: NodeJS.Timeout | undefined;
   private readonly costs: Costs;
-  private beatAt: number | null = null;
-  private beats = 0;
+  private tickedAt: number | null = null;
+  private ticks = 0;
 
   constructor(
     readonly settings: Settings,
@@ -82,10 +82,10 @@
       onCancelled: (j) => this.leader?.onCancelled(j),
       onLeader: () => {
         this.election.nudge();
-        void this.backing.led();
+        void this.acknowledgements.acknowledgeLeader();
       },
-      onAck: (node, ack) => this.backing.acked(node, ack),
-      onPresence: (node) => this.wards.changed(node),
+      onAck: (node, ack) => this.acknowledgements.noteStored(node, ack),
+      onPresence: (node) => this.zoneLeases.changed(node),
     };
     this.follower = new Follower(
       this.state,
@@ -110,11 +110,11 @@
       {
         onElected: (token) => this.elected(token),
         onDeposed: () => this.deposed(),
-        onToldCancelled: (ids) => this.toldCancelled(ids),
-        cancelledSince: (revision) => this.cancelling.storedSince(revision),
+        onKnownCancelled: (ids) => this.knownCancelled(ids),
+        cancelledSince: (revision) => this.cancellationNotices.storedSince(revision),
       },
     );
-    this.backing = new Backing(
+    this.acknowledgements = new LeaderAcknowledgements(
       settings,
       this.election,
       () => this.peers,
@@ -130,8 +130,8 @@
       log,
       settings.limits.sockets,
     );
-    const byZone = wardens([settings, ...settings.peers]);
-    this.wards = new WardenWatch(
+    const byZone = zoneLeaseKeepers([settings, ...settings.peers]);
+    this.zoneLeases = new ZoneLeaseWatch(
       byZone,
       settings.workers.lease_s,
       this.replica,
@@ -139,10 +139,10 @@
       this.state,
       this.clock,
     );
-    this.warden =
+    this.zoneKeeper =
       byZone.get(settings.zone) !== settings.node
         ? null
-        : new Warden(
+        : new ZoneLeaseKeeper(
             settings.node,
             this.incarnation,
             settings.workers.lease_s,
@@ -153,12 +153,12 @@
             this.clock,
             log,
           );
-    this.cancelling = new Cancelling(
+    this.cancellationNotices = new CancellationNotices(
       settings,
       [...byZone],
       this.peers,
       this.replica,
-      this.wards,
+      this.zoneLeases,
       this.clock,
     );
     this.reports = new Reports({
@@ -167,14 +167,14 @@
       state: this.state,
       replica: this.replica,
       peers: this.peers,
-      warden: this.warden,
-      wards: this.wards,
+      zoneKeeper: this.zoneKeeper,
+      zoneLeases: this.zoneLeases,
       leader: () => this.leader,
-      toldCancelled: (job) => this.cancelling.knows(job),
+      knownCancelled: (job) => this.cancellationNotices.knows(job),
       clock: this.clock,
       log,
     });
-    const intake = new Intake(
+    const requestWriter = new RequestWriter(
       this.incarnation,
       this.state,
       this.follower,
@@ -194,15 +194,20 @@
       settings,
       this.follower,
       this.replica,
-      intake,
+      requestWriter,
       () => this.types(),
-      (job) => this.cancelling.wait(job),
+      (job) => this.cancellationNotices.wait(job),
       (facts, job) => confirmation.confirm(facts, job),
       this.wallMs,
       log,
     );
-    this.front = new Front(users, this.state, this.follower, this.peers, settings.workers, () =>
-      this.clock.now(),
+    this.forwarder = new RequestForwarder(
+      users,
+      this.state,
+      this.follower,
+      this.peers,
+      settings.workers,
+      () => this.clock.now(),
     );
     this.server = new HttpServer(
       (m) => this.handle(m),
@@ -223,30 +228,30 @@
     }
     void this.follower.run();
     void this.election.run();
-    void this.warden?.run();
+    void this.zoneKeeper?.run();
     void this.fetchTypes();
-    this.beat = setInterval(() => this.onBeat(), this.settings.workers.report_s * 500);
+    this.tickTimer = setInterval(() => this.onTick(), this.settings.workers.report_s * 500);
     this.log.info({ bind: this.settings.bind }, 'started');
   }
 
-  private onBeat(): void {
+  private onTick(): void {
     const now = this.clock.now();
     const interval = this.settings.workers.report_s / 2;
-    if (this.beatAt !== null) this.costs.record('lag', now - this.beatAt - interval);
-    this.beatAt = now;
-    if (++this.beats % COST_BEATS === 0) {
+    if (this.tickedAt !== null) this.costs.record('lag', now - this.tickedAt - interval);
+    this.tickedAt = now;
+    if (++this.ticks % COST_TICKS === 0) {
       this.log.debug(this.costs.figures(), 'costs');
       this.replica.trim(this.wallMs() - this.settings.workers.lease_s * TRIM_LEASES * 1000);
     }
-    this.leader?.beat();
+    this.leader?.tick();
   }
 
   stop(): void {
     this.stopped = true;
-    clearInterval(this.beat);
+    clearInterval(this.tickTimer);
     this.election.stop();
-    this.backing.stop();
-    this.warden?.stop();
+    this.acknowledgements.stop();
+    this.zoneKeeper?.stop();
     this.follower.stop();
     this.leader?.stop();
     this.leader = null;
@@ -298,9 +303,12 @@
         incarnation: this.incarnation,
         entitled: () => this.election.entitled && this.election.token === token,
         keptUntil: () =>
-          Math.max(this.state.refusedAt + this.election.caretakeS, this.backing.keptUntil(token)),
-        zone: (zone) => this.wards.zone(zone),
-        prove: () => void this.follower.sync().then((ok) => ok && this.leader?.term.stir()),
+          Math.max(
+            this.state.refusedAt + this.election.substituteS,
+            this.acknowledgements.keptUntil(token),
+          ),
+        zone: (zone) => this.zoneLeases.zone(zone),
+        prove: () => void this.follower.sync().then((ok) => ok && this.leader?.term.requestPass()),
         writing: () => this.election.writing && this.election.token === token,
       },
       this.state,
@@ -308,7 +316,7 @@
       () => this.election.nudge(),
       this.costs,
     );
-    void this.backing.seek(token);
+    void this.acknowledgements.collect(token);
     this.leader.start();
     if (this.fetched !== null && this.leader.term.types.size === 0)
       this.leader.onTypes(this.fetched);
@@ -328,13 +336,15 @@
         return this.costs.time('report', () => this.reports.checkin(m.body));
       case 'submit':
         return this.costs.time('submission', () =>
-          this.front.serve({ to: 'submit', body: m.body }),
+          this.forwarder.serve({ to: 'submit', body: m.body }),
         );
       case 'poll':
       case 'cancel':
-        return this.front.serve(to);
+        return this.forwarder.serve(to);
       case 'ready':
-        return this.front.ready() ? { status: 200, body: '{}' } : { status: 503, retryAfter: 1 };
+        return this.forwarder.ready()
+          ? { status: 200, body: '{}' }
+          : { status: 503, retryAfter: 1 };
       case 'metrics':
         return { status: 200, body: JSON.stringify(this.figures()) };
       case 'wrong-method':
@@ -344,10 +354,10 @@
     }
   }
 
-  private toldCancelled(ids: string[]): void {
+  private knownCancelled(ids: string[]): void {
     for (const id of ids) {
-      this.cancelling.noteTold(id);
-      this.leader?.onToldCancelled(id);
+      this.cancellationNotices.noteStored(id);
+      this.leader?.onKnownCancelled(id);
     }
   }
 
@@ -361,18 +371,18 @@
         return { ...r };
       }
       case 'elected':
-        return this.backing.asked(q.token);
+        return this.acknowledgements.answer(q.token);
       case 'there':
         return { there: true };
       case 'user':
-        return this.front.passedOn(q.to, q.text);
+        return this.forwarder.passedOn(q.to, q.text);
       case 'cancelling':
         if (typeof q.job !== 'string' || q.job.length > 200) return {};
-        this.cancelling.noteAsked(q.job);
+        this.cancellationNotices.noteAnnounced(q.job);
         return { told: true };
       case 'cancelled':
         if (typeof q.job !== 'string' || q.job.length > 200) return {};
-        this.toldCancelled([q.job]);
+        this.knownCancelled([q.job]);
         return { noted: true };
       case 'refused':
         return this.election.answerRefused(Number(q.token), Number(q.forMs), Number(q.applied));
@@ -391,7 +401,7 @@
       jobs: this.replica.jobs.size,
       connections: this.server.connections,
       garbage: this.replica.garbage,
-      cancellations_heard: this.cancelling.size,
+      cancellations_heard: this.cancellationNotices.size,
       memory_mb: Math.round(process.memoryUsage.rss() / 1e6),
       heap_mb: Math.round(process.memoryUsage().heapTotal / 1e6),
       ...this.leader?.figures(),
--- a/src/service/reports.ts
+++ b/src/service/reports.ts
@@ -1,6 +1,6 @@
 import type { Election } from '../cluster/election.js';
 import type { PeerNet } from '../cluster/peers.js';
-import type { Warden, WardenWatch } from '../cluster/warden.js';
+import type { ZoneLeaseKeeper, ZoneLeaseWatch } from '../cluster/zone-lease.js';
 import type { Clock } from '../clock.js';
 import type { Settings } from '../config/settings.js';
 import type { Reply } from '../http/server.js';
@@ -38,12 +38,12 @@
   state: StateClient;
   replica: Replica;
   peers: PeerNet;
-  /** Only where this controller is its zone's warden. */
-  warden: Warden | null;
-  wards: WardenWatch;
+  /** Only where this controller is its zone's keeper. */
+  zoneKeeper: ZoneLeaseKeeper | null;
+  zoneLeases: ZoneLeaseWatch;
   leader: () => Leader | null;
   /** Cancelled, as far as this controller has been told by any way. */
-  toldCancelled: (job: string) => boolean;
+  knownCancelled: (job: string) => boolean;
   clock: Clock;
   log: Log;
 }
@@ -56,7 +56,7 @@
   constructor(private readonly parts: Parts) {}
 
   checkin(body: Buffer): Reply | Promise<Reply> {
-    const { settings, election, replica, warden, clock, log } = this.parts;
+    const { settings, election, replica, zoneKeeper, clock, log } = this.parts;
     const text = body.toString('utf8');
     let report: Report;
     try {
@@ -71,11 +71,11 @@
     if (home !== null) return { status: 421, body: encodeElsewhere(home) };
     const leader = this.parts.leader();
     if (leader !== null && election.entitled) return leader.checkin(report);
-    if (warden?.mayKeep() === true && report.zone === settings.zone) {
+    if (zoneKeeper?.mayKeep() === true && report.zone === settings.zone) {
       return this.keep(report, replica.lastToken);
     }
     const deadline = clock.now() + ANSWER_WAIT_S * KEEP_SHARE;
-    const alone = warden?.state === 'alone';
+    const alone = zoneKeeper?.state === 'alone';
     const leads = replica.leader;
     const served = this.parts.state.health === 'served';
     if (!alone && leads === null && served) return { status: 503, retryAfter: 1 };
@@ -88,13 +88,13 @@
    * than its lease. Seldom for each worker, so that it is never sent back and forth.
    */
   private homeOf(report: Report): string | null {
-    const { settings, replica, state, wards, clock } = this.parts;
-    const home = wards.warden(report.zone);
+    const { settings, replica, state, zoneLeases, clock } = this.parts;
+    const home = zoneLeases.keeper(report.zone);
     if (home === null || home === settings.node) return null;
     if (replica.leader === null || state.health !== 'served') return null;
     const now = clock.now();
     const { report_s, lease_s } = settings.workers;
-    if (!wards.steady(home, report_s * HOME_REPORTS)) return null;
+    if (!zoneLeases.steady(home, report_s * HOME_REPORTS)) return null;
     const last = this.sentHome.get(report.machine);
     if (last !== undefined && now - last < lease_s * HOME_LEASES) return null;
     this.sentHome.delete(report.machine);
@@ -116,7 +116,7 @@
     leader: string | null,
     deadline: number,
   ): Promise<Reply> {
-    const { settings, peers, replica, election, warden, clock } = this.parts;
+    const { settings, peers, replica, election, zoneKeeper, clock } = this.parts;
     const others = peers.names.filter((n) => n !== leader);
     // One that the state service does not serve may not know who leads by now, but others may: cut off
     // from the store alone it once kept its zone's workers waiting, in vain, until their leases ran out.
@@ -145,7 +145,7 @@
     if (token !== undefined && (await election.mayKeep())) return this.keep(report, token);
     // Cut off together with this zone: what runs here goes on.
     const mine = report.zone === settings.zone;
-    if (mine && !answered && warden !== null && (await warden.settle(deadline))) {
+    if (mine && !answered && zoneKeeper !== null && (await zoneKeeper.settle(deadline))) {
       return this.keep(report, replica.lastToken);
     }
     if (reached) return { status: 503, retryAfter: 1 };
@@ -154,7 +154,7 @@
 
   /** Renews a worker's lease in a leader's place. The only commands: cancelled tasks stop. */
   private keep(report: Report, leaderToken: number): Reply {
-    const { replica, toldCancelled } = this.parts;
+    const { replica, knownCancelled } = this.parts;
     const record = replica.machines.get(report.machine)?.record;
     const token = (record?.term === leaderToken ? record.token : undefined) ?? leaderToken;
     // It knows of a leader that this controller does not: what it got from here it would drop, and
@@ -164,7 +164,7 @@
     for (const t of report.tasks) {
       const facts = replica.jobs.get(t.job);
       const cancelled = facts !== undefined && outcome(facts) === 'cancelled';
-      if (t.state === 'ended' || !(cancelled || toldCancelled(t.job))) continue;
+      if (t.state === 'ended' || !(cancelled || knownCancelled(t.job))) continue;
       stops.push({ op: 'stop', job: t.job, index: t.index, attempt: t.attempt, graceS: 0 });
     }
     return { status: 200, body: encodeOrders(token, stops.slice(0, MAX_COMMANDS)) };
--- a/src/service/front.ts
+++ b/src/service/request-forwarder.ts
@@ -21,7 +21,7 @@
  * off from it, passes them on to a controller that is served: nothing is told but what that one has
  * read or stored. Where nobody is served the answer is 503 at once, never a wait for better times.
  */
-export class Front {
+export class RequestForwarder {
   private aloneSince: number | null = null;
 
   constructor(
--- a/src/service/term.ts
+++ b/src/service/term.ts
@@ -22,7 +22,7 @@
   writing: () => boolean;
   /** Until when another controller may have renewed leases because the state service was down. */
   keptUntil: () => number;
-  /** Until when a zone's warden may renew leases there, and up to which moment that is certain. */
+  /** Until when a zone's zone keeper may renew leases there, and up to which moment that is certain. */
   zone: (zone: string) => { keptUntil: number; provenAt: number };
   /** Asks for a fresh proof of that. */
   prove: () => void;
@@ -92,7 +92,7 @@
     return this.deps.clock.now();
   }
 
-  stir(): void {
+  requestPass(): void {
     this.stirred = true;
     this.onStir();
   }
@@ -108,7 +108,7 @@
       job = new LiveJob(facts, replica.chunkTasks, this.now, wallMs());
       this.jobs.set(facts.spec.id, job);
     }
-    this.stir();
+    this.requestPass();
     return job;
   }
 
@@ -119,7 +119,7 @@
     this.close(job);
   }
 
-  toldCancelled(id: string): void {
+  knownCancelled(id: string): void {
     const job = this.jobs.get(id);
     if (job === undefined || job.cancelled) return;
     job.cancelled = true;
@@ -137,7 +137,7 @@
         if (a.job === job.spec.id && a.state === 'ended') a.settled = true;
       }
     }
-    this.stir();
+    this.requestPass();
   }
 
   /** An attempt that serves nothing: stopped at once if it shows up, forgotten when it has ended. */
@@ -166,7 +166,7 @@
       m?.touch();
       if (mayBeThere(a)) this.urgent.add(a.machine);
     }
-    this.stir();
+    this.requestPass();
   }
 
   /** A claim whose start was never sent, or provably not carried out. */
@@ -174,7 +174,7 @@
     m.withdraw(a, this.now);
     this.dirtyMachines.add(m.id);
     this.jobs.get(a.job)?.release(a);
-    this.stir();
+    this.requestPass();
   }
 
   /** A gang goes as a whole: every task is told within the same moment. */
@@ -295,7 +295,7 @@
     }
     if (c.sessionMoved) this.shun(m, this.deps.settings.workers.report_s);
     if (m.takenAt !== null) this.drain(m);
-    if (c.over.length > 0 || c.moved.length > 0) this.stir();
+    if (c.over.length > 0 || c.moved.length > 0) this.requestPass();
   }
 
   shun(m: Machine, firstS: number): void {
@@ -467,7 +467,7 @@
     const over = m.lost(this.now);
     for (const a of over) this.over(m, a);
     this.dirtyMachines.add(m.id);
-    this.stir();
+    this.requestPass();
   }
 
   /** The claim is stored. */
--- a/src/service/users.ts
+++ b/src/service/users.ts
@@ -4,7 +4,7 @@
 import type { Log } from '../log.js';
 import { neverRuns } from '../sched/quota.js';
 import type { Follower } from '../state/follow.js';
-import type { Intake } from '../state/intake.js';
+import type { RequestWriter } from '../state/request-writer.js';
 import { outcome, type JobFacts, type Replica } from '../state/replica.js';
 import {
   BadMessage,
@@ -29,7 +29,7 @@
     private readonly settings: Settings,
     private readonly follower: Follower,
     private readonly replica: Replica,
-    private readonly intake: Intake,
+    private readonly requestWriter: RequestWriter,
     private readonly types: () => MachineType[] | null,
     /** Seconds after which a cancellation can be taken; 0: now. */
     private readonly mayCancel: (id: string) => Promise<number>,
@@ -66,10 +66,10 @@
     const known = this.replica.jobs.get(spec.id);
     if (known !== undefined) return this.current(spec.id);
     const types = this.types();
-    if (!this.follower.ready || types === null || this.intake.full(SUBMIT_S)) return UNSURE;
+    if (!this.follower.ready || types === null || this.requestWriter.full(SUBMIT_S)) return UNSURE;
     const never = neverRuns(spec, this.settings.teams, types);
     if (never !== null) return this.refuse(spec.id, 422, never);
-    const o = await this.intake.accept({ spec, atMs: Math.round(this.wallMs()) }, SUBMIT_S);
+    const o = await this.requestWriter.accept({ spec, atMs: Math.round(this.wallMs()) }, SUBMIT_S);
     const facts = this.replica.jobs.get(spec.id);
     if (o === null || facts === undefined || !(await this.tellable(facts, spec.id))) return UNSURE;
     return { status: 201, body: encodeAccepted(spec.id, this.shown(facts)) };
@@ -139,7 +139,7 @@
     if (o === 'open') {
       const wait = await this.mayCancel(id);
       if (wait > 0) return { status: 503, retryAfter: wait };
-      o = await this.intake.cancel(id, SUBMIT_S);
+      o = await this.requestWriter.cancel(id, SUBMIT_S);
     }
     if (o !== 'done' && o !== 'cancelled') return UNSURE;
     if (!(await this.tellable(facts, id))) return UNSURE;
--- a/src/state/records.ts
+++ b/src/state/records.ts
@@ -33,14 +33,14 @@
   atMs: number;
 }
 
-export interface IntakeRecord {
+export interface SubmissionsRecord {
   jobs: Accepted[];
   cancels: string[];
 }
 
 const KINDS = ['array', 'gang', 'service'] as const;
 
-export function encodeIntake(r: IntakeRecord): unknown {
+export function encodeSubmissions(r: SubmissionsRecord): unknown {
   return { s: r.jobs.map(encodeJob), c: r.cancels };
 }
 
@@ -53,7 +53,7 @@
   ]; // prettier-ignore
 }
 
-export function decodeIntake(value: unknown): IntakeRecord {
+export function decodeSubmissions(value: unknown): SubmissionsRecord {
   const o = value as { s: unknown[][]; c: string[] };
   return { jobs: o.s.map(decodeJob), cancels: o.c };
 }
--- a/src/state/replica.ts
+++ b/src/state/replica.ts
@@ -153,7 +153,8 @@
 
   private put(key: string, value: unknown, revision: number): void {
     try {
-      if (key.startsWith(records.JOBS)) this.intake(records.decodeIntake(value), revision);
+      if (key.startsWith(records.JOBS))
+        this.applySubmissions(records.decodeSubmissions(value), revision);
       else if (key.startsWith(records.PROGRESS)) this.progress(key, value, revision);
       else if (key.startsWith(records.MACHINES)) {
         this.machine(key.slice(records.MACHINES.length), records.decodeMachine(value), revision);
@@ -204,7 +205,7 @@
     }
   }
 
-  private intake(r: records.IntakeRecord, revision: number): void {
+  private applySubmissions(r: records.SubmissionsRecord, revision: number): void {
     for (const accepted of r.jobs) {
       const id = accepted.spec.id;
       const old = this.jobs.get(id);
--- a/src/state/intake.ts
+++ b/src/state/request-writer.ts
@@ -20,7 +20,7 @@
  * way goes into the next one, so that an answer waits for milliseconds and costs a fraction of a
  * write.
  */
-export class Intake {
+export class RequestWriter {
   private queue: Entry[] = [];
   private running = false;
   private counter = 0;
@@ -93,7 +93,7 @@
   }
 
   private async store(batch: Entry[]): Promise<void> {
-    const record: records.IntakeRecord = {
+    const record: records.SubmissionsRecord = {
       jobs: batch.flatMap((e) => (e.kind === 'job' ? [e.accepted] : [])),
       cancels: batch.flatMap((e) => (e.kind === 'cancel' ? [e.id] : [])),
     };
@@ -110,7 +110,7 @@
       try {
         const r: CommitResult = await this.state.commit(
           [{ key, revision: 0 }],
-          [{ put: key, value: records.encodeIntake(record) }],
+          [{ put: key, value: records.encodeSubmissions(record) }],
           1.5,
         );
         // A failed condition: an attempt that was not answered has been carried out after all.
--- a/src/workers/machine.ts
+++ b/src/workers/machine.ts
@@ -94,7 +94,7 @@
     this.nextToken = token;
     this.heardAt = knownAt;
     this.idleSince = knownAt;
-    // Whoever led before may have renewed its lease until this term began; a caretaker, in an outage
+    // Whoever led before may have renewed its lease until this term began; a substitute, in an outage
     // that had just ended then, for a moment more.
     this.leaseEnd = knownAt + this.leaseSpan() + this.leaseS * 0.1;
   }
--- a/test/large.test.ts
+++ b/test/large.test.ts
@@ -36,7 +36,7 @@
       atMs: Date.now(),
     }));
     const cancels = i < OPEN ? [] : jobs.map((j) => j.spec.id);
-    put(`${records.JOBS}x-${i}`, records.encodeIntake({ jobs, cancels }));
+    put(`${records.JOBS}x-${i}`, records.encodeSubmissions({ jobs, cancels }));
   }
   const images = Array.from({ length: 32 }, (_, k): [string, number] => [`image-${k}`, 34.3]);
   const claims = (i: number): records.Claim[] =>
--- a/test/meeting-elections.test.ts
+++ b/test/meeting-elections.test.ts
@@ -58,7 +58,7 @@
       {
         onElected: () => undefined,
         onDeposed: () => void this.deposed++,
-        onToldCancelled: (ids) => void this.told.push(...ids),
+        onKnownCancelled: (ids) => void this.told.push(...ids),
         cancelledSince: (revision) => [...replica.cancelledSince(revision)],
       },
     );
@@ -102,7 +102,7 @@
     ['another is refused too, a third is served', [refused, served], false],
     ['one answers nothing of use', [{}, null], false],
   ];
-  for (const [name, answers, endures] of cases) {
+  for (const [name, answers, continues] of cases) {
     const store = new MemoryStore();
     const c = new Controller(store, 'a', () => answers);
     await c.stand();
@@ -111,7 +111,7 @@
     c.now += LIFE * 0.7;
     await c.steps.leadStep();
     c.now += LIFE * 0.35;
-    assert.equal(c.election.entitled, endures, name);
+    assert.equal(c.election.entitled, continues, name);
     assert.equal(c.election.writing, false, `${name}: nothing new`);
     if (answers.includes(refused)) assert.deepEqual([...new Set(c.told)], ['wk-1'], name);
     // One that has acknowledged a later leader is over at once.
--- a/test/meeting-helpers.ts
+++ b/test/meeting-helpers.ts
@@ -11,7 +11,7 @@
 import { Costs } from '../src/service/costs.js';
 import { Leader } from '../src/service/leader.js';
 import type { Scheduler } from '../src/service/scheduler.js';
-import type { Upkeep } from '../src/service/upkeep.js';
+import type { CapacityManager } from '../src/service/capacity.js';
 import { Refused, Unanswered, type CommitResult, type StateClient } from '../src/state/client.js';
 import * as records from '../src/state/records.js';
 import { Replica } from '../src/state/replica.js';
@@ -115,12 +115,12 @@
 
   /** Keys begin with the controller that writes them: what comes later may be listed first. */
   accept(over: Partial<JobSpec>, atMs = 0, writer = 'b'): number {
-    const value = records.encodeIntake({ jobs: [{ spec: spec(over), atMs }], cancels: [] });
+    const value = records.encodeSubmissions({ jobs: [{ spec: spec(over), atMs }], cancels: [] });
     return this.put(`${records.JOBS}${writer}-${this.ledger}`, value);
   }
 
   cancel(id: string, writer = 'b'): number {
-    const value = records.encodeIntake({ jobs: [], cancels: [id] });
+    const value = records.encodeSubmissions({ jobs: [], cancels: [id] });
     return this.put(`${records.JOBS}${writer}-${this.ledger}`, value);
   }
 
@@ -263,7 +263,7 @@
   forget(m: Machine): void;
   store: { flush(): Promise<boolean>; collect(): { make(): { stored(r: number): void } }[] };
   scheduler: Scheduler;
-  upkeep: Upkeep;
+  capacity: CapacityManager;
   direct: { push(): void };
 }
 
@@ -334,7 +334,7 @@
       onJob: (facts) => leader.onJob(facts),
       onCancelled: (facts) => leader.onCancelled(facts),
     };
-    this.parts.upkeep.fleet.listedOnce = true;
+    this.parts.capacity.fleet.listedOnce = true;
   }
 
   job(over: Partial<JobSpec> = {}): void {
@@ -396,7 +396,7 @@
       }
       this.pass();
       await this.flush();
-      this.leader.beat();
+      this.leader.tick();
     }
   }
 }
--- a/test/meeting-leaders.test.ts
+++ b/test/meeting-leaders.test.ts
@@ -95,7 +95,7 @@
       await until(w);
       const late = w.machine('a').held().length > 0 ? w.sendDirect('a') : null;
       w.cancel(JOB);
-      if (seen === 'by word of another') w.leader.onToldCancelled(JOB);
+      if (seen === 'by word of another') w.leader.onKnownCancelled(JOB);
       if (seen === 'by the old leader' || seen === 'no change') w.store.feed(w.replica);
       if (seen !== 'by the next') await w.parts.store.flush();
       if (seen !== 'no change') w.takeOver();
@@ -152,7 +152,7 @@
   await w.run(1);
   w.writing = false;
   w.cancel(JOB);
-  w.leader.onToldCancelled(JOB);
+  w.leader.onKnownCancelled(JOB);
   for (let i = 0; i < 3; i++) w.checkin(w.fleet.workers.get('a')!);
   assert.deepEqual([w.fleet.running(JOB), w.fleet.running(OTHER)], [0, 1]);
   w.writing = true;
@@ -235,9 +235,9 @@
 test('a machine in a zone that may be kept is lost only on proof', async () => {
   const cases: [string, number, number, boolean][] = [
     ['no controller is there', -Infinity, Infinity, true],
-    ['its warden may be keeping it', 60, Infinity, false],
-    ['its warden is there, by an old read', -Infinity, 0, false],
-    ['its warden is there, by a fresh read', -Infinity, 60, true],
+    ['its zone keeper may be keeping it', 60, Infinity, false],
+    ['its zone keeper is there, by an old read', -Infinity, 0, false],
+    ['its zone keeper is there, by a fresh read', -Infinity, 60, true],
   ];
   for (const [name, keptUntil, provenAt, lost] of cases) {
     const w = await world(['a', 'b']);
@@ -246,7 +246,7 @@
     const [on] = [...w.fleet.workers.values()].filter((x) => x.running(JOB).length > 0);
     on!.mute = true;
     w.zone = { keptUntil, provenAt };
-    // Kept by its warden.
+    // Kept by its zone keeper.
     if (!lost) on!.answeredAt = Infinity;
     await w.run(w.settings.workers.lease_s * 2);
     assert.equal(w.fleet.starts.get(`${JOB}/0`), lost ? 2 : 1, name);
@@ -527,7 +527,7 @@
   const placed = w.term.jobs.get(JOB)!.live.get(0)![0]!.machine;
   // It would go back at once if it were empty.
   w.machine(placed).faulty = true;
-  assert.ok(!w.parts.upkeep.toReturn().includes(placed));
+  assert.ok(!w.parts.capacity.toReturn().includes(placed));
   assert.equal(w.machine(placed).state, 'ready');
   await w.run(1);
   const other = placed === 'a' ? 'b' : 'a';
@@ -541,6 +541,6 @@
   await w.run(2);
   assert.equal(w.term.jobs.get(OTHER)!.holdingCount, 0);
   assert.equal(w.machine(other).state, 'returning');
-  w.parts.upkeep.returned([other]);
+  w.parts.capacity.returned([other]);
   assert.equal(w.term.machines.has(other), false);
 });
--- a/test/meeting-leases.test.ts
+++ b/test/meeting-leases.test.ts
@@ -81,7 +81,7 @@
   const copy = a.report();
   w.checkin(a);
   w.fleet.workers.delete('a');
-  w.parts.upkeep.returned(['a']);
+  w.parts.capacity.returned(['a']);
   w.leader.checkin(copy);
   w.leader.checkin(copy);
   w.job({ id: JOB });
--- a/test/meeting-limits.test.ts
+++ b/test/meeting-limits.test.ts
@@ -47,12 +47,12 @@
   const listed = {
     id: 'a', addr: '', type: 'g8', zone: 'z1', spot: false, state: 'booting' as const, ageS,
   }; // prettier-ignore
-  w.parts.upkeep.listed([listed]);
-  assert.deepEqual(w.parts.upkeep.toReturn(), ['a']);
+  w.parts.capacity.listed([listed]);
+  assert.deepEqual(w.parts.capacity.toReturn(), ['a']);
   // The cloud didn't answer; before it is asked again the machine is there, and has work.
   w.fleet.add('a');
   w.job({ id: JOB });
   await w.run(2);
   assert.equal(w.fleet.running(JOB), 1);
-  assert.deepEqual(w.parts.upkeep.toReturn(), []);
+  assert.deepEqual(w.parts.capacity.toReturn(), []);
 });
--- a/test/meeting-random.test.ts
+++ b/test/meeting-random.test.ts
@@ -164,7 +164,7 @@
       const m = w.term.machines.get(id);
       if (m?.state === 'ready') this.direct(m, troubles);
     }
-    w.leader.beat();
+    w.leader.tick();
   }
 
   async step(troubles: boolean): Promise<void> {
--- a/test/meeting-users.test.ts
+++ b/test/meeting-users.test.ts
@@ -4,7 +4,7 @@
 import { silentLog } from '../src/log.js';
 import { Users } from '../src/service/users.js';
 import { Follower } from '../src/state/follow.js';
-import { Intake } from '../src/state/intake.js';
+import { RequestWriter } from '../src/state/request-writer.js';
 import * as records from '../src/state/records.js';
 import { outcome, type Replica } from '../src/state/replica.js';
 import type { Budget } from '../src/clock.js';
@@ -36,12 +36,12 @@
   const follower = new Follower(client, replica, clock, log, () => 0, 0);
   follower.ready = true;
   const budget = { take: () => true, capacity: 100 } as unknown as Budget;
-  const intake = new Intake(name, client, follower, replica, budget, clock, log);
+  const requestWriter = new RequestWriter(name, client, follower, replica, budget, clock, log);
   const mayCancel = (): Promise<number> => Promise.resolve(0);
   const types = (): (typeof g8)[] => [g8];
   const mayTell = (): Promise<boolean> => Promise.resolve(true);
   const users = new Users(
-    settings(), follower, replica, intake, types, mayCancel, mayTell, () => 1000, log,
+    settings(), follower, replica, requestWriter, types, mayCancel, mayTell, () => 1000, log,
   ); // prettier-ignore
   return { users, follower, replica };
 }
--- a/test/meeting-waiting.test.ts
+++ b/test/meeting-waiting.test.ts
@@ -89,7 +89,7 @@
   assert.ok(records.decodeMachine(record).returning);
   w.takeOver();
   await w.run(2);
-  assert.deepEqual(w.parts.upkeep.toReturn(), ['a']);
+  assert.deepEqual(w.parts.capacity.toReturn(), ['a']);
 });
 
 test('a service that ran well is not doubted because replicas failed on a few faulty machines', async () => {
--- a/test/meeting-witness.test.ts
+++ b/test/meeting-witness.test.ts
@@ -35,7 +35,7 @@
     {
       onElected: () => undefined,
       onDeposed: () => undefined,
-      onToldCancelled: () => undefined,
+      onKnownCancelled: () => undefined,
       cancelledSince: () => [],
     },
   );
--- a/test/pass.test.ts
+++ b/test/pass.test.ts
@@ -6,7 +6,7 @@
 import { DEFAULT_POLICY } from '../src/operator/policy.js';
 import { Scheduler } from '../src/service/scheduler.js';
 import { Term } from '../src/service/term.js';
-import { Upkeep } from '../src/service/upkeep.js';
+import { CapacityManager } from '../src/service/capacity.js';
 import * as records from '../src/state/records.js';
 import { Replica } from '../src/state/replica.js';
 import type { Machine } from '../src/workers/machine.js';
@@ -22,8 +22,8 @@
   private readonly replica = new Replica(8192);
   readonly term: Term;
   readonly scheduler: Scheduler;
-  readonly upkeep: Upkeep;
-  /** Until when a zone's warden may be keeping it. */
+  readonly capacity: CapacityManager;
+  /** Until when a zone's zone keeper may be keeping it. */
   keptUntil = -Infinity;
 
   constructor(gpusMax = 100, withinS = 0) {
@@ -57,7 +57,7 @@
       () => true,
       () => 0,
     );
-    this.upkeep = new Upkeep(
+    this.capacity = new CapacityManager(
       this.term,
       null!,
       () => this.scheduler,
@@ -65,20 +65,23 @@
       () => undefined,
       () => undefined,
     );
-    this.upkeep.fleet.listedOnce = true;
+    this.capacity.fleet.listedOnce = true;
   }
 
   /** Machines that would be rented now. */
   rents(): number {
     const { demand, rooms } = this.scheduler.pass();
-    this.upkeep.demand = demand;
-    this.upkeep.rooms = rooms;
-    return this.upkeep.wanted().reduce((n, w) => n + w.count, 0);
+    this.capacity.demand = demand;
+    this.capacity.rooms = rooms;
+    return this.capacity.wanted().reduce((n, w) => n + w.count, 0);
   }
 
   job(over: Partial<JobSpec>): void {
     const s = spec(over);
-    const value = records.encodeIntake({ jobs: [{ spec: s, atMs: this.now * 1000 }], cancels: [] });
+    const value = records.encodeSubmissions({
+      jobs: [{ spec: s, atMs: this.now * 1000 }],
+      cancels: [],
+    });
     this.replica.item({
       key: `${records.JOBS}x-${this.revision}`,
       value,
--- a/test/mandate.test.ts
+++ b/test/quorum.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { after, before, test } from 'node:test';
-import { Mandate } from '../src/cluster/mandate.js';
+import { QuorumAcknowledgement } from '../src/cluster/quorum.js';
 import { ACKS } from '../src/state/records.js';
 import { until, wait } from './helpers.js';
 import { Cluster } from './standins/cluster.js';
@@ -19,10 +19,10 @@
     ['four nodes need two others', 4, [-50], 100],
   ];
   for (const [name, nodes, remains, kept] of cases) {
-    const m = new Mandate(7, nodes, { now: () => 100 });
+    const m = new QuorumAcknowledgement(7, nodes, { now: () => 100 });
     remains.forEach((remainsS, i) => m.note(`n-${i}`, { remainsS }));
     assert.equal(m.keptUntil, kept, name);
-    assert.equal(m.state, kept === 100 ? 'seeking' : 'backed', name);
+    assert.equal(m.state, kept === 100 ? 'pending' : 'reached', name);
   }
 });
 
--- a/test/replica.test.ts
+++ b/test/replica.test.ts
@@ -13,13 +13,13 @@
 const job = (revision: number) =>
   put(
     `${records.JOBS}a-${revision}`,
-    records.encodeIntake({ jobs: [accepted()], cancels: [] }),
+    records.encodeSubmissions({ jobs: [accepted()], cancels: [] }),
     revision,
   );
 const cancel = (revision: number) =>
   put(
     `${records.JOBS}c-${revision}`,
-    records.encodeIntake({ jobs: [], cancels: ['wk-000001'] }),
+    records.encodeSubmissions({ jobs: [], cancels: ['wk-000001'] }),
     revision,
   );
 const done = (revision: number, bits: string | null = null) =>
@@ -83,7 +83,7 @@
   r.item(
     put(
       `${records.JOBS}a`,
-      records.encodeIntake({ jobs: [accepted({ tasks: 100_000 })], cancels: [] }),
+      records.encodeSubmissions({ jobs: [accepted({ tasks: 100_000 })], cancels: [] }),
       1,
     ),
   );
--- a/test/reports.test.ts
+++ b/test/reports.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test';
 import type { Answer } from '../src/cluster/peers.js';
 import { silentLog } from '../src/log.js';
-import { Cancelling } from '../src/service/cancelling.js';
+import { CancellationNotices } from '../src/service/cancellation-notices.js';
 import { Reports } from '../src/service/reports.js';
 import type { Replica } from '../src/state/replica.js';
 import { ANSWER_WAIT_S } from '../src/wire/workers.js';
@@ -51,10 +51,10 @@
           return Promise.resolve(answers[node] ?? null);
         },
       },
-      warden: null,
-      wards: { warden: () => null },
+      zoneKeeper: null,
+      zoneLeases: { keeper: () => null },
       leader: () => null,
-      toldCancelled: () => false,
+      knownCancelled: () => false,
       clock: { now: () => now },
       log: silentLog(),
     } as unknown as ConstructorParameters<typeof Reports>[0];
@@ -69,19 +69,19 @@
   const clock = { now: () => now };
   let now = 0;
   const jobs = new Map<string, unknown>();
-  const make = (): Cancelling =>
-    new Cancelling(settings(), [], null!, { jobs } as unknown as Replica, null!, clock);
+  const make = (): CancellationNotices =>
+    new CancellationNotices(settings(), [], null!, { jobs } as unknown as Replica, null!, clock);
   const c = make();
   const id = (i: number): string => `wk-${i}`;
   // A thousand were remembered once; a cut of a large fleet's zone sees more.
-  for (let i = 0; i < 5000; i++) c.noteAsked(id(i));
+  for (let i = 0; i < 5000; i++) c.noteAnnounced(id(i));
   assert.ok([0, 2500, 4999].every((i) => c.knows(id(i))));
   // Stored: whoever has read that needs no telling.
   for (let i = 0; i < 4000; i++) jobs.set(id(i), { cancelledAt: 5, doneAt: null });
-  c.noteAsked('wk-a');
+  c.noteAnnounced('wk-a');
   assert.equal(c.size, 1001);
   now = settings().workers.lease_s * 21;
-  c.noteTold('wk-b');
-  c.noteAsked('wk-c');
+  c.noteStored('wk-b');
+  c.noteAnnounced('wk-c');
   assert.deepEqual([c.knows('wk-4999'), c.knows('wk-b'), c.knows('wk-c')], [false, true, true]);
 });
--- a/test/front.test.ts
+++ b/test/request-forwarder.test.ts
@@ -1,12 +1,12 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { Answer } from '../src/cluster/peers.js';
-import { Front } from '../src/service/front.js';
+import { RequestForwarder } from '../src/service/request-forwarder.js';
 import type { Users } from '../src/service/users.js';
 import type { Health, StateClient } from '../src/state/client.js';
 import { Refused, Unanswered } from '../src/state/client.js';
 import type { Follower } from '../src/state/follow.js';
-import { Intake } from '../src/state/intake.js';
+import { RequestWriter } from '../src/state/request-writer.js';
 import type { Replica } from '../src/state/replica.js';
 import { Budget, steadyClock } from '../src/clock.js';
 import { silentLog } from '../src/log.js';
@@ -14,8 +14,8 @@
 
 type Peers = Record<string, Answer | null>;
 
-/** A front over stand-ins: `own` is what this controller can answer by itself. */
-function front(health: Health, own: number, peers: Peers, final = false) {
+/** A forwarder over stand-ins: `own` is what this controller can answer by itself. */
+function forwarder(health: Health, own: number, peers: Peers, final = false) {
   const asked: string[] = [];
   const clock = { now: 0 };
   const state = { health };
@@ -35,7 +35,7 @@
   };
   const follower = { ready: true, sync: () => Promise.resolve(false) };
   const times = { lease_s: 10 };
-  const f = new Front(users, state, follower, net, times, () => clock.now);
+  const f = new RequestForwarder(users, state, follower, net, times, () => clock.now);
   return { f, asked, clock, state };
 }
 
@@ -53,7 +53,7 @@
     ['final: nobody is asked', 'refused', 200, { a: {} }, true, 200, []],
   ]; // prettier-ignore
   for (const [name, health, own, peers, final, status, asked] of cases) {
-    const t = front(health, own, peers, final);
+    const t = forwarder(health, own, peers, final);
     assert.equal((await t.f.serve({ to: 'poll', id: 'wk-1' })).status, status, name);
     assert.deepEqual(t.asked, asked, name);
   }
@@ -66,7 +66,7 @@
     ['served by another', { a: { status: 200 } }, true],
   ];
   for (const [name, peers, ready] of cases) {
-    const t = front('silent', 503, peers);
+    const t = forwarder('silent', 503, peers);
     await t.f.serve({ to: 'poll', id: 'wk-1' });
     assert.equal(t.f.ready(), true, `${name}: not at once`);
     t.clock.now = 10;
@@ -85,7 +85,7 @@
     ['unknown kind', 'served', 200, 'drop', 'wk-1', 503],
   ];
   for (const [name, health, own, to, text, status] of cases) {
-    const t = front(health, own, { a: { status: 200 } });
+    const t = forwarder(health, own, { a: { status: 200 } });
     assert.equal((await t.f.passedOn(to, text)).status, status, name);
     assert.deepEqual(t.asked, [], name);
   }
@@ -110,9 +110,17 @@
     const replica = { jobs: new Map() } as unknown as Replica;
     const follower = { sync: () => Promise.resolve(false) } as unknown as Follower;
     const budget = new Budget(100, steadyClock);
-    const intake = new Intake('n', state, follower, replica, budget, steadyClock, silentLog());
+    const requestWriter = new RequestWriter(
+      'n',
+      state,
+      follower,
+      replica,
+      budget,
+      steadyClock,
+      silentLog(),
+    );
     // A minute would be the time allowed: the test ends long before if it is not used up.
-    assert.equal(await intake.accept({ spec: spec(), atMs: 0 }, 60), null, name);
+    assert.equal(await requestWriter.accept({ spec: spec(), atMs: 0 }, 60), null, name);
     assert.equal(commits, tries, name);
   }
 });
@@ -128,12 +136,12 @@
   for (const [name, rate, valueBytes, jobs, full] of cases) {
     const state = { valueBytes, commit: () => new Promise(() => undefined) };
     const budget = new Budget(rate, { now: () => 0 });
-    const intake = new Intake(
+    const requestWriter = new RequestWriter(
       'n', state as unknown as StateClient, null!, null!, budget, steadyClock, silentLog(),
     ); // prettier-ignore
     for (let i = 0; i < jobs; i++)
-      void intake.accept({ spec: spec({ id: `wk-${i}` }), atMs: 0 }, 60);
+      void requestWriter.accept({ spec: spec({ id: `wk-${i}` }), atMs: 0 }, 60);
     await Promise.resolve();
-    assert.equal(intake.full(2), full, name);
+    assert.equal(requestWriter.full(2), full, name);
   }
 });
--- a/test/sched.test.ts
+++ b/test/sched.test.ts
@@ -294,7 +294,7 @@
     const rooms = [emptier, room({ id: 'other', ...over })];
     assert.equal(chooseVacated([candidate], rooms, () => may, w) !== null, want, name);
     // Rooms of a class have their methods from its prototype; spreads once lost them, and with that
-    // every beat of the leader ended early.
+    // every tick of the leader ended early.
     const classy = rooms.map((r) => Object.assign(Object.create(r) as Room, { cores: r.cores }));
     assert.equal(chooseVacated([candidate], classy, () => may, w) !== null, want, name);
   }
--- a/test/warden.test.ts
+++ b/test/zone-lease.test.ts
@@ -1,7 +1,12 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { steadyClock } from '../src/clock.js';
-import { Warden, WardenWatch, wardens, wardenTimes } from '../src/cluster/warden.js';
+import {
+  ZoneLeaseKeeper,
+  ZoneLeaseWatch,
+  zoneLeaseKeepers,
+  zoneLeaseTimes,
+} from '../src/cluster/zone-lease.js';
 import { silentLog } from '../src/log.js';
 import { KEEP_SHARE } from '../src/service/reports.js';
 import { Refused, Unanswered } from '../src/state/client.js';
@@ -9,7 +14,7 @@
 import { until, wait } from './helpers.js';
 import { Cluster } from './standins/cluster.js';
 
-test('a zone has a warden when exactly one of several zones’ controllers is in it', () => {
+test('a zone has a zone keeper when exactly one of several zones’ controllers is in it', () => {
   const n = (node: string, zone: string): { node: string; zone: string } => ({ node, zone });
   const cases: [string, { node: string; zone: string }[], [string, string][]][] = [
     ['one zone', [n('a', 'x'), n('b', 'x')], []],
@@ -17,12 +22,13 @@
     ['one each', [n('a', 'x'), n('b', 'y')], [['x', 'a'], ['y', 'b']]],
     ['two in one', [n('a', 'x'), n('b', 'x'), n('c', 'y')], [['y', 'c']]],
   ]; // prettier-ignore
-  for (const [name, nodes, want] of cases) assert.deepEqual([...wardens(nodes)], want, name);
+  for (const [name, nodes, want] of cases)
+    assert.deepEqual([...zoneLeaseKeepers(nodes)], want, name);
 });
 
-test('a warden begins before workers give up waiting, whatever their lease', () => {
+test('a zone keeper begins before workers give up waiting, whatever their lease', () => {
   for (const lease of [2, 10, 13, 15.25, 120]) {
-    const { lifeS, beginS, keepS } = wardenTimes(lease);
+    const { lifeS, beginS, keepS } = zoneLeaseTimes(lease);
     assert.ok(beginS <= ANSWER_WAIT_S * KEEP_SHARE, `${lease}: ${beginS}`);
     // Its key's life three times and half of it once more, see where they are reckoned.
     assert.ok(beginS >= lifeS * 3.5 && keepS > lease && lifeS <= lease / 10, `${lease}`);
@@ -31,11 +37,11 @@
 
 test('until when a zone may be kept, and what is certain of it', () => {
   const lease = 10;
-  const { beginS, keepS } = wardenTimes(lease);
+  const { beginS, keepS } = zoneLeaseTimes(lease);
   const at = { now: 100 };
-  const setup = (present: boolean, freshAt: number, refusedAt: number): WardenWatch => {
+  const setup = (present: boolean, freshAt: number, refusedAt: number): ZoneLeaseWatch => {
     const replica = { present: new Map(present ? [['a', 5]] : []) };
-    const w = new WardenWatch(
+    const w = new ZoneLeaseWatch(
       new Map([['x', 'a']]),
       lease,
       replica,
@@ -49,8 +55,8 @@
     return w;
   };
   const gone = 90 + keepS;
-  const cases: [string, WardenWatch, string, number, number][] = [
-    ['no warden there', setup(true, 99, -Infinity), 'y', -Infinity, Infinity],
+  const cases: [string, ZoneLeaseWatch, string, number, number][] = [
+    ['no zone keeper there', setup(true, 99, -Infinity), 'y', -Infinity, Infinity],
     ['key there, read just now', setup(true, 99, -Infinity), 'x', 90, 99],
     ['right after an outage a read proves nothing', setup(true, 99, 99 - beginS / 2), 'x', 90, -Infinity],
     ['long after one it does', setup(true, 99, 99 - beginS * 2), 'x', 90, 99],
@@ -63,9 +69,9 @@
   }
 });
 
-test('a warden keeps nothing before its key is certainly gone, and renews at most once in doubt', async () => {
+test('a zone keeper keeps nothing before its key is certainly gone, and renews at most once in doubt', async () => {
   const lease = 0.4;
-  const { beginS } = wardenTimes(lease);
+  const { beginS } = zoneLeaseTimes(lease);
   let silent = false;
   let unanswered = 0;
   let answeredSentAt = -Infinity;
@@ -93,7 +99,7 @@
   const follower = { ready: true, sync: async () => true };
   const replica = { present: new Map() };
   const peers = { names: ['b'], ask: async () => null };
-  const warden = new Warden(
+  const zoneKeeper = new ZoneLeaseKeeper(
     'a',
     'a-1',
     lease,
@@ -104,22 +110,22 @@
     steadyClock,
     log,
   );
-  void warden.run();
-  await until('present', () => warden.state === 'present' && answeredSentAt > 0);
-  assert.equal(warden.mayKeep(), false);
+  void zoneKeeper.run();
+  await until('present', () => zoneKeeper.state === 'present' && answeredSentAt > 0);
+  assert.equal(zoneKeeper.mayKeep(), false);
   silent = true;
-  await until('kept', () => warden.mayKeep());
+  await until('kept', () => zoneKeeper.mayKeep());
   assert.ok(steadyClock.now() - answeredSentAt > beginS);
-  assert.equal(warden.state, 'alone');
+  assert.equal(zoneKeeper.state, 'alone');
   // One that was carried out without an answer lets the key live once more; a second would be one
   // too many.
   assert.equal(unanswered, 1);
-  await until('the bound', () => !warden.mayKeep());
-  assert.equal(warden.state, 'alone');
+  await until('the bound', () => !zoneKeeper.mayKeep());
+  assert.equal(zoneKeeper.state, 'alone');
   silent = false;
-  await until('heard again', () => warden.state === 'present');
-  assert.equal(warden.mayKeep(), false);
-  warden.stop();
+  await until('heard again', () => zoneKeeper.state === 'present');
+  assert.equal(zoneKeeper.mayKeep(), false);
+  zoneKeeper.stop();
 });
 
 test('a refusal is heard: nobody is cut off by an outage', async () => {
@@ -136,7 +142,7 @@
   };
   const follower = { ready: true, sync: async () => true };
   const peers = { names: ['b'], ask: async () => null };
-  const warden = new Warden(
+  const zoneKeeper = new ZoneLeaseKeeper(
     'a',
     'a-1',
     0.2,
@@ -147,12 +153,12 @@
     steadyClock,
     silentLog(),
   );
-  void warden.run();
-  await until('present', () => warden.state === 'present');
+  void zoneKeeper.run();
+  await until('present', () => zoneKeeper.state === 'present');
   await wait(300);
-  assert.equal(warden.mayKeep(), false);
-  assert.equal(warden.state, 'present');
-  warden.stop();
+  assert.equal(zoneKeeper.mayKeep(), false);
+  assert.equal(zoneKeeper.state, 'present');
+  zoneKeeper.stop();
 });
 
 // A zone with its controller and its machines, cut off from everything else.
@@ -178,7 +184,7 @@
   for (const worker of cluster.workers) {
     for (const at of worker.zone === 'z2' ? [0, 2] : [1]) worker.unreachable.add(at);
   }
-  // Longer than a lease: without its warden the zone would have lost everything.
+  // Longer than a lease: without its zone keeper the zone would have lost everything.
   await wait(LEASE * 1000 * 1.5);
   assert.equal(cluster.tasks('wk-000002', inZone('z2')).length, 1);
   // Its tasks live on unheard for longer than is allowed after "cancelled" has been told.
