--- a/src/cluster/election.ts
+++ b/src/cluster/election.ts
@@ -6,7 +6,8 @@
 import type { Replica } from '../state/replica.js';
 import * as records from '../state/records.js';
 import type { PeerNet } from './peers.js';
-import { renewalAllowanceS, UNHEARD_CONFIRM_S, type WorkerTimes } from './renewal.js';
+import { OutageQuorum, type OutageEvents } from './outage.js';
+import { renewalAllowanceS, type WorkerTimes } from './renewal.js';
 
 /**
  * Who leads. The leader's key hangs on a lease; its revision is the token, so tokens only rise.
@@ -26,22 +27,9 @@
   continuing: ['leading', 'following'],
 };
 
-/** Cancellations told in one answer, at most: a third of a frame between controllers. */
-const MAX_CANCELLATIONS = 4096;
-
-/** A majority's word that the state service refuses it. */
-interface MajorityRefused {
-  /** Steady time up to which the majority together knows every stored cancellation. */
-  freshAt: number;
-}
-
-export interface ElectionEvents {
+export interface ElectionEvents extends OutageEvents {
   onElected(token: number): void;
   onDeposed(): void;
-  /** Cancellations that another controller knows to be stored. */
-  onKnownCancelled(ids: string[]): void;
-  /** Stored cancellations after a revision, as far as this controller knows of any. */
-  cancelledSince(revision: number): string[];
 }
 
 export class Election {
@@ -51,10 +39,8 @@
   /** How often this process has stood. */
   private attempts = 0;
   private validUntil = -Infinity;
-  private promisedUntil = -Infinity;
-  /** The latest leader that this controller has acknowledged: it bears witness for no older one. */
-  acknowledged = 0;
-  private readonly startedAt: number;
+  /** Tells outages from refusals of this controller alone. */
+  readonly outage: OutageQuorum;
   private stopped = false;
   private readonly pause = new Pause();
   readonly lifeS: number;
@@ -64,12 +50,12 @@
   constructor(
     private readonly node: string,
     private readonly incarnation: string,
-    private readonly nodes: number,
+    nodes: number,
     workers: WorkerTimes,
     private readonly state: StateClient,
     private readonly follower: Follower,
     private readonly replica: Replica,
-    private readonly peers: () => PeerNet,
+    peers: () => PeerNet,
     private readonly clock: Clock,
     private readonly log: Log,
     private readonly events: ElectionEvents,
@@ -77,14 +63,18 @@
     // A third of the workers' lease: the successor has two thirds to reach them all.
     this.lifeS = workers.lease_s * 0.3;
     this.allowanceS = renewalAllowanceS(workers, this.lifeS);
-    this.startedAt = clock.now();
+    const { lifeS, allowanceS } = this;
+    this.outage = new OutageQuorum({
+      nodes, lifeS, allowanceS, state, follower, replica, peers, clock, log, events,
+      leads: () => this.leads,
+    }); // prettier-ignore
   }
 
   private become(role: Role): void {
     if (role === this.role) return;
     if (!ALLOWED[this.role].includes(role)) throw new Error(`${this.role} -> ${role}`);
     this.log.info({ from: this.role, to: role, token: this.token }, 'role');
-    const led = this.role === 'leading' || this.role === 'continuing';
+    const led = this.leads;
     this.role = role;
     if (role === 'following' && led) {
       this.validUntil = -Infinity;
@@ -93,9 +83,13 @@
     }
   }
 
+  private get leads(): boolean {
+    return this.role === 'leading' || this.role === 'continuing';
+  }
+
   /** Whether this node may act for the controllers at this moment. */
   get entitled(): boolean {
-    if (this.role !== 'leading' && this.role !== 'continuing') return false;
+    if (!this.leads) return false;
     return this.clock.now() < this.actsUntil;
   }
 
@@ -136,7 +130,7 @@
       await sleep(0.05);
       return;
     }
-    if (this.clock.now() < this.promisedUntil) {
+    if (this.clock.now() < this.outage.promisedUntil) {
       await sleep(0.1);
       return;
     }
@@ -255,57 +249,16 @@
    */
   private async continueInOutage(askedAt: number): Promise<void> {
     const forS = this.lifeS / 2;
-    if (this.acknowledged > this.token) return;
-    const majority = await this.majorityRefused(this.token, forS);
-    if (majority === null || this.acknowledged > this.token) return;
+    if (this.outage.acknowledged > this.token) return;
+    const majority = await this.outage.majorityRefused(this.token, forS);
+    if (majority === null || this.outage.acknowledged > this.token) return;
     // The promises count from when they were given, which is after the question was sent.
-    const until = Math.min(askedAt + forS * (1 - 2 * DRIFT), this.outageBound(majority));
+    const until = Math.min(askedAt + forS * (1 - 2 * DRIFT), this.outage.bound(majority));
     if (until <= this.clock.now()) return;
     this.validUntil = Math.max(this.validUntil, until);
     if (this.role === 'leading') this.become('continuing');
   }
 
-  /** Asked by another node: looks at the state service now, not at what it said before. */
-  async answerRefused(
-    token: number,
-    forMs: number,
-    applied: number,
-  ): Promise<Record<string, unknown>> {
-    // A process that has not read the store knows neither the leader nor the cancellations that the
-    // one before it had acknowledged: its word would make a majority that knows of neither.
-    if (!this.follower.ready) return {};
-    const known = this.replica.leader;
-    if (this.acknowledged > token || (known !== null && known.revision > token)) {
-      return { refused: false };
-    }
-    // One that only stands is as good a witness as any: it may stand again and again in an outage.
-    if (this.role === 'leading' || this.role === 'continuing') return { refused: false };
-    const promise =
-      this.clock.now() + (Math.min(forMs, this.lifeS * 1000) / 1000) * (1 + 2 * DRIFT);
-    const before = this.promisedUntil;
-    const given = Math.max(before, promise);
-    this.promisedUntil = given;
-    // Another answer may have promised more meanwhile: that stays.
-    const takeBack = (): void => {
-      if (this.promisedUntil === given) this.promisedUntil = before;
-    };
-    try {
-      await this.state.get(records.LEADER, 0.5);
-      takeBack();
-      return { refused: false };
-    } catch (e) {
-      if (e instanceof Refused && e.status === 503) {
-        // An outage may keep the last cancellations from the leader: their tasks must go all the same.
-        const cancelled = this.events.cancelledSince(applied);
-        if (!this.follower.ready || cancelled.length > MAX_CANCELLATIONS) return {};
-        const freshAgeS = this.clock.now() - this.follower.freshAt;
-        return { refused: true, cancelled, freshAgeS };
-      }
-      takeBack();
-      return {};
-    }
-  }
-
   /**
    * A later leader asks to be acknowledged, see `QuorumAcknowledgement`. From now on this controller
    * neither acts for an older one nor bears witness for it. Returns the seconds until its promises so
@@ -313,13 +266,9 @@
    */
   acknowledge(token: number): number {
     const now = this.clock.now();
-    let until = Math.max(this.promisedUntil, Math.min(now, this.keepUntil));
-    // A process that began just now does not know what the one before it promised.
-    until = Math.max(until, this.startedAt + this.lifeS * (1 + 2 * DRIFT));
-    if (token <= this.acknowledged) return until - now;
-    this.acknowledged = token;
-    this.keepUntil = -Infinity;
-    if (token > this.token && (this.role === 'leading' || this.role === 'continuing')) {
+    const known = token <= this.outage.acknowledged;
+    let until = this.outage.acknowledge(token);
+    if (!known && token > this.token && this.leads) {
       until = Math.max(until, Math.min(now, this.validUntil));
       this.log.info({ token: this.token, later: token }, 'a later leader');
       this.become('following');
@@ -327,84 +276,6 @@
     return until - now;
   }
 
-  /**
-   * Substituting: nobody leads, nobody can take over, because the state service is down for all. Then
-   * workers' leases are kept alive with the last leader's token and nothing else is done. It takes
-   * what continuing takes, a majority that is being refused, for longer than a leader takes to notice
-   * the outage itself; every later decision on leases counts with what was renewed here.
-   */
-  private keepUntil = -Infinity;
-  private keeping: Promise<boolean> | null = null;
-
-  mayKeep(): Promise<boolean> {
-    if (this.role === 'leading' || this.role === 'continuing') return Promise.resolve(false);
-    if (this.clock.now() < this.keepUntil) return Promise.resolve(true);
-    this.keeping ??= this.checkKeep().finally(() => (this.keeping = null));
-    return this.keeping;
-  }
-
-  private async checkKeep(): Promise<boolean> {
-    const leader = this.replica.leader;
-    if (leader === null || this.acknowledged > leader.revision) return false;
-    if (!this.follower.ready) return false;
-    try {
-      await this.state.get(records.LEADER, 0.5);
-      return false;
-    } catch (e) {
-      if (!(e instanceof Refused) || e.status !== 503) return false;
-    }
-    const since = this.state.refusedSince;
-    // The promises count from when they were given, which is after the question was sent.
-    const askedAt = this.clock.now();
-    if (since === null || askedAt - since < this.lifeS * 0.4) return false;
-    const majority = await this.majorityRefused(leader.revision, this.substituteS);
-    if (majority === null || this.acknowledged > leader.revision) return false;
-    const until = askedAt + this.substituteS * (1 - 2 * DRIFT);
-    this.keepUntil = Math.min(until, this.outageBound(majority));
-    if (this.clock.now() >= this.keepUntil) return false;
-    this.log.info({ token: leader.revision }, 'leases are kept for a leader that is gone');
-    return true;
-  }
-
-  /** How long after the last proof of an outage a substitute may still renew. */
-  get substituteS(): number {
-    return this.lifeS / 3;
-  }
-
-  /**
-   * Until when leases may be renewed on a majority's word. What one of it knows, all know by its
-   * answer. A cancellation that none of it knows was stored after `freshAt`, and no user was told of
-   * it before a further `UNHEARD_CONFIRM_S`.
-   */
-  private outageBound(majority: MajorityRefused): number {
-    return majority.freshAt + UNHEARD_CONFIRM_S + this.allowanceS;
-  }
-
-  /** Null: no majority is refused, or not all of those that answered are. */
-  private async majorityRefused(token: number, forS: number): Promise<MajorityRefused | null> {
-    const net = this.peers();
-    const askedAt = this.clock.now();
-    const question = {
-      q: 'refused',
-      token,
-      forMs: Math.ceil(forS * 1000),
-      applied: this.replica.applied,
-    } as const;
-    const answers = await Promise.all(
-      net.names.map((n) => net.ask(n, question, Math.min(0.8, this.lifeS / 4))),
-    );
-    for (const a of answers) {
-      if (Array.isArray(a?.cancelled)) this.events.onKnownCancelled(a.cancelled.map(String));
-    }
-    if (answers.some((a) => a?.refused === false)) return null;
-    const ages = answers.flatMap((a) =>
-      a?.refused === true && Number.isFinite(a.freshAgeS) ? [a.freshAgeS as number] : [],
-    );
-    if ((1 + ages.length) * 2 <= this.nodes) return null;
-    const freshest = Math.max(this.follower.freshAt, ...ages.map((age) => askedAt - age));
-    return { freshAt: freshest };
-  }
-
   stop(): void {
     this.stopped = true;
     this.pause.end();
--- /dev/null
+++ b/src/cluster/outage.ts
@@ -0,0 +1,198 @@
+import { DRIFT, type Clock } from '../clock.js';
+import type { Log } from '../log.js';
+import { Refused, type StateClient } from '../state/client.js';
+import type { Follower } from '../state/follow.js';
+import type { Replica } from '../state/replica.js';
+import * as records from '../state/records.js';
+import type { PeerNet } from './peers.js';
+import { UNHEARD_CONFIRM_S } from './renewal.js';
+
+/** Cancellations told in one answer, at most: a third of a frame between controllers. */
+const MAX_CANCELLATIONS = 4096;
+/** Seconds that a look at the state service may take before it is taken for silent. */
+const LOOK_S = 0.5;
+/** Seconds that another controller may take to say whether it is refused. */
+const WITNESS_WAIT_S = 0.8;
+
+/** A majority's word that the state service refuses it. */
+export interface MajorityRefused {
+  /** Steady time up to which the majority together knows every stored cancellation. */
+  freshAt: number;
+}
+
+export interface OutageEvents {
+  /** Cancellations that another controller knows to be stored. */
+  onKnownCancelled(ids: string[]): void;
+  /** Stored cancellations after a revision, as far as this controller knows of any. */
+  cancelledSince(revision: number): string[];
+}
+
+export interface OutageQuorumOptions {
+  /** Number of controllers, this one included. */
+  nodes: number;
+  /** Life of a leader's lease, in seconds. */
+  lifeS: number;
+  /** Seconds for which leases may be renewed after the last proof of knowing every cancellation. */
+  allowanceS: number;
+  state: StateClient;
+  follower: Follower;
+  replica: Replica;
+  peers: () => PeerNet;
+  clock: Clock;
+  log: Log;
+  events: OutageEvents;
+  /** Whether this controller leads, in an outage or not. */
+  leads: () => boolean;
+}
+
+/**
+ * Tells an outage of the state service from a refusal of this controller alone, by the word of a
+ * majority, and bears witness for others. Only in an outage do leases stand still, so that work may be
+ * kept running without the state service. docs/design.md, "Cancellations and outages".
+ */
+export class OutageQuorum {
+  /** The latest leader that this controller has acknowledged: it bears witness for no older one. */
+  acknowledged = 0;
+  /** This controller has promised not to take over before. */
+  promisedUntil = -Infinity;
+  private keepUntil = -Infinity;
+  private keeping: Promise<boolean> | null = null;
+  private readonly startedAt: number;
+
+  constructor(private readonly options: OutageQuorumOptions) {
+    this.startedAt = options.clock.now();
+  }
+
+  private get now(): number {
+    return this.options.clock.now();
+  }
+
+  /** Asked by another node: looks at the state service now, not at what it said before. */
+  async answer(token: number, forMs: number, applied: number): Promise<Record<string, unknown>> {
+    // A process that has not read the store knows neither the leader nor the cancellations that the
+    // one before it had acknowledged: its word would make a majority that knows of neither.
+    const { follower, replica, state, events, lifeS } = this.options;
+    if (!follower.ready) return {};
+    const known = replica.leader;
+    if (this.acknowledged > token || (known !== null && known.revision > token)) {
+      return { refused: false };
+    }
+    // One that only stands is as good a witness as any: it may stand again and again in an outage.
+    if (this.options.leads()) return { refused: false };
+    const promise = this.now + (Math.min(forMs, lifeS * 1000) / 1000) * (1 + 2 * DRIFT);
+    const before = this.promisedUntil;
+    const given = Math.max(before, promise);
+    this.promisedUntil = given;
+    // Another answer may have promised more meanwhile: that stays.
+    const takeBack = (): void => {
+      if (this.promisedUntil === given) this.promisedUntil = before;
+    };
+    try {
+      await state.get(records.LEADER, LOOK_S);
+      takeBack();
+      return { refused: false };
+    } catch (e) {
+      if (e instanceof Refused && e.status === 503) {
+        // An outage may keep the last cancellations from the leader: their tasks must go all the same.
+        const cancelled = events.cancelledSince(applied);
+        if (!follower.ready || cancelled.length > MAX_CANCELLATIONS) return {};
+        const freshAgeS = this.now - follower.freshAt;
+        return { refused: true, cancelled, freshAgeS };
+      }
+      takeBack();
+      return {};
+    }
+  }
+
+  /**
+   * From now on this controller neither acts for a leader older than this one nor bears witness for it.
+   * Returns the steady time at which its promises so far have ended.
+   */
+  acknowledge(token: number): number {
+    const { now } = this;
+    let until = Math.max(this.promisedUntil, Math.min(now, this.keepUntil));
+    // A process that began just now does not know what the one before it promised.
+    until = Math.max(until, this.startedAt + this.options.lifeS * (1 + 2 * DRIFT));
+    if (token > this.acknowledged) {
+      this.acknowledged = token;
+      this.keepUntil = -Infinity;
+    }
+    return until;
+  }
+
+  /**
+   * Substituting: nobody leads, nobody can take over, because the state service is down for all. Then
+   * workers' leases are kept alive with the last leader's token and nothing else is done. It takes
+   * what continuing takes, a majority that is being refused, for longer than a leader takes to notice
+   * the outage itself; every later decision on leases counts with what was renewed here.
+   */
+  mayKeep(): Promise<boolean> {
+    if (this.options.leads()) return Promise.resolve(false);
+    if (this.now < this.keepUntil) return Promise.resolve(true);
+    this.keeping ??= this.checkKeep().finally(() => (this.keeping = null));
+    return this.keeping;
+  }
+
+  private async checkKeep(): Promise<boolean> {
+    const leader = this.options.replica.leader;
+    if (leader === null || this.acknowledged > leader.revision) return false;
+    if (!this.options.follower.ready) return false;
+    try {
+      await this.options.state.get(records.LEADER, LOOK_S);
+      return false;
+    } catch (e) {
+      if (!(e instanceof Refused) || e.status !== 503) return false;
+    }
+    const since = this.options.state.refusedSince;
+    // The promises count from when they were given, which is after the question was sent.
+    const askedAt = this.now;
+    if (since === null || askedAt - since < this.options.lifeS * 0.4) return false;
+    const majority = await this.majorityRefused(leader.revision, this.substituteS);
+    if (majority === null || this.acknowledged > leader.revision) return false;
+    const until = askedAt + this.substituteS * (1 - 2 * DRIFT);
+    this.keepUntil = Math.min(until, this.bound(majority));
+    if (this.now >= this.keepUntil) return false;
+    this.options.log.info({ token: leader.revision }, 'leases are kept for a leader that is gone');
+    return true;
+  }
+
+  /** How long after the last proof of an outage a substitute may still renew. */
+  get substituteS(): number {
+    return this.options.lifeS / 3;
+  }
+
+  /**
+   * Until when leases may be renewed on a majority's word. What one of it knows, all know by its
+   * answer. A cancellation that none of it knows was stored after `freshAt`, and no user was told of
+   * it before a further `UNHEARD_CONFIRM_S`.
+   */
+  bound(majority: MajorityRefused): number {
+    return majority.freshAt + UNHEARD_CONFIRM_S + this.options.allowanceS;
+  }
+
+  /** Null: no majority is refused, or not all of those that answered are. */
+  async majorityRefused(token: number, forS: number): Promise<MajorityRefused | null> {
+    const net = this.options.peers();
+    const askedAt = this.now;
+    const question = {
+      q: 'refused',
+      token,
+      forMs: Math.ceil(forS * 1000),
+      applied: this.options.replica.applied,
+    } as const;
+    const answers = await Promise.all(
+      net.names.map((n) => net.ask(n, question, Math.min(WITNESS_WAIT_S, this.options.lifeS / 4))),
+    );
+    for (const a of answers) {
+      if (Array.isArray(a?.cancelled))
+        this.options.events.onKnownCancelled(a.cancelled.map(String));
+    }
+    if (answers.some((a) => a?.refused === false)) return null;
+    const ages = answers.flatMap((a) =>
+      a?.refused === true && Number.isFinite(a.freshAgeS) ? [a.freshAgeS as number] : [],
+    );
+    if ((1 + ages.length) * 2 <= this.options.nodes) return null;
+    const freshest = Math.max(this.options.follower.freshAt, ...ages.map((age) => askedAt - age));
+    return { freshAt: freshest };
+  }
+}
--- a/src/cluster/quorum.ts
+++ b/src/cluster/quorum.ts
@@ -8,7 +8,7 @@
 
 /**
  * The acknowledgement of a leader by a majority. Whoever renews leases for a former leader, because it
- * takes a refusal for an outage (`Election.continueInOutage`, `Election.mayKeep`), needs a majority of
+ * takes a refusal for an outage (`Election.continueInOutage`, `OutageQuorum.mayKeep`), needs a majority of
  * controllers that say they are refused too. Two that are each refused alone can make one, beside a
  * third that is served and elected. So before this leader counts any lease as run out, a majority must
  * have acknowledged it: whoever has gives no such word for an older leader any more, and any two
--- a/src/service/leader-acknowledgements.ts
+++ b/src/service/leader-acknowledgements.ts
@@ -73,7 +73,7 @@
     if (leader === null || leader.node === this.settings.node) return;
     const token = leader.revision;
     await sleep(this.settings.workers.lease_s * STORE_LEASES);
-    if (this.election.acknowledged >= token) return;
+    if (this.election.outage.acknowledged >= token) return;
     const key = records.ackKey(this.settings.node);
     const remainsS = this.election.acknowledge(token);
     const value = records.encodeAck({ token, remainsS });
--- /dev/null
+++ b/src/service/machine-health.ts
@@ -0,0 +1,105 @@
+import { outcome, type Replica } from '../state/replica.js';
+import type { Clock } from '../clock.js';
+import type { LiveJob } from '../jobs/live.js';
+import type { Log } from '../log.js';
+import type { Attempt } from '../workers/attempt.js';
+import type { Machine } from '../workers/machine.js';
+
+/** A job that fails on so many machines says nothing of them. */
+const SUSPECT_JOB_MACHINES = 3;
+/** Nothing new goes to a machine for longer than so many leases at a time. */
+const SHUN_LEASES = 3;
+/** A pause of a machine or task doubles so often, at most. */
+const SHUNS_MOST = 10;
+/** Failures count against a machine for so many leases. */
+const ERROR_LEASES = 12;
+/** A task is not tried again for so many leases, at most: of a job that fails wherever it goes. */
+const POSTPONE_LEASES = 6;
+/** So many jobs that do well elsewhere, or are doubted, make a machine faulty. */
+const FAULTY_JOBS = 2;
+
+export interface MachineHealthOptions {
+  workers: { report_s: number; lease_s: number };
+  jobs: ReadonlyMap<string, LiveJob>;
+  replica: Pick<Replica, 'jobs'>;
+  clock: Clock;
+  log: Log;
+}
+
+/**
+ * Judges machines and jobs by the tasks that fail on them: what is left alone for a while, and which
+ * machines are faulty.
+ */
+export class MachineHealth {
+  constructor(private readonly options: MachineHealthOptions) {}
+
+  /** Places nothing new on a machine for a while: longer each time, until a task does well there. */
+  shun(m: Machine, firstS: number): void {
+    const most = this.options.workers.lease_s * SHUN_LEASES;
+    m.shunnedUntil = Math.max(
+      m.shunnedUntil,
+      this.options.clock.now() + Math.min(most, firstS * 2 ** m.shuns),
+    );
+    m.shuns = Math.min(m.shuns + 1, SHUNS_MOST);
+  }
+
+  /** A task ended without being done. */
+  taskFailed(m: Machine, job: LiveJob, a: Attempt): void {
+    const now = this.options.clock.now();
+    const { report_s, lease_s } = this.options.workers;
+    switch (a.cause) {
+      case 'error': {
+        job.failedOn.add(m.id);
+        // Machines are told from jobs: a job that fails wherever it goes says nothing of machines.
+        const jobSuspect = !job.succeeded && job.failedOn.size >= SUSPECT_JOB_MACHINES;
+        job.postpone(a.index, now, report_s / 2, lease_s * (jobSuspect ? POSTPONE_LEASES : 1));
+        if (!jobSuspect) {
+          m.errors.set(`${a.job}/${a.index}`, now);
+          this.shun(m, report_s * 2);
+        }
+        this.judge(m);
+        this.options.log.info(
+          { machine: m.id, job: a.job, index: a.index, jobSuspect },
+          'task failed',
+        );
+        break;
+      }
+      case 'full':
+      case 'busy':
+        this.shun(m, report_s);
+        break;
+      case 'unknown':
+        // The worker did not find the job's description: perhaps it is not there yet.
+        job.postpone(a.index, now, report_s, lease_s * POSTPONE_LEASES);
+        break;
+      default:
+        break;
+    }
+  }
+
+  /** A machine is faulty when tasks of jobs that do well elsewhere fail on it, one after another. */
+  private judge(m: Machine): void {
+    const recent = this.options.clock.now() - this.options.workers.lease_s * ERROR_LEASES;
+    const doubted = new Set<string>();
+    let against = 0;
+    for (const [task, at] of m.errors) {
+      const id = task.slice(0, task.lastIndexOf('/'));
+      if (at < recent) m.errors.delete(task);
+      else if (this.hasSucceeded(id)) against++;
+      // Several tasks of a job with a mistake fail together where it is tried first: that counts once.
+      else if (this.options.jobs.get(id)?.failedOn.size === 1) doubted.add(id);
+    }
+    if (against + doubted.size >= FAULTY_JOBS && !m.faulty) {
+      m.faulty = true;
+      this.options.log.info({ machine: m.id }, 'faulty machine put aside');
+    }
+  }
+
+  /** Whether some task of a job has done well somewhere. */
+  private hasSucceeded(id: string): boolean {
+    const job = this.options.jobs.get(id);
+    if (job !== undefined) return job.succeeded;
+    const facts = this.options.replica.jobs.get(id);
+    return facts !== undefined && outcome(facts) === 'done';
+  }
+}
--- a/src/service/node.ts
+++ b/src/service/node.ts
@@ -304,7 +304,7 @@
         entitled: () => this.election.entitled && this.election.token === token,
         keptUntil: () =>
           Math.max(
-            this.state.refusedAt + this.election.substituteS,
+            this.state.refusedAt + this.election.outage.substituteS,
             this.acknowledgements.keptUntil(token),
           ),
         zone: (zone) => this.zoneLeases.zone(zone),
@@ -385,7 +385,7 @@
         this.knownCancelled([q.job]);
         return { noted: true };
       case 'refused':
-        return this.election.answerRefused(Number(q.token), Number(q.forMs), Number(q.applied));
+        return this.election.outage.answer(Number(q.token), Number(q.forMs), Number(q.applied));
       default:
         return {};
     }
--- a/src/service/reports.ts
+++ b/src/service/reports.ts
@@ -142,7 +142,7 @@
       }
     }
     const token = replica.leader?.revision;
-    if (token !== undefined && (await election.mayKeep())) return this.keep(report, token);
+    if (token !== undefined && (await election.outage.mayKeep())) return this.keep(report, token);
     // Cut off together with this zone: what runs here goes on.
     const mine = report.zone === settings.zone;
     if (mine && !answered && zoneKeeper !== null && (await zoneKeeper.settle(deadline))) {
--- a/src/service/term.ts
+++ b/src/service/term.ts
@@ -4,10 +4,11 @@
 import { LiveJob } from '../jobs/live.js';
 import type { Log } from '../log.js';
 import type { Policy } from '../operator/policy.js';
-import { outcome, type JobFacts, type Replica } from '../state/replica.js';
+import { outcome, type JobFacts, type Replica, type StoredMachine } from '../state/replica.js';
 import { FetchTimes } from '../sched/fetches.js';
 import { advance, holds, makeAttempt, mayBeThere, type Attempt } from '../workers/attempt.js';
 import { Machine, type Changes } from '../workers/machine.js';
+import { MachineHealth } from './machine-health.js';
 
 export interface TermDeps {
   settings: Settings;
@@ -43,6 +44,7 @@
   /** Machines with commands that should not wait for the next check-in. */
   readonly urgent = new Set<string>();
   readonly fetches = new FetchTimes();
+  private readonly health: MachineHealth;
   readonly startedAt: number;
   /**
    * Revision of the latest commit of this term. Commits are guarded by the leader's key, so it is above
@@ -57,35 +59,45 @@
   constructor(readonly deps: TermDeps) {
     this.startedAt = deps.clock.now();
     this.latestRevision = deps.token;
+    this.health = new MachineHealth({
+      workers: deps.settings.workers,
+      jobs: this.jobs,
+      replica: deps.replica,
+      clock: deps.clock,
+      log: deps.log,
+    });
     this.setTypes(deps.replica.types ?? []);
     // In the order of acceptance, as those that come later are: guarantees go by it.
     const open = [...deps.replica.jobs.values()].filter((f) => outcome(f) === 'open');
     open.sort((a, b) => a.acceptedAt - b.acceptedAt);
     for (const facts of open) this.addJob(facts);
-    const now = this.startedAt;
-    for (const [id, { record, revision }] of deps.replica.machines) {
-      const m = new Machine(id, deps.token, deps.settings.workers.lease_s, now);
-      m.addr = record.addr;
-      m.type = record.type;
-      m.zone = record.zone;
-      m.spot = record.spot;
-      m.revision = revision;
-      m.recordTerm = record.term;
-      for (const [image, gb] of record.images) {
-        m.images.set(image, { gb, at: now });
-        m.fetchedGb += gb;
-      }
-      // The record says so already: without this no round would ever name it to the cloud again.
-      if (record.returning && m.become('returning')) m.returnStored = true;
-      for (const c of record.claims) {
-        const a = makeAttempt(c.job, c.index, c.attempt, id, 'inherited', now);
-        m.claim(a);
-        const job = this.jobs.get(c.job);
-        if (job !== undefined && !job.done.has(c.index)) job.adopt(a);
-        else this.dismiss(a);
-      }
-      this.machines.set(id, m);
+    for (const [id, stored] of deps.replica.machines) this.inherit(id, stored);
+  }
+
+  /** A machine as the store shows it: whatever its record claims may be there. */
+  private inherit(id: string, { record, revision }: StoredMachine): void {
+    const { deps, startedAt: now } = this;
+    const m = new Machine(id, deps.token, deps.settings.workers.lease_s, now);
+    m.addr = record.addr;
+    m.type = record.type;
+    m.zone = record.zone;
+    m.spot = record.spot;
+    m.revision = revision;
+    m.recordTerm = record.term;
+    for (const [image, gb] of record.images) {
+      m.images.set(image, { gb, at: now });
+      m.fetchedGb += gb;
     }
+    // The record says so already: without this no round would ever name it to the cloud again.
+    if (record.returning && m.become('returning')) m.returnStored = true;
+    for (const c of record.claims) {
+      const a = makeAttempt(c.job, c.index, c.attempt, id, 'inherited', now);
+      m.claim(a);
+      const job = this.jobs.get(c.job);
+      if (job !== undefined && !job.done.has(c.index)) job.adopt(a);
+      else this.dismiss(a);
+    }
+    this.machines.set(id, m);
   }
 
   get now(): number {
@@ -291,19 +303,13 @@
     for (const a of c.over) this.over(m, a);
     if (c.missed > 0) {
       // Its reports come, but what it is told does not arrive.
-      this.shun(m, this.deps.settings.workers.report_s * 2);
+      this.health.shun(m, this.deps.settings.workers.report_s * 2);
     }
-    if (c.sessionMoved) this.shun(m, this.deps.settings.workers.report_s);
+    if (c.sessionMoved) this.health.shun(m, this.deps.settings.workers.report_s);
     if (m.takenAt !== null) this.drain(m);
     if (c.over.length > 0 || c.moved.length > 0) this.requestPass();
   }
 
-  shun(m: Machine, firstS: number): void {
-    const most = this.deps.settings.workers.lease_s * 3;
-    m.shunnedUntil = Math.max(m.shunnedUntil, this.now + Math.min(most, firstS * 2 ** m.shuns));
-    m.shuns = Math.min(m.shuns + 1, 10);
-  }
-
   private foreign(m: Machine, a: Attempt): void {
     const job = this.jobs.get(a.job);
     this.dirtyMachines.add(m.id);
@@ -344,7 +350,7 @@
     a.settled = true;
     job.release(a);
     if (job.phase !== 'open') return;
-    if (a.state === 'ended') this.failure(m, job, a);
+    if (a.state === 'ended') this.health.taskFailed(m, job, a);
     if (job.gang) {
       // Without one of its tasks a gang is over; those that are saving may finish that.
       for (const other of [...job.holding()]) {
@@ -367,65 +373,6 @@
     for (const other of [...(job.live.get(a.index) ?? [])]) this.stop(other, 0);
   }
 
-  private failure(m: Machine, job: LiveJob, a: Attempt): void {
-    const now = this.now;
-    const { report_s, lease_s } = this.deps.settings.workers;
-    switch (a.cause) {
-      case 'error': {
-        job.failedOn.add(m.id);
-        // Machines are told from jobs: a job that fails wherever it goes says nothing of machines.
-        const jobSuspect = !job.succeeded && job.failedOn.size >= 3;
-        job.postpone(a.index, now, report_s / 2, lease_s * (jobSuspect ? 6 : 1));
-        if (!jobSuspect) {
-          m.errors.set(`${a.job}/${a.index}`, now);
-          this.shun(m, report_s * 2);
-        }
-        this.judge(m);
-        this.deps.log.info(
-          { machine: m.id, job: a.job, index: a.index, jobSuspect },
-          'task failed',
-        );
-        break;
-      }
-      case 'full':
-      case 'busy':
-        this.shun(m, report_s);
-        break;
-      case 'unknown':
-        // The worker did not find the job's description: perhaps it is not there yet.
-        job.postpone(a.index, now, report_s, lease_s * 6);
-        break;
-      default:
-        break;
-    }
-  }
-
-  /** A machine is faulty when tasks of jobs that do well elsewhere fail on it, one after another. */
-  private judge(m: Machine): void {
-    const recent = this.now - this.deps.settings.workers.lease_s * 12;
-    const doubted = new Set<string>();
-    let against = 0;
-    for (const [task, at] of m.errors) {
-      const id = task.slice(0, task.lastIndexOf('/'));
-      if (at < recent) m.errors.delete(task);
-      else if (this.hasSucceeded(id)) against++;
-      // Several tasks of a job with a mistake fail together where it is tried first: that counts once.
-      else if (this.jobs.get(id)?.failedOn.size === 1) doubted.add(id);
-    }
-    if (against + doubted.size >= 2 && !m.faulty) {
-      m.faulty = true;
-      this.deps.log.info({ machine: m.id }, 'faulty machine put aside');
-    }
-  }
-
-  /** Whether some task of a job has done well somewhere. */
-  private hasSucceeded(id: string): boolean {
-    const job = this.jobs.get(id);
-    if (job !== undefined) return job.succeeded;
-    const facts = this.deps.replica.jobs.get(id);
-    return facts !== undefined && outcome(facts) === 'done';
-  }
-
   /** The cloud is about to take the machine: what can be saved is saved now. */
   private drain(m: Machine): void {
     for (const a of [...m.attempts.values()]) {
--- a/src/state/replica.ts
+++ b/src/state/replica.ts
@@ -46,12 +46,18 @@
   onAck?(node: string, ack: records.AckRecord): void;
 }
 
+/** A machine's record and its revision in the store. */
+export interface StoredMachine {
+  record: records.MachineRecord;
+  revision: number;
+}
+
 /** A copy of the store, fed by listing and then by the stream of changes in their order. */
 export class Replica {
   /** All changes up to this revision are in. */
   applied = -1;
   readonly jobs = new Map<string, JobFacts>();
-  readonly machines = new Map<string, { record: records.MachineRecord; revision: number }>();
+  readonly machines = new Map<string, StoredMachine>();
   leader: (records.LeaderRecord & { revision: number }) | null = null;
   /** Controllers whose key is there, with its revision. */
   readonly present = new Map<string, number>();
--- a/test/meeting-elections.test.ts
+++ b/test/meeting-elections.test.ts
@@ -137,7 +137,7 @@
     const c = new Controller(store);
     if (acknowledged > 0) c.election.acknowledge(token + acknowledged);
     store.mode = mode;
-    const answer = await c.election.answerRefused(token, 100, 0);
+    const answer = await c.election.outage.answer(token, 100, 0);
     assert.equal(answer.refused, want, name);
     if (want !== true) continue;
     assert.deepEqual(answer.cancelled, ['wk-1'], 'whoever was refused earlier learns of it');
@@ -161,11 +161,15 @@
     store.mode = 'refuse';
     Object.assign(store, { refusedSince: c.now - LIFE * forLives });
     if (acknowledged) c.election.acknowledge(token + 1);
-    assert.equal(await c.election.mayKeep(), keeps, name);
+    assert.equal(await c.election.outage.mayKeep(), keeps, name);
     if (!keeps) continue;
     c.election.acknowledge(token + 1);
-    assert.equal(await c.election.mayKeep(), false, 'no more once a later one is acknowledged');
+    assert.equal(
+      await c.election.outage.mayKeep(),
+      false,
+      'no more once a later one is acknowledged',
+    );
     c.now += LIFE;
-    assert.equal(await c.election.mayKeep(), false);
+    assert.equal(await c.election.outage.mayKeep(), false);
   }
 });
--- a/test/meeting-witness.test.ts
+++ b/test/meeting-witness.test.ts
@@ -56,8 +56,8 @@
   const { election } = controller(store);
   const looks: ((e: Error) => void)[] = [];
   store.get = () => new Promise((_, reject) => looks.push(reject));
-  const unsure = election.answerRefused(1, 1000, 0);
-  const refused = election.answerRefused(1, 2000, 0);
+  const unsure = election.outage.answer(1, 1000, 0);
+  const refused = election.outage.answer(1, 2000, 0);
   looks[0]!(new Unanswered('no answer'));
   assert.equal((await unsure).refused, undefined);
   looks[1]!(new Refused(503));
@@ -70,7 +70,7 @@
   const store = new MemoryStore();
   const { election } = controller(store, false);
   store.mode = 'refuse';
-  assert.notEqual((await election.answerRefused(3, 1000, 0)).refused, true);
+  assert.notEqual((await election.outage.answer(3, 1000, 0)).refused, true);
 });
 
 test("an earlier attempt's key that turns up late is not taken for this attempt's", async () => {
--- a/test/reports.test.ts
+++ b/test/reports.test.ts
@@ -36,7 +36,7 @@
     let now = 0;
     const parts = {
       settings: { ...settings(), workers: { ...settings().workers, report_s: 2.5 } },
-      election: { entitled: false, mayKeep: () => Promise.resolve(false) },
+      election: { entitled: false, outage: { mayKeep: () => Promise.resolve(false) } },
       state: { health },
       replica: {
         leader: leader === null ? null : { node: leader, revision: 5 },
