--- a/src/main.ts
+++ b/src/main.ts
@@ -59,7 +59,7 @@
   }
   const { operatorScript } = args;
   if (args.check === true) {
-    const { readPolicy } = await import('./operator/policy.js');
+    const { readPolicy } = await import('./operator/load.js');
     const { wrong } = await readPolicy(operatorScript);
     if (wrong !== null) give(wrong);
     process.stdout.write('settings are valid\n');
--- a/src/operator/policy.ts
+++ b/src/operator/policy.ts
@@ -22,17 +22,3 @@
   scaling: 0.001,
   heavy: 1,
 };
-
-/** The operators' factors, or what is wrong with their script. */
-export async function readPolicy(
-  file: string | undefined,
-): Promise<{ policy: Policy; wrong: string | null }> {
-  if (file === undefined) return { policy: DEFAULT_POLICY, wrong: null };
-  const { loadScript, ScriptError } = await import('./script.js');
-  try {
-    return { policy: loadScript(file), wrong: null };
-  } catch (e) {
-    if (!(e instanceof ScriptError)) throw e;
-    return { policy: DEFAULT_POLICY, wrong: `operator script ${file}: ${e.message}` };
-  }
-}
--- a/src/service/run.ts
+++ b/src/service/run.ts
@@ -1,6 +1,6 @@
 import type { Settings } from '../config/settings.js';
 import { makeLog } from '../log.js';
-import { readPolicy } from '../operator/policy.js';
+import { readPolicy } from '../operator/load.js';
 import { limitHeapGrowth } from './heap.js';
 import { Node } from './node.js';
 
