A cancellation stored late is noted by the keepers of zone leases before users are told

Cause (by reasoning, the gap that docs/design.md named): the keepers are told before a cancellation is stored. Where its commit is carried out late, the keeper's process may have ended; the next one may have read the store before that commit, and its zone may be cut off then. It would keep the tasks alive. Change: the round that makes a majority note the cancellation reaches the keepers too; users are told once those whose zones have tasks of the job have noted it, or what they may keep ends in time.

--- a/src/service/cancellation-notices.ts
+++ b/src/service/cancellation-notices.ts
@@ -100,26 +100,40 @@
   async wait(job: string): Promise<number> {
     if (this.byZone.length === 0) return 0;
     this.noteAnnounced(job);
-    const { workers, node: self } = this.settings;
-    const others = this.byZone.filter(([, node]) => node !== self);
-    const told = await Promise.all(
-      others.map(async ([zone, node]) => {
-        const a = await this.peers.ask(node, { q: 'cancelling', job }, TELL_WAIT_S);
-        return { zone, ok: a?.told === true };
+    const others = this.byZone.filter(([, node]) => node !== this.settings.node);
+    const noted = new Set<string>();
+    await Promise.all(
+      others.map(async ([, node]) => {
+        const answer = await this.peers.ask(node, { q: 'cancelling', job }, TELL_WAIT_S);
+        if (answer?.told === true) noted.add(node);
       }),
     );
-    const unsure = new Set(told.filter((t) => !t.ok).map((t) => t.zone));
-    if (unsure.size === 0) return 0;
+    return this.waitUnlessNoted(job, noted);
+  }
+
+  /** The same, where these controllers are known to have noted the cancellation. */
+  waitUnlessNoted(job: string, noted: ReadonlySet<string>): number {
+    const unsure = this.byZone.filter(
+      ([, node]) => node !== this.settings.node && !noted.has(node),
+    );
+    if (unsure.length === 0) return 0;
+    const zones = new Set(unsure.map(([zone]) => zone));
     let wait = 0;
     for (const { record } of this.replica.machines.values()) {
-      if (!unsure.has(record.zone) || !record.claims.some((c) => c.job === job)) continue;
-      const z = this.zoneLeases.zone(record.zone);
-      const present = z.provenAt < Infinity;
-      // Kept to the bound, then a lease, all of it before the time allowed has passed.
-      const gone = z.keptUntil + workers.lease_s * 1.1 + workers.report_s;
-      const left = gone - (this.clock.now() + workers.cancel_s);
-      wait = Math.max(wait, present ? workers.report_s : left);
+      if (!zones.has(record.zone) || !record.claims.some((c) => c.job === job)) continue;
+      wait = Math.max(wait, this.waitForZone(record.zone));
     }
-    return wait <= 0 ? 0 : Math.max(1, Math.ceil(Math.min(wait, workers.lease_s / 2)));
+    const { lease_s } = this.settings.workers;
+    return wait <= 0 ? 0 : Math.max(1, Math.ceil(Math.min(wait, lease_s / 2)));
+  }
+
+  /** Until what a zone's keeper may keep, and does not know to be cancelled, ends within `cancel_s`. */
+  private waitForZone(zone: string): number {
+    const { lease_s, report_s, cancel_s } = this.settings.workers;
+    const { keptUntil, provenAt } = this.zoneLeases.zone(zone);
+    const present = provenAt < Infinity;
+    // Kept to the bound, then a lease, all of it before the time allowed has passed.
+    const gone = keptUntil + lease_s * 1.1 + report_s;
+    return present ? report_s : gone - (this.clock.now() + cancel_s);
   }
 }
--- a/src/service/confirmation.ts
+++ b/src/service/confirmation.ts
@@ -16,6 +16,11 @@
   peers: Pick<PeerNet, 'names' | 'ask'>;
   replica: Pick<Replica, 'lastToken'>;
   clock: Clock;
+  /**
+   * Seconds to wait until no zone's keeper can keep tasks of the job too long, when these controllers
+   * have noted its cancellation; 0: none can.
+   */
+  waitUnlessNoted: (job: string, noted: ReadonlySet<string>) => number;
   /** Seconds for which what is known of a job's confirmation is kept. */
   rememberS: number;
 }
@@ -47,7 +52,7 @@
       entry.confirmed = true;
       return true;
     }
-    entry.asking ??= this.tellMajority(id).finally(() => (entry.asking = null));
+    entry.asking ??= this.tellOthers(id).finally(() => (entry.asking = null));
     if (await entry.asking) entry.confirmed = true;
     return entry.confirmed;
   }
@@ -75,16 +80,25 @@
     return entry;
   }
 
-  /** Resolves as soon as a majority, this controller included, is known to have heard. */
-  private tellMajority(id: string): Promise<boolean> {
-    const { nodes, peers } = this.options;
-    let missing = Math.floor(nodes / 2);
-    if (missing === 0) return Promise.resolve(true);
+  /**
+   * Tells all other controllers. Resolves as soon as a majority, this controller included, is known to
+   * have heard, and every keeper of a zone lease that may keep tasks of the job. Those had been told
+   * before the cancellation was stored; but where it was stored late, the keeper's process may be
+   * another one by now, which had read the store before that.
+   */
+  private tellOthers(id: string): Promise<boolean> {
+    const { nodes, peers, waitUnlessNoted } = this.options;
+    const needed = Math.floor(nodes / 2);
+    const noted = new Set<string>();
+    const enough = (): boolean => noted.size >= needed && waitUnlessNoted(id, noted) <= 0;
+    if (needed === 0) return Promise.resolve(true);
     return new Promise((resolve) => {
       const answers = peers.names.map(async (node) => {
         const question = { q: 'cancelled', job: id } as const;
         const answer = await peers.ask(node, question, TELL_WAIT_S);
-        if (answer?.noted === true && --missing === 0) resolve(true);
+        if (answer?.noted !== true) return;
+        noted.add(node);
+        if (enough()) resolve(true);
       });
       void Promise.all(answers).then(() => resolve(false));
     });
--- a/src/service/node.ts
+++ b/src/service/node.ts
@@ -188,6 +188,7 @@
       peers: this.peers,
       replica: this.replica,
       clock: this.clock,
+      waitUnlessNoted: (job, noted) => this.cancellationNotices.waitUnlessNoted(job, noted),
       rememberS: settings.workers.lease_s * CONFIRMED_LEASES,
     });
     const users = new Users(
--- /dev/null
+++ b/test/confirmation.test.ts
@@ -0,0 +1,73 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { PeerNet } from '../src/cluster/peers.js';
+import { UNHEARD_CONFIRM_S } from '../src/cluster/renewal.js';
+import type { ZoneLeaseWatch } from '../src/cluster/zone-lease.js';
+import { CancellationNotices } from '../src/service/cancellation-notices.js';
+import { CancellationConfirmation } from '../src/service/confirmation.js';
+import type { JobFacts, Replica } from '../src/state/replica.js';
+import { settings } from './helpers.js';
+
+const JOB = 'wk-000001';
+const { lease_s, cancel_s } = settings().workers;
+
+interface Kept {
+  keptUntil: number;
+  provenAt: number;
+}
+
+/** A keeper's key is there; it went long ago; it went just now. */
+const PRESENT: Kept = { keptUntil: 0, provenAt: 0 };
+const LONG_GONE: Kept = { keptUntil: cancel_s - 2 * lease_s, provenAt: Infinity };
+const JUST_GONE: Kept = { keptUntil: 7 * lease_s, provenAt: Infinity };
+
+interface Case {
+  name: string;
+  /** Other controllers that note the cancellation: b keeps zone z1, c none, d zone z2. */
+  noting: string;
+  /** Zones with machines whose records name a task of the job. */
+  zones: string[];
+  kept?: Kept;
+  after?: number;
+  confirmed: boolean;
+}
+
+const CASES: Case[] = [
+  { name: 'all note it', noting: 'bcd', zones: ['z1', 'z2'], confirmed: true },
+  { name: 'a majority, no keeper among them, no tasks there', noting: 'bc', zones: ['z1'], confirmed: true },
+  { name: 'no majority', noting: 'b', zones: ['z1'], confirmed: false },
+  { name: 'nobody, after long', noting: '', zones: [], after: UNHEARD_CONFIRM_S, confirmed: true },
+  // Told before the cancellation was stored; its next process had read the store before that, too.
+  { name: 'a keeper that may have tasks of it does not', noting: 'bc', zones: ['z1', 'z2'], confirmed: false },
+  { name: 'the same, its key just gone', noting: 'bc', zones: ['z2'], kept: JUST_GONE, confirmed: false },
+  { name: 'the same, what it may keep ends in time', noting: 'bc', zones: ['z2'], kept: LONG_GONE, confirmed: true },
+]; // prettier-ignore
+
+test('a cancellation is told once a majority has noted it, and whoever may keep its tasks alive', async () => {
+  for (const { name, noting, zones, kept = PRESENT, after = 0, confirmed } of CASES) {
+    let now = 0;
+    const clock = { now: () => now };
+    const machines = new Map(
+      zones.map((zone) => [zone, { record: { zone, claims: [{ job: JOB }] } }]),
+    );
+    const replica = { machines, jobs: new Map(), lastToken: 1 } as unknown as Replica;
+    const peers = {
+      names: ['b', 'c', 'd'],
+      ask: (node: string) => Promise.resolve(noting.includes(node) ? { noted: true } : null),
+    } as unknown as PeerNet;
+    const keepers: [string, string][] = [['z1', 'b'], ['z2', 'd']]; // prettier-ignore
+    const zoneLeases = { zone: () => kept } as unknown as ZoneLeaseWatch;
+    const notices = new CancellationNotices(
+      settings(), keepers, peers, replica, zoneLeases, clock,
+    ); // prettier-ignore
+    const confirmation = new CancellationConfirmation({
+      nodes: 4, peers, replica, clock, rememberS: 100,
+      waitUnlessNoted: (job, noted) => notices.waitUnlessNoted(job, noted),
+    }); // prettier-ignore
+    const facts = { claims: 1, cancelledAt: 5 } as JobFacts;
+    const first = await confirmation.confirm(facts, JOB);
+    now = after;
+    const last = after === 0 ? first : await confirmation.confirm(facts, JOB);
+    assert.equal(last, confirmed, name);
+  }
+});
