Folders by responsibility: api, heartbeat, cancellation, leader, leadership, peers, controller

src/service and src/cluster held most of the code side by side. Files moved and imports rewritten, class Node is Controller; behaviour unchanged.

--- a/src/service/request-forwarder.ts
+++ b/src/api/request-forwarder.ts
@@ -1,4 +1,4 @@
-import type { PeerNet } from '../cluster/peers.js';
+import type { PeerNet } from '../peers/peers.js';
 import type { Reply } from '../http/server.js';
 import type { StateClient } from '../state/client.js';
 import type { Follower } from '../state/follow.js';
--- a/src/service/users.ts
+++ b/src/api/users.ts
@@ -2,7 +2,7 @@
 import type { Reply } from '../http/server.js';
 import type { MachineType } from '../jobs/types.js';
 import type { Log } from '../log.js';
-import { neverRuns } from '../sched/quota.js';
+import { neverRuns } from '../scheduler/quota.js';
 import type { Follower } from '../state/follow.js';
 import type { RequestWriter } from '../state/request-writer.js';
 import { outcome, type JobFacts, type Replica } from '../state/replica.js';
--- a/src/service/confirmation.ts
+++ b/src/cancellation/confirmation.ts
@@ -1,5 +1,5 @@
-import type { PeerNet } from '../cluster/peers.js';
-import { UNHEARD_CONFIRM_S } from '../cluster/renewal.js';
+import type { PeerNet } from '../peers/peers.js';
+import { UNHEARD_CONFIRM_S } from '../leadership/renewal.js';
 import type { Clock } from '../clock.js';
 import type { JobFacts, Replica } from '../state/replica.js';
 import { SUBMIT_WAIT_S } from '../wire/users.js';
--- a/src/service/cancellation-notices.ts
+++ b/src/cancellation/notices.ts
@@ -1,5 +1,5 @@
-import type { PeerNet } from '../cluster/peers.js';
-import type { ZoneLeaseWatch } from '../cluster/zone-lease.js';
+import type { PeerNet } from '../peers/peers.js';
+import type { ZoneLeaseWatch } from '../leadership/zone-lease.js';
 import type { Clock } from '../clock.js';
 import type { Settings } from '../config/settings.js';
 import { outcome, type Replica } from '../state/replica.js';
--- a/src/cloud/arrivals.ts
+++ b/src/cloud/arrivals.ts
@@ -1,5 +1,5 @@
 import { fits, type JobSpec, type MachineType } from '../jobs/types.js';
-import type { HotImage } from '../sched/place.js';
+import type { HotImage } from '../scheduler/place.js';
 import { warmTarget, type Arrival } from './warm.js';
 
 /** Windows of observation, in boots of the slowest machine type. */
--- a/src/cloud/plan.ts
+++ b/src/cloud/plan.ts
@@ -1,6 +1,13 @@
 import type { JobSpec, MachineType } from '../jobs/types.js';
 import { fits } from '../jobs/types.js';
-import { allowed, bestRoom, take, zoneAllowed, type Room, type Weights } from '../sched/place.js';
+import {
+  allowed,
+  bestRoom,
+  take,
+  zoneAllowed,
+  type Room,
+  type Weights,
+} from '../scheduler/place.js';
 
 /** Tasks that found no room, in the order in which they are wanted. */
 export interface Demand {
--- a/src/service/node.ts
+++ b/src/controller/controller.ts
@@ -1,8 +1,8 @@
 import { random, uniqueName } from '../random.js';
 import { CloudClient } from '../cloud/client.js';
-import { Election } from '../cluster/election.js';
-import { PeerNet, type Answer, type Question } from '../cluster/peers.js';
-import { ZoneLeaseKeeper, ZoneLeaseWatch, zoneLeaseKeepers } from '../cluster/zone-lease.js';
+import { Election } from '../leadership/election.js';
+import { PeerNet, type Answer, type Question } from '../peers/peers.js';
+import { ZoneLeaseKeeper, ZoneLeaseWatch, zoneLeaseKeepers } from '../leadership/zone-lease.js';
 import { sleep, steadyClock, type Clock } from '../clock.js';
 import type { Settings } from '../config/settings.js';
 import type { Message } from '../http/parser.js';
@@ -15,14 +15,14 @@
 import { RequestWriter } from '../state/request-writer.js';
 import { Replica } from '../state/replica.js';
 import { route } from '../wire/users.js';
-import { LeaderAcknowledgements } from './leader-acknowledgements.js';
-import { Costs } from './costs.js';
-import { RequestForwarder } from './request-forwarder.js';
-import { CancellationNotices } from './cancellation-notices.js';
-import { CancellationConfirmation } from './confirmation.js';
-import { Leader } from './leader.js';
-import { Reports } from './reports.js';
-import { Users } from './users.js';
+import { LeaderAcknowledgements } from '../leadership/leader-acknowledgements.js';
+import { Costs } from '../costs.js';
+import { RequestForwarder } from '../api/request-forwarder.js';
+import { CancellationNotices } from '../cancellation/notices.js';
+import { CancellationConfirmation } from '../cancellation/confirmation.js';
+import { Leader } from '../leader/leader.js';
+import { Reports } from '../heartbeat/reports.js';
+import { Users } from '../api/users.js';
 
 /** Jobs that are over stay whole in memory for so many leases after their acceptance. */
 const TRIM_LEASES = 60;
@@ -33,13 +33,13 @@
 /** What is known of the confirmation of cancellations is kept for so many leases. */
 const CONFIRMED_LEASES = 20;
 
-export interface NodeOptions {
+export interface ControllerOptions {
   clock?: Clock;
   wallMs?: () => number;
 }
 
 /** One controller: everything of it that does input and output, put together. */
-export class Node {
+export class Controller {
   readonly state: StateClient;
   readonly replica: Replica;
   readonly follower: Follower;
@@ -68,7 +68,7 @@
     readonly settings: Settings,
     private readonly policy: Policy,
     private readonly log: Log,
-    options: NodeOptions = {},
+    options: ControllerOptions = {},
   ) {
     this.clock = options.clock ?? steadyClock;
     this.costs = new Costs(() => this.clock.now());
--- a/src/service/run.ts
+++ b/src/controller/run.ts
@@ -2,7 +2,7 @@
 import { makeLog } from '../log.js';
 import { readPolicy } from '../operator/load.js';
 import { limitHeapGrowth } from './heap.js';
-import { Node } from './node.js';
+import { Controller } from './controller.js';
 
 /** Between two looks at the heap's growth, in milliseconds. */
 const HEAP_REVIEW_MS = 500;
@@ -23,7 +23,7 @@
   process.on('uncaughtException', (e) => log.error({ err: String(e), stack: e.stack }, 'uncaught'));
   process.on('unhandledRejection', (e) => log.error({ err: String(e) }, 'unhandled rejection'));
   try {
-    await new Node(settings, policy, log).start();
+    await new Controller(settings, policy, log).start();
   } catch (e) {
     giveUp(`cannot listen: ${(e as Error).message}`);
   }
--- a/src/service/reports.ts
+++ b/src/heartbeat/reports.ts
@@ -1,6 +1,6 @@
-import type { Election } from '../cluster/election.js';
-import type { PeerNet } from '../cluster/peers.js';
-import type { ZoneLeaseKeeper, ZoneLeaseWatch } from '../cluster/zone-lease.js';
+import type { Election } from '../leadership/election.js';
+import type { PeerNet } from '../peers/peers.js';
+import type { ZoneLeaseKeeper, ZoneLeaseWatch } from '../leadership/zone-lease.js';
 import type { Clock } from '../clock.js';
 import type { Settings } from '../config/settings.js';
 import type { Reply } from '../http/server.js';
@@ -17,7 +17,7 @@
   type Command,
   type Report,
 } from '../wire/workers.js';
-import type { Leader } from './leader.js';
+import type { Leader } from '../leader/leader.js';
 
 /**
  * Of the time that a worker waits for an answer, what it may be left waiting here, and what one of the
--- a/src/index.ts
+++ b/src/index.ts
@@ -1,5 +1,5 @@
 /** The library: what the program and the tests are made of. */
-export { Node, type NodeOptions } from './service/node.js';
+export { Controller, type ControllerOptions } from './controller/controller.js';
 export { loadSettings, parseSettings, SettingsError, type Settings } from './config/settings.js';
 export { DEFAULT_POLICY, type Policy } from './operator/policy.js';
 export { makeLog, type Log } from './log.js';
--- a/src/service/capacity.ts
+++ b/src/leader/capacity.ts
@@ -4,7 +4,7 @@
 import { comingRoom, planRent, type Demand, type Wanted } from '../cloud/plan.js';
 import type { LiveJob } from '../jobs/live.js';
 import type { MachineType } from '../jobs/types.js';
-import type { Room } from '../sched/place.js';
+import type { Room } from '../scheduler/place.js';
 import { MIN_CHARGE_S, RENT_MAX, type ListedMachine } from '../wire/cloud.js';
 import { holds } from '../workers/attempt.js';
 import type { Machine } from '../workers/machine.js';
--- a/src/service/evictions.ts
+++ b/src/leader/evictions.ts
@@ -1,9 +1,9 @@
 import type { LiveJob } from '../jobs/live.js';
 import { fits, type Size } from '../jobs/types.js';
-import { allowed, putBack, take, zoneAllowed, type Room } from '../sched/place.js';
-import { haste, type Haste, type Waits } from '../sched/objectives.js';
-import { cheapestEviction, type Occupied, type Victim } from '../sched/preempt.js';
-import type { Usages } from '../sched/quota.js';
+import { allowed, putBack, take, zoneAllowed, type Room } from '../scheduler/place.js';
+import { haste, type Haste, type Waits } from '../scheduler/objectives.js';
+import { cheapestEviction, type Occupied, type Victim } from '../scheduler/preempt.js';
+import type { Usages } from '../scheduler/quota.js';
 import { CHANGE_GAP_S } from '../wire/workers.js';
 import { holds, type Attempt } from '../workers/attempt.js';
 import type { Term } from './term.js';
--- a/src/service/leader.ts
+++ b/src/leader/leader.ts
@@ -7,7 +7,7 @@
 import { CHANGE_GAP_S, encodeOrders, type Report } from '../wire/workers.js';
 import { holds } from '../workers/attempt.js';
 import type { Machine } from '../workers/machine.js';
-import type { Costs } from './costs.js';
+import type { Costs } from '../costs.js';
 import { DirectCommands } from './direct.js';
 import { Scheduler } from './scheduler.js';
 import { TermStore } from './store.js';
--- a/src/service/moves.ts
+++ b/src/leader/moves.ts
@@ -1,8 +1,8 @@
 import type { JobSpec } from '../jobs/types.js';
 import { fits } from '../jobs/types.js';
-import { take, zoneAllowed, type Room, type Weights } from '../sched/place.js';
-import type { Usages } from '../sched/quota.js';
-import { chooseVacated, type Candidate } from '../sched/vacate.js';
+import { take, zoneAllowed, type Room, type Weights } from '../scheduler/place.js';
+import type { Usages } from '../scheduler/quota.js';
+import { chooseVacated, type Candidate } from '../scheduler/vacate.js';
 import { splitTask } from '../wire/workers.js';
 import type { LiveJob } from '../jobs/live.js';
 import type { Machine } from '../workers/machine.js';
--- a/src/service/queue.ts
+++ b/src/leader/queue.ts
@@ -1,6 +1,6 @@
 import type { LiveJob } from '../jobs/live.js';
 import { within } from '../jobs/types.js';
-import { LongMarks, compareJobs, remaining, scores, type Ready } from '../sched/rank.js';
+import { LongMarks, compareJobs, remaining, scores, type Ready } from '../scheduler/rank.js';
 import type { Term } from './term.js';
 
 const asReady = (j: LiveJob): Ready => ({
--- a/src/service/rooms.ts
+++ b/src/leader/rooms.ts
@@ -1,6 +1,6 @@
 import type { JobSpec, MachineType, Size } from '../jobs/types.js';
-import { freeShare, putBack, type HotImage, type Room } from '../sched/place.js';
-import { Usages } from '../sched/quota.js';
+import { freeShare, putBack, type HotImage, type Room } from '../scheduler/place.js';
+import { Usages } from '../scheduler/quota.js';
 import { holds } from '../workers/attempt.js';
 import type { Machine } from '../workers/machine.js';
 import type { Term } from './term.js';
--- a/src/service/scheduler.ts
+++ b/src/leader/scheduler.ts
@@ -10,10 +10,10 @@
   take,
   type Room,
   type Weights,
-} from '../sched/place.js';
-import { chooseReservation, type ReservableMachine } from '../sched/reservation.js';
-import { leavesSoon, Waits } from '../sched/objectives.js';
-import type { Usages } from '../sched/quota.js';
+} from '../scheduler/place.js';
+import { chooseReservation, type ReservableMachine } from '../scheduler/reservation.js';
+import { leavesSoon, Waits } from '../scheduler/objectives.js';
+import type { Usages } from '../scheduler/quota.js';
 import { specOf } from '../state/replica.js';
 import { CHANGE_GAP_S } from '../wire/workers.js';
 import { makeAttempt } from '../workers/attempt.js';
--- a/src/service/term.ts
+++ b/src/leader/term.ts
@@ -5,7 +5,7 @@
 import type { Log } from '../log.js';
 import type { Policy } from '../operator/policy.js';
 import { outcome, type JobFacts, type Replica, type StoredMachine } from '../state/replica.js';
-import { FetchTimes } from '../sched/fetches.js';
+import { FetchTimes } from '../scheduler/fetches.js';
 import { advance, holds, makeAttempt, mayBeThere, type Attempt } from '../workers/attempt.js';
 import { Machine, type Changes } from '../workers/machine.js';
 import { MachineHealth } from './machine-health.js';
--- a/src/service/leader-acknowledgements.ts
+++ b/src/leadership/leader-acknowledgements.ts
@@ -1,6 +1,6 @@
-import type { Election } from '../cluster/election.js';
-import { QuorumAcknowledgement } from '../cluster/quorum.js';
-import type { PeerNet } from '../cluster/peers.js';
+import type { Election } from './election.js';
+import { QuorumAcknowledgement } from './quorum.js';
+import type { PeerNet } from '../peers/peers.js';
 import { sleep, type Clock } from '../clock.js';
 import type { Settings } from '../config/settings.js';
 import type { Log } from '../log.js';
--- a/src/cluster/outage.ts
+++ b/src/leadership/outage.ts
@@ -4,7 +4,7 @@
 import type { Follower } from '../state/follow.js';
 import type { Replica } from '../state/replica.js';
 import * as records from '../state/records.js';
-import type { PeerNet } from './peers.js';
+import type { PeerNet } from '../peers/peers.js';
 import { UNHEARD_CONFIRM_S } from './renewal.js';
 
 /** Cancellations told in one answer, at most: a third of a frame between controllers. */
--- a/src/main.ts
+++ b/src/main.ts
@@ -45,7 +45,7 @@
 async function main(): Promise<void> {
   const args = await readArgs(process.argv.slice(2));
   if (args.status !== undefined) {
-    const { showStatus } = await import('./service/status.js');
+    const { showStatus } = await import('./controller/status.js');
     const failed = await showStatus(args.status);
     if (failed !== null) give(`status of ${args.status}: ${failed}`);
     return;
@@ -68,10 +68,10 @@
   if (args.profile !== undefined) {
     const times = /^(\d+)\+(\d+)$/.exec(args.profile);
     if (times === null) give(`profile ${args.profile}: must be WAIT+SECONDS`);
-    const { profileFor } = await import('./service/profile.js');
+    const { profileFor } = await import('./controller/profile.js');
     void profileFor(Number(times[1]), Number(times[2]), (text) => process.stderr.write(text));
   }
-  const { runController } = await import('./service/run.js');
+  const { runController } = await import('./controller/run.js');
   await runController(settings, operatorScript, give);
 }
 
--- a/test/confirmation.test.ts
+++ b/test/confirmation.test.ts
@@ -1,10 +1,10 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import type { PeerNet } from '../src/cluster/peers.js';
-import { UNHEARD_CONFIRM_S } from '../src/cluster/renewal.js';
-import type { ZoneLeaseWatch } from '../src/cluster/zone-lease.js';
-import { CancellationNotices } from '../src/service/cancellation-notices.js';
-import { CancellationConfirmation } from '../src/service/confirmation.js';
+import type { PeerNet } from '../src/peers/peers.js';
+import { UNHEARD_CONFIRM_S } from '../src/leadership/renewal.js';
+import type { ZoneLeaseWatch } from '../src/leadership/zone-lease.js';
+import { CancellationNotices } from '../src/cancellation/notices.js';
+import { CancellationConfirmation } from '../src/cancellation/confirmation.js';
 import type { JobFacts, Replica } from '../src/state/replica.js';
 import { settings } from './helpers.js';
 
--- a/test/large.test.ts
+++ b/test/large.test.ts
@@ -3,7 +3,7 @@
 import { parseSettings } from '../src/config/settings.js';
 import { silentLog } from '../src/log.js';
 import { DEFAULT_POLICY } from '../src/operator/policy.js';
-import { Node } from '../src/service/node.js';
+import { Controller } from '../src/controller/controller.js';
 import * as records from '../src/state/records.js';
 import { freePort, g8, settingsText, spec, until } from './helpers.js';
 import { Cloud, MACHINE_GPUS } from './standins/cloud.js';
@@ -51,7 +51,7 @@
   }
   const ports = [{ bind: await freePort(), peer: await freePort() }];
   const text = settingsText(0, ports, cloud.port, state.port, 60);
-  const node = new Node(parseSettings(text), DEFAULT_POLICY, silentLog());
+  const node = new Controller(parseSettings(text), DEFAULT_POLICY, silentLog());
   await node.start();
   try {
     await until('leads', () => node.leader !== null);
--- a/test/link.test.ts
+++ b/test/link.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { connect } from 'node:net';
 import { test } from 'node:test';
-import { encodeFrame, FrameReader, PeerNet } from '../src/cluster/peers.js';
+import { encodeFrame, FrameReader, PeerNet } from '../src/peers/peers.js';
 import { silentLog } from '../src/log.js';
 
 test('frames survive any cutting; what is too long or no CBOR is refused', () => {
--- a/test/meeting-elections.test.ts
+++ b/test/meeting-elections.test.ts
@@ -1,8 +1,8 @@
 /** Meetings of refusals, outages and lost answers with the question of who leads. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { Election } from '../src/cluster/election.js';
-import type { Answer, PeerNet, Question } from '../src/cluster/peers.js';
+import { Election } from '../src/leadership/election.js';
+import type { Answer, PeerNet, Question } from '../src/peers/peers.js';
 import { silentLog } from '../src/log.js';
 import type { Follower } from '../src/state/follow.js';
 import * as records from '../src/state/records.js';
--- a/test/meeting-users.test.ts
+++ b/test/meeting-users.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { silentLog } from '../src/log.js';
-import { Users } from '../src/service/users.js';
+import { Users } from '../src/api/users.js';
 import { Follower } from '../src/state/follow.js';
 import { RequestWriter } from '../src/state/request-writer.js';
 import * as records from '../src/state/records.js';
--- a/test/meeting-witness.test.ts
+++ b/test/meeting-witness.test.ts
@@ -1,8 +1,8 @@
 /** Who leads, and who bears witness for whom, when answers are lost and looks at the store differ. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { Election } from '../src/cluster/election.js';
-import type { PeerNet } from '../src/cluster/peers.js';
+import { Election } from '../src/leadership/election.js';
+import type { PeerNet } from '../src/peers/peers.js';
 import { silentLog } from '../src/log.js';
 import { Refused, Unanswered } from '../src/state/client.js';
 import type { Follower } from '../src/state/follow.js';
--- a/test/program.test.ts
+++ b/test/program.test.ts
@@ -36,7 +36,7 @@
 const SLACK_MB = 24;
 
 test('the heap stays in proportion to what it holds, whatever the machine has', () => {
-  const heap = new URL('../src/service/heap.js', import.meta.url).href;
+  const heap = new URL('../src/controller/heap.js', import.meta.url).href;
   for (const objects of [60_000, 240_000]) {
     const args = ['--input-type=module', '-e', CHURN, heap, String(objects), String(LEAST_MB)];
     const output = String(spawnSync(process.execPath, args).stdout);
--- a/test/quorum.test.ts
+++ b/test/quorum.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { after, before, test } from 'node:test';
-import { QuorumAcknowledgement } from '../src/cluster/quorum.js';
+import { QuorumAcknowledgement } from '../src/leadership/quorum.js';
 import { ACKS } from '../src/state/records.js';
 import { until, wait } from './helpers.js';
 import { Cluster } from './standins/cluster.js';
--- a/test/reports.test.ts
+++ b/test/reports.test.ts
@@ -1,9 +1,9 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import type { Answer } from '../src/cluster/peers.js';
+import type { Answer } from '../src/peers/peers.js';
 import { silentLog } from '../src/log.js';
-import { CancellationNotices } from '../src/service/cancellation-notices.js';
-import { Reports } from '../src/service/reports.js';
+import { CancellationNotices } from '../src/cancellation/notices.js';
+import { Reports } from '../src/heartbeat/reports.js';
 import type { Replica } from '../src/state/replica.js';
 import { ANSWER_WAIT_S } from '../src/wire/workers.js';
 import { settings } from './helpers.js';
--- a/test/request-forwarder.test.ts
+++ b/test/request-forwarder.test.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import type { Answer } from '../src/cluster/peers.js';
-import { RequestForwarder } from '../src/service/request-forwarder.js';
-import type { Users } from '../src/service/users.js';
+import type { Answer } from '../src/peers/peers.js';
+import { RequestForwarder } from '../src/api/request-forwarder.js';
+import type { Users } from '../src/api/users.js';
 import type { Health, StateClient } from '../src/state/client.js';
 import { Refused, Unanswered } from '../src/state/client.js';
 import type { Follower } from '../src/state/follow.js';
--- a/test/sched.test.ts
+++ b/test/sched.test.ts
@@ -1,5 +1,5 @@
 import assert from 'node:assert/strict';
-import { FetchTimes } from '../src/sched/fetches.js';
+import { FetchTimes } from '../src/scheduler/fetches.js';
 import { test } from 'node:test';
 import { planRent, type Demand } from '../src/cloud/plan.js';
 import { warmTarget } from '../src/cloud/warm.js';
@@ -13,11 +13,11 @@
   reserved,
   zoneAllowed,
   type Room,
-} from '../src/sched/place.js';
-import { haste, Waits } from '../src/sched/objectives.js';
-import { cheapestEviction } from '../src/sched/preempt.js';
-import { chooseVacated } from '../src/sched/vacate.js';
-import { Usages } from '../src/sched/quota.js';
+} from '../src/scheduler/place.js';
+import { haste, Waits } from '../src/scheduler/objectives.js';
+import { cheapestEviction } from '../src/scheduler/preempt.js';
+import { chooseVacated } from '../src/scheduler/vacate.js';
+import { Usages } from '../src/scheduler/quota.js';
 import {
   LongMarks,
   compareJobs,
@@ -25,7 +25,7 @@
   longThreshold,
   remaining,
   scores,
-} from '../src/sched/rank.js';
+} from '../src/scheduler/rank.js';
 import { g8, settings, spec } from './helpers.js';
 
 const ready = (over = {}) => ({
--- a/test/standins/cluster.ts
+++ b/test/standins/cluster.ts
@@ -2,7 +2,7 @@
 import { parseSettings } from '../../src/config/settings.js';
 import { silentLog } from '../../src/log.js';
 import { DEFAULT_POLICY } from '../../src/operator/policy.js';
-import { Node } from '../../src/service/node.js';
+import { Controller } from '../../src/controller/controller.js';
 import {
   freePort,
   GANG_PEER_S,
@@ -35,7 +35,7 @@
   readonly cloud: Cloud;
   readonly users: Users;
   readonly ports: Ports[] = [];
-  readonly controllers: (Node | null)[] = [];
+  readonly controllers: (Controller | null)[] = [];
   /** The way to the state service of each controller. */
   readonly stateGates: Gate[] = [];
   /** The way from one controller to another. */
@@ -99,7 +99,7 @@
     });
     const stateGate = this.stateGates[index]!.port;
     const text = settingsText(index, seen, this.cloud.port, stateGate, leaseS, zones, cancelS);
-    const controller = new Node(parseSettings(text), DEFAULT_POLICY, silentLog());
+    const controller = new Controller(parseSettings(text), DEFAULT_POLICY, silentLog());
     await controller.start();
     this.controllers[index] = controller;
   }
--- a/test/stop.test.ts
+++ b/test/stop.test.ts
@@ -5,7 +5,7 @@
 import { parseSettings } from '../src/config/settings.js';
 import { silentLog } from '../src/log.js';
 import { DEFAULT_POLICY } from '../src/operator/policy.js';
-import { Node } from '../src/service/node.js';
+import { Controller } from '../src/controller/controller.js';
 import { freePort, settingsText, wait } from './helpers.js';
 import { Cloud } from './standins/cloud.js';
 import { RuleChecker } from './standins/rules.js';
@@ -47,7 +47,7 @@
   await Promise.all([cloud.listen(), access.listen()]);
   const ports = [{ bind: await freePort(), peer: await freePort() }];
   const text = settingsText(0, ports, cloud.port, access.port, LEASE_S);
-  const controller = new Node(parseSettings(text), DEFAULT_POLICY, silentLog());
+  const controller = new Controller(parseSettings(text), DEFAULT_POLICY, silentLog());
   await controller.start();
   await wait(ms);
   controller.stop();
@@ -77,7 +77,7 @@
   taken.listen(peer, '127.0.0.1');
   await once(taken, 'listening');
   const settings = parseSettings(settingsText(0, [{ bind, peer }]));
-  const controller = new Node(settings, DEFAULT_POLICY, silentLog());
+  const controller = new Controller(settings, DEFAULT_POLICY, silentLog());
   await assert.rejects(controller.start(), /EADDRINUSE/);
   assert.ok(await isRefused(bind));
   taken.close();
--- a/test/users.test.ts
+++ b/test/users.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { neverRuns } from '../src/sched/quota.js';
+import { neverRuns } from '../src/scheduler/quota.js';
 import { BadMessage, parseSubmission, route } from '../src/wire/users.js';
 import { g8, settings, spec } from './helpers.js';
 
--- a/test/zone-lease.test.ts
+++ b/test/zone-lease.test.ts
@@ -6,9 +6,9 @@
   ZoneLeaseWatch,
   zoneLeaseKeepers,
   zoneLeaseTimes,
-} from '../src/cluster/zone-lease.js';
+} from '../src/leadership/zone-lease.js';
 import { silentLog } from '../src/log.js';
-import { KEEP_SHARE } from '../src/service/reports.js';
+import { KEEP_SHARE } from '../src/heartbeat/reports.js';
 import { Refused, Unanswered } from '../src/state/client.js';
 import { ANSWER_WAIT_S } from '../src/wire/workers.js';
 import { until, wait } from './helpers.js';
