--- a/test/standins/cluster.ts
+++ b/test/standins/cluster.ts
@@ -125,6 +125,14 @@
     return this.leader();
   }
 
+  /** Waits until every machine that is up has had an answer from the only leader. */
+  async leaderIsHeard(): Promise<void> {
+    await until('the leader is heard', () => {
+      const token = this.controllers[this.leader()]?.election.token;
+      return this.workers.every((worker) => worker.token === token);
+    });
+  }
+
   /** Cuts or restores all links of these controllers with any other. */
   cutLinks(cut: boolean, ...of: number[]): void {
     for (const { from, to, gate } of this.links) {
