Requests by class in slices of time; answers are read before their time limits are up

A controller found hundreds of requests in one turn of the event loop and handled all of them before timers and the store's answers; its timers, run before input is read, then gave up renewals of the leader's lease whose answers lay in their sockets. Requests have a slice of time a turn now; what is left over waits by class: reports, cancellations, polls, submissions. By delay, placing is spaced first, then submissions, polls and cancellations are refused at once; reports that their workers have given up are dropped.

--- /dev/null
+++ b/src/admission/overload.ts
@@ -0,0 +1,67 @@
+import { ANSWER_WAIT_S } from '../wire/workers.js';
+
+/**
+ * What a controller that can't keep up does first, and what last. docs/overload.md has the order, the
+ * thresholds and the reasons.
+ *
+ * All thresholds are shares of the time that a worker waits for the answer to its report: work that is
+ * given up below it leaves that time to the reports.
+ */
+
+/** Requests in the order in which they are served, and in the reverse of that in which they are refused. */
+export const REQUEST_CLASSES = ['report', 'cancellation', 'poll', 'submission'] as const;
+export type RequestClass = (typeof REQUEST_CLASSES)[number];
+
+/** A delay above this share: the leader places less often. */
+const PLACE_LESS_SHARE = 0.125;
+/**
+ * A delay above this share: requests of the class are refused when they arrive. Reports are never
+ * refused on arrival: one is dropped when it has waited for so long that the worker has given it up.
+ */
+const REFUSE_SHARES: Record<RequestClass, number> = {
+  report: Infinity,
+  cancellation: 0.75,
+  poll: 0.5,
+  submission: 0.25,
+};
+
+/** The share of time that passes of placing may take, so that reports and users never wait for it. */
+const PASS_SHARE = 0.2;
+/** The same on a controller that is late. */
+const LATE_PASS_SHARE = 0.05;
+
+/** Seconds of delay above which requests of a class are refused. */
+export const refusedAboveS = (kind: RequestClass): number => ANSWER_WAIT_S * REFUSE_SHARES[kind];
+
+/** How far this controller is behind, and what it does less of because of that. */
+export class Overload {
+  private latestLagS = 0;
+  private lagBeforeS = 0;
+  /** How long the request that has waited longest has waited; set by the queue that holds it. */
+  oldestWaitS: () => number = () => 0;
+
+  /** How late a regular timer fired. */
+  noteLag(lagS: number): void {
+    this.lagBeforeS = this.latestLagS;
+    this.latestLagS = lagS;
+  }
+
+  /**
+   * Seconds by which this controller is behind: the age of the oldest request that waits, or how late
+   * timers fire. One late timer is no overload: a single long piece of work is over when it is seen, and
+   * users' requests would be refused for nothing. So the smaller of the last two counts.
+   */
+  get delayS(): number {
+    return Math.max(this.oldestWaitS(), Math.min(this.latestLagS, this.lagBeforeS));
+  }
+
+  /** Whether a request that arrives now is refused at once. */
+  refuses(kind: RequestClass): boolean {
+    return this.delayS > refusedAboveS(kind);
+  }
+
+  /** The share of time that passes of placing may take now. */
+  get passShare(): number {
+    return this.delayS > ANSWER_WAIT_S * PLACE_LESS_SHARE ? LATE_PASS_SHARE : PASS_SHARE;
+  }
+}
--- a/src/clock.ts
+++ b/src/clock.ts
@@ -8,6 +8,15 @@
 export const sleep = (seconds: number): Promise<void> =>
   new Promise((resolve) => setTimeout(resolve, Math.max(0, seconds * 1000)));
 
+/**
+ * A time limit for an answer. On a loop that is late its timers run before it reads what has arrived: a
+ * leader's renewals were given up, with their connections, while the store's answers lay there unread.
+ * So when the time is up, one more reading of input comes first. Whoever calls looks whether the answer
+ * is there by then; `clearTimeout` on what is returned only stops it until the time is up.
+ */
+export const answerTimeout = (callback: () => void, ms: number): NodeJS.Timeout =>
+  setTimeout(() => setImmediate(callback), ms);
+
 /** A pause that can be ended early. */
 export class Pause {
   private wake: (() => void) | null = null;
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -15,13 +15,16 @@
 import { RequestWriter } from '../state/request-writer.js';
 import { Replica } from '../state/replica.js';
 import { route } from '../wire/users.js';
+import { ANSWER_WAIT_S } from '../wire/workers.js';
 import { LeaderAcknowledgements } from '../leadership/leader-acknowledgements.js';
 import { Costs } from '../costs.js';
-import { RequestForwarder } from '../api/request-forwarder.js';
+import { RequestForwarder, type UserRequest } from '../api/request-forwarder.js';
 import { CancellationNotices } from '../cancellation/notices.js';
 import { CancellationConfirmation } from '../cancellation/confirmation.js';
 import { Leader } from '../leader/leader.js';
-import { Reports } from '../heartbeat/reports.js';
+import { Overload } from '../admission/overload.js';
+import { ASK_SHARE, KEEP_SHARE, Reports } from '../heartbeat/reports.js';
+import { RequestQueue } from '../admission/request-queue.js';
 import { Users } from '../api/users.js';
 
 /** Jobs that are over stay whole in memory for so many leases after their acceptance. */
@@ -30,6 +33,16 @@
 const SERVER_SOCKETS = 0.6;
 /** Costs are logged, and old jobs trimmed, once in so many ticks. */
 const COST_TICKS = 40;
+/**
+ * How long a report may wait here for its turn: served later, its answer would come after whoever asked
+ * has given up. To pass a report on takes a while too, and so does the way back of the answer to one
+ * that was passed on.
+ */
+const REPORT_PATIENCE_S = ANSWER_WAIT_S * KEEP_SHARE;
+const RELAY_PATIENCE_S = ANSWER_WAIT_S * (KEEP_SHARE - ASK_SHARE);
+const PASSED_ON_PATIENCE_S = ANSWER_WAIT_S * ASK_SHARE * 0.75;
+const CLASS_OF = { submit: 'submission', poll: 'poll', cancel: 'cancellation' } as const;
+const BUSY: Reply = { status: 503, retryAfter: 1 };
 /** What is known of the confirmation of cancellations is kept for so many leases. */
 const CONFIRMED_LEASES = 20;
 
@@ -61,6 +74,8 @@
   private stopped = false;
   private tickTimer: NodeJS.Timeout | undefined;
   private readonly costs: Costs;
+  private readonly overload = new Overload();
+  private readonly requests: RequestQueue;
   private tickedAt: number | null = null;
   private ticks = 0;
 
@@ -73,6 +88,13 @@
     this.clock = options.clock ?? steadyClock;
     this.costs = new Costs(() => this.clock.now());
     this.wallMs = options.wallMs ?? Date.now;
+    this.requests = new RequestQueue({
+      clock: this.clock,
+      leaseS: settings.workers.lease_s,
+      capacity: settings.limits.sockets,
+      overload: this.overload,
+      onError: (e) => log.error({ err: String(e) }, 'serving requests failed'),
+    });
     // Never the same twice: names of requests and of stored batches begin with it.
     this.incarnation = `${settings.node}-${uniqueName()}`;
     this.state = new StateClient(settings, this.clock);
@@ -238,7 +260,11 @@
   private onTick(): void {
     const now = this.clock.now();
     const interval = this.settings.workers.report_s / 2;
-    if (this.tickedAt !== null) this.costs.record('lag', now - this.tickedAt - interval);
+    if (this.tickedAt !== null) {
+      const lag = now - this.tickedAt - interval;
+      this.costs.record('lag', lag);
+      this.overload.noteLag(lag);
+    }
     this.tickedAt = now;
     if (++this.ticks % COST_TICKS === 0) {
       this.log.debug(this.costs.figures(), 'costs');
@@ -316,6 +342,7 @@
       this.cloud,
       () => this.election.nudge(),
       this.costs,
+      this.overload,
     );
     void this.acknowledgements.collect(token);
     this.leader.start();
@@ -334,14 +361,12 @@
     const to = route(m.method, m.target);
     switch (to.to) {
       case 'checkin':
-        return this.costs.time('report', () => this.reports.checkin(m.body));
+        return this.report(m.body);
       case 'submit':
-        return this.costs.time('submission', () =>
-          this.forwarder.serve({ to: 'submit', body: m.body }),
-        );
+        return this.user({ to: 'submit', body: m.body });
       case 'poll':
       case 'cancel':
-        return this.forwarder.serve(to);
+        return this.user(to);
       case 'ready':
         return this.forwarder.ready()
           ? { status: 200, body: '{}' }
@@ -355,6 +380,20 @@
     }
   }
 
+  private report(body: Buffer): Reply | Promise<Reply> {
+    const arrivedAt = this.clock.now();
+    const work = (): Reply | Promise<Reply> =>
+      this.costs.time('report', () => this.reports.checkin(body, arrivedAt));
+    const patienceS = this.leader === null ? RELAY_PATIENCE_S : REPORT_PATIENCE_S;
+    return this.requests.run('report', work, BUSY, patienceS);
+  }
+
+  private user(request: UserRequest): Reply | Promise<Reply> {
+    const serve = (): Promise<Reply> => this.forwarder.serve(request);
+    const work = request.to === 'submit' ? () => this.costs.time('submission', serve) : serve;
+    return this.requests.run(CLASS_OF[request.to], work, BUSY);
+  }
+
   private knownCancelled(ids: string[]): void {
     for (const id of ids) {
       this.cancellationNotices.noteStored(id);
@@ -367,16 +406,21 @@
       case 'report': {
         if (typeof q.body !== 'string') return { status: 503 };
         const { body, hop } = q;
-        const r = this.costs.time('report', () => this.reports.passedOn(body, hop === true));
-        if (r instanceof Promise) return r.then((x) => ({ ...(x ?? { status: 504 }) }));
-        return { ...r };
+        const work = (): Answer | Promise<Answer> => this.passedOn(body, hop === true);
+        return this.requests.run('report', work, { status: 503 }, PASSED_ON_PATIENCE_S);
       }
       case 'elected':
         return this.acknowledgements.answer(q.token);
       case 'there':
         return { there: true };
       case 'user':
-        return this.forwarder.passedOn(q.to, q.text);
+        // Refused without a status: another controller may have time for it.
+        if (!Object.hasOwn(CLASS_OF, q.to)) return {};
+        return this.requests.run<Answer>(
+          CLASS_OF[q.to],
+          () => this.forwarder.passedOn(q.to, q.text),
+          {},
+        );
       case 'cancelling':
         if (typeof q.job !== 'string' || q.job.length > 200) return {};
         this.cancellationNotices.noteAnnounced(q.job);
@@ -392,6 +436,12 @@
     }
   }
 
+  private passedOn(body: string, hop: boolean): Answer | Promise<Answer> {
+    const r = this.costs.time('report', () => this.reports.passedOn(body, hop));
+    if (r instanceof Promise) return r.then((x) => ({ ...(x ?? { status: 504 }) }));
+    return { ...r };
+  }
+
   figures(): Record<string, unknown> {
     return {
       node: this.settings.node,
@@ -407,6 +457,7 @@
       heap_mb: Math.round(process.memoryUsage().heapTotal / 1e6),
       ...this.leader?.figures(),
       ...this.costs.figures(),
+      ...this.requests.figures(),
     };
   }
 }
--- a/src/heartbeat/reports.ts
+++ b/src/heartbeat/reports.ts
@@ -25,7 +25,7 @@
  * workers had given up: those of a zone just cut off went to look elsewhere, which took a lease.
  */
 export const KEEP_SHARE = 0.875;
-const ASK_SHARE = 0.25;
+export const ASK_SHARE = 0.25;
 const HOP_SHARE = 0.3;
 /** A worker is sent to its zone's controller no more than once in so many leases. */
 const HOME_LEASES = 3;
@@ -55,8 +55,9 @@
 
   constructor(private readonly parts: Parts) {}
 
-  checkin(body: Buffer): Reply | Promise<Reply> {
-    const { settings, election, replica, zoneKeeper, clock, log } = this.parts;
+  /** `arrivedAt`: it may have waited here before its turn came. */
+  checkin(body: Buffer, arrivedAt = this.parts.clock.now()): Reply | Promise<Reply> {
+    const { settings, election, replica, zoneKeeper, log } = this.parts;
     const text = body.toString('utf8');
     let report: Report;
     try {
@@ -74,7 +75,7 @@
     if (zoneKeeper?.mayKeep() === true && report.zone === settings.zone) {
       return this.keep(report, replica.lastToken);
     }
-    const deadline = clock.now() + ANSWER_WAIT_S * KEEP_SHARE;
+    const deadline = arrivedAt + ANSWER_WAIT_S * KEEP_SHARE;
     const alone = zoneKeeper?.state === 'alone';
     const leads = replica.leader;
     const served = this.parts.state.health === 'served';
--- a/src/http/client.ts
+++ b/src/http/client.ts
@@ -1,4 +1,5 @@
 import { connect, type Socket } from 'node:net';
+import { answerTimeout } from '../clock.js';
 import { HttpParser } from './parser.js';
 import type { Endpoint } from '../config/endpoint.js';
 
@@ -47,7 +48,9 @@
   start(job: Job): void {
     this.job = job;
     const wait = Math.max(1, job.deadline - performance.now());
-    job.timer = setTimeout(() => this.fail('no response in time'), wait);
+    job.timer = answerTimeout(() => {
+      if (this.job === job) this.fail('no response in time');
+    }, wait);
     const body = job.body ?? '';
     let head = `${job.method} ${job.path} HTTP/1.1\r\nHost: ${this.owner.at.host}\r\n`;
     if (job.body !== undefined) {
--- a/src/leader/leader.ts
+++ b/src/leader/leader.ts
@@ -9,6 +9,7 @@
 import type { Machine } from '../workers/machine.js';
 import type { Costs } from '../costs.js';
 import { DirectCommands } from './direct.js';
+import { Overload } from '../admission/overload.js';
 import { Scheduler } from './scheduler.js';
 import { TermStore } from './store.js';
 import { Term, type TermDeps } from './term.js';
@@ -16,8 +17,6 @@
 
 /** Events come in clusters: passes are at least so far apart. */
 const PASS_GAP_S = CHANGE_GAP_S / 10;
-/** The share of time that passes may take, so that reports and users never wait for placing. */
-const PASS_SHARE = 0.2;
 /** Records of machines that are silent and gone from the cloud's list are dropped after it. */
 const FORGET_LEASES = 6;
 
@@ -41,6 +40,7 @@
     cloud: CloudClient,
     onLost: () => void,
     private readonly costs: Costs,
+    private readonly overload = new Overload(),
   ) {
     this.term = new Term(deps);
     this.term.onStir = () => this.schedule();
@@ -192,7 +192,10 @@
     this.direct.push();
     if (capacity.demand.length > 0) capacity.fleet.nudge();
     const end = deps.clock.now();
-    this.nextPass = Math.max(began + PASS_GAP_S, end + (end - began) * (1 / PASS_SHARE - 1));
+    this.nextPass = Math.max(
+      began + PASS_GAP_S,
+      end + (end - began) * (1 / this.overload.passShare - 1),
+    );
   }
 
   private logFenced(): void {
--- a/src/peers/peers.ts
+++ b/src/peers/peers.ts
@@ -1,6 +1,7 @@
 import { random } from '../random.js';
 import { connect, createServer, type Server, type Socket } from 'node:net';
 import { Decoder, Encoder } from 'cbor-x';
+import { answerTimeout } from '../clock.js';
 import type { Endpoint } from '../config/endpoint.js';
 import type { Log } from '../log.js';
 
@@ -138,7 +139,9 @@
     const down = (): void => {
       if (this.socket === socket) this.become('down');
     };
-    const slow = setTimeout(down, 1500);
+    const slow = answerTimeout(() => {
+      if (this.state === 'connecting') down();
+    }, 1500);
     socket.on('connect', () => {
       clearTimeout(slow);
       if (this.socket === socket) this.become('up');
@@ -179,8 +182,8 @@
     const id = this.nextId++;
     const sentAt = performance.now();
     return new Promise((resolve) => {
-      const timer = setTimeout(() => {
-        this.pending.delete(id);
+      const timer = answerTimeout(() => {
+        if (!this.pending.delete(id)) return;
         resolve(null);
         // Hanging, perhaps cut off: a new connection is the only way to find out. Not when others were
         // answered meanwhile: hundreds of reports may be under way on this one.
--- /dev/null
+++ b/test/overload.test.ts
@@ -0,0 +1,273 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { steadyClock } from '../src/clock.js';
+import { Overload, refusedAboveS, type RequestClass } from '../src/admission/overload.js';
+import { RequestQueue } from '../src/admission/request-queue.js';
+import { ANSWER_WAIT_S } from '../src/wire/workers.js';
+
+const LEASE_S = 10;
+/** What the queue takes for a slice: a hundredth of the lease. */
+const SLICE_S = LEASE_S / 100;
+
+/** A queue with a clock and an event loop of the test's own; `turn` is one turn of that loop. */
+class Rig {
+  now = 0;
+  readonly served: string[] = [];
+  readonly overload = new Overload();
+  readonly errors: unknown[] = [];
+  private deferred: (() => void)[] = [];
+  readonly queue: RequestQueue;
+
+  constructor(capacity = 1000) {
+    this.queue = new RequestQueue({
+      clock: { now: () => this.now },
+      leaseS: LEASE_S,
+      capacity,
+      overload: this.overload,
+      defer: (callback) => this.deferred.push(callback),
+      onError: (e) => this.errors.push(e),
+    });
+  }
+
+  /** A request whose handling takes `costS`; the answer is its name, or `refused`. */
+  ask(kind: RequestClass, name: string, costS = 0, patienceS?: number): unknown {
+    const work = (): string => {
+      this.served.push(name);
+      this.now += costS;
+      return name;
+    };
+    return this.queue.run(kind, work, 'refused', patienceS);
+  }
+
+  /** Uses the slice up, so that what comes next waits. */
+  fill(): void {
+    this.ask('report', 'first', SLICE_S);
+    this.served.length = 0;
+  }
+
+  turn(): void {
+    const callbacks = this.deferred;
+    this.deferred = [];
+    for (const callback of callbacks) callback();
+  }
+
+  get busy(): boolean {
+    return this.deferred.length > 0;
+  }
+
+  drain(): void {
+    while (this.busy) this.turn();
+  }
+}
+
+test('a controller that keeps up handles each request when it comes, whatever its class', () => {
+  const rig = new Rig();
+  for (let turn = 0; turn < 3; turn++) {
+    for (const kind of ['submission', 'report', 'poll', 'cancellation'] as const) {
+      assert.equal(rig.ask(kind, kind, SLICE_S / 10), kind, 'no promise: answered at once');
+    }
+    rig.turn();
+    assert.equal(rig.busy, false, 'nothing is left to do');
+  }
+  assert.equal(rig.queue.figures().requests_waiting, 0);
+});
+
+test('what waits is served by class, each class in the order of arrival', async () => {
+  const cases: [string, [RequestClass, string][], string[]][] = [
+    [
+      'all classes, the least first',
+      [['submission', 's'], ['poll', 'p'], ['cancellation', 'c'], ['report', 'r']],
+      ['r', 'c', 'p', 's'],
+    ],
+    [
+      "a machine's reports",
+      [['report', 'm1'], ['poll', 'p'], ['report', 'm2'], ['report', 'm3']],
+      ['m1', 'm2', 'm3', 'p'],
+    ],
+  ]; // prettier-ignore
+  for (const [name, requests, served] of cases) {
+    const rig = new Rig();
+    rig.fill();
+    const answers = requests.map(([kind, request]) => rig.ask(kind, request));
+    assert.deepEqual(rig.served, [], `${name}: the slice was used up`);
+    rig.drain();
+    assert.deepEqual(rig.served, served, name);
+    assert.deepEqual(
+      await Promise.all(answers),
+      requests.map(([, request]) => request),
+    );
+  }
+});
+
+test('nothing overtakes a request of its class that waits, also in a new turn', () => {
+  const rig = new Rig();
+  rig.fill();
+  rig.ask('report', 'm1', SLICE_S);
+  rig.ask('report', 'm2', SLICE_S);
+  rig.turn();
+  assert.deepEqual(rig.served, ['m1'], 'one slice a turn');
+  rig.ask('report', 'm3');
+  assert.deepEqual(rig.served, ['m1']);
+  rig.drain();
+  assert.deepEqual(rig.served, ['m1', 'm2', 'm3']);
+});
+
+test('a turn serves a slice and no more, but always one request', () => {
+  for (const [costS, most] of [
+    [SLICE_S / 10, 10],
+    [SLICE_S * 0.7, 2],
+    [SLICE_S * 50, 1],
+  ] as const) {
+    const rig = new Rig();
+    rig.fill();
+    for (let i = 0; i < 25; i++) rig.ask('report', `${i}`, costS);
+    let served = 0;
+    while (served < 25) {
+      rig.turn();
+      const now = rig.served.length - served;
+      // One more than fit, at most: sums of fractions are not exact.
+      assert.ok(now >= 1 && now <= most + 1, `${now} of ${costS} s`);
+      served += now;
+    }
+  }
+});
+
+test('a report that its worker has given up is answered without work; others are served', async () => {
+  const cases: [string, number, string][] = [
+    ['in time', ANSWER_WAIT_S * 0.8, 'r'],
+    ['given up', ANSWER_WAIT_S * 0.9, 'refused'],
+  ];
+  for (const [name, waitedS, answer] of cases) {
+    const rig = new Rig();
+    rig.fill();
+    const got = rig.ask('report', 'r', 0, ANSWER_WAIT_S * 0.875);
+    rig.now += waitedS;
+    rig.drain();
+    assert.equal(await got, answer, name);
+    assert.deepEqual(rig.served, answer === 'r' ? ['r'] : [], name);
+    assert.equal(rig.queue.figures().reports_refused, answer === 'r' ? 0 : 1);
+  }
+});
+
+test('by delay: placing less often, then submissions, polls and cancellations are refused at once', () => {
+  const calm = new Overload().passShare;
+  const cases: [number, boolean, RequestClass[]][] = [
+    [0, false, []],
+    [ANSWER_WAIT_S * 0.12, false, []],
+    [ANSWER_WAIT_S * 0.2, true, []],
+    [ANSWER_WAIT_S * 0.3, true, ['submission']],
+    [ANSWER_WAIT_S * 0.6, true, ['submission', 'poll']],
+    [ANSWER_WAIT_S * 0.8, true, ['submission', 'poll', 'cancellation']],
+    [ANSWER_WAIT_S * 100, true, ['submission', 'poll', 'cancellation']],
+  ];
+  for (const [delayS, placesLess, refused] of cases) {
+    for (const cause of ['loop', 'queue'] as const) {
+      const rig = new Rig();
+      rig.fill();
+      if (cause === 'loop') {
+        for (let i = 0; i < 2; i++) rig.overload.noteLag(delayS);
+      } else {
+        rig.ask('report', 'oldest');
+        rig.now += delayS;
+      }
+      assert.equal(rig.overload.passShare < calm, placesLess, `${cause} ${delayS}`);
+      for (const kind of ['report', 'cancellation', 'poll', 'submission'] as const) {
+        const atOnce = rig.ask(kind, kind) === 'refused';
+        assert.equal(atOnce, refused.includes(kind), `${cause} ${delayS} ${kind}`);
+      }
+    }
+  }
+});
+
+test('one late timer is no overload, and neither is what is over', () => {
+  const cases: [string, number[], boolean][] = [
+    ['late once', [0, 3], false],
+    ['late twice', [3, 3], true],
+    ['late, then in time', [3, 3, 0], false],
+  ];
+  for (const [name, lags, refused] of cases) {
+    const rig = new Rig();
+    for (const lag of lags) rig.overload.noteLag(lag);
+    assert.equal(rig.ask('submission', 's') === 'refused', refused, name);
+  }
+  const rig = new Rig();
+  rig.fill();
+  rig.ask('report', 'r');
+  rig.now += 3;
+  assert.equal(rig.ask('submission', 's'), 'refused');
+  rig.drain();
+  assert.equal(rig.ask('submission', 's'), 's');
+});
+
+test('what was let in is served within its threshold, however many reports come', () => {
+  // By class alone a submission would wait until its user gives up, under reports without an end.
+  for (const kind of ['cancellation', 'poll', 'submission'] as const) {
+    const rig = new Rig();
+    rig.fill();
+    const arrivedAt = rig.now;
+    let waitedS: number | null = null;
+    const note = (): void => {
+      waitedS = rig.now - arrivedAt;
+    };
+    void rig.queue.run(kind, note, undefined);
+    for (let i = 0; waitedS === null && i < 1000; i++) {
+      rig.ask('report', `${i}`, SLICE_S);
+      rig.turn();
+    }
+    // One report more may be under way; sums of fractions are not exact.
+    assert.ok(waitedS !== null && waitedS < refusedAboveS(kind) + 1.5 * SLICE_S, kind);
+  }
+});
+
+test('the queue is bounded, and an error of one request is its own', async () => {
+  const rig = new Rig(2);
+  rig.fill();
+  const failing = rig.queue.run(
+    'report',
+    () => {
+      throw new Error('broken');
+    },
+    'refused',
+  );
+  const second = rig.ask('report', 'second');
+  assert.equal(rig.ask('report', 'third'), 'refused');
+  rig.drain();
+  await assert.rejects(Promise.resolve(failing), /broken/);
+  assert.equal(await second, 'second');
+  assert.deepEqual(rig.errors, []);
+  assert.equal(rig.ask('report', 'fourth'), 'fourth');
+});
+
+test("a flood of requests leaves timers their turn: the leader's lease is renewed in time", async () => {
+  // 300 requests of 4 ms each were one turn of 1.2 s; the lease of this leader lasts 0.6 s.
+  const leaseS = 2;
+  const lifeS = leaseS * 0.3;
+  const costMs = 4;
+  const queue = new RequestQueue({
+    clock: steadyClock,
+    leaseS,
+    capacity: 1000,
+    overload: new Overload(),
+    onError: (e) => assert.fail(String(e)),
+  });
+  const work = (): number => {
+    const end = performance.now() + costMs;
+    while (performance.now() < end);
+    return 200;
+  };
+  let last = performance.now();
+  let longest = 0;
+  const timer = setInterval(
+    () => {
+      const now = performance.now();
+      longest = Math.max(longest, now - last);
+      last = now;
+    },
+    (lifeS * 1000) / 5,
+  );
+  const answers = Array.from({ length: 300 }, () => queue.run('report', work, 503));
+  const statuses = await Promise.all(answers);
+  clearInterval(timer);
+  assert.ok(statuses.every((status) => status === 200));
+  assert.ok(longest > 0 && longest < lifeS * 1000, `a renewal every ${longest} ms at worst`);
+});
