A leader that is too late for long hands over to a controller that is better off

Change: a leader whose timers or requests have been late by a quarter of a worker's wait, for as long, asks the others how late they are, and resigns where one that the state service serves is less than half as late: it stops leading, ends its key's lease, and does not stand for half a life of it.

--- a/src/admission/overload.ts
+++ b/src/admission/overload.ts
@@ -33,17 +33,31 @@
 /** Seconds of delay above which requests of a class are refused. */
 export const refusedAboveS = (kind: RequestClass): number => ANSWER_WAIT_S * REFUSE_SHARES[kind];
 
+/** A leader that has been late by this share of a worker's wait, for so long a share, hands over. */
+const HAND_OVER_SHARE = 0.25;
+const HAND_OVER_AFTER_SHARE = 0.25;
+
 /** How far this controller is behind, and what it does less of because of that. */
 export class Overload {
   private latestLagS = 0;
   private lagBeforeS = 0;
+  /** Since when the delay has been too long for a leader, in seconds of the clock; null: it is not. */
+  private tooLateSince: number | null = null;
   /** How long the request that has waited longest has waited; set by the queue that holds it. */
   oldestWaitS: () => number = () => 0;
 
-  /** How late a regular timer fired. */
-  noteLag(lagS: number): void {
+  /** How late a regular timer fired, and when that was, in seconds of the clock. */
+  noteLag(lagS: number, nowS: number): void {
     this.lagBeforeS = this.latestLagS;
     this.latestLagS = lagS;
+    if (this.delayS <= ANSWER_WAIT_S * HAND_OVER_SHARE) this.tooLateSince = null;
+    else this.tooLateSince ??= nowS;
+  }
+
+  /** Whether this controller has been too late for long enough that another one had better lead. */
+  tooLateToLead(nowS: number): boolean {
+    const { tooLateSince } = this;
+    return tooLateSince !== null && nowS - tooLateSince >= ANSWER_WAIT_S * HAND_OVER_AFTER_SHARE;
   }
 
   /**
--- a/src/api/request-forwarder.ts
+++ b/src/api/request-forwarder.ts
@@ -33,7 +33,8 @@
     private readonly now: () => number,
   ) {}
 
-  private get served(): boolean {
+  /** The state service serves this controller, and it has read the store. */
+  get served(): boolean {
     return this.state.health === 'served' && this.follower.ready;
   }
 
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -22,6 +22,7 @@
 import { CancellationNotices } from '../cancellation/notices.js';
 import { CancellationConfirmation } from '../cancellation/confirmation.js';
 import { Leader } from '../leader/leader.js';
+import { HandOver } from '../admission/hand-over.js';
 import { Overload } from '../admission/overload.js';
 import { ASK_SHARE, KEEP_SHARE, Reports } from '../heartbeat/reports.js';
 import { RequestQueue } from '../admission/request-queue.js';
@@ -76,6 +77,7 @@
   private readonly costs: Costs;
   private readonly overload = new Overload();
   private readonly requests: RequestQueue;
+  private readonly handOver: HandOver;
   private tickedAt: number | null = null;
   private ticks = 0;
 
@@ -152,6 +154,15 @@
       log,
       settings.limits.sockets,
     );
+    this.handOver = new HandOver({
+      overload: this.overload,
+      peers: this.peers,
+      clock: this.clock,
+      log,
+      leaseS: settings.workers.lease_s,
+      leads: () => this.election.writing,
+      resign: () => this.election.resign(),
+    });
     const byZone = zoneLeaseKeepers([settings, ...settings.peers]);
     this.zoneLeases = new ZoneLeaseWatch(
       byZone,
@@ -263,7 +274,7 @@
     if (this.tickedAt !== null) {
       const lag = now - this.tickedAt - interval;
       this.costs.record('lag', lag);
-      this.overload.noteLag(lag);
+      this.overload.noteLag(lag, now);
     }
     this.tickedAt = now;
     if (++this.ticks % COST_TICKS === 0) {
@@ -271,6 +282,7 @@
       this.replica.trim(this.wallMs() - this.settings.workers.lease_s * TRIM_LEASES * 1000);
     }
     this.leader?.tick();
+    void this.handOver.consider();
   }
 
   stop(): void {
@@ -412,7 +424,7 @@
       case 'elected':
         return this.acknowledgements.answer(q.token);
       case 'there':
-        return { there: true };
+        return { there: true, delayS: this.overload.delayS, served: this.forwarder.served };
       case 'user':
         // Refused without a status: another controller may have time for it.
         if (!Object.hasOwn(CLASS_OF, q.to)) return {};
--- a/src/leadership/election.ts
+++ b/src/leadership/election.ts
@@ -39,6 +39,8 @@
   /** How often this process has stood. */
   private attempts = 0;
   private validUntil = -Infinity;
+  /** It has handed over, and does not stand before. */
+  private standsFrom = -Infinity;
   /** Tells outages from refusals of this controller alone. */
   readonly outage: OutageQuorum;
   private stopped = false;
@@ -130,7 +132,7 @@
       await sleep(0.05);
       return;
     }
-    if (this.clock.now() < this.outage.promisedUntil) {
+    if (this.clock.now() < Math.max(this.outage.promisedUntil, this.standsFrom)) {
       await sleep(0.1);
       return;
     }
@@ -238,6 +240,19 @@
     await sleep(this.role === 'continuing' || refused ? this.lifeS / 12 : this.lifeS / 5);
   }
 
+  /**
+   * Hands leadership over: the key goes, and any other controller may stand at once. This one waits for
+   * long enough that another one is elected first, where there is one.
+   */
+  async resign(): Promise<void> {
+    if (this.role !== 'leading') return;
+    const { lease } = this;
+    this.standsFrom = this.clock.now() + this.lifeS / 2;
+    this.become('following');
+    // Without an answer the key goes by itself, when the lease ends.
+    await this.state.endLease(lease, this.lifeS / 2).catch(() => undefined);
+  }
+
   /** Reads the store when the watch has had nothing to show for a while. */
   private refresh(): void {
     if (this.clock.now() - this.follower.freshAt > this.lifeS) void this.follower.sync();
--- a/test/overload.test.ts
+++ b/test/overload.test.ts
@@ -165,7 +165,7 @@
       const rig = new Rig();
       rig.fill();
       if (cause === 'loop') {
-        for (let i = 0; i < 2; i++) rig.overload.noteLag(delayS);
+        for (let i = 0; i < 2; i++) rig.overload.noteLag(delayS, 0);
       } else {
         rig.ask('report', 'oldest');
         rig.now += delayS;
@@ -187,7 +187,7 @@
   ];
   for (const [name, lags, refused] of cases) {
     const rig = new Rig();
-    for (const lag of lags) rig.overload.noteLag(lag);
+    for (const lag of lags) rig.overload.noteLag(lag, 0);
     assert.equal(rig.ask('submission', 's') === 'refused', refused, name);
   }
   const rig = new Rig();
