--- a/test/cluster-cancelled.test.ts
+++ b/test/cluster-cancelled.test.ts
@@ -4,7 +4,6 @@
 import { playAll, type Cluster, type Row } from './standins/cluster.js';
 
 const LEASE = 3;
-const OPTIONS = { leaseS: LEASE, cancelS: 3 * LEASE };
 const LONG_S = 60;
 
 // Small jobs
@@ -39,7 +38,7 @@
     { name: 'the old leader returns at once', returnsAfter: 1 },
     { name: 'the old leader returns later', returnsAfter: 8 },
   ];
-  await playAll(rows, OPTIONS, async (cluster, row) => {
+  await playAll(rows, { leaseS: LEASE }, async (cluster, row) => {
     const played: Promise<void>[] = [];
     let old = -1;
     for (let i = 0; i < JOBS; i++) {
@@ -85,7 +84,7 @@
     { name: 'for long, the leader ends before', forLeases: 1.5, ends: 'before' },
     { name: 'for long, the leader ends after', forLeases: 1.5, ends: 'after' },
   ];
-  await playAll(rows, OPTIONS, playHang);
+  await playAll(rows, { leaseS: LEASE }, playHang);
 });
 
 async function playHang(cluster: Cluster, row: Hang): Promise<void> {
--- a/test/cluster-leaders.test.ts
+++ b/test/cluster-leaders.test.ts
@@ -2,10 +2,9 @@
 import { test } from 'node:test';
 import { until, wait } from './helpers.js';
 import { playAll, type Cluster, type Row } from './standins/cluster.js';
-import type { Worker } from './standins/worker.js';
+import { deaf, hang, mute, type MachineTrouble, type Worker } from './standins/worker.js';
 
 const LEASE = 3;
-const OPTIONS = { leaseS: LEASE, cancelS: 3 * LEASE };
 const REF = 'wk-000001';
 const TASKS = 3;
 
@@ -27,26 +26,11 @@
 
 const ONCE = Array<number>(TASKS).fill(1);
 
-interface Unheard extends Row {
+interface Unheard extends Row, MachineTrouble {
   /** In leases. */
   forLeases: number;
-  begin(worker: Worker): void;
-  end(worker: Worker): void;
 }
 
-const mute = {
-  begin: (worker: Worker) => (worker.mute = true),
-  end: (worker: Worker) => (worker.mute = false),
-};
-const deaf = {
-  begin: (worker: Worker) => (worker.deaf = true),
-  end: (worker: Worker) => (worker.deaf = false),
-};
-const hang = {
-  begin: (worker: Worker) => worker.hang(),
-  end: (worker: Worker) => worker.goOn(),
-};
-
 test('a leader ends while a machine with long tasks is deaf, mute or hanging', async () => {
   const rows: Unheard[] = [
     { name: 'deaf for a moment', forLeases: 0.4, ...deaf },
@@ -56,7 +40,7 @@
     { name: 'mute for long', forLeases: 2, ...mute },
     { name: 'hanging for long', forLeases: 2, ...hang },
   ];
-  await playAll(rows, OPTIONS, async (cluster, row) => {
+  await playAll(rows, { leaseS: LEASE }, async (cluster, row) => {
     const host = await runsTasks(cluster);
     row.begin(host);
     const old = await cluster.endLeader();
@@ -74,7 +58,7 @@
     { name: 'as a new leader begins', change: true },
     { name: 'after newer ones', change: false },
   ];
-  await playAll(rows, OPTIONS, async (cluster, { change }) => {
+  await playAll(rows, { leaseS: LEASE }, async (cluster, { change }) => {
     const host = await runsTasks(cluster);
     // As it was before its tasks were started.
     const old = { ...(JSON.parse(host.lastReport) as object), tally: 1, pieces: [] };
@@ -133,7 +117,7 @@
 // was claimed there may still be started. Without the fence it is started on the other machine too.
 test("a leader's direct command arrives when the next leader has begun", async () => {
   const rows = [{ name: 'start' }];
-  await playAll(rows, { leaseS: HELD_UP_LEASE, cancelS: 3 * HELD_UP_LEASE }, async (cluster) => {
+  await playAll(rows, { leaseS: HELD_UP_LEASE }, async (cluster) => {
     const { host, other } = await startsHeldUp(cluster);
     await changeLeader(cluster);
     // The new leader knows of the room there before it hears the host.
@@ -151,7 +135,7 @@
     { name: 'served', outage: false },
     { name: 'with an outage', outage: true },
   ];
-  await playAll(rows, OPTIONS, async (cluster, { outage }) => {
+  await playAll(rows, { leaseS: LEASE }, async (cluster, { outage }) => {
     await runsTasks(cluster);
     for (let i = 0; i < 10; i++) {
       await cluster.newLeader();
@@ -175,7 +159,7 @@
     { name: 'for less than a lease', leases: 0.3, kept: true },
     { name: 'for longer', leases: 1.5, kept: false },
   ];
-  await playAll(rows, OPTIONS, async (cluster, { leases, kept }) => {
+  await playAll(rows, { leaseS: LEASE }, async (cluster, { leases, kept }) => {
     await runsTasks(cluster);
     await cluster.users.submit(0, 'wk-000002', { pieces: 4 }, 1);
     for (const at of cluster.indexes) cluster.stopController(at);
--- a/test/cluster-limits.test.ts
+++ b/test/cluster-limits.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test';
 import { TEAMS_GPUS_MAX, wait } from './helpers.js';
 import { playAll, type Cluster, type Row } from './standins/cluster.js';
-import type { Worker } from './standins/worker.js';
+import { deaf, hang, mute, type MachineTrouble } from './standins/worker.js';
 
 const LEASE = 2;
 
@@ -10,28 +10,13 @@
 const KEPT = 'wk-000002';
 const WAITING = 'wk-000003';
 
-interface Spell extends Row {
-  begin(worker: Worker): void;
-  end(worker: Worker): void;
+interface Spell extends Row, MachineTrouble {
   /** In leases, from the leader's end. */
   forLeases: number;
   /** The job is cancelled before the leader ends, or while there is none. */
   cancelled: 'before' | 'after';
 }
 
-const mute = {
-  begin: (worker: Worker) => (worker.mute = true),
-  end: (worker: Worker) => (worker.mute = false),
-};
-const deaf = {
-  begin: (worker: Worker) => (worker.deaf = true),
-  end: (worker: Worker) => (worker.deaf = false),
-};
-const hang = {
-  begin: (worker: Worker) => worker.hang(),
-  end: (worker: Worker) => worker.goOn(),
-};
-
 // Cancelled tasks on a machine that is not heard take their team's room until they are provably gone.
 test('a team at its limit, a machine cut off or hanging, a job cancelled, the leader ends: the limit holds', async () => {
   const rows: Spell[] = [
--- a/test/cluster-records.test.ts
+++ b/test/cluster-records.test.ts
@@ -12,7 +12,6 @@
  * must not lose theirs.
  */
 const LEASE = 3;
-const OPTIONS = { leaseS: LEASE, cancelS: 3 * LEASE };
 
 const FILLER = 'wk-000011';
 const REF = 'wk-000012';
@@ -45,7 +44,7 @@
     { name: 'stored after the leader has ended', fate: { how: 'late', afterS: 1.2 } },
     { name: 'answers lost', fate: { how: 'answer_lost' } },
   ];
-  await playAll(rows, OPTIONS, async (cluster, { fate }) => {
+  await playAll(rows, { leaseS: LEASE }, async (cluster, { fate }) => {
     const first = await fill(cluster);
     cluster.state.disturb(MACHINES, fate);
     await cluster.users.submit(0, REF, { form: 'daemon', pieces: TASKS });
@@ -60,7 +59,7 @@
 // Without its guard the late record hides the claims of the newer one from the next leader.
 test('a record is stored late, after a newer one of the same leader: the newer one stays', async () => {
   const rows = [{ name: 'late' }];
-  await playAll(rows, OPTIONS, async (cluster) => {
+  await playAll(rows, { leaseS: LEASE }, async (cluster) => {
     const { users, state } = cluster;
     const first = await fill(cluster);
     // Longer than a leader waits for an answer: it reads back, writes again and goes on.
@@ -86,7 +85,7 @@
     { name: 'late', fate: { how: 'late', afterS: 0.4 } },
     { name: 'twice', fate: { how: 'doubled', afterS: 0.4 } },
   ];
-  await playAll(rows, OPTIONS, async (cluster, { fate }) => {
+  await playAll(rows, { leaseS: LEASE }, async (cluster, { fate }) => {
     const first = await fill(cluster);
     cluster.state.disturb(MACHINES, fate, 6);
     const refs = Array.from({ length: 4 }, (_, i) => `wk-00002${i}`);
--- a/test/hand-over.test.ts
+++ b/test/hand-over.test.ts
@@ -67,7 +67,7 @@
 
 test('leadership that is handed over goes to another controller, and what runs goes on', async () => {
   const rows = [{ name: 'once' }];
-  await playAll(rows, { leaseS: 3 }, async (cluster) => {
+  await playAll(rows, { leaseS: 3, cancelS: 6 }, async (cluster) => {
     await cluster.users.submit(0, 'wk-000001', { form: 'daemon', pieces: 3 });
     await cluster.runs('wk-000001', 3);
     const old = await cluster.newLeader();
--- a/test/meeting-helpers.ts
+++ b/test/meeting-helpers.ts
@@ -380,6 +380,13 @@
     this.store.feed(this.replica);
   }
 
+  /** One transaction that the state service meets in this mode; from then on it serves. */
+  async flushOnceAs(mode: Mode): Promise<void> {
+    this.store.mode = mode;
+    await this.parts.store.flush();
+    this.store.mode = 'serve';
+  }
+
   pass(): void {
     this.store.feed(this.replica);
     this.parts.pass();
--- a/test/meeting-leaders.test.ts
+++ b/test/meeting-leaders.test.ts
@@ -35,9 +35,7 @@
     'its claim is under way',
     async (w) => {
       w.pass();
-      w.store.mode = 'hold back';
-      await w.parts.store.flush();
-      w.store.mode = 'serve';
+      await w.flushOnceAs('hold back');
     },
   ],
   [
@@ -206,9 +204,7 @@
     const w = await world(['a']);
     w.job({ id: JOB });
     w.pass();
-    w.store.mode = 'hold back';
-    await w.parts.store.flush();
-    w.store.mode = 'serve';
+    await w.flushOnceAs('hold back');
     if (next) w.takeOver();
     await w.run(2);
     w.job({ id: OTHER });
@@ -218,11 +214,9 @@
     w.store.deliver();
     assert.equal(w.store.revision(key), revision);
     // Nor does one that reaches the store before the new leader's first.
-    w.store.mode = 'hold back';
     w.job({ id: 'wk-000003' });
     w.pass();
-    await w.parts.store.flush();
-    w.store.mode = 'serve';
+    await w.flushOnceAs('hold back');
     if (next) w.takeOver();
     w.store.deliver();
     if (next) assert.equal(w.store.revision(key), revision);
@@ -399,9 +393,7 @@
     [
       'its answer is lost',
       async (w) => {
-        w.store.mode = 'lose answers';
-        await w.parts.store.flush();
-        w.store.mode = 'serve';
+        await w.flushOnceAs('lose answers');
         w.cancel(JOB);
       },
       'done',
@@ -409,9 +401,7 @@
     [
       'it comes late',
       async (w) => {
-        w.store.mode = 'hold back';
-        await w.parts.store.flush();
-        w.store.mode = 'serve';
+        await w.flushOnceAs('hold back');
         w.cancel(JOB);
         w.store.deliver();
       },
@@ -420,9 +410,7 @@
     [
       'it comes late, just before',
       async (w) => {
-        w.store.mode = 'hold back';
-        await w.parts.store.flush();
-        w.store.mode = 'serve';
+        await w.flushOnceAs('hold back');
         w.store.deliver();
         w.cancel(JOB);
       },
--- a/test/meeting-records.test.ts
+++ b/test/meeting-records.test.ts
@@ -69,9 +69,7 @@
   await w.run(10);
   a!.end(a!.running(JOB)[0]!, 'done');
   w.checkin(a!);
-  w.store.mode = 'hold back';
-  await w.parts.store.flush();
-  w.store.mode = 'serve';
+  await w.flushOnceAs('hold back');
   b!.end(b!.running(JOB)[0]!, 'done');
   w.checkin(b!);
   w.store.deliver();
--- a/test/service.test.ts
+++ b/test/service.test.ts
@@ -11,7 +11,7 @@
 let cluster: Cluster;
 
 before(async () => {
-  cluster = await Cluster.start({ leaseS: LEASE, cancelS: 3 * LEASE });
+  cluster = await Cluster.start({ leaseS: LEASE });
 });
 
 after(() => cluster.close());
--- a/test/standins/cluster.ts
+++ b/test/standins/cluster.ts
@@ -25,7 +25,9 @@
   zones: string[];
 }
 
-const DEFAULTS: ClusterOptions = { leaseS: 2, cancelS: 6, zones: ['z1', 'z1', 'z1'] };
+const DEFAULTS = { leaseS: 2, zones: ['z1', 'z1', 'z1'] };
+/** Where a test gives no `cancelS`: in leases. */
+const CANCEL_LEASES = 3;
 
 /** Controllers and all that surrounds them. Every way between them can be cut. */
 export class Cluster {
@@ -50,7 +52,8 @@
   }
 
   static async start(options: Partial<ClusterOptions> = {}): Promise<Cluster> {
-    const cluster = new Cluster({ ...DEFAULTS, ...options });
+    const { leaseS } = { ...DEFAULTS, ...options };
+    const cluster = new Cluster({ cancelS: leaseS * CANCEL_LEASES, ...DEFAULTS, ...options });
     try {
       await cluster.listen();
       for (const index of cluster.indexes) await cluster.startController(index);
--- a/test/standins/worker.ts
+++ b/test/standins/worker.ts
@@ -314,3 +314,24 @@
 function jobOf(task: Task): string {
   return task.piece.split('/')[0]!;
 }
+
+/** A trouble of one machine, for tables of tests. */
+export interface MachineTrouble {
+  begin(worker: Worker): void;
+  end(worker: Worker): void;
+}
+
+export const mute: MachineTrouble = {
+  begin: (worker) => (worker.mute = true),
+  end: (worker) => (worker.mute = false),
+};
+
+export const deaf: MachineTrouble = {
+  begin: (worker) => (worker.deaf = true),
+  end: (worker) => (worker.deaf = false),
+};
+
+export const hang: MachineTrouble = {
+  begin: (worker) => worker.hang(),
+  end: (worker) => worker.goOn(),
+};
--- a/test/zone-lease.test.ts
+++ b/test/zone-lease.test.ts
@@ -169,7 +169,6 @@
 test('what runs in a zone that is cut off goes on; a cancellation waits until it can be held to', async (t) => {
   const cluster = await Cluster.start({
     leaseS: LEASE,
-    cancelS: 3 * LEASE,
     zones: ['z1', 'z2', 'z3'],
   });
   t.after(() => cluster.close());
