Standard names: free capacity, best fit, bit set; chunks have a module of their own

Names of a house style (room, Bits) had to be explained to a newcomer. Room is FreeCapacity, bestRoom bestFit, RoomBook FreeCapacityIndex, leader/rooms leader/free-capacity, Bits BitSet; how a job's record of done tasks is cut into chunks stands in jobs/chunks. What copies of a machine's free capacity share is one object of facts, in place of nine arguments for each copy. Nothing decides otherwise.

--- a/src/cloud/plan.ts
+++ b/src/cloud/plan.ts
@@ -2,10 +2,10 @@
 import { fits } from '../jobs/types.js';
 import {
   allowed,
-  bestRoom,
+  bestFit,
   take,
   zoneAllowed,
-  type Room,
+  type FreeCapacity,
   type Weights,
 } from '../scheduler/place.js';
 
@@ -30,7 +30,7 @@
 export interface PlanInput {
   demand: Demand[];
   /** Machines on their way, and room that is free. They are used up. */
-  rooms: Room[];
+  rooms: FreeCapacity[];
   types: MachineType[];
   zones: string[];
   short: Shortage;
@@ -43,7 +43,12 @@
 let serial = 0;
 
 /** A machine that is not there yet: empty, and every image has to be fetched. */
-export function comingRoom(id: string, t: MachineType, zone: string, spot: boolean): Room {
+export function comingCapacity(
+  id: string,
+  t: MachineType,
+  zone: string,
+  spot: boolean,
+): FreeCapacity {
   return {
     id,
     type: t.name,
@@ -97,12 +102,12 @@
   for (const d of input.demand) {
     const zones = new Map(d.zones);
     for (let i = 0; i < d.tasks; i++) {
-      let room = bestRoom(d.spec, input.rooms, { zones }, input.weights);
+      let room = bestFit(d.spec, input.rooms, { zones }, input.weights);
       if (room === null) {
         if (count >= input.most) break;
         const kind = choose(d.spec, zones, input);
         if (kind === null) break;
-        room = comingRoom(`planned-${serial++}`, kind.type, kind.zone, kind.spot);
+        room = comingCapacity(`planned-${serial++}`, kind.type, kind.zone, kind.spot);
         input.rooms.push(room);
         count++;
         input.perZone.set(kind.zone, (input.perZone.get(kind.zone) ?? 0) + 1);
--- a/src/jobs/bits.ts
+++ b/src/jobs/bit-set.ts
@@ -1,5 +1,5 @@
-/** Which tasks of a job are done: a bit for each, stored in chunks that fit into one value. */
-export class Bits {
+/** A set of numbers below `size`, a bit for each: which tasks of a job are done. */
+export class BitSet {
   private bytes: Uint8Array;
   count = 0;
 
@@ -7,6 +7,7 @@
     this.bytes = new Uint8Array(Math.ceil(size / 8));
   }
 
+  /** `i` must be an integer from 0 to `size` - 1. */
   has(i: number): boolean {
     return (this.bytes[i >> 3]! & (1 << (i & 7))) !== 0;
   }
@@ -27,12 +28,14 @@
     return this.count === this.size;
   }
 
+  /** Base64, the lowest number in the lowest bit of the first byte. */
   encode(): string {
     return Buffer.from(this.bytes).toString('base64');
   }
 
-  static decode(size: number, text: string): Bits {
-    const bits = new Bits(size);
+  /** Of what `encode` made. Bits beyond the text are not set, those beyond `size` are ignored. */
+  static decode(size: number, text: string): BitSet {
+    const bits = new BitSet(size);
     const raw = Buffer.from(text, 'base64');
     for (let i = 0; i < size; i++) {
       const byte = raw[i >> 3];
@@ -41,11 +44,3 @@
     return bits;
   }
 }
-
-/** Tasks in one stored chunk: in base64 and with its frame, half a value of the state service. */
-export const chunkTasks = (valueBytes: number): number => Math.floor(valueBytes * 0.5 * 0.75) * 8;
-
-export const chunkCount = (tasks: number, perChunk: number): number => Math.ceil(tasks / perChunk);
-
-export const chunkSize = (tasks: number, perChunk: number, chunk: number): number =>
-  Math.min(perChunk, tasks - chunk * perChunk);
--- a/src/jobs/live.ts
+++ b/src/jobs/live.ts
@@ -1,7 +1,8 @@
 import type { Attempt } from '../workers/attempt.js';
 import { holds } from '../workers/attempt.js';
 import type { JobFacts } from '../state/replica.js';
-import { Bits, chunkCount, chunkSize } from './bits.js';
+import { BitSet } from './bit-set.js';
+import { chunkCount, chunkSize } from './chunks.js';
 import type { JobSpec } from './types.js';
 
 /**
@@ -22,8 +23,8 @@
   readonly spec: JobSpec;
   phase: Phase = 'open';
   cancelled = false;
-  readonly done: Bits;
-  readonly storedDone: Bits;
+  readonly done: BitSet;
+  readonly storedDone: BitSet;
   /** Attempts of each task that hold room somewhere, or that may. */
   readonly live = new Map<number, Attempt[]>();
   /** Done tasks whose end is not stored yet. */
@@ -58,8 +59,8 @@
     this.submittedAt = now - Math.max(0, wallMs - facts.atMs) / 1000;
     this.firstWantedAt = now;
     this.attainedS = facts.attainedS;
-    this.done = new Bits(this.spec.tasks);
-    this.storedDone = new Bits(this.spec.tasks);
+    this.done = new BitSet(this.spec.tasks);
+    this.storedDone = new BitSet(this.spec.tasks);
     for (const [chunk, c] of facts.chunks ?? []) {
       this.chunkRevisions.set(chunk, c.revision);
       for (let i = 0; i < c.bits.size; i++) {
@@ -164,7 +165,7 @@
 
   chunkRecord(chunk: number): { bits: string | null; attainedS: number } {
     const size = chunkSize(this.spec.tasks, this.perChunk, chunk);
-    const bits = new Bits(size);
+    const bits = new BitSet(size);
     for (let i = 0; i < size; i++) if (this.done.has(chunk * this.perChunk + i)) bits.add(i);
     const chunks = chunkCount(this.spec.tasks, this.perChunk);
     return { bits: bits.full ? null : bits.encode(), attainedS: this.attainedS / chunks };
--- a/src/leader/capacity.ts
+++ b/src/leader/capacity.ts
@@ -1,14 +1,14 @@
 import { unit, type Arrivals } from '../cloud/arrivals.js';
 import type { CloudClient } from '../cloud/client.js';
 import { Fleet, type FleetHost } from '../cloud/fleet.js';
-import { comingRoom, planRent, type Demand, type Wanted } from '../cloud/plan.js';
+import { comingCapacity, planRent, type Demand, type Wanted } from '../cloud/plan.js';
 import type { LiveJob } from '../jobs/live.js';
 import type { MachineType } from '../jobs/types.js';
-import type { Room } from '../scheduler/place.js';
+import type { FreeCapacity } from '../scheduler/place.js';
 import { MIN_CHARGE_S, RENT_MAX, type ListedMachine } from '../wire/cloud.js';
 import { holds } from '../workers/attempt.js';
 import type { Machine } from '../workers/machine.js';
-import { freeRoom } from './rooms.js';
+import { freeMachines } from './free-capacity.js';
 import type { Scheduler } from './scheduler.js';
 import type { Term } from './term.js';
 
@@ -44,7 +44,7 @@
 export class CapacityManager implements FleetHost {
   readonly fleet: Fleet;
   demand: Demand[] = [];
-  rooms: Room[] = [];
+  rooms: FreeCapacity[] = [];
   private readonly failedListed = new Set<string>();
   private readonly neverCame = new Set<string>();
   private lastListed = new Set<string>();
@@ -95,13 +95,13 @@
 
   // Renting
 
-  private comingRooms(): Room[] {
+  private comingRooms(): FreeCapacity[] {
     const now = this.term.now;
-    const rooms: Room[] = [];
+    const rooms: FreeCapacity[] = [];
     for (const c of this.fleet.coming.values()) {
       const type = this.term.types.get(c.type);
       if (type === undefined || now - c.since > type.bootS * LATE_BOOTS) continue;
-      rooms.push(comingRoom(c.id, type, c.zone, c.spot));
+      rooms.push(comingCapacity(c.id, type, c.zone, c.spot));
     }
     return rooms;
   }
@@ -123,7 +123,7 @@
       deps.log.debug(
         {
           demand: [...demand],
-          free: [false, true].map((k) => freeRoom(this.rooms, k)),
+          free: [false, true].map((k) => freeMachines(this.rooms, k)),
           target: [false, true].map((k) => this.target(k)),
           coming: this.fleet.coming.size,
           missed: missed.reduce((n, d) => n + d.tasks, 0),
@@ -195,8 +195,12 @@
   }
 
   /** Machines more when what is free after all demand is less than the warm reserve. */
-  private spareWanted(rooms: Room[], perZone: Map<string, number>, spot: boolean): Wanted | null {
-    const missing = this.target(spot) - freeRoom(rooms, spot);
+  private spareWanted(
+    rooms: FreeCapacity[],
+    perZone: Map<string, number>,
+    spot: boolean,
+  ): Wanted | null {
+    const missing = this.target(spot) - freeMachines(rooms, spot);
     if (missing <= 0 || this.term.jobs.size === 0) return null;
     let best: Wanted | null = null;
     let bestCost = Infinity;
@@ -225,7 +229,7 @@
     // It came after all, while the cloud did not answer: there may be work on it by now.
     for (const id of this.neverCame) if (term.machines.has(id)) this.neverCame.delete(id);
     const ids: string[] = [...this.failedListed, ...this.neverCame];
-    const spare = [false, true].map((spot) => freeRoom(this.rooms, spot) - this.target(spot));
+    const spare = [false, true].map((spot) => freeMachines(this.rooms, spot) - this.target(spot));
     // Machines with few images go first: what others have cached spares the next task its fetch.
     const cached = (m: Machine): number => {
       let gb = 0;
@@ -328,7 +332,7 @@
       if (over && m.state === 'ready') m.vacatedAt = null;
     }
     if (!term.deps.writing() || now - term.startedAt < lease_s * SETTLE_LEASES) return;
-    const surplus = freeRoom(this.rooms, false) - this.target(false);
+    const surplus = freeMachines(this.rooms, false) - this.target(false);
     const gap = lease_s * (surplus >= MUCH_SURPLUS ? EMPTY_OFTEN : EMPTY_SELDOM);
     if (now - this.consolidatedAt < gap || this.demand.length > 0) return;
     this.consolidatedAt = now;
--- a/src/leader/evictions.ts
+++ b/src/leader/evictions.ts
@@ -1,6 +1,6 @@
 import type { LiveJob } from '../jobs/live.js';
 import { fits, type Size } from '../jobs/types.js';
-import { allowed, putBack, take, zoneAllowed, type Room } from '../scheduler/place.js';
+import { allowed, putBack, take, zoneAllowed, type FreeCapacity } from '../scheduler/place.js';
 import { haste, type Haste, type Waits } from '../scheduler/objectives.js';
 import { cheapestEviction, type Occupied, type Victim } from '../scheduler/preempt.js';
 import type { Usages } from '../scheduler/quota.js';
@@ -17,7 +17,7 @@
 }
 
 interface Slot {
-  room: Room;
+  room: FreeCapacity;
   /** What is being stopped there. Together with what is free: room that is there or on its way. */
   freeing: Size;
   /** Seconds until that is gone. */
@@ -48,12 +48,12 @@
 
   constructor(
     private readonly term: Term,
-    private readonly rooms: Room[],
+    private readonly rooms: FreeCapacity[],
     private readonly usages: Usages,
     private readonly waits: Waits,
   ) {}
 
-  private slot(room: Room): Slot {
+  private slot(room: FreeCapacity): Slot {
     const now = this.term.now;
     const m = this.term.machines.get(room.id)!;
     const o: Slot = {
@@ -125,7 +125,7 @@
     job: LiveJob,
     tasks: number,
     zones: Map<string, number>,
-    mayUse: (room: Room) => boolean,
+    mayUse: (room: FreeCapacity) => boolean,
     /** Only where the tasks start in time. */
     inTime = false,
   ): number {
--- a/src/leader/rooms.ts
+++ b/src/leader/free-capacity.ts
@@ -1,71 +1,87 @@
+/** What is free on each machine of a term, kept up to date at little cost. */
+
 import type { JobSpec, MachineType, Size } from '../jobs/types.js';
-import { freeShare, putBack, type HotImage, type Room } from '../scheduler/place.js';
+import { freeShare, putBack, type HotImage, type FreeCapacity } from '../scheduler/place.js';
 import { Usages } from '../scheduler/quota.js';
 import { holds } from '../workers/attempt.js';
 import type { Machine } from '../workers/machine.js';
 import type { Term } from './term.js';
 
-/** What is on a machine, as placing sees it; shared by all copies of its room. */
-interface Contents {
-  there: Set<string>;
-  fetching: Map<string, number>;
-  running: Set<string>;
+/** What does not change within a pass about a machine; shared by all copies of its free capacity. */
+interface MachineFacts {
+  readonly id: string;
+  readonly type: string;
+  readonly zone: string;
+  readonly spot: boolean;
+  readonly whole: Size;
+  /** Images that are cached there or were used there. */
+  readonly cached: Set<string>;
+  /** Images that are being fetched there, and their sizes in GB. */
+  readonly fetching: Map<string, number>;
+  /** Images of tasks that run there. */
+  readonly running: Set<string>;
   /** So little was fetched that no image can have been dropped. */
-  whole: boolean;
-  ratePerS: number;
+  readonly keepsAll: boolean;
+  readonly fetchGbPerS: number;
+  /** The hot images that were asked for last, and those of them that are cached there. */
   hotFor: HotImage[] | null;
   hotHere: HotImage[];
 }
 
-/** Room on a machine that reports. Copies are cheap: a pass takes from copies. */
-class MachineRoom implements Room {
+/** What is free on a machine that reports. Copies are cheap: a pass takes from copies. */
+class MachineFreeCapacity implements FreeCapacity {
+  readonly id: string;
+  readonly type: string;
+  readonly zone: string;
+  readonly spot: boolean;
+  readonly whole: Size;
   penaltyS = 0;
   /** Share of the machine taken by work that leaves as soon as it is told to. */
   softShare = 0;
 
   constructor(
-    readonly id: string,
-    readonly type: string,
-    readonly zone: string,
-    readonly spot: boolean,
-    readonly whole: Size,
+    private readonly facts: MachineFacts,
     public cores: number,
     public gpus: number,
     public memGb: number,
-    private readonly contents: Contents,
-  ) {}
+  ) {
+    this.id = facts.id;
+    this.type = facts.type;
+    this.zone = facts.zone;
+    this.spot = facts.spot;
+    this.whole = facts.whole;
+  }
 
-  copy(penaltyS: number): MachineRoom {
-    const { id, type, zone, spot, whole, cores, gpus, memGb, contents } = this;
-    const r = new MachineRoom(id, type, zone, spot, whole, cores, gpus, memGb, contents);
-    r.penaltyS = penaltyS;
-    r.softShare = this.softShare;
-    return r;
+  copy(penaltyS: number): MachineFreeCapacity {
+    const copy = new MachineFreeCapacity(this.facts, this.cores, this.gpus, this.memGb);
+    copy.penaltyS = penaltyS;
+    copy.softShare = this.softShare;
+    return copy;
   }
 
   fetchS(gb: number): number {
-    return gb / this.contents.ratePerS;
+    return gb / this.facts.fetchGbPerS;
   }
 
   hasImage(image: string): boolean {
-    const { running, there, whole } = this.contents;
-    return running.has(image) || (whole && there.has(image));
+    const { running, cached, keepsAll } = this.facts;
+    return running.has(image) || (keepsAll && cached.has(image));
   }
 
   imageWaitS(image: string, gb: number): number {
-    const { there, fetching, ratePerS } = this.contents;
-    if (there.has(image)) return 0;
-    if (fetching.has(image)) return (gb / ratePerS) * 0.5 * fetching.size;
-    return (gb / ratePerS) * (1 + fetching.size);
+    const { cached, fetching, fetchGbPerS } = this.facts;
+    if (cached.has(image)) return 0;
+    if (fetching.has(image)) return (gb / fetchGbPerS) * 0.5 * fetching.size;
+    return (gb / fetchGbPerS) * (1 + fetching.size);
   }
 
   hotHere(hot: HotImage[]): HotImage[] {
-    const c = this.contents;
-    if (c.hotFor !== hot) {
-      c.hotFor = hot;
-      c.hotHere = hot.filter((h) => c.there.has(h.image));
+    const { facts } = this;
+    if (facts.hotFor !== hot) {
+      facts.hotFor = hot;
+      facts.hotHere = hot.filter((h) => facts.cached.has(h.image));
     }
-    return c.hotHere;
+    return facts.hotHere;
   }
 }
 
@@ -75,7 +91,7 @@
 interface Entry {
   version: number;
   type: MachineType;
-  room: MachineRoom;
+  room: MachineFreeCapacity;
   /** One spec for each attempt that holds room. */
   held: JobSpec[];
   /** Work that is not best effort is on it. */
@@ -83,11 +99,11 @@
 }
 
 /**
- * The rooms of all machines, and what their teams use. A machine is looked at again only after
+ * What is free on all machines, and what their teams use. A machine is looked at again only after
  * something on it has changed: with some hundred machines and a pass many times a second, reckoning
  * all of them anew in each took most of a controller's share of a core.
  */
-export class RoomBook {
+export class FreeCapacityIndex {
   private readonly entries = new Map<string, Entry>();
 
   constructor(
@@ -110,12 +126,17 @@
 
   private make(m: Machine, type: MachineType): Entry | null {
     let { cores, gpus, memGb } = type;
-    const contents: Contents = {
-      there: new Set(m.images.keys()),
+    const facts: MachineFacts = {
+      id: m.id,
+      type: m.type,
+      zone: m.zone,
+      spot: m.spot,
+      whole: type,
+      cached: new Set(m.images.keys()),
       fetching: new Map(),
       running: new Set(),
-      whole: m.fetchedGb <= type.cacheGb * SURE_SHARE,
-      ratePerS: Math.max(type.fetchGbPerS, 1e-9),
+      keepsAll: m.fetchedGb <= type.cacheGb * SURE_SHARE,
+      fetchGbPerS: Math.max(type.fetchGbPerS, 1e-9),
       hotFor: null,
       hotHere: [],
     };
@@ -132,22 +153,20 @@
       memGb -= spec.memGb;
       inUse ||= spec.priority < 3;
       if (a.stop === null && this.leaves(spec)) putBack(spec, soft);
-      if (a.state === 'running' && a.stop === null) contents.running.add(spec.image);
-      if (a.startedAt !== null) contents.there.add(spec.image);
-      else if (!contents.there.has(spec.image)) contents.fetching.set(spec.image, spec.imageGb);
+      if (a.state === 'running' && a.stop === null) facts.running.add(spec.image);
+      if (a.startedAt !== null) facts.cached.add(spec.image);
+      else if (!facts.cached.has(spec.image)) facts.fetching.set(spec.image, spec.imageGb);
     }
-    const room = new MachineRoom(
-      m.id, m.type, m.zone, m.spot, type, cores, gpus, memGb, contents,
-    ); // prettier-ignore
+    const room = new MachineFreeCapacity(facts, cores, gpus, memGb);
     const free = freeShare(room);
     putBack(room, soft);
     room.softShare = freeShare({ ...soft, whole: type }) - free;
     return { version: m.version, type, room, held, inUse };
   }
 
-  /** Copies of the rooms of those machines that may be used now. */
-  rooms(usable: (m: Machine) => boolean): Room[] {
-    const out: Room[] = [];
+  /** Copies for those machines that may be used now: a pass takes from them. */
+  rooms(usable: (m: Machine) => boolean): FreeCapacity[] {
+    const out: FreeCapacity[] = [];
     for (const m of this.term.machines.values()) {
       if (!usable(m)) continue;
       const e = this.entry(m);
@@ -198,8 +217,8 @@
   }
 }
 
-/** In machines. What is taken by work that leaves at once counts as free. */
-export function freeRoom(rooms: Room[], spot: boolean): number {
+/** Free capacity in machines. What is taken by work that leaves at once counts as free. */
+export function freeMachines(rooms: FreeCapacity[], spot: boolean): number {
   let free = 0;
   for (const r of rooms) if (r.spot === spot) free += freeShare(r) + (r.softShare ?? 0);
   return free;
--- a/src/leader/moves.ts
+++ b/src/leader/moves.ts
@@ -1,6 +1,6 @@
 import type { JobSpec } from '../jobs/types.js';
 import { fits } from '../jobs/types.js';
-import { take, zoneAllowed, type Room, type Weights } from '../scheduler/place.js';
+import { take, zoneAllowed, type FreeCapacity, type Weights } from '../scheduler/place.js';
 import type { Usages } from '../scheduler/quota.js';
 import { chooseVacated, type Candidate } from '../scheduler/vacate.js';
 import { splitTask } from '../wire/workers.js';
@@ -28,10 +28,10 @@
 
   /** Moved replicas go to the places that were found for them, before anything else is placed. */
   placeBooked(
-    rooms: Room[],
+    rooms: FreeCapacity[],
     usages: Usages,
     now: number,
-    claim: (job: LiveJob, index: number, room: Room) => void,
+    claim: (job: LiveJob, index: number, room: FreeCapacity) => void,
   ): number {
     if (this.bookings.size === 0) return 0;
     const byId = new Map(rooms.map((r) => [r.id, r]));
@@ -62,7 +62,11 @@
     return placed;
   }
 
-  private candidates(rooms: Room[], usable: (m: Machine) => boolean, now: number): Candidate[] {
+  private candidates(
+    rooms: FreeCapacity[],
+    usable: (m: Machine) => boolean,
+    now: number,
+  ): Candidate[] {
     const { lease_s, report_s } = this.term.deps.settings.workers;
     const candidates: Candidate[] = [];
     for (const room of rooms) {
@@ -90,7 +94,7 @@
    * Empties one machine whose replicas fit elsewhere. Of a class, so few move within a lease's span
    * that its time up does not show it.
    */
-  vacate(rooms: Room[], usable: (m: Machine) => boolean, weights: Weights): Machine | null {
+  vacate(rooms: FreeCapacity[], usable: (m: Machine) => boolean, weights: Weights): Machine | null {
     const now = this.term.now;
     const { lease_s, report_s } = this.term.deps.settings.workers;
     while (this.recent.length > 0 && now - this.recent[0]!.at > lease_s * MOVE_LEASES) {
--- a/src/leader/scheduler.ts
+++ b/src/leader/scheduler.ts
@@ -3,12 +3,12 @@
 import type { LiveJob } from '../jobs/live.js';
 import type { JobSpec, Size } from '../jobs/types.js';
 import {
-  bestRoom,
+  bestFit,
   freeShare,
   placeGang,
   reserved,
   take,
-  type Room,
+  type FreeCapacity,
   type Weights,
 } from '../scheduler/place.js';
 import { chooseReservation, type ReservableMachine } from '../scheduler/reservation.js';
@@ -22,7 +22,7 @@
 import { COMMAND_S, Evictions } from './evictions.js';
 import { Moves } from './moves.js';
 import { Queue } from './queue.js';
-import { RoomBook, freeRoom } from './rooms.js';
+import { FreeCapacityIndex, freeMachines } from './free-capacity.js';
 import type { Term } from './term.js';
 
 /**
@@ -55,10 +55,10 @@
 export interface PassResult {
   placed: number;
   demand: Demand[];
-  rooms: Room[];
+  rooms: FreeCapacity[];
 }
 
-type May = (room: Room) => boolean;
+type May = (room: FreeCapacity) => boolean;
 /** What work of a priority must leave of each machine type. */
 type Reserves = (priority: number) => Map<string, number>;
 const ANY: May = () => true;
@@ -66,7 +66,7 @@
 /** One pass of placing over a term: rank, place, make room, and say what is missing. */
 export class Scheduler {
   private readonly queue: Queue;
-  private readonly book: RoomBook;
+  private readonly book: FreeCapacityIndex;
   private readonly moves: Moves;
   private readonly waits: Waits;
 
@@ -80,7 +80,7 @@
   ) {
     this.waits = new Waits(term.deps.settings.objectives);
     this.queue = new Queue(term);
-    this.book = new RoomBook(
+    this.book = new FreeCapacityIndex(
       term,
       (job) => this.specOf(job),
       (spec) => this.leaves(spec),
@@ -141,7 +141,7 @@
     const rooms = this.book.rooms((m) => this.usable(m));
     const usages = this.book.usages();
     for (const spot of [false, true]) {
-      this.excess.set(spot, freeRoom(rooms, spot) - this.warm(spot));
+      this.excess.set(spot, freeMachines(rooms, spot) - this.warm(spot));
     }
     this.shortTypes.clear();
     const weights = this.weights();
@@ -181,7 +181,7 @@
 
   private placeGang(
     job: LiveJob,
-    rooms: Room[],
+    rooms: FreeCapacity[],
     usages: Usages,
     reserves: Reserves,
     weights: Weights,
@@ -204,7 +204,7 @@
 
   private placeTasks(
     job: LiveJob,
-    rooms: Room[],
+    rooms: FreeCapacity[],
     usages: Usages,
     reserves: Reserves,
     weights: Weights,
@@ -230,14 +230,14 @@
     let made = 0;
     let placed = 0;
     for (const index of indexes) {
-      let room = bestRoom(spec, rooms, { zones, avoid, may }, w);
+      let room = bestFit(spec, rooms, { zones, avoid, may }, w);
       if (room === null) break;
-      const late = (r: Room): boolean =>
+      const late = (r: FreeCapacity): boolean =>
         leftS !== null && r.imageWaitS(spec.image, spec.imageGb) * this.term.fetches.sure > leftS;
       if (late(room)) {
         // Too late there, because the image has to be fetched. Better where it is, whatever others
         // may want of that place, or where lesser work can make room in time.
-        const inTime = bestRoom(spec, rooms, { zones, avoid, may: (r) => may(r) && !late(r) }, w);
+        const inTime = bestFit(spec, rooms, { zones, avoid, may: (r) => may(r) && !late(r) }, w);
         if (inTime === null && evictions.make(job, 1, zones, may, true) === 0) {
           made++;
           continue;
@@ -257,7 +257,7 @@
   }
 
   /** Empties a machine whose replicas fit elsewhere, to be given back. */
-  vacate(rooms: Room[]): Machine | null {
+  vacate(rooms: FreeCapacity[]): Machine | null {
     return this.moves.vacate(rooms, (m) => this.usable(m), this.weights());
   }
 
@@ -266,7 +266,7 @@
    * priority, that of its own and of higher ones. Gangs once waited for half a minute beside room that
    * was held for long arrays of the least priority, and evicted others in vain meanwhile.
    */
-  private reserves(jobs: LiveJob[], rooms: Room[], usages: Usages): Reserves {
+  private reserves(jobs: LiveJob[], rooms: FreeCapacity[], usages: Usages): Reserves {
     // Nothing is held for what may not start: its team is at its limit, or its tasks are to wait.
     const startable = new Map<LiveJob, number>();
     for (const j of jobs) {
@@ -287,7 +287,7 @@
     };
   }
 
-  private reserve(long: [LiveJob, number][], rooms: Room[]): Map<string, number> {
+  private reserve(long: [LiveJob, number][], rooms: FreeCapacity[]): Map<string, number> {
     const out = new Map<string, number>();
     if (long.length === 0) return out;
     const capacity = new Map<string, number>();
@@ -310,15 +310,15 @@
    */
   private lent(
     job: LiveJob,
-    rooms: Room[],
+    rooms: FreeCapacity[],
     reserves: Reserves,
-  ): { may: May; taken: (room: Room) => void } {
+  ): { may: May; taken: (room: FreeCapacity) => void } {
     const kept = this.mayUse(job);
     const exempt = job.long || job.spec.kind === 'service' || job.guaranteed;
     if (exempt) return { may: kept, taken: () => undefined };
     const reserve = reserves(job.spec.priority);
     if (reserve.size === 0) return { may: kept, taken: () => undefined };
-    const ofWhole = (r: Room, s: Size): number => (r.whole.gpus > 0 ? s.gpus : s.cores);
+    const ofWhole = (r: FreeCapacity, s: Size): number => (r.whole.gpus > 0 ? s.gpus : s.cores);
     const free = new Map<string, number>();
     for (const r of rooms) {
       if (reserve.has(r.type) && kept(r)) free.set(r.type, (free.get(r.type) ?? 0) + ofWhole(r, r));
@@ -336,7 +336,7 @@
   /** For one gang at a time. It is kept until that gang has started, or cannot any more. */
   private reservation: Reservation | null = null;
 
-  private updateReservation(jobs: LiveJob[], rooms: Room[], usages: Usages): void {
+  private updateReservation(jobs: LiveJob[], rooms: FreeCapacity[], usages: Usages): void {
     const starved = jobs.filter((job) => this.isStarved(job, usages));
     const { reservation } = this;
     if (reservation !== null) {
@@ -419,7 +419,7 @@
     };
   }
 
-  private claim(job: LiveJob, index: number, number: number, room: Room): void {
+  private claim(job: LiveJob, index: number, number: number, room: FreeCapacity): void {
     const m = this.term.machines.get(room.id)!;
     const { log } = this.term.deps;
     if (log.isLevelEnabled('debug')) {
--- a/src/scheduler/place.ts
+++ b/src/scheduler/place.ts
@@ -1,7 +1,7 @@
 import { fits, scatterCap, type JobSpec, type Size } from '../jobs/types.js';
 
-/** A machine as placing sees it: what is free on it and what a start there would wait for. */
-export interface Room extends Size {
+/** The free capacity of a machine, as placing sees it, and what a start there would wait for. */
+export interface FreeCapacity extends Size {
   id: string;
   type: string;
   zone: string;
@@ -22,17 +22,17 @@
   hotHere?(hot: HotImage[]): HotImage[];
 }
 
-/** To try something out. A room may be of a class: a spread of it would lose its methods. */
-export const copyRoom = (r: Room): Room =>
-  Object.assign(Object.create(Object.getPrototypeOf(r) as object) as Room, r);
+/** To try something out. It may be of a class: a spread of it would lose its methods. */
+export const copyFreeCapacity = (r: FreeCapacity): FreeCapacity =>
+  Object.assign(Object.create(Object.getPrototypeOf(r) as object) as FreeCapacity, r);
 
 export interface Where {
   /** Tasks of the job in each zone at this moment. */
   zones: Map<string, number>;
   /** Machines on which the job's tasks must not be placed. */
   avoid?: Set<string>;
-  /** Rooms that this job may use at present; every one when it is not given. */
-  may?: (room: Room) => boolean;
+  /** Machines that this job may use at present; every one when it is not given. */
+  may?: (room: FreeCapacity) => boolean;
 }
 
 export function allowed(
@@ -53,7 +53,7 @@
 }
 
 /** Share of the machine that stays free, by its scarcer resource. */
-function leftover(spec: Size, room: Room): number {
+function leftover(spec: Size, room: FreeCapacity): number {
   const { whole } = room;
   const gpus = whole.gpus > 0 ? (room.gpus - spec.gpus) / whole.gpus : Infinity;
   const cores = whole.cores > 0 ? (room.cores - spec.cores) / whole.cores : Infinity;
@@ -82,7 +82,7 @@
  * What taking this place would cost those to come: seconds of fetching that tasks would be spared
  * here, where their image is cached, if it still had room for them.
  */
-export function opportunity(spec: JobSpec, room: Room, hot: HotImage[]): number {
+export function opportunity(spec: JobSpec, room: FreeCapacity, hot: HotImage[]): number {
   let lost = 0;
   let after: Size | null = null;
   for (const h of room.hotHere?.(hot) ?? hot) {
@@ -108,7 +108,7 @@
 }
 
 /** In seconds. What cannot be below `bound` is not reckoned to its end: the dear part comes last. */
-export function cost(spec: JobSpec, room: Room, w: Weights, bound = Infinity): number {
+export function cost(spec: JobSpec, room: FreeCapacity, w: Weights, bound = Infinity): number {
   const own =
     room.imageWaitS(spec.image, spec.imageGb) +
     (spec.spot && !room.spot ? w.ordinaryS : 0) +
@@ -118,13 +118,14 @@
   return own + opportunity(spec, room, w.hot);
 }
 
-export function bestRoom(
+/** The machine on which a task costs least, or null: it fits nowhere that it may use. Takes nothing. */
+export function bestFit(
   spec: JobSpec,
-  rooms: Iterable<Room>,
+  rooms: Iterable<FreeCapacity>,
   where: Where,
   w: Weights,
-): Room | null {
-  let best: Room | null = null;
+): FreeCapacity | null {
+  let best: FreeCapacity | null = null;
   let bestCost = Infinity;
   for (const room of rooms) {
     if (!fits(spec, room) || !allowed(spec, room)) continue;
@@ -152,18 +153,23 @@
   room.memGb += spec.memGb;
 }
 
-/** All tasks of a gang or none: the rooms in the order of the tasks. Rooms are taken when it fits. */
-export function placeGang(spec: JobSpec, rooms: Room[], where: Where, w: Weights): Room[] | null {
+/** All tasks of a gang or none: machines in the order of the tasks. What they take is taken when it fits. */
+export function placeGang(
+  spec: JobSpec,
+  rooms: FreeCapacity[],
+  where: Where,
+  w: Weights,
+): FreeCapacity[] | null {
   const zones = spec.oneZone ? [...new Set(rooms.map((r) => r.zone))] : [null];
-  let best: Room[] | null = null;
+  let best: FreeCapacity[] | null = null;
   let bestCost = Infinity;
   for (const zone of zones) {
     const inZone = zone === null ? rooms : rooms.filter((r) => r.zone === zone);
     const counts = new Map(where.zones);
-    const got: Room[] = [];
+    const got: FreeCapacity[] = [];
     let total = 0;
     for (let i = 0; i < spec.tasks; i++) {
-      const room = bestRoom(spec, inZone, { ...where, zones: counts }, w);
+      const room = bestFit(spec, inZone, { ...where, zones: counts }, w);
       if (room === null) break;
       total = Math.max(total, cost(spec, room, w));
       take(spec, room);
--- a/src/scheduler/reservation.ts
+++ b/src/scheduler/reservation.ts
@@ -1,5 +1,5 @@
 import { fits, scatterCap, type JobSpec, type Size } from '../jobs/types.js';
-import { allowed, freeShare, type Room } from './place.js';
+import { allowed, freeShare, type FreeCapacity } from './place.js';
 
 /**
  * A reservation for a gang that has waited long: as in backfill scheduling, the machines on which it can
@@ -7,7 +7,7 @@
  * gang of whole machines never starts beside a steady stream of small work of equal priority.
  */
 export interface ReservableMachine {
-  room: Room;
+  room: FreeCapacity;
   /** What is free there once all work that ends by itself has ended. */
   eventual: Size;
 }
--- a/src/scheduler/vacate.ts
+++ b/src/scheduler/vacate.ts
@@ -1,4 +1,11 @@
-import { bestRoom, copyRoom, freeShare, take, type Room, type Weights } from './place.js';
+import {
+  bestFit,
+  copyFreeCapacity,
+  freeShare,
+  take,
+  type FreeCapacity,
+  type Weights,
+} from './place.js';
 import type { JobSpec } from '../jobs/types.js';
 
 /**
@@ -11,7 +18,7 @@
 }
 
 export interface Candidate {
-  room: Room;
+  room: FreeCapacity;
   replicas: Replica[];
 }
 
@@ -21,7 +28,7 @@
 /** Which machine to empty; null: none whose replicas all find a place with their image elsewhere. */
 export function chooseVacated(
   candidates: Candidate[],
-  rooms: Room[],
+  rooms: FreeCapacity[],
   mayMove: (replicas: Replica[]) => boolean,
   w: Weights,
 ): { candidate: Candidate; to: string[] } | null {
@@ -34,14 +41,14 @@
     const places = rooms
       .filter((r) => r.id !== c.room.id && !r.spot && freeShare(r) < 1)
       .filter((r) => freeShare(r) <= freeShare(c.room))
-      .map(copyRoom);
+      .map(copyFreeCapacity);
     const to: string[] = [];
     const all = c.replicas.every((replica) => {
       const zones = new Map(replica.zones);
       zones.set(c.room.zone, (zones.get(c.room.zone) ?? 1) - 1);
       // What is cached is an estimate; moving on a wrong one cost a replica a whole fetch.
       const there = places.filter((r) => r.hasImage(replica.spec.image));
-      const room = bestRoom(replica.spec, there, { zones }, w);
+      const room = bestFit(replica.spec, there, { zones }, w);
       if (room === null) return false;
       take(replica.spec, room);
       to.push(room.id);
--- a/src/state/replica.ts
+++ b/src/state/replica.ts
@@ -1,5 +1,6 @@
 import type { JobSpec, MachineType } from '../jobs/types.js';
-import { Bits, chunkCount, chunkSize, chunkTasks } from '../jobs/bits.js';
+import { BitSet } from '../jobs/bit-set.js';
+import { chunkCount, chunkSize, chunkTasks } from '../jobs/chunks.js';
 import type { Change, Item } from '../wire/state.js';
 import * as records from './records.js';
 
@@ -14,7 +15,7 @@
   doneTasks: number;
   attainedS: number;
   /** Dropped once the job is over. */
-  chunks: Map<number, { bits: Bits; revision: number; attainedS: number }> | null;
+  chunks: Map<number, { bits: BitSet; revision: number; attainedS: number }> | null;
   /** Attempts that machine records name at present. */
   claims: number;
 }
@@ -277,11 +278,11 @@
     if (old !== undefined && old.revision >= revision) return;
     const size = chunkSize(facts.spec.tasks, this.perChunk, chunk);
     const p = records.decodeProgress(value);
-    let bits: Bits;
+    let bits: BitSet;
     if (p.bits === null) {
-      bits = new Bits(size);
+      bits = new BitSet(size);
       bits.fill();
-    } else bits = Bits.decode(size, p.bits);
+    } else bits = BitSet.decode(size, p.bits);
     facts.chunks.set(chunk, { bits, revision, attainedS: p.attainedS });
     let done = 0;
     let attained = 0;
--- a/test/replica.test.ts
+++ b/test/replica.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { Bits } from '../src/jobs/bits.js';
+import { BitSet } from '../src/jobs/bit-set.js';
 import { LiveJob } from '../src/jobs/live.js';
 import * as records from '../src/state/records.js';
 import { outcome, Replica, specOf } from '../src/state/replica.js';
@@ -69,9 +69,9 @@
     claims: [{ job: 'wk-000001', index: 3, attempt: 9 }], images: [['i', 4]],
   }; // prettier-ignore
   assert.deepEqual(records.decodeMachine(through(records.encodeMachine(m))), m);
-  const bits = new Bits(20);
+  const bits = new BitSet(20);
   for (const i of [0, 7, 8, 19]) bits.add(i);
-  const back = Bits.decode(20, bits.encode());
+  const back = BitSet.decode(20, bits.encode());
   assert.deepEqual(
     [...Array(20).keys()].filter((i) => back.has(i)),
     [0, 7, 8, 19],
--- a/test/sched.test.ts
+++ b/test/sched.test.ts
@@ -7,12 +7,12 @@
 import { DEFAULT_POLICY } from '../src/operator/policy.js';
 import {
   allowed,
-  bestRoom,
+  bestFit,
   freeShare,
   placeGang,
   reserved,
   zoneAllowed,
-  type Room,
+  type FreeCapacity,
 } from '../src/scheduler/place.js';
 import { haste, Waits } from '../src/scheduler/objectives.js';
 import { cheapestEviction } from '../src/scheduler/preempt.js';
@@ -94,7 +94,7 @@
   );
 });
 
-const room = (over: Partial<Room> = {}): Room => ({
+const room = (over: Partial<FreeCapacity> = {}): FreeCapacity => ({
   id: 'm',
   type: 'g8',
   zone: 'z1',
@@ -112,7 +112,7 @@
 const w = { ordinaryS: 20, spreadS: 2 };
 
 test('where a task may go', () => {
-  const cases: [string, Partial<JobSpec>, Partial<Room>, boolean][] = [
+  const cases: [string, Partial<JobSpec>, Partial<FreeCapacity>, boolean][] = [
     ['anywhere', {}, {}, true],
     ['wrong type', { types: ['h1'] }, {}, false],
     ['wrong zone', { zone: 'z2' }, {}, false],
@@ -132,9 +132,9 @@
   const cold = room({ id: 'cold', imageWaitS: () => 9 });
   const full = room({ id: 'full', gpus: 1, cores: 1 });
   const where = { zones: new Map() };
-  assert.equal(bestRoom(spec(), [cold, cached], where, w)?.id, 'cached');
-  assert.equal(bestRoom(spec(), [cached, full], where, w)?.id, 'full');
-  assert.equal(bestRoom(spec({ gpus: 2 }), [full], where, w), null);
+  assert.equal(bestFit(spec(), [cold, cached], where, w)?.id, 'cached');
+  assert.equal(bestFit(spec(), [cached, full], where, w)?.id, 'full');
+  assert.equal(bestFit(spec({ gpus: 2 }), [full], where, w), null);
 });
 
 test('a place where another image is cached is left to those who want that image', () => {
@@ -143,9 +143,9 @@
   const cached = room({ id: 'cached', gpus: 4 });
   const cold = room({ id: 'cold', imageWaitS: (i) => (i === 'big' ? 30 : 0) });
   const where = { zones: new Map() };
-  assert.equal(bestRoom(spec(), [cached, cold], where, w)?.id, 'cached', 'the fuller one');
-  assert.equal(bestRoom(spec(), [cached, cold], where, { ...w, hot })?.id, 'cold');
-  assert.equal(bestRoom(big, [cold, cached], where, { ...w, hot })?.id, 'cached');
+  assert.equal(bestFit(spec(), [cached, cold], where, w)?.id, 'cached', 'the fuller one');
+  assert.equal(bestFit(spec(), [cached, cold], where, { ...w, hot })?.id, 'cold');
+  assert.equal(bestFit(big, [cold, cached], where, { ...w, hot })?.id, 'cached');
 });
 
 test('a gang gets all its rooms or none, in one zone where it must', () => {
@@ -215,7 +215,7 @@
 test('what is rented covers the demand and no more', () => {
   const plan = (
     demand: Partial<Demand>[],
-    rooms: Room[] = [],
+    rooms: FreeCapacity[] = [],
     short = (_t: string, _z: string, _s: boolean) => false,
   ) =>
     planRent({
@@ -282,7 +282,7 @@
   const service = spec({ kind: 'service', gpus: 2, cores: 2 });
   const emptier = room({ id: 'emptier', gpus: 6, cores: 6 });
   const candidate = { room: emptier, replicas: [{ spec: service, zones: new Map([['z1', 1]]) }] };
-  const cases: [string, Partial<Room>, boolean, boolean][] = [
+  const cases: [string, Partial<FreeCapacity>, boolean, boolean][] = [
     ['a hole with the image', { gpus: 2, cores: 2 }, true, true],
     ['no room', { gpus: 1 }, true, false],
     ['no image for certain', { gpus: 2, cores: 2, hasImage: () => false }, true, false],
@@ -295,7 +295,9 @@
     assert.equal(chooseVacated([candidate], rooms, () => may, w) !== null, want, name);
     // Rooms of a class have their methods from its prototype; spreads once lost them, and with that
     // every tick of the leader ended early.
-    const classy = rooms.map((r) => Object.assign(Object.create(r) as Room, { cores: r.cores }));
+    const classy = rooms.map((r) =>
+      Object.assign(Object.create(r) as FreeCapacity, { cores: r.cores }),
+    );
     assert.equal(chooseVacated([candidate], classy, () => may, w) !== null, want, name);
   }
 });
