Scheduler in parts: placement, eligibility, reservations, share of long work

A pass now has a typed context that its parts share, and each part a module. The same steps in the same order; less is made anew for each task (the closures of a late start, the search's place).

--- /dev/null
+++ b/src/leader/gang-reservations.ts
@@ -0,0 +1,74 @@
+/** Machines that are kept free for a gang which has waited for long. */
+
+import type { LiveJob } from '../jobs/live.js';
+import type { Size } from '../jobs/types.js';
+import type { FreeCapacity } from '../scheduler/place.js';
+import type { Usages } from '../scheduler/quota.js';
+import { chooseReservation, type ReservableMachine } from '../scheduler/reservation.js';
+import type { Term } from './term.js';
+
+/** A gang that has waited for so many leases gets machines reserved. */
+const RESERVE_LEASES = 3;
+
+interface Reservation {
+  job: LiveJob;
+  machines: Set<string>;
+}
+
+/** At most one reservation at a time. It is kept until its gang has started, or cannot any more. */
+export class GangReservations {
+  private reservation: Reservation | null = null;
+
+  constructor(
+    private readonly term: Term,
+    /** What is free on a machine once all but its services has ended; null: not known. */
+    private readonly eventual: (machine: string) => Size | null,
+  ) {}
+
+  /** Drops a reservation that serves nothing any more and makes one where a gang waits for long. */
+  update(jobs: LiveJob[], rooms: FreeCapacity[], usages: Usages): void {
+    const starved = jobs.filter((job) => this.isStarved(job, usages));
+    if (this.isStillWanted(starved, rooms)) return;
+    this.reservation = null;
+    if (starved.length === 0) return;
+    const machines = this.reservable(rooms);
+    for (const job of starved) {
+      const chosen = chooseReservation(job.spec, machines);
+      if (chosen === null) continue;
+      this.reservation = { job, machines: chosen };
+      this.term.deps.log.info({ job: job.spec.id, machines: chosen.size }, 'machines reserved');
+      return;
+    }
+  }
+
+  /** Whether a machine is kept from a job: for a gang of the same or a higher priority. */
+  isReservedFrom(job: LiveJob, machine: string): boolean {
+    const { reservation } = this;
+    if (reservation === null || reservation.job === job) return false;
+    return reservation.machines.has(machine) && job.spec.priority >= reservation.job.spec.priority;
+  }
+
+  private isStillWanted(starved: LiveJob[], rooms: FreeCapacity[]): boolean {
+    const { reservation } = this;
+    if (reservation === null) return false;
+    const there = rooms.filter((room) => reservation.machines.has(room.id));
+    return there.length === reservation.machines.size && starved.includes(reservation.job);
+  }
+
+  private reservable(rooms: FreeCapacity[]): ReservableMachine[] {
+    return rooms.flatMap((room): ReservableMachine[] => {
+      const eventual = this.eventual(room.id);
+      return eventual === null ? [] : [{ room, eventual }];
+    });
+  }
+
+  private isStarved(job: LiveJob, usages: Usages): boolean {
+    const { now, deps } = this.term;
+    if (!job.gang || now - job.submittedAt < deps.settings.workers.lease_s * RESERVE_LEASES) {
+      return false;
+    }
+    const { spec } = job;
+    if (job.holdingCount > 0 || job.pending(now, spec.tasks).length < spec.tasks) return false;
+    return usages.allows(spec, spec.tasks);
+  }
+}
--- /dev/null
+++ b/src/leader/long-work-share.ts
@@ -0,0 +1,101 @@
+/** The share of each machine type that short work leaves to long work while that waits. */
+
+import { unit } from '../cloud/arrivals.js';
+import type { LiveJob } from '../jobs/live.js';
+import type { Size } from '../jobs/types.js';
+import { reserved, type FreeCapacity } from '../scheduler/place.js';
+import type { Usages } from '../scheduler/quota.js';
+import type { LongWorkShares, MayUse, PassContext } from './pass-context.js';
+import type { Term } from './term.js';
+
+const NOTHING_TO_COUNT = (): void => undefined;
+
+/** Where a job may be placed beside long work. */
+export interface SharedUse {
+  may: MayUse;
+  /** Counts what the job itself takes. */
+  taken: (room: FreeCapacity) => void;
+}
+
+/**
+ * GPUs (or cores) of each type that short work must leave to long work that waits: for work of each
+ * priority, that of its own and of higher ones. Gangs once waited for half a minute beside room that
+ * was held for long arrays of the least priority, and evicted others in vain meanwhile.
+ */
+export function longWorkShares(
+  term: Term,
+  jobs: LiveJob[],
+  rooms: FreeCapacity[],
+  usages: Usages,
+): LongWorkShares {
+  const startable = startableLongJobs(jobs, usages, term.now);
+  const byPriority = new Map<number, Map<string, number>>();
+  return (priority) => {
+    let shares = byPriority.get(priority);
+    if (shares === undefined) {
+      const long = [...startable].filter(([job]) => job.spec.priority <= priority);
+      shares = sharesFor(long, rooms, term.deps.policy.rho);
+      byPriority.set(priority, shares);
+    }
+    return shares;
+  };
+}
+
+/** Nothing is held for what may not start: its team is at its limit, or its tasks are to wait. */
+function startableLongJobs(jobs: LiveJob[], usages: Usages, now: number): Map<LiveJob, number> {
+  const startable = new Map<LiveJob, number>();
+  for (const job of jobs) {
+    if (!job.long || job.pending(now, 1).length === 0) continue;
+    startable.set(job, Math.min(job.pendingCount, usages.room(job.spec)));
+  }
+  return startable;
+}
+
+function sharesFor(
+  long: [LiveJob, number][],
+  rooms: FreeCapacity[],
+  rho: number,
+): Map<string, number> {
+  const shares = new Map<string, number>();
+  if (long.length === 0) return shares;
+  const wholes = new Map<string, number>();
+  for (const r of rooms) wholes.set(r.type, (wholes.get(r.type) ?? 0) + unit(r.whole));
+  for (const [type, whole] of wholes) {
+    const share = reserved(whole, rho, wantedOf(type, whole, long));
+    if (share > 0) shares.set(type, share);
+  }
+  return shares;
+}
+
+function wantedOf(type: string, whole: number, long: [LiveJob, number][]): number {
+  let wanted = 0;
+  for (const [{ spec }, tasks] of long) {
+    if (spec.types !== null && !spec.types.includes(type)) continue;
+    wanted += unit(spec) * Math.min(tasks, whole / Math.max(unit(spec), 1e-9));
+  }
+  return wanted;
+}
+
+/** GPUs or, on a machine without any, cores. */
+const unitsOn = (room: FreeCapacity, size: Size): number =>
+  room.whole.gpus > 0 ? size.gpus : size.cores;
+
+/** The machines out of those it may use on which a job leaves the share that is held for long work. */
+export function besideLongWork(job: LiveJob, pass: PassContext, mayUse: MayUse): SharedUse {
+  const exempt = job.long || job.spec.kind === 'service' || job.guaranteed;
+  if (exempt) return { may: mayUse, taken: NOTHING_TO_COUNT };
+  const shares = pass.longWorkShares(job.spec.priority);
+  if (shares.size === 0) return { may: mayUse, taken: NOTHING_TO_COUNT };
+  const free = new Map<string, number>();
+  for (const r of pass.rooms) {
+    if (shares.has(r.type) && mayUse(r)) free.set(r.type, (free.get(r.type) ?? 0) + unitsOn(r, r));
+  }
+  const need = unit(job.spec);
+  return {
+    may: (r) => {
+      const share = shares.get(r.type);
+      return mayUse(r) && (share === undefined || (free.get(r.type) ?? 0) - need >= share);
+    },
+    taken: (r) => free.set(r.type, (free.get(r.type) ?? 0) - unitsOn(r, job.spec)),
+  };
+}
--- /dev/null
+++ b/src/leader/machine-eligibility.ts
@@ -0,0 +1,113 @@
+/** Which machines a job may use, apart from whether it fits there. */
+
+import type { LiveJob } from '../jobs/live.js';
+import type { JobSpec } from '../jobs/types.js';
+import { freeShare, type FreeCapacity } from '../scheduler/place.js';
+import type { Machine } from '../workers/machine.js';
+import { freeMachines, type FreeCapacityIndex } from './free-capacity.js';
+import type { GangReservations } from './gang-reservations.js';
+import type { MayUse } from './pass-context.js';
+import type { Term } from './term.js';
+
+/** Of the largest value that the store takes, what a machine's claims may take; and one of them. */
+const CLAIMS_SHARE = 0.5;
+const CLAIM_BYTES = 64;
+/** A machine that has not reported for so many intervals gets nothing new. */
+const HEARD_REPORTS = 2.5;
+const ANY: MayUse = () => true;
+
+/** Whether anything new may go to a machine now. */
+export function isUsable(term: Term, m: Machine): boolean {
+  const { now } = term;
+  const { report_s } = term.deps.settings.workers;
+  return (
+    m.state === 'ready' &&
+    m.takenAt === null &&
+    !m.faulty &&
+    m.vacatedAt === null &&
+    // Not by answers to direct commands: a worker that reaches no controller gives those too, while
+    // its lease runs out.
+    now - m.checkinAt < report_s * HEARD_REPORTS &&
+    now >= m.shunnedUntil
+  );
+}
+
+export interface EligibilityOptions {
+  term: Term;
+  index: FreeCapacityIndex;
+  reservations: GangReservations;
+  /** Whether work leaves as soon as it is told to, so that others need not wait for it. */
+  leavesSoon: (spec: JobSpec) => boolean;
+  /** Whether no spot machine of a type is to be had anywhere at present. */
+  spotShort: (type: string) => boolean;
+  /** Free capacity that is kept on spot or ordinary machines, in machines. */
+  warm: (spot: boolean) => number;
+}
+
+/** Keeps reserved machines, records that are full and the warm capacity from jobs, pass by pass. */
+export class MachineEligibility {
+  /** Free capacity beyond what is kept warm, on ordinary and on spot machines; in machines. */
+  private readonly excess = new Map<boolean, number>();
+  /** Answers of `spotShort` within a pass. */
+  private readonly shortTypes = new Map<string, boolean>();
+
+  constructor(private readonly options: EligibilityOptions) {}
+
+  beginPass(rooms: FreeCapacity[]): void {
+    for (const spot of [false, true]) {
+      this.excess.set(spot, freeMachines(rooms, spot) - this.options.warm(spot));
+    }
+    this.shortTypes.clear();
+  }
+
+  /** Counts what was taken of a machine of which so much was free before. */
+  noteTaken(room: FreeCapacity, freeShareBefore: number): void {
+    const excess = this.excess.get(room.spot)!;
+    this.excess.set(room.spot, excess + freeShare(room) - freeShareBefore);
+  }
+
+  /** The machines a job may use, whatever is held for long work. */
+  mayUse(job: LiveJob): MayUse {
+    const { reservations } = this.options;
+    const leavesWarm = this.leavesWarm(job);
+    return (room) =>
+      !reservations.isReservedFrom(job, room.id) && this.hasClaimsLeft(room.id) && leavesWarm(room);
+  }
+
+  /**
+   * A machine's record names all claims on it and may not outgrow a value of the store. With tasks of a
+   * thousandth of a core one did, and nothing could be stored any more.
+   */
+  private hasClaimsLeft(id: string): boolean {
+    const { term } = this.options;
+    const bytes = term.deps.settings.state.value_kb * 1024 * CLAIMS_SHARE;
+    return term.machines.get(id)!.attempts.size < Math.max(1, bytes / CLAIM_BYTES);
+  }
+
+  /**
+   * Best-effort work goes to spot machines while they can be had. Of ordinary ones it gets what
+   * others leave over on machines that stay anyway: a hole costs nothing, an empty machine that
+   * could be given back does. The room that is kept warm is left alone on both kinds: gangs that
+   * found it full of arrays waited until those had saved, which took longer than they may wait.
+   */
+  private leavesWarm(job: LiveJob): MayUse {
+    if (job.spec.priority < 3 || !job.spec.spot) return ANY;
+    const { gpus } = job.spec;
+    // What leaves at once when others come may use even the room that is kept for them.
+    const soft = this.options.leavesSoon(job.spec);
+    return (r) => {
+      const beyond = soft || this.excess.get(r.spot)! >= gpus / Math.max(1, r.whole.gpus);
+      if (r.spot) return beyond || job.guaranteed;
+      return this.noSpot(r.type) || (beyond && this.options.index.inUse(r.id));
+    };
+  }
+
+  private noSpot(type: string): boolean {
+    let short = this.shortTypes.get(type);
+    if (short === undefined) {
+      short = this.options.spotShort(type);
+      this.shortTypes.set(type, short);
+    }
+    return short;
+  }
+}
--- /dev/null
+++ b/src/leader/pass-context.ts
@@ -0,0 +1,43 @@
+/** What the parts of one pass of placing share. */
+
+import type { LiveJob } from '../jobs/live.js';
+import type { FreeCapacity, Weights } from '../scheduler/place.js';
+import type { Usages } from '../scheduler/quota.js';
+import type { Evictions } from './evictions.js';
+import type { Term } from './term.js';
+
+/** Whether a job may use a machine now. */
+export type MayUse = (room: FreeCapacity) => boolean;
+
+/** What work of a priority must leave free of each machine type, in GPUs or (without any) cores. */
+export type LongWorkShares = (priority: number) => Map<string, number>;
+
+export interface PassContext {
+  /** When the pass began, in seconds of the steady clock. */
+  readonly now: number;
+  /** Free capacity of the machines that may be used. Placing takes from it. */
+  readonly rooms: FreeCapacity[];
+  /** What teams use. Placing adds to it. */
+  readonly usages: Usages;
+  readonly weights: Weights;
+  readonly longWorkShares: LongWorkShares;
+  readonly evictions: Evictions;
+}
+
+/** How a job fared in a pass. */
+export interface JobOutcome {
+  /** Tasks that were placed. */
+  placed: number;
+  /** Tasks that may start but fit nowhere. */
+  short: number;
+}
+
+/** Tasks of a job in each zone, counted for as long as they may be on a machine. */
+export function zonesOf(term: Term, job: LiveJob): Map<string, number> {
+  const zones = new Map<string, number>();
+  for (const a of job.holding()) {
+    const zone = term.machines.get(a.machine)?.zone;
+    if (zone !== undefined) zones.set(zone, (zones.get(zone) ?? 0) + 1);
+  }
+  return zones;
+}
