--- /dev/null
+++ b/src/leader/fencing.ts
@@ -0,0 +1,20 @@
+/** Fencing of machines by revisions of this term's own commits. */
+
+import type { TermState } from './term-state.js';
+
+/**
+ * Fences machines anew whose direct starts were never answered, once one of those keeps something
+ * from being done. The record names the new token before a worker sees it: whoever renews leases in
+ * this leader's place must be able to give it.
+ */
+export function fenceUnanswered(state: TermState): void {
+  for (const m of state.machines.values()) {
+    if (m.state !== 'ready' || !m.blockedByUnanswered()) continue;
+    if (state.latestRevision > m.token) m.nextToken = state.latestRevision;
+    state.dirtyMachines.add(m.id);
+  }
+}
+
+/** A later leader's token, as far as can be told: none that this term has given. */
+export const isLaterToken = (state: TermState, token: number): boolean =>
+  token > state.latestRevision;
--- /dev/null
+++ b/src/leader/start-permission.ts
@@ -0,0 +1,25 @@
+/** Whether a claimed attempt may be started. */
+
+import type { LiveJob } from '../jobs/live.js';
+import type { Attempt } from '../workers/attempt.js';
+import type { TermState } from './term-state.js';
+
+/** Its job is open, its task not done, its machine ready; of a gang, every claim is stored. */
+export function mayStart(state: TermState, a: Attempt): boolean {
+  const job = state.jobs.get(a.job);
+  const m = state.machines.get(a.machine);
+  if (job === undefined || m === undefined || job.phase !== 'open') return false;
+  if (m.state !== 'ready' || m.takenAt !== null) return false;
+  if (job.done.has(a.index)) return false;
+  return !job.gang || isGangStored(job, a.number);
+}
+
+/** All of a gang's claims are stored before the first of them starts. */
+function isGangStored(job: LiveJob, number: number): boolean {
+  let claims = 0;
+  for (const other of job.holding()) {
+    if (other.number !== number || other.state === 'claiming' || other.stop !== null) return false;
+    claims++;
+  }
+  return claims === job.spec.tasks;
+}
--- /dev/null
+++ b/src/leader/term-state.ts
@@ -0,0 +1,104 @@
+/** What a term of leadership knows: machines, jobs, and what of it is still to be stored. */
+
+import type { Clock } from '../clock.js';
+import type { Settings } from '../config/settings.js';
+import type { LiveJob } from '../jobs/live.js';
+import type { MachineType } from '../jobs/types.js';
+import type { Log } from '../log.js';
+import type { Policy } from '../operator/policy.js';
+import { FetchTimes } from '../scheduler/fetches.js';
+import type { Replica } from '../state/replica.js';
+import { Machine } from '../workers/machine.js';
+
+export interface TermDeps {
+  settings: Settings;
+  clock: Clock;
+  wallMs: () => number;
+  log: Log;
+  replica: Replica;
+  policy: Policy;
+  token: number;
+  incarnation: string;
+  entitled: () => boolean;
+  writing: () => boolean;
+  /** Until when another controller may have renewed leases because the state service was down. */
+  keptUntil: () => number;
+  /** Until when a zone's zone keeper may renew leases there, and up to which moment that is certain. */
+  zone: (zone: string) => { keptUntil: number; provenAt: number };
+  /** Asks for a fresh proof of that. */
+  prove: () => void;
+}
+
+/** The state of a term, which its parts share. */
+export class TermState {
+  readonly machines = new Map<string, Machine>();
+  readonly jobs = new Map<string, LiveJob>();
+  /** Machines whose records are to be written. */
+  readonly dirtyMachines = new Set<string>();
+  /** Records of machines that are gone for good, and their revisions. */
+  readonly removals = new Map<string, number>();
+  /** Machines that the cloud has taken back. Names never recur: what still reports is a late copy. */
+  readonly returned = new Set<string>();
+  /** Machines with commands that should not wait for the next check-in. */
+  readonly urgent = new Set<string>();
+  readonly fetches = new FetchTimes();
+  readonly startedAt: number;
+  /**
+   * Revision of the latest commit of this term. Commits are guarded by the leader's key, so it is above
+   * the term's token and below that of every later leader: machines may be fenced with it.
+   */
+  latestRevision: number;
+  types = new Map<string, MachineType>();
+  /** Set when something happened that placing should look at. */
+  stirred = true;
+  onStir: () => void = () => undefined;
+
+  constructor(readonly deps: TermDeps) {
+    this.startedAt = deps.clock.now();
+    this.latestRevision = deps.token;
+    this.setTypes(deps.replica.types ?? []);
+  }
+
+  /** Seconds of the steady clock. */
+  get now(): number {
+    return this.deps.clock.now();
+  }
+
+  requestPass(): void {
+    this.stirred = true;
+    this.onStir();
+  }
+
+  setTypes(types: MachineType[]): void {
+    this.types = new Map(types.map((t) => [t.name, t]));
+  }
+
+  /** The machine of this name; one that nothing is known of is added. */
+  machine(id: string): Machine {
+    let m = this.machines.get(id);
+    if (m === undefined) {
+      m = new Machine(id, this.deps.token, this.deps.settings.workers.lease_s, this.now);
+      // Forgotten, and back before its record was removed: a removal that is tried once more would
+      // take away the claims of what is started there from now on.
+      m.revision = this.removals.get(id) ?? 0;
+      this.removals.delete(id);
+      this.machines.set(id, m);
+    }
+    return m;
+  }
+
+  /** Nothing is known of a machine any more; its record goes too. */
+  forget(m: Machine): void {
+    this.machines.delete(m.id);
+    this.dirtyMachines.delete(m.id);
+    if (m.state === 'returned') this.returned.add(m.id);
+    if (m.revision > 0) this.removals.set(m.id, m.revision);
+  }
+
+  /** The record of a forgotten machine was removed (null), or has now this revision. */
+  removed(id: string, revision: number | null): void {
+    if (this.machines.has(id)) return;
+    if (revision === null) this.removals.delete(id);
+    else this.removals.set(id, revision);
+  }
+}
