--- /dev/null
+++ b/src/leader/consolidation.ts
@@ -0,0 +1,61 @@
+/** Emptying machines while more is free than is needed. */
+
+import type { FreeCapacity } from '../scheduler/place.js';
+import { freeMachines } from './free-capacity.js';
+import type { PassRemains } from './rent-planner.js';
+import { MUCH_SURPLUS } from './return-planner.js';
+import type { Term } from './term.js';
+import type { WarmReserve } from './warm-reserve.js';
+
+/** Right after a change of leader the picture is not whole: for so many leases. */
+const SETTLE_LEASES = 2;
+/** Leases between two machines that are emptied: as a rule, and while there is much room too much. */
+const EMPTY_SELDOM = 0.5;
+const EMPTY_OFTEN = 0.2;
+/** A machine that was emptied is used again when it was not given back within so many leases. */
+const EMPTIED_LEASES = 3;
+/** Free machines above the reserve from which one is emptied. */
+const SURPLUS = 1.5;
+
+/** Has one machine at a time emptied, to be given back. */
+export class Consolidation {
+  private latestAt = -Infinity;
+
+  constructor(
+    private readonly term: Term,
+    private readonly warm: WarmReserve,
+    /** Empties a machine whose replicas fit elsewhere, if there is one. */
+    private readonly vacate: (rooms: FreeCapacity[]) => void,
+  ) {}
+
+  /** When there is a machine's worth of room too much, a machine is emptied to be given back. */
+  consolidate({ demand, rooms }: PassRemains): void {
+    const { term } = this;
+    const { now } = term;
+    const { lease_s } = term.deps.settings.workers;
+    this.useAgain(now, demand.length > 0);
+    if (!term.deps.writing() || now - term.startedAt < lease_s * SETTLE_LEASES) return;
+    const surplus = freeMachines(rooms, false) - this.warm.target(false);
+    const gap = lease_s * (surplus >= MUCH_SURPLUS ? EMPTY_OFTEN : EMPTY_SELDOM);
+    if (now - this.latestAt < gap || demand.length > 0) return;
+    this.latestAt = now;
+    if (surplus < SURPLUS || (surplus < MUCH_SURPLUS && this.hasEmpty())) return;
+    this.vacate(rooms);
+  }
+
+  private useAgain(now: number, wanted: boolean): void {
+    const patience = this.term.deps.settings.workers.lease_s * EMPTIED_LEASES;
+    for (const m of this.term.machines.values()) {
+      if (m.vacatedAt === null || m.state !== 'ready') continue;
+      if (wanted || now - m.vacatedAt > patience) m.vacatedAt = null;
+    }
+  }
+
+  /** An empty ordinary machine goes back first. */
+  private hasEmpty(): boolean {
+    for (const m of this.term.machines.values()) {
+      if (!m.spot && m.state === 'ready' && m.attempts.size === 0) return true;
+    }
+    return false;
+  }
+}
--- a/src/leader/leader.ts
+++ b/src/leader/leader.ts
@@ -48,14 +48,14 @@
       ...this.term.types.values(),
     ]);
     for (const j of deps.replica.jobs.values()) this.arrivals.add(j.spec, j.atMs);
-    this.capacity = new CapacityManager(
-      this.term,
+    this.capacity = new CapacityManager({
+      term: this.term,
       cloud,
-      () => this.scheduler,
-      this.arrivals,
-      (m) => this.forget(m),
-      (types) => this.onTypes(types),
-    );
+      scheduler: () => this.scheduler,
+      arrivals: this.arrivals,
+      forget: (m) => this.forget(m),
+      onTypes: (types) => this.onTypes(types),
+    });
     this.scheduler = new Scheduler(
       this.term,
       this.arrivals,
--- /dev/null
+++ b/src/leader/return-planner.ts
@@ -0,0 +1,155 @@
+/** What to give back: empty machines that are not needed, and machines that failed or never came. */
+
+import type { MachineType } from '../jobs/types.js';
+import type { FreeCapacity } from '../scheduler/place.js';
+import { MIN_CHARGE_S, type ListedMachine } from '../wire/cloud.js';
+import type { Machine } from '../workers/machine.js';
+import { freeMachines } from './free-capacity.js';
+import type { Term } from './term.js';
+import type { WarmReserve } from './warm-reserve.js';
+
+/** Given back after so many boots: a machine still booting, and one that runs but does not report. */
+const NEVER_BOOTS = { booting: 6, running: 4, failed: 0 } as const;
+/** Leases beyond that, for the reports of a machine that has come. */
+const NEVER_LEASES = 2;
+/** A term judges so only after so many leases: its machines have reported by then. */
+const JUDGE_LEASES = 3;
+/** A silent machine may come back for so many leases; then it is given back. */
+const SILENT_LEASES = 4;
+/** Free machines above the reserve from which one goes back, and from which it goes early. */
+const SURPLUS = 1.2;
+export const MUCH_SURPLUS = 2.5;
+/** The same where nothing is kept: the last one goes too. */
+const LAST_SURPLUS = 0.9;
+/** How long it must have been idle, in boots: as a rule, and when it goes early. */
+const IDLE_BOOTS = 1;
+const IDLE_EARLY_BOOTS = 0.4;
+/** Of the time that is charged at least, the share a machine is kept for. */
+const CHARGED_SHARE = 0.92;
+
+/** Plans what a term gives back. */
+export class ReturnPlanner {
+  private readonly failed = new Set<string>();
+  private readonly neverCame = new Set<string>();
+  private lastListed = new Set<string>();
+
+  constructor(
+    private readonly term: Term,
+    private readonly warm: WarmReserve,
+  ) {}
+
+  /** Whether the cloud's latest list names a machine. */
+  isListed(id: string): boolean {
+    return this.lastListed.has(id);
+  }
+
+  /** Takes in the cloud's list of all machines that it has not confirmed as gone. */
+  listed(all: ListedMachine[]): void {
+    const { now } = this.term;
+    this.lastListed = new Set(all.map((m) => m.id));
+    for (const listed of all) this.judge(listed, now);
+    this.dropThoseThatCame();
+  }
+
+  private judge(listed: ListedMachine, now: number): void {
+    const { term } = this;
+    const { lease_s } = term.deps.settings.workers;
+    const type = term.types.get(listed.type);
+    const known = term.machines.get(listed.id);
+    if (known !== undefined) known.listedAgeS = listed.ageS;
+    if (listed.state === 'failed') {
+      this.failed.add(listed.id);
+      return;
+    }
+    if (type === undefined || known !== undefined) return;
+    // Boots that never end, and machines that run but never report.
+    const limit = type.bootS * NEVER_BOOTS[listed.state] + lease_s * NEVER_LEASES;
+    const settled = now - term.startedAt > lease_s * JUDGE_LEASES;
+    if (listed.ageS > limit && settled) this.neverCame.add(listed.id);
+  }
+
+  /** They came after all, while the cloud did not answer: there may be work on them by now. */
+  private dropThoseThatCame(): void {
+    for (const id of this.neverCame) if (this.term.machines.has(id)) this.neverCame.delete(id);
+  }
+
+  /** The cloud has confirmed that a machine is gone. */
+  confirmed(id: string): void {
+    this.failed.delete(id);
+    this.neverCame.delete(id);
+  }
+
+  /** Machines to give back now. Records are marked before their machines are named. */
+  toReturn(rooms: FreeCapacity[]): string[] {
+    const { term } = this;
+    const { now } = term;
+    this.dropThoseThatCame();
+    const ids: string[] = [...this.failed, ...this.neverCame];
+    const spare = [false, true].map((spot) => freeMachines(rooms, spot) - this.warm.target(spot));
+    for (const m of term.machines.values()) {
+      if (m.state === 'returning' && (m.returnStored || m.revision === 0)) ids.push(m.id);
+    }
+    for (const m of this.emptyMachines()) {
+      const type = term.types.get(m.type);
+      if (type === undefined || !this.dueBack(m, type, now, spare)) continue;
+      if (!term.deps.writing()) continue;
+      this.markReturning(m, now);
+      if (m.revision === 0) ids.push(m.id);
+    }
+    return [...new Set(ids)];
+  }
+
+  /** Machines with few images come first: what others have cached spares the next task its fetch. */
+  private emptyMachines(): Machine[] {
+    const empty: { m: Machine; gb: number }[] = [];
+    for (const m of this.term.machines.values()) {
+      if ((m.state !== 'ready' && m.state !== 'silent') || m.attempts.size > 0) continue;
+      empty.push({ m, gb: cachedGb(m) });
+    }
+    empty.sort((a, b) => a.gb - b.gb);
+    return empty.map((e) => e.m);
+  }
+
+  private markReturning(m: Machine, now: number): void {
+    this.term.deps.log.info(
+      { machine: m.id, idle: now - m.idleSince, faulty: m.faulty, state: m.state },
+      'to be returned',
+    );
+    m.become('returning');
+    if (m.revision > 0) this.term.dirtyMachines.add(m.id);
+  }
+
+  /**
+   * Whether an empty machine goes back now. `spare`: free machines above the reserve, ordinary and spot;
+   * one that goes for being too many is taken off.
+   */
+  private dueBack(m: Machine, type: MachineType, now: number, spare: number[]): boolean {
+    const { lease_s, report_s } = this.term.deps.settings.workers;
+    if (m.faulty) return true;
+    if (m.state === 'silent') return now - m.heardAt > lease_s * SILENT_LEASES;
+    // What is given back early is paid for all the same.
+    const age = Math.max(now - (m.firstHeardAt ?? now) + type.bootS, m.listedAgeS ?? 0);
+    if (age <= MIN_CHARGE_S * CHARGED_SHARE) return false;
+    const idle = now - m.idleSince;
+    if (m.vacatedAt !== null) return idle > report_s;
+    const kind = m.spot ? 1 : 0;
+    if (!this.isTooMany(m, type, idle, spare[kind]!)) return false;
+    spare[kind]! -= 1;
+    return true;
+  }
+
+  /** What is held above the reserve goes back, with a margin against going back and forth. */
+  private isTooMany(m: Machine, type: MachineType, idle: number, surplus: number): boolean {
+    // Where nothing is kept even the last one goes: it once stayed for the rest of the day.
+    const none = this.term.jobs.size === 0 || (m.spot && this.warm.target(true) === 0);
+    if (surplus < (none ? LAST_SURPLUS : SURPLUS)) return false;
+    const early = m.spot || surplus >= MUCH_SURPLUS;
+    return idle > type.bootS * (early ? IDLE_EARLY_BOOTS : IDLE_BOOTS);
+  }
+}
+
+function cachedGb(m: Machine): number {
+  let gb = 0;
+  for (const image of m.images.values()) gb += image.gb;
+  return gb;
+}
--- a/test/pass.test.ts
+++ b/test/pass.test.ts
@@ -57,14 +57,14 @@
       () => true,
       () => 0,
     );
-    this.capacity = new CapacityManager(
-      this.term,
-      null!,
-      () => this.scheduler,
+    this.capacity = new CapacityManager({
+      term: this.term,
+      cloud: null!,
+      scheduler: () => this.scheduler,
       arrivals,
-      () => undefined,
-      () => undefined,
-    );
+      forget: () => undefined,
+      onTypes: () => undefined,
+    });
     this.capacity.fleet.listedOnce = true;
   }
 
