--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -30,6 +30,11 @@
 
 /** Jobs that are over stay whole in memory for so many leases after their acceptance. */
 const TRIM_LEASES = 60;
+/**
+ * Reports that are passed on wait for others for this share of a report interval: a controller that does
+ * not lead then writes, and the leader reads, a batch of them at once.
+ */
+const GATHER_REPORTS = 0.1;
 /** Of the sockets, those for users and workers. */
 const SERVER_SOCKETS = 0.6;
 /** Costs are logged, and old jobs trimmed, once in so many ticks. */
@@ -153,6 +158,7 @@
       (from, q) => this.answer(from, q),
       log,
       settings.limits.sockets,
+      settings.workers.report_s * GATHER_REPORTS,
     );
     this.handOver = new HandOver({
       overload: this.overload,
--- a/src/peers/peers.ts
+++ b/src/peers/peers.ts
@@ -26,21 +26,38 @@
 
 /**
  * Writes frames to a connection, those of one turn of the event loop together: a controller that falls
- * behind finds many reports in a turn, and each write is a system call and a packet.
+ * behind finds many reports in a turn, and each write is a system call and a packet. Frames that can wait
+ * for company are written with the next urgent one, or once `gatherS` is over: on both ends a batch is
+ * one system call, one turn of the event loop and one packet.
  */
-class FrameWriter {
+export class FrameWriter {
   private frames: Buffer[] = [];
+  private state: 'empty' | 'gathering' | 'flushing' = 'empty';
+  private timer: NodeJS.Timeout | undefined;
 
-  constructor(private readonly socket: Socket) {}
+  constructor(
+    private readonly socket: Pick<Socket, 'destroyed' | 'write'>,
+    /** Seconds for which frames that are not urgent may wait for others. */
+    private readonly gatherS: number,
+  ) {}
 
-  write(value: unknown): void {
+  write(value: unknown, urgent = true): void {
     this.frames.push(encodeFrame(value));
-    if (this.frames.length === 1) setImmediate(() => this.flush());
+    if (this.state === 'flushing') return;
+    if (urgent) {
+      clearTimeout(this.timer);
+      this.state = 'flushing';
+      setImmediate(() => this.flush());
+    } else if (this.state === 'empty') {
+      this.state = 'gathering';
+      this.timer = setTimeout(() => this.flush(), this.gatherS * 1000);
+    }
   }
 
   private flush(): void {
     const { frames } = this;
     this.frames = [];
+    this.state = 'empty';
     if (this.socket.destroyed) return;
     this.socket.write(frames.length === 1 ? frames[0]! : Buffer.concat(frames));
   }
@@ -107,6 +124,7 @@
     private readonly to: Endpoint,
     private readonly log: Log,
     private readonly maxPending: number,
+    private readonly gatherS: number,
   ) {}
 
   private become(state: LinkState): void {
@@ -131,7 +149,7 @@
     this.backoffMs = Math.min(2000, this.backoffMs * 2);
     const socket = connect({ host: this.to.host, port: this.to.port });
     this.socket = socket;
-    const writer = new FrameWriter(socket);
+    const writer = new FrameWriter(socket, this.gatherS);
     this.writer = writer;
     this.become('connecting');
     const reader = new FrameReader();
@@ -190,7 +208,7 @@
         if (this.socket === socket && this.answeredAt < sentAt) this.become('down');
       }, timeoutS * 1000);
       this.pending.set(id, { resolve, timer });
-      writer.write({ id, q: question });
+      writer.write({ id, q: question }, question.q !== 'report');
     });
   }
 
@@ -212,8 +230,10 @@
     private readonly log: Log,
     /** Questions under way on one link: each comes from a connection of this controller's. */
     private readonly maxPending: number,
+    /** Seconds for which reports that are passed on may wait for others. */
+    private readonly gatherS = 0,
   ) {
-    for (const p of peers) this.links.set(p.node, new Link(self, p.addr, log, maxPending));
+    for (const p of peers) this.links.set(p.node, new Link(self, p.addr, log, maxPending, gatherS));
     this.server = createServer((s) => this.accept(s));
     this.server.on('error', (e) => log.error({ err: e.message }, 'peer server'));
   }
@@ -227,7 +247,7 @@
     this.accepted.add(socket);
     socket.setNoDelay(true);
     const reader = new FrameReader();
-    const writer = new FrameWriter(socket);
+    const writer = new FrameWriter(socket, this.gatherS);
     let from: string | null = null;
     let busy = 0;
     socket.on('error', () => socket.destroy());
