--- /dev/null
+++ b/scripts/load-lines.ts
@@ -0,0 +1,134 @@
+import type { LoadLine } from '../src/controller/load-log.js';
+
+/** Reads `load` lines out of logs of several controllers and lays them out, a row a second. */
+
+/** A `load` line of a log: when, in seconds, which controller, and its figures. */
+export interface LoadEntry {
+  timeS: number;
+  node: string;
+  line: LoadLine;
+}
+
+/** A column: its title, and its figure of a line; of two lines in one second `join` makes one. */
+interface Column {
+  title: string;
+  value: (line: LoadLine) => number;
+  join: (a: number, b: number) => number;
+}
+
+const sum = (a: number, b: number): number => a + b;
+
+const counted = (title: string, value: (line: LoadLine) => number): Column => ({
+  title,
+  value,
+  join: sum,
+});
+
+const level = (title: string, value: (line: LoadLine) => number): Column => ({
+  title,
+  value,
+  join: Math.max,
+});
+
+/** What is shown of each controller, besides its role. */
+const COLUMNS: Column[] = [
+  counted('ans', (l) => l.reports_answered),
+  counted('peers', (l) => l.reports_answered_for_peers),
+  counted('kept', (l) => l.reports_kept),
+  counted('on', (l) => l.reports_passed_on),
+  counted('fail', (l) => l.reports_passed_on_failed),
+  counted('drop', (l) => l.reports_dropped),
+  counted('refu', (l) => l.submissions_refused + l.polls_refused + l.cancellations_refused),
+  counted('lost', (l) => l.machines_lost),
+  level('wait', (l) => l.requests_waiting),
+  level('delay', (l) => l.delay_ms),
+  level('late', (l) => l.late_ms),
+  counted('stKB', (l) => (l.state_sent_bytes + l.state_received_bytes) / 1000),
+  counted('pass', (l) => l.passes),
+  counted('passMs', (l) => l.pass_ms),
+  counted('gcMs', (l) => l.gc_ms),
+  counted('cpuMs', (l) => l.cpu_ms),
+  level('rssMB', (l) => l.rss_mb),
+];
+
+const ROLE_LETTERS = 4;
+
+/**
+ * The entry in a line of a log, or null when it holds none. What comes before the line's JSON is a prefix:
+ * its first number is the time, its last word without one the controller. Without a prefix both are taken
+ * from the JSON, whose time is in milliseconds.
+ */
+export function parseLoadLine(text: string): LoadEntry | null {
+  const start = text.indexOf('{');
+  if (start < 0 || !text.includes('"load"')) return null;
+  let raw: unknown;
+  try {
+    raw = JSON.parse(text.slice(start));
+  } catch {
+    return null;
+  }
+  const line = raw as LoadLine & { msg?: unknown; node?: unknown; time?: unknown };
+  if (line.msg !== 'load') return null;
+  const words = text.slice(0, start).split(/[\s|\][]+/);
+  const time = words.map((w) => /^\d+(\.\d+)?/.exec(w)?.[0]).find((w) => w !== undefined);
+  const name = words.findLast((w) => /^[a-z]/i.test(w));
+  return {
+    timeS: time === undefined ? Number(line.time) / 1000 : Number(time),
+    node: name?.replace(/:$/, '') ?? String(line.node),
+    line,
+  };
+}
+
+/** Figures of a controller in one second, in the order of the columns. */
+interface Cell {
+  role: string;
+  figures: number[];
+}
+
+const cellOf = ({ line }: LoadEntry): Cell => ({
+  role: line.role.slice(0, ROLE_LETTERS),
+  figures: COLUMNS.map((c) => c.value(line)),
+});
+
+const joined = (a: Cell, b: Cell): Cell => ({
+  role: b.role,
+  figures: COLUMNS.map((c, i) => c.join(a.figures[i]!, b.figures[i]!)),
+});
+
+/** A row's texts, a group for each controller; a controller without a line has an empty group. */
+function rowOf(cells: Map<string, Cell>, nodes: string[]): string[][] {
+  return nodes.map((node) => {
+    const cell = cells.get(node);
+    if (cell === undefined) return ['', ...COLUMNS.map(() => '')];
+    return [cell.role, ...cell.figures.map((n) => n.toFixed(0))];
+  });
+}
+
+/** The table's lines: first the controllers' names, then the columns' titles, then a row a second. */
+export function timeline(entries: LoadEntry[]): string[] {
+  const nodes = [...new Set(entries.map((e) => e.node))].sort();
+  const seconds = new Map<number, Map<string, Cell>>();
+  for (const entry of [...entries].sort((a, b) => a.timeS - b.timeS)) {
+    const second = Math.floor(entry.timeS);
+    const cells = seconds.get(second) ?? new Map<string, Cell>();
+    const before = cells.get(entry.node);
+    const cell = cellOf(entry);
+    cells.set(entry.node, before === undefined ? cell : joined(before, cell));
+    seconds.set(second, cells);
+  }
+  const titles = ['role', ...COLUMNS.map((c) => c.title)];
+  const rows = [...seconds].map(([second, cells]) => ({ second, texts: rowOf(cells, nodes) }));
+  const widths = nodes.map((_, n) =>
+    titles.map((t, c) => Math.max(t.length, ...rows.map((r) => r.texts[n]![c]!.length))),
+  );
+  const group = (texts: string[], n: number): string =>
+    texts.map((t, c) => t.padStart(widths[n]![c]!)).join(' ');
+  const names = nodes.map((node, n) => node.padEnd(group(titles, n).length));
+  return [
+    ['      ', ...names].join(' | '),
+    ['second', ...nodes.map((_, n) => group(titles, n))].join(' | '),
+    ...rows.map(({ second, texts }) =>
+      [String(second).padStart(6), ...texts.map((t, n) => group(t, n))].join(' | '),
+    ),
+  ];
+}
--- a/src/admission/request-queue.ts
+++ b/src/admission/request-queue.ts
@@ -88,7 +88,8 @@
     poll: new Fifo(),
     submission: new Fifo(),
   };
-  private readonly refused: Record<RequestClass, number> = {
+  /** Refused for the load, or dropped, since the start. */
+  readonly refused: Record<RequestClass, number> = {
     report: 0,
     cancellation: 0,
     poll: 0,
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -27,6 +27,7 @@
 import { ASK_SHARE, KEEP_SHARE, Reports } from '../heartbeat/reports.js';
 import { RequestQueue } from '../admission/request-queue.js';
 import { Users } from '../api/users.js';
+import { LoadLog } from './load-log.js';
 
 /** Jobs that are over stay whole in memory for so many leases after their acceptance. */
 const TRIM_LEASES = 60;
@@ -34,6 +35,8 @@
 const SERVER_SOCKETS = 0.6;
 /** Costs are logged, and old jobs trimmed, once in so many ticks. */
 const COST_TICKS = 40;
+/** The load is logged once a report interval. */
+const LOAD_TICKS = 2;
 /**
  * How long a report may wait here for its turn: served later, its answer would come after whoever asked
  * has given up. To pass a report on takes a while too, and so does the way back of the answer to one
@@ -80,6 +83,9 @@
   private readonly handOver: HandOver;
   private tickedAt: number | null = null;
   private ticks = 0;
+  /** Only where the log's level is `debug`. */
+  private readonly loadLog: LoadLog | null;
+  private lostInEarlierTerms = 0;
 
   constructor(
     readonly settings: Settings,
@@ -249,6 +255,21 @@
       () => this.clock.now(),
       (e) => log.error({ err: String(e), stack: (e as Error).stack }, 'request failed'),
     );
+    this.loadLog = log.isLevelEnabled('debug') ? this.makeLoadLog() : null;
+  }
+
+  private makeLoadLog(): LoadLog {
+    const sources = {
+      clock: this.clock,
+      role: () => this.election.role,
+      overload: this.overload,
+      requests: this.requests,
+      reports: this.reports.counts,
+      machinesLost: () => this.lostInEarlierTerms + (this.leader?.term.machinesLost ?? 0),
+      stateTraffic: () => this.state.traffic,
+      passes: this.costs.passes,
+    };
+    return new LoadLog(sources, this.log);
   }
 
   /** Rejects, with everything closed again, when one of its addresses cannot be had. */
@@ -277,7 +298,8 @@
       this.overload.noteLag(lag, now);
     }
     this.tickedAt = now;
-    if (++this.ticks % COST_TICKS === 0) {
+    if (++this.ticks % LOAD_TICKS === 0) this.loadLog?.write();
+    if (this.ticks % COST_TICKS === 0) {
       this.log.debug(this.costs.figures(), 'costs');
       this.replica.trim(this.wallMs() - this.settings.workers.lease_s * TRIM_LEASES * 1000);
     }
@@ -288,6 +310,7 @@
   stop(): void {
     this.stopped = true;
     clearInterval(this.tickTimer);
+    this.loadLog?.stop();
     this.election.stop();
     this.acknowledgements.stop();
     this.zoneKeeper?.stop();
@@ -329,7 +352,7 @@
   // Leadership
 
   private elected(token: number): void {
-    this.leader?.stop();
+    this.endTerm();
     this.leader = new Leader(
       {
         settings: this.settings,
@@ -363,7 +386,13 @@
   }
 
   private deposed(): void {
-    this.leader?.stop();
+    this.endTerm();
+  }
+
+  private endTerm(): void {
+    if (this.leader === null) return;
+    this.leader.stop();
+    this.lostInEarlierTerms += this.leader.term.machinesLost;
     this.leader = null;
   }
 
--- /dev/null
+++ b/src/controller/load-log.ts
@@ -0,0 +1,146 @@
+import { PerformanceObserver } from 'node:perf_hooks';
+import type { Overload } from '../admission/overload.js';
+import type { RequestQueue } from '../admission/request-queue.js';
+import type { Clock } from '../clock.js';
+import type { WorkTotal } from '../costs.js';
+import type { ReportCounts } from '../heartbeat/report-counts.js';
+import type { Traffic } from '../http/client.js';
+import type { Log } from '../log.js';
+
+/**
+ * A line of the log for each report interval, level `debug`, message `load`: what this controller did
+ * since the line before and how it stands. docs/operators.md lists the fields. At any other level this is
+ * not constructed: what is left then are the counters that it reads, an addition each.
+ */
+
+/** The counters and states of the controller's parts that a line is made of. */
+export interface LoadSources {
+  clock: Clock;
+  role: () => string;
+  overload: Pick<Overload, 'delayS' | 'meanLagS'>;
+  requests: Pick<RequestQueue, 'size' | 'refused'>;
+  reports: ReportCounts;
+  /** Machines whose leases this controller as leader counted as lost, since its start. */
+  machinesLost: () => number;
+  /** Messages to and from the state service. */
+  stateTraffic: () => Traffic;
+  passes: WorkTotal;
+}
+
+/** Of the state at the moment of the line. */
+interface Levels {
+  role: string;
+  requests_waiting: number;
+  delay_ms: number;
+  late_ms: number;
+  rss_mb: number;
+  heap_mb: number;
+}
+
+/** Sums since the start; a line has what was added since the line before. */
+interface Totals {
+  interval_ms: number;
+  reports_answered: number;
+  reports_answered_for_peers: number;
+  reports_kept: number;
+  reports_passed_on: number;
+  reports_passed_on_failed: number;
+  reports_dropped: number;
+  submissions_refused: number;
+  polls_refused: number;
+  cancellations_refused: number;
+  machines_lost: number;
+  state_sent: number;
+  state_sent_bytes: number;
+  state_received: number;
+  state_received_bytes: number;
+  passes: number;
+  pass_ms: number;
+  gc_ms: number;
+  cpu_ms: number;
+}
+
+export type LoadLine = Levels & Totals;
+
+const BYTES_PER_MB = 1e6;
+const MS_DIGITS = 1;
+
+const rounded = (value: number): number => Number(value.toFixed(MS_DIGITS));
+
+/** Logs a controller's load. Made only where the log's level is `debug`. */
+export class LoadLog {
+  private before: Totals;
+  private gcMs = 0;
+  private readonly gcObserver: PerformanceObserver;
+
+  constructor(
+    private readonly sources: LoadSources,
+    private readonly log: Pick<Log, 'debug'>,
+  ) {
+    this.gcObserver = new PerformanceObserver((list) => {
+      for (const entry of list.getEntries()) this.gcMs += entry.duration;
+    });
+    this.gcObserver.observe({ entryTypes: ['gc'] });
+    this.before = this.totals();
+  }
+
+  /** Logs a line of what was done since the call before. */
+  write(): void {
+    const now = this.totals();
+    const line: LoadLine = { ...this.levels(), ...difference(now, this.before) };
+    this.before = now;
+    this.log.debug(line, 'load');
+  }
+
+  stop(): void {
+    this.gcObserver.disconnect();
+  }
+
+  private levels(): Levels {
+    const { role, requests, overload } = this.sources;
+    const memory = process.memoryUsage();
+    return {
+      role: role(),
+      requests_waiting: requests.size,
+      delay_ms: rounded(overload.delayS * 1000),
+      late_ms: rounded(overload.meanLagS * 1000),
+      rss_mb: rounded(memory.rss / BYTES_PER_MB),
+      heap_mb: rounded(memory.heapUsed / BYTES_PER_MB),
+    };
+  }
+
+  private totals(): Totals {
+    const { clock, reports, requests, machinesLost, stateTraffic, passes } = this.sources;
+    const { refused } = requests;
+    const traffic = stateTraffic();
+    const cpu = process.cpuUsage();
+    return {
+      interval_ms: clock.now() * 1000,
+      reports_answered: reports.answered,
+      reports_answered_for_peers: reports.answeredForPeers,
+      reports_kept: reports.kept,
+      reports_passed_on: reports.passedOn,
+      reports_passed_on_failed: reports.passedOnFailed,
+      reports_dropped: refused.report,
+      submissions_refused: refused.submission,
+      polls_refused: refused.poll,
+      cancellations_refused: refused.cancellation,
+      machines_lost: machinesLost(),
+      state_sent: traffic.sent,
+      state_sent_bytes: traffic.sentBytes,
+      state_received: traffic.received,
+      state_received_bytes: traffic.receivedBytes,
+      passes: passes.count,
+      pass_ms: passes.seconds * 1000,
+      gc_ms: this.gcMs,
+      cpu_ms: (cpu.user + cpu.system) / 1000,
+    };
+  }
+}
+
+function difference(now: Totals, before: Totals): Totals {
+  const names = Object.keys(now) as (keyof Totals)[];
+  return Object.fromEntries(
+    names.map((n) => [n, rounded(now[n] - before[n])]),
+  ) as unknown as Totals;
+}
--- a/src/costs.ts
+++ b/src/costs.ts
@@ -3,6 +3,12 @@
 /** What is measured: a worker's report, a user's submission, a pass of ranking and placing. */
 export type Cost = 'report' | 'submission' | 'pass' | 'lag';
 
+/** How often a piece of work was done since the start, and how long it took in all. */
+export interface WorkTotal {
+  count: number;
+  seconds: number;
+}
+
 /** Nothing that is measured takes longer, in microseconds: longer counts as this. */
 const LONGEST_US = 600e6;
 /** Significant digits that a histogram keeps. */
@@ -11,10 +17,15 @@
 /** How long pieces of work take, in microseconds, in Node's own high-dynamic-range histograms. */
 export class Costs {
   private readonly histograms = new Map<Cost, RecordableHistogram>();
+  readonly passes: WorkTotal = { count: 0, seconds: 0 };
 
   constructor(private readonly nowS: () => number) {}
 
   record(kind: Cost, seconds: number): void {
+    if (kind === 'pass') {
+      this.passes.count++;
+      this.passes.seconds += seconds;
+    }
     let histogram = this.histograms.get(kind);
     if (histogram === undefined) {
       histogram = createHistogram({ lowest: 1, highest: LONGEST_US, figures: DIGITS });
--- a/src/heartbeat/reports.ts
+++ b/src/heartbeat/reports.ts
@@ -18,6 +18,7 @@
   type Report,
 } from '../wire/workers.js';
 import type { Leader } from '../leader/leader.js';
+import { ReportCounts } from './report-counts.js';
 
 /**
  * Of the time that a worker waits for an answer, what it may be left waiting here, and what one of the
@@ -52,6 +53,7 @@
 export class Reports {
   /** When workers were last sent home. */
   private readonly sentHome = new Map<string, number>();
+  readonly counts = new ReportCounts();
 
   constructor(private readonly parts: Parts) {}
 
@@ -71,7 +73,9 @@
     const home = this.homeOf(report);
     if (home !== null) return { status: 421, body: encodeElsewhere(home) };
     const leader = this.parts.leader();
-    if (leader !== null && election.entitled) return leader.checkin(report);
+    if (leader !== null && election.entitled) {
+      return this.counts.leaderReply(leader.checkin(report), 'worker');
+    }
     if (zoneKeeper?.mayKeep() === true && report.zone === settings.zone) {
       return this.keep(report, replica.lastToken);
     }
@@ -134,7 +138,10 @@
       );
       if (patience <= 0) break;
       const a = await peers.ask(to, { q: 'report', body, hop }, patience);
-      if (a?.status === 200 && typeof a.body === 'string') return { status: 200, body: a.body };
+      if (a?.status === 200 && typeof a.body === 'string') {
+        this.counts.passedOn++;
+        return { status: 200, body: a.body };
+      }
       answered ||= a !== null;
       // It was reached and does not lead: nothing is gained by other ways.
       if (a?.status === 503 && !hop) {
@@ -142,6 +149,7 @@
         if (!stale) break;
       }
     }
+    this.counts.passedOnFailed++;
     const token = replica.leader?.revision;
     if (token !== undefined && (await election.outage.mayKeep())) return this.keep(report, token);
     // Cut off together with this zone: what runs here goes on.
@@ -168,6 +176,7 @@
       if (t.state === 'ended' || !(cancelled || knownCancelled(t.job))) continue;
       stops.push({ op: 'stop', job: t.job, index: t.index, attempt: t.attempt, graceS: 0 });
     }
+    this.counts.kept++;
     return { status: 200, body: encodeOrders(token, stops.slice(0, MAX_COMMANDS)) };
   }
 
@@ -175,7 +184,9 @@
   passedOn(body: string, hop: boolean): Promise<Reply | null> | Reply {
     const { settings, peers, replica } = this.parts;
     const leader = this.parts.leader();
-    if (leader !== null) return leader.checkin(parseReport(JSON.parse(body)));
+    if (leader !== null) {
+      return this.counts.leaderReply(leader.checkin(parseReport(JSON.parse(body))), 'peer');
+    }
     const leads = replica.leader?.node;
     if (!hop || leads === undefined || leads === settings.node) return { status: 503 };
     return peers
--- a/src/http/client.ts
+++ b/src/http/client.ts
@@ -8,6 +8,14 @@
   body: Buffer;
 }
 
+/** Messages, and the bytes of them with their heads, since the start. */
+export interface Traffic {
+  sent: number;
+  sentBytes: number;
+  received: number;
+  receivedBytes: number;
+}
+
 /** Nothing usable came back. `sent` tells whether the request may have been carried out. */
 export class NoResponse extends Error {
   constructor(
@@ -52,14 +60,20 @@
       if (this.job === job) this.fail('no response in time');
     }, wait);
     const body = job.body ?? '';
+    const bodyBytes = Buffer.byteLength(body);
     let head = `${job.method} ${job.path} HTTP/1.1\r\nHost: ${this.owner.at.host}\r\n`;
     if (job.body !== undefined) {
-      head += `Content-Type: application/json\r\nContent-Length: ${Buffer.byteLength(body)}\r\n`;
+      head += `Content-Type: application/json\r\nContent-Length: ${bodyBytes}\r\n`;
     }
+    const { traffic } = this.owner;
+    traffic.sent++;
+    // Heads are ASCII.
+    traffic.sentBytes += head.length + 2 + bodyBytes;
     this.socket.write(`${head}\r\n${body}`);
   }
 
   private onData(data: Buffer): void {
+    this.owner.traffic.receivedBytes += data.length;
     this.parser.push(data);
     this.read(false);
   }
@@ -86,6 +100,7 @@
     }
     this.job = null;
     clearTimeout(job.timer);
+    this.owner.traffic.received++;
     if (!message.keepAlive || this.parser.pending > 0) this.destroy();
     job.resolve({ status: message.status, body: message.body });
     this.owner.free(this);
@@ -112,6 +127,7 @@
 
 /** A pool of connections to one address. One request at a time on each. */
 export class HttpClient {
+  readonly traffic: Traffic = { sent: 0, sentBytes: 0, received: 0, receivedBytes: 0 };
   private readonly idle: Line[] = [];
   private readonly lines = new Set<Line>();
   private readonly queue: Job[] = [];
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -44,6 +44,8 @@
   /** Machines with commands that should not wait for the next check-in. */
   readonly urgent = new Set<string>();
   readonly fetches = new FetchTimes();
+  /** Machines whose leases were counted as lost. */
+  machinesLost = 0;
   private readonly health: MachineHealth;
   readonly startedAt: number;
   /**
@@ -404,6 +406,7 @@
         continue;
       }
       this.deps.log.info({ machine: m.id, attempts: m.attempts.size }, 'machine lost');
+      this.machinesLost++;
       this.lose(m);
       m.become('silent');
     }
--- a/src/state/client.ts
+++ b/src/state/client.ts
@@ -1,5 +1,5 @@
 import { Budget, sleep, type Clock } from '../clock.js';
-import { HttpClient, NoResponse, type Response } from '../http/client.js';
+import { HttpClient, NoResponse, type Response, type Traffic } from '../http/client.js';
 import type { Settings } from '../config/settings.js';
 import * as wire from '../wire/state.js';
 
@@ -199,6 +199,17 @@
     await this.call(this.http, 'DELETE', wire.grantPath(id), undefined, timeoutS);
   }
 
+  /** What went to the state service and came from it since the start. */
+  get traffic(): Traffic {
+    const [a, b] = [this.http.traffic, this.watchHttp.traffic];
+    return {
+      sent: a.sent + b.sent,
+      sentBytes: a.sentBytes + b.sentBytes,
+      received: a.received + b.received,
+      receivedBytes: a.receivedBytes + b.receivedBytes,
+    };
+  }
+
   close(): void {
     this.http.close();
     this.watchHttp.close();
