--- a/src/leader/lease-expiry.ts
+++ b/src/leader/lease-expiry.ts
@@ -36,6 +36,7 @@
       return;
     }
     this.state.deps.log.info({ machine: m.id, attempts: m.attempts.size }, 'machine lost');
+    this.state.machinesLost++;
     this.lose(m);
     m.become('silent');
   }
--- a/src/leader/term-state.ts
+++ b/src/leader/term-state.ts
@@ -39,6 +39,8 @@
   readonly removals = new Map<string, number>();
   /** Machines that the cloud has taken back. Names never recur: what still reports is a late copy. */
   readonly returned = new Set<string>();
+  /** Machines whose leases were counted as lost. */
+  machinesLost = 0;
   /** Machines with commands that should not wait for the next check-in. */
   readonly urgent = new Set<string>();
   readonly fetches = new FetchTimes();
