Tests of the load lines, their table and the summary of costs

A table of prefixes that a log line may have, the difference between two lines, lines of one second joined, least, median and greatest. Tried: each test fails without its guard (the kept totals, the look at the message, the name of the prefix, the joining, the numeric sort).

--- /dev/null
+++ b/test/load-lines.test.ts
@@ -0,0 +1,81 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import { parseLoadLine, timeline } from '../scripts/load-lines.js';
+import { summary } from '../scripts/summary.js';
+import { LoadLog, type LoadLine, type LoadSources } from '../src/controller/load-log.js';
+import { ReportCounts } from '../src/heartbeat/report-counts.js';
+
+/** What a controller logs that answers `answered` more reports before each of its lines. */
+function linesOf(answered: number[]): LoadLine[] {
+  const sources: LoadSources = {
+    clock: { now: () => 0 },
+    role: () => 'leading',
+    overload: { delayS: 0.25, meanLagS: 0 },
+    requests: { size: 7, refused: { report: 0, cancellation: 0, poll: 0, submission: 0 } },
+    reports: new ReportCounts(),
+    machinesLost: () => 0,
+    stateTraffic: () => ({ sent: 0, sentBytes: 0, received: 0, receivedBytes: 0 }),
+    passes: { count: 0, seconds: 0 },
+  };
+  const lines: LoadLine[] = [];
+  const log = new LoadLog(sources, { debug: (line: LoadLine) => lines.push(line) } as never);
+  for (const reports of answered) {
+    sources.reports.answered += reports;
+    log.write();
+  }
+  log.stop();
+  return lines;
+}
+
+test('a line has what was done since the line before, and the state at its moment', () => {
+  const lines = linesOf([5, 2, 0]);
+  assert.deepEqual(
+    lines.map((l) => [l.reports_answered, l.requests_waiting, l.delay_ms]),
+    [
+      [5, 7, 250],
+      [2, 7, 250],
+      [0, 7, 250],
+    ],
+  );
+});
+
+test('load lines are found whatever stands before them', () => {
+  const json = '{"level":20,"time":1790000012500,"node":"n-0","role":"leading","msg":"load"}';
+  const cases: [string, string, number, string][] = [
+    ['time and name', `   12.5871 shelfhand-2 ${json}`, 12.5871, 'shelfhand-2'],
+    ['with brackets', `[12.5] [shelfhand-2]: ${json}`, 12.5, 'shelfhand-2'],
+    ['name first', `shelfhand-2 | 12.5 | ${json}`, 12.5, 'shelfhand-2'],
+    ['time alone', `12.5 ${json}`, 12.5, 'n-0'],
+    ['nothing', json, 1790000012.5, 'n-0'],
+  ];
+  for (const [name, text, timeS, node] of cases) {
+    const entry = parseLoadLine(text);
+    assert.deepEqual([entry?.timeS, entry?.node], [timeS, node], name);
+  }
+  const others = [
+    '',
+    'built in 7 s',
+    '1 a {"msg":"costs","x":"load"}',
+    '1 a {"msg":"load"',
+    '1 a "load" {',
+  ];
+  for (const text of others) assert.equal(parseLoadLine(text), null, text);
+});
+
+test('a row a second: lines of one second are joined, a controller without any has none', () => {
+  const [first, second] = linesOf([5, 2]);
+  const rows = timeline([
+    { timeS: 3.1, node: 'b', line: first! },
+    { timeS: 2.1, node: 'a', line: first! },
+    { timeS: 2.9, node: 'a', line: second! },
+  ]).map((row) => row.split('|').map((group) => group.trim().split(/ +/).slice(0, 2)));
+  assert.deepEqual(rows.slice(2), [
+    [['2'], ['lead', '7'], ['']],
+    [['3'], [''], ['lead', '5']],
+  ]);
+});
+
+test('least, median and greatest', () => {
+  assert.deepEqual(summary([10, 9, 100]), { least: 9, median: 10, greatest: 100 });
+  assert.deepEqual(summary([4, 1, 2, 10]), { least: 1, median: 3, greatest: 10 });
+});
