--- /dev/null
+++ b/scripts/fleet-load.ts
@@ -0,0 +1,334 @@
+import { spawn, type ChildProcess } from 'node:child_process';
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
+import { Agent, request } from 'node:http';
+import { tmpdir } from 'node:os';
+import { join, resolve } from 'node:path';
+import * as records from '../src/state/records.js';
+import { freePort, g8, settingsText, spec, until, wait, type Ports } from '../test/helpers.js';
+import { Cloud, MACHINE_GPUS } from '../test/standins/cloud.js';
+import { RuleChecker } from '../test/standins/rules.js';
+import { StateService } from '../test/standins/state.js';
+
+/**
+ * Three controllers, as built, as processes of their own on loopback, against stand-ins of the outside
+ * systems; and a fleet of machines and users that they can be loaded with. The store holds as many jobs
+ * as a long day leaves behind.
+ */
+
+const LEASE_S = 10;
+/**
+ * With less than a lease, a leader is entitled for no longer than a life of its own lease after it last read
+ * the store, and on a quiet store it loses its leadership again and again.
+ */
+const CANCEL_S = 3 * LEASE_S;
+/** Jobs in the store for each machine; those that are over come first. */
+const JOBS_PER_MACHINE = 12;
+const SERVICES_PER_MACHINE = 2;
+/** Submitted jobs are numbered from here, above those in the store. */
+const FIRST_SUBMITTED = 500_000;
+/** Linux accounts processor time in hundredths of a second. */
+const TICKS_PER_S = 100;
+/** Milliseconds between two looks at what is due, and at whether a controller has started. */
+const PACE_MS = 5;
+
+export interface FleetOptions {
+  machines: number;
+  /** The checkout whose `target/` is run. */
+  checkout: string;
+  /** Zones of the controllers, one for each. */
+  zones: string[];
+  machineZone: string;
+  /** Further options on the controllers' command line. */
+  options?: string[];
+}
+
+export interface HttpAnswer {
+  /** 0: there was none. */
+  status: number;
+  body: string;
+}
+
+export interface Controller {
+  process: ChildProcess;
+  port: number;
+  name: string;
+  /** What it wrote to standard error. */
+  output: string;
+  /** Processor seconds from its start to the first time that it was ready. */
+  startS: number;
+}
+
+interface Piece {
+  piece: string;
+  pour: number;
+  temper: string;
+  cause?: string;
+}
+
+const jobId = (i: number): string => `wk-${String(i).padStart(6, '0')}`;
+const hostId = (i: number): string => `host-${String(i).padStart(6, '0')}`;
+
+/** Processor seconds of a process, all of its threads, in steps of 0.01. */
+export function processorSeconds(pid: number): number {
+  const [user, system] = readFileSync(`/proc/${pid}/stat`, 'utf8').split(' ').slice(13, 15);
+  return (Number(user) + Number(system)) / TICKS_PER_S;
+}
+
+/** MB of a process: resident, at most resident, or private. */
+export function memoryMb(pid: number, name: 'VmRSS' | 'VmHWM' | 'RssAnon'): number {
+  const status = readFileSync(`/proc/${pid}/status`, 'utf8');
+  return Number(new RegExp(`${name}:\\s+(\\d+)`).exec(status)![1]) / 1024;
+}
+
+/** Spreads calls evenly over time, however coarse the timers are. Returns what ends them. */
+export function paced(perSecond: number, work: () => unknown): () => void {
+  const began = performance.now();
+  let done = 0;
+  const timer = setInterval(() => {
+    const due = ((performance.now() - began) / 1000) * perSecond;
+    for (; done < due; done++) void work();
+  }, PACE_MS);
+  return () => clearInterval(timer);
+}
+
+/** A machine that reports, and runs what it is told to. */
+export class Machine {
+  private readonly pieces: Piece[];
+  private tally = 0;
+  private hallmark = 1;
+
+  constructor(
+    private readonly index: number,
+    private readonly zone: string,
+    /** The controller to which it reports, by index. */
+    public at: number,
+    private readonly post: (controller: number, path: string, body: string) => Promise<HttpAnswer>,
+    claims: records.Claim[],
+  ) {
+    this.pieces = claims.map((c) => ({
+      piece: `${c.job}/0`,
+      pour: 1,
+      temper: 'running',
+    }));
+  }
+
+  /** The answer's status; 0: there was none. */
+  async report(): Promise<number> {
+    const body = JSON.stringify({
+      bench: hostId(this.index), addr: '127.0.0.1:1', casting: 'g8', yard: this.zone, loaner: false,
+      shift: 1, tally: ++this.tally, hallmark: this.hallmark, recall_s: null, pieces: this.pieces,
+    }); // prettier-ignore
+    const { status, body: text } = await this.post(this.at, '/checkin', body);
+    const answer = (text === '' ? {} : JSON.parse(text)) as {
+      hallmark?: number;
+      orders?: { verb: string; piece: string; pour: number }[];
+      foreman?: string;
+    };
+    if (status === 421 && answer.foreman !== undefined) {
+      this.at = Number(answer.foreman.split('-')[1]);
+    }
+    if (status !== 200) return status;
+    this.hallmark = answer.hallmark!;
+    for (const order of answer.orders!) this.obey(order.verb, order.piece, order.pour);
+    return status;
+  }
+
+  private obey(verb: string, piece: string, pour: number): void {
+    const at = this.pieces.findIndex((p) => p.piece === piece && p.pour === pour);
+    if (verb === 'start' && at < 0) {
+      const started: Piece = { piece, pour, temper: 'running' };
+      this.pieces.push(started);
+      const runs = 5000 + Math.random() * 20000;
+      setTimeout(() => Object.assign(started, { temper: 'ended', cause: 'done' }), runs);
+    }
+    if (verb === 'kill' && at >= 0) {
+      Object.assign(this.pieces[at]!, { temper: 'ended', cause: 'halted' });
+    }
+    if (verb === 'reap' && at >= 0) this.pieces.splice(at, 1);
+  }
+}
+
+const submission = (id: string): string =>
+  JSON.stringify({
+    ref: id, guild: 'c', crew: 't', form: 'batch', rank: 'standard', pieces: 3, cores: 0.1, gpus: 0.1,
+    mem_gb: 1, mould: 'image-1', image_gb: 34.3, castings: null, yard: null, one_zone: false,
+    scatter: false, loaner: false, reckon_s: 15, stamp_s: 0, stamping_s: 0, due_s: null,
+  }); // prettier-ignore
+
+/** Controllers, stand-ins and machines of one run. */
+export class Fleet {
+  readonly controllers: Controller[] = [];
+  readonly machines: Machine[];
+  /** Jobs submitted so far. */
+  submitted = 0;
+  private readonly agent = new Agent({ keepAlive: true });
+  private readonly state = new StateService();
+  private readonly rules = new RuleChecker({
+    cancelS: CANCEL_S,
+    teams: new Map(),
+    machineGpus: MACHINE_GPUS,
+  });
+  private readonly cloud = new Cloud(this.rules, { leaseS: LEASE_S, gangPeerS: 1 });
+
+  constructor(private readonly options: FleetOptions) {
+    const post = (controller: number, path: string, body: string): Promise<HttpAnswer> =>
+      this.call(controller, 'POST', path, body);
+    this.machines = Array.from(
+      { length: options.machines },
+      (_, i) =>
+        new Machine(i, options.machineZone, i % options.zones.length, post, this.claimsOf(i)),
+    );
+  }
+
+  /** Resolves once all controllers are ready. */
+  async start(): Promise<void> {
+    this.state.page = 1000;
+    this.fillStore();
+    await this.state.listen();
+    await this.cloud.listen();
+    const dir = mkdtempSync(join(tmpdir(), 'pewtershelf-fleet-'));
+    try {
+      await this.startControllers(dir);
+    } finally {
+      rmSync(dir, { recursive: true });
+    }
+  }
+
+  private get jobsOver(): number {
+    return this.options.machines * (JOBS_PER_MACHINE - SERVICES_PER_MACHINE);
+  }
+
+  private claimsOf(machine: number): records.Claim[] {
+    return Array.from({ length: SERVICES_PER_MACHINE }, (_, k) => ({
+      job: jobId(this.jobsOver + machine * SERVICES_PER_MACHINE + k),
+      index: 0,
+      attempt: 1,
+    }));
+  }
+
+  /** A store as a long day leaves it: jobs that are over, services, machines with their claims. */
+  private fillStore(): void {
+    const { state, options } = this;
+    const put = (key: string, data: unknown): void => {
+      const value = JSON.parse(JSON.stringify(data)) as unknown;
+      state.keys.set(key, { value, mark: ++state.ledger, loan: undefined });
+    };
+    put(records.TYPES, records.encodeTypes([g8]));
+    for (let i = 0; i < options.machines * JOBS_PER_MACHINE; i++) {
+      const isOver = i < this.jobsOver;
+      const kind = isOver ? 'array' : 'service';
+      const jobs = [{ spec: spec({ id: jobId(i), kind, cores: 0.1 }), atMs: Date.now() - 300_000 }];
+      const cancels = isOver ? [jobId(i)] : [];
+      put(`${records.JOBS}x-${i}`, records.encodeSubmissions({ jobs, cancels }));
+    }
+    const images = Array.from({ length: 12 }, (_, k): [string, number] => [`image-${k}`, 34.3]);
+    for (let i = 0; i < options.machines; i++) {
+      const value = records.encodeMachine({
+        owner: 'n-1', term: 1, addr: '127.0.0.1:1', type: 'g8', zone: options.machineZone, spot: false,
+        returning: false, claims: this.claimsOf(i), images,
+      }); // prettier-ignore
+      put(records.machineKey(hostId(i)), value);
+    }
+  }
+
+  private async startControllers(dir: string): Promise<void> {
+    const { zones } = this.options;
+    const ports: Ports[] = [];
+    while (ports.length < zones.length) {
+      ports.push({ bind: await freePort(), peer: await freePort() });
+    }
+    zones.forEach((_, i) => {
+      const config = join(dir, `${i}.toml`);
+      const { cloud, state } = this;
+      writeFileSync(
+        config,
+        settingsText(i, ports, cloud.port, state.port, LEASE_S, zones, CANCEL_S),
+      );
+      this.controllers.push(this.spawnController(`n-${i}`, ports[i]!.bind, config));
+    });
+    await Promise.all(this.controllers.map((_, i) => this.started(i)));
+  }
+
+  private spawnController(name: string, port: number, config: string): Controller {
+    const program = resolve(this.options.checkout, 'target/launch.cjs');
+    const args = [program, ...(this.options.options ?? []), '--config', config];
+    const child = spawn(process.execPath, args, {
+      env: { LOG_LEVEL: 'error' },
+      stdio: ['ignore', 'ignore', 'pipe'],
+    });
+    const controller = { process: child, port, name, output: '', startS: 0 };
+    child.stderr.on('data', (d: Buffer) => (controller.output += d.toString()));
+    return controller;
+  }
+
+  private async started(index: number): Promise<void> {
+    const controller = this.controllers[index]!;
+    await until(`${controller.name} is ready`, async () => {
+      if (controller.process.exitCode !== null) throw new Error(`it ended: ${controller.output}`);
+      return (await this.call(index, 'GET', '/ready')).status === 200;
+    });
+    controller.startS = processorSeconds(controller.process.pid!);
+  }
+
+  /** A request to the controller with this index. */
+  call(controller: number, method: string, path: string, body = ''): Promise<HttpAnswer> {
+    const { port } = this.controllers[controller]!;
+    const { agent } = this;
+    return new Promise((done) => {
+      const headers = { 'content-length': Buffer.byteLength(body) };
+      const r = request({ host: '127.0.0.1', port, method, path, headers, agent }, (res) => {
+        let text = '';
+        res.on('data', (d: Buffer) => (text += d.toString()));
+        res.on('end', () => done({ status: res.statusCode ?? 0, body: text }));
+      });
+      r.on('error', () => done({ status: 0, body: '' }));
+      r.end(body);
+    });
+  }
+
+  /** Has machines report by turns, `perSecond` reports in all. Returns what ends it. */
+  report(
+    perSecond: number,
+    onSent: () => unknown = () => undefined,
+    onAnswer: (status: number) => unknown = () => undefined,
+  ): () => void {
+    let turn = 0;
+    return paced(perSecond, async () => {
+      onSent();
+      onAnswer(await this.machines[turn++ % this.machines.length]!.report());
+    });
+  }
+
+  /** Submits a job. True: it was accepted. */
+  async submit(controller: number): Promise<boolean> {
+    const id = jobId(FIRST_SUBMITTED + this.submitted++);
+    const { status } = await this.call(controller, 'POST', '/submissions', submission(id));
+    return status >= 200 && status < 300;
+  }
+
+  /** Asks for one of the jobs submitted. */
+  poll(controller: number): Promise<HttpAnswer> {
+    const id = jobId(FIRST_SUBMITTED + Math.floor(Math.random() * this.submitted));
+    return this.call(controller, 'GET', `/submissions/${id}`);
+  }
+
+  /** A controller's figures: `GET /metrics`. */
+  async figures(controller: number): Promise<Record<string, number | string | null>> {
+    const { body } = await this.call(controller, 'GET', '/metrics');
+    return JSON.parse(body) as Record<string, number | string | null>;
+  }
+
+  /** Ends the controllers and the stand-ins. */
+  async close(): Promise<void> {
+    for (const c of this.controllers) c.process.kill();
+    await Promise.all(this.controllers.map((c) => exited(c.process)));
+    this.agent.destroy();
+    this.cloud.close();
+    this.rules.close();
+    this.state.close();
+  }
+}
+
+async function exited(child: ChildProcess): Promise<void> {
+  while (child.exitCode === null && child.signalCode === null) await wait(PACE_MS);
+}
