A request that found no capacity is not looked for again within a pass

Change: within a pass capacity only shrinks, so what is at least as large, and may use the same machines, is not looked for. The tightest objective is reckoned once.

--- a/src/leader/job-placement.ts
+++ b/src/leader/job-placement.ts
@@ -67,6 +67,7 @@
     const suspect = this.isSuspect(job);
     const indexes = this.startable(job, pass, most, suspect);
     if (indexes.length === 0) return { placed: 0, short: 0 };
+    if (pass.unplaced.covers(job)) return { placed: 0, short: indexes.length };
     const { may, taken } = besideLongWork(job, pass, this.eligibility.mayUse(job));
     const search = this.search(job, pass, may, suspect);
     let made = 0;
--- a/src/leader/pass-context.ts
+++ b/src/leader/pass-context.ts
@@ -5,6 +5,7 @@
 import type { Usages } from '../scheduler/quota.js';
 import type { Evictions } from './evictions.js';
 import type { Term } from './term.js';
+import type { UnplacedRequests } from './unplaced-requests.js';
 
 /** Whether a job may use a machine now. */
 export type MayUse = (room: FreeCapacity) => boolean;
@@ -22,6 +23,7 @@
   readonly weights: Weights;
   readonly longWorkShares: LongWorkShares;
   readonly evictions: Evictions;
+  readonly unplaced: UnplacedRequests;
 }
 
 /** How a job fared in a pass. */
--- a/src/leader/scheduler.ts
+++ b/src/leader/scheduler.ts
@@ -19,6 +19,7 @@
 import { zonesOf, type PassContext } from './pass-context.js';
 import { Queue } from './queue.js';
 import type { Term } from './term.js';
+import { UnplacedRequests } from './unplaced-requests.js';
 
 /**
  * Tasks placed in one pass, at most, for each change a second that the store takes: a machine's
@@ -94,7 +95,8 @@
     this.reservations.update(jobs, rooms, usages);
     const shares = longWorkShares(term, jobs, rooms, usages);
     const evictions = new Evictions(term, rooms, usages, this.waits);
-    const pass = { now, rooms, usages, weights, longWorkShares: shares, evictions };
+    const unplaced = new UnplacedRequests();
+    const pass = { now, rooms, usages, weights, longWorkShares: shares, evictions, unplaced };
     let placed = this.moves.placeBooked(rooms, usages, now, (job, index, room) =>
       this.placement.claimTask(job, index, room),
     );
@@ -117,14 +119,24 @@
       const outcome = this.placement.place(job, pass, most - placed);
       placed += outcome.placed;
       if (outcome.short === 0) continue;
-      // What finds no room may take it from lesser work; the rest is for the fleet to grow.
-      const may = this.eligibility.mayUse(job);
-      const left = pass.evictions.make(job, outcome.short, zonesOf(this.term, job), may);
+      const left = this.makeRoom(job, pass, outcome.short);
       if (left > 0) demand.push({ spec: job.spec, tasks: left, zones: zonesOf(this.term, job) });
     }
     return placed;
   }
 
+  /**
+   * What finds no capacity may take it from lesser work; the rest is for the fleet to grow. Returns the
+   * tasks for which none can be made.
+   */
+  private makeRoom(job: LiveJob, pass: PassContext, tasks: number): number {
+    if (pass.unplaced.covers(job)) return tasks;
+    const may = this.eligibility.mayUse(job);
+    const left = pass.evictions.make(job, tasks, zonesOf(this.term, job), may);
+    if (left > 0) pass.unplaced.note(job);
+    return left;
+  }
+
   /** Empties a machine whose replicas fit elsewhere, to be given back. */
   vacate(rooms: FreeCapacity[]): Machine | null {
     return this.moves.vacate(rooms, (m) => isUsable(this.term, m), this.weights());
--- a/src/scheduler/objectives.ts
+++ b/src/scheduler/objectives.ts
@@ -4,6 +4,8 @@
 /** How soon tasks of each class are expected to start, as the settings say, the soonest first. */
 export class Waits {
   private readonly by = new Map<string, number[]>();
+  /** The soonest of all classes; null: nothing is expected. */
+  readonly tightest: number | null;
 
   constructor(objectives: Settings['objectives']) {
     for (const o of objectives) {
@@ -13,18 +15,14 @@
         [...(this.by.get(o.class) ?? []), o.within_s].sort((a, b) => a - b),
       );
     }
+    const soonest = [...this.by.values()].map((waits) => waits[0]!);
+    this.tightest = soonest.length === 0 ? null : Math.min(...soonest);
   }
 
   /** The soonest time, from the submission, that can still be kept from this age on. */
   next(cls: string, ageS: number): number | null {
     return this.by.get(cls)?.find((w) => w > ageS) ?? null;
   }
-
-  /** The soonest of all classes; null: nothing is expected. */
-  get tightest(): number | null {
-    const all = [...this.by.values()].map((w) => w[0]!);
-    return all.length === 0 ? null : Math.min(...all);
-  }
 }
 
 /** Of the tightest wait, the share that may pass until lesser work has saved and gone. */
