Tests: what a pass need not look for again, and that it decides the same

A table of what sets requests apart, each case a part of the key that makes it fail when it is taken out; and sixty seeded random histories that decide the same with and without the short cut.

--- /dev/null
+++ b/test/pass-helpers.ts
@@ -0,0 +1,130 @@
+import { Arrivals } from '../src/cloud/arrivals.js';
+import type { JobSpec } from '../src/jobs/types.js';
+import { silentLog } from '../src/log.js';
+import { DEFAULT_POLICY } from '../src/operator/policy.js';
+import { Scheduler } from '../src/leader/scheduler.js';
+import { Term } from '../src/leader/term.js';
+import { CapacityManager } from '../src/leader/capacity.js';
+import * as records from '../src/state/records.js';
+import { Replica } from '../src/state/replica.js';
+import type { Machine } from '../src/workers/machine.js';
+import type { TaskReport } from '../src/wire/workers.js';
+import { g8, settings, spec } from './helpers.js';
+
+export const TOKEN = 50;
+
+/** Passes over a term without any input or output; workers do what they are told, when told to. */
+export class Bench {
+  now = 0;
+  private revision = 1;
+  private readonly replica = new Replica(8192);
+  readonly term: Term;
+  readonly scheduler: Scheduler;
+  readonly capacity: CapacityManager;
+  /** Until when a zone's zone keeper may be keeping it. */
+  keptUntil = -Infinity;
+
+  constructor(gpusMax = 100, withinS = 0) {
+    this.replica.types = [g8];
+    const s = settings();
+    s.teams.set('t', { name: 't', cores: 0, coresMax: 0, gpus: 0, gpusMax });
+    if (withinS > 0) s.objectives.push({ kind: 'wait', class: 'c', within_s: withinS });
+    this.term = new Term({
+      settings: s,
+      clock: { now: () => this.now },
+      wallMs: () => this.now * 1000,
+      log: silentLog(),
+      replica: this.replica,
+      policy: DEFAULT_POLICY,
+      token: TOKEN,
+      incarnation: 'x',
+      entitled: () => true,
+      writing: () => true,
+      keptUntil: () => -Infinity,
+      zone: () => ({ keptUntil: this.keptUntil, provenAt: Infinity }),
+      prove: () => undefined,
+    });
+    const arrivals = new Arrivals(
+      () => this.now * 1000,
+      1,
+      () => [g8],
+    );
+    this.scheduler = new Scheduler(
+      this.term,
+      arrivals,
+      () => true,
+      () => 0,
+    );
+    this.capacity = new CapacityManager({
+      term: this.term,
+      cloud: null!,
+      scheduler: () => this.scheduler,
+      arrivals,
+      forget: () => undefined,
+      onTypes: () => undefined,
+    });
+    this.capacity.fleet.listedOnce = true;
+  }
+
+  /** Machines that would be rented now. */
+  rents(): number {
+    const { demand, rooms } = this.scheduler.pass();
+    this.capacity.demand = demand;
+    this.capacity.rooms = rooms;
+    return this.capacity.wanted().reduce((n, w) => n + w.count, 0);
+  }
+
+  job(over: Partial<JobSpec>): void {
+    const s = spec(over);
+    const value = records.encodeSubmissions({
+      jobs: [{ spec: s, atMs: this.now * 1000 }],
+      cancels: [],
+    });
+    this.replica.item({
+      key: `${records.JOBS}x-${this.revision}`,
+      value,
+      revision: this.revision++,
+    });
+    this.term.addJob(this.replica.jobs.get(s.id)!);
+  }
+
+  private seq = 0;
+
+  report(id: string, tasks: TaskReport[]): void {
+    const m = this.term.machine(id);
+    const changes = m.apply(
+      {
+        machine: id, addr: '127.0.0.1:1', type: 'g8', zone: 'z1', spot: false, session: 1,
+        seq: ++this.seq, token: TOKEN, noticeS: null, tasks,
+      },
+      true,
+      this.now,
+    ); // prettier-ignore
+    this.term.digest(m, changes);
+  }
+
+  /** What is claimed is stored, started and running; `ended`: what was to stop has saved. */
+  settle(id: string, ended: boolean): void {
+    const m = this.term.machines.get(id)!;
+    for (const a of m.attempts.values()) this.term.stored(a);
+    const tasks = [...m.attempts.values()].map((a): TaskReport => ({
+      job: a.job,
+      index: a.index,
+      attempt: a.number,
+      state: a.stop !== null ? (ended ? 'ended' : 'saving') : 'running',
+      cause: a.stop !== null && ended ? 'stopped' : null,
+      saved: true,
+    }));
+    this.report(id, tasks);
+  }
+
+  pass(): void {
+    this.now += 0.1;
+    this.scheduler.pass();
+  }
+
+  on(id: string, job: string): number {
+    const m: Machine = this.term.machines.get(id)!;
+    return m.held().filter((a) => a.job === job && a.stop === null).length;
+  }
+}
--- /dev/null
+++ b/test/unplaced-requests.test.ts
@@ -0,0 +1,116 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { xoroshiro128plus, unsafeUniformIntDistribution as draw } from 'pure-rand';
+import { LiveJob } from '../src/jobs/live.js';
+import type { JobSpec } from '../src/jobs/types.js';
+import { UnplacedRequests } from '../src/leader/unplaced-requests.js';
+import { Replica } from '../src/state/replica.js';
+import * as records from '../src/state/records.js';
+import { Bench } from './pass-helpers.js';
+import { spec } from './helpers.js';
+
+function job(over: Partial<JobSpec>, marks: Partial<LiveJob> = {}): LiveJob {
+  const replica = new Replica(8192);
+  const wanted = spec({ id: 'wk-1', kind: 'array', cores: 4, gpus: 1, memGb: 8, ...over });
+  const value = records.encodeSubmissions({ jobs: [{ spec: wanted, atMs: 0 }], cancels: [] });
+  replica.item({ key: `${records.JOBS}x-1`, value, revision: 1 });
+  return Object.assign(new LiveJob(replica.jobs.get('wk-1')!, 100, 0, 0), marks);
+}
+
+// Each case is a job that is asked about after one of 4 cores, 1 GPU and 8 GB found no capacity.
+const CASES: [string, Partial<JobSpec>, Partial<LiveJob>, boolean][] = [
+  ['the same again', {}, {}, true],
+  ['larger in one resource', { cores: 5 }, {}, true],
+  ['smaller in one resource, which may fit', { cores: 3, gpus: 2 }, {}, false],
+  ['another priority may stop other work', { priority: 0 }, {}, false],
+  ['a service leaves no share to long work', { kind: 'service' }, {}, false],
+  ['spot machines are open to it', { spot: true }, {}, false],
+  ['its zone only', { zone: 'z1' }, {}, false],
+  ['other machine types', { types: ['other'] }, {}, false],
+  ['another team has a limit and a guarantee of its own', { team: 'u' }, {}, false],
+  ['work that leaves at once may use warm capacity', { checkpointS: 5, saveS: 0.1 }, {}, false],
+  ['long work has a share of its own', {}, { long: true }, false],
+  ['a guarantee lets it stop other work', {}, { guaranteed: true }, false],
+  ['a gang is placed as a whole', { kind: 'gang' }, {}, false],
+  ['one zone: which depends on where its tasks are', { oneZone: true }, {}, false],
+  ['spread: the same', { scatter: true }, {}, false],
+  ['it avoids machines', {}, { failedOn: new Set(['host-1']) }, false],
+];
+
+test('a request is passed over only where an earlier one that found nothing could use all that it may', () => {
+  for (const [name, over, marks, covered] of CASES) {
+    const unplaced = new UnplacedRequests();
+    assert.equal(unplaced.covers(job(over, marks)), false, `nothing noted: ${name}`);
+    unplaced.note(job({}));
+    assert.equal(unplaced.covers(job(over, marks)), covered, name);
+  }
+});
+
+test('what may use other machines than its like is not noted for them', () => {
+  for (const over of [{ oneZone: true }, { scatter: true }, { kind: 'gang' }] as const) {
+    const unplaced = new UnplacedRequests();
+    unplaced.note(job(over));
+    assert.equal(unplaced.covers(job(over)), false, JSON.stringify(over));
+  }
+  const unplaced = new UnplacedRequests();
+  unplaced.note(job({}, { failedOn: new Set(['host-1']) }));
+  assert.equal(unplaced.covers(job({})), false, 'that it avoids a machine says nothing of others');
+});
+
+test('the least of the sizes that found nothing decide', () => {
+  const unplaced = new UnplacedRequests();
+  for (const cores of [8, 6, 7, 2]) unplaced.note(job({ cores }));
+  assert.equal(unplaced.covers(job({ cores: 2 })), true);
+  assert.equal(unplaced.covers(job({ cores: 1.9 })), false);
+});
+
+const MACHINES = ['a', 'b', 'c'];
+
+/** What passes over random jobs claim, stop and ask for. */
+function decisions(seed: number): unknown[] {
+  const generator = xoroshiro128plus(seed);
+  const pick = <T>(from: readonly T[]): T => from[draw(0, from.length - 1, generator)]!;
+  const bench = new Bench();
+  for (const id of MACHINES) bench.report(id, []);
+  const seen: unknown[] = [];
+  for (let i = 1; i <= 40; i++) {
+    const kind = pick(['array', 'array', 'array', 'service', 'gang'] as const);
+    const tasks = draw(1, kind === 'gang' ? 2 : 12, generator);
+    const saves = kind === 'service' ? 0 : pick([0, 15]);
+    bench.job({
+      id: `wk-${i}`, kind, tasks, priority: pick([0, 1, 2, 3, 3]), spot: pick([true, false]),
+      gpus: pick([1, 2, 4]), cores: draw(2, 9, generator), checkpointS: saves, saveS: saves / 5,
+      zone: pick([null, null, 'z1', 'z2']), scatter: pick([false, false, true]),
+    }); // prettier-ignore
+    bench.now += 0.1;
+    const { demand } = bench.scheduler.pass();
+    seen.push(demand.map((d) => [d.spec.id, d.tasks]));
+    for (const id of MACHINES) {
+      const held = bench.term.machines.get(id)!.held();
+      seen.push(held.map((a) => [a.job, a.index, a.number, a.stop !== null]));
+      if (i % 3 === 0) bench.settle(id, i % 2 === 0);
+    }
+  }
+  return seen;
+}
+
+test('passes decide the same with and without looking again for what was found nowhere', () => {
+  const { covers } = UnplacedRequests.prototype;
+  let spared = 0;
+  const counted = function (this: UnplacedRequests, asked: LiveJob): boolean {
+    const known = covers.call(this, asked);
+    if (known) spared++;
+    return known;
+  };
+  try {
+    for (let seed = 1; seed <= 60; seed++) {
+      UnplacedRequests.prototype.covers = counted;
+      const short = decisions(seed);
+      UnplacedRequests.prototype.covers = () => false;
+      assert.deepEqual(short, decisions(seed), `seed ${seed}`);
+    }
+  } finally {
+    UnplacedRequests.prototype.covers = covers;
+  }
+  assert.ok(spared > 1000, `looked for once less ${spared} times`);
+});
