--- a/test/link.test.ts
+++ b/test/link.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
-import { connect } from 'node:net';
+import { connect, type Socket } from 'node:net';
 import { test } from 'node:test';
-import { encodeFrame, FrameReader, PeerNet } from '../src/peers/peers.js';
+import { encodeFrame, FrameReader, FrameWriter, PeerNet } from '../src/peers/peers.js';
 import { silentLog } from '../src/log.js';
 
 test('frames survive any cutting; what is too long or no CBOR is refused', () => {
@@ -60,3 +60,27 @@
   client.close();
   server.close();
 });
+
+test('frames that can wait go out together: with the next urgent one, or when their time is up', async () => {
+  const cases: { name: string; urgent: boolean[]; writes: number; soon: boolean }[] = [
+    { name: 'reports only', urgent: [false, false, false], writes: 1, soon: false },
+    { name: 'an urgent one takes along what waits', urgent: [false, true], writes: 1, soon: true },
+    { name: 'nothing is held back behind it', urgent: [true, false, true], writes: 1, soon: true },
+  ];
+  for (const { name, urgent, writes, soon } of cases) {
+    const written: Buffer[] = [];
+    const socket = { destroyed: false, write: (b: Buffer) => written.push(b) > 0 };
+    const writer = new FrameWriter(socket as unknown as Socket, 0.05);
+    urgent.forEach((u, i) => writer.write({ id: i }, u));
+    await new Promise((resolve) => setTimeout(resolve, 10));
+    assert.equal(written.length, soon ? writes : 0, `${name}, at once`);
+    await new Promise((resolve) => setTimeout(resolve, 80));
+    assert.equal(written.length, writes, name);
+    const frames = new FrameReader().push(Buffer.concat(written));
+    assert.deepEqual(
+      frames,
+      urgent.map((_, id) => ({ id })),
+      'in their order',
+    );
+  }
+});
