Store writer in parts: writes of records, what is due, batches; typed options for the leader

The writes of single records and the order of what is due are modules; figures have names. Types to be written are marked by a call in place of a field set from outside.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -350,11 +350,13 @@
         prove: () => void this.follower.sync().then((ok) => ok && this.leader?.term.requestPass()),
         writing: () => this.election.writing && this.election.token === token,
       },
-      this.state,
-      this.cloud,
-      () => this.election.nudge(),
-      this.costs,
-      this.overload,
+      {
+        state: this.state,
+        cloud: this.cloud,
+        onLost: () => this.election.nudge(),
+        costs: this.costs,
+        overload: this.overload,
+      },
     );
     void this.acknowledgements.collect(token);
     this.leader.start();
--- /dev/null
+++ b/src/leader/due-writes.ts
@@ -0,0 +1,79 @@
+/** What of a term is to be written now, and in which order. */
+
+import type { Clock } from '../clock.js';
+import type { LiveJob } from '../jobs/live.js';
+import type { Machine } from '../workers/machine.js';
+import type { RecordWrites, Write } from './record-writes.js';
+import type { Term } from './term.js';
+
+/** 0 to 3: claims of that priority; the ends of jobs go with the highest. */
+const ENDS = 0;
+const SOON = 4;
+export const LATER = 5;
+/** A record of done tasks is written at most once in so many seconds while it grows. */
+const PROGRESS_GAP_S = 1;
+
+export interface Due {
+  /** The lowest goes first; `LATER` can wait. */
+  urgency: number;
+  /** Encodes the record as it is at this moment. */
+  make(): Write;
+}
+
+/** Looks through a term for what is to be written. */
+export class DueWrites {
+  constructor(
+    private readonly term: Term,
+    private readonly writes: RecordWrites,
+    private readonly clock: Clock,
+  ) {}
+
+  /** What there is to write, in the order of urgency. */
+  collect(): Due[] {
+    const { term, writes } = this;
+    const now = this.clock.now();
+    const due: Due[] = [];
+    for (const job of term.jobs.values()) this.addProgress(job, now, due);
+    for (const id of term.dirtyMachines) {
+      const m = term.machines.get(id);
+      if (m === undefined) term.dirtyMachines.delete(id);
+      else this.addMachine(m, due);
+    }
+    for (const [id, revision] of term.removals) {
+      due.push({ urgency: LATER, make: () => writes.removal(id, revision) });
+    }
+    if (writes.typesDirty) due.push({ urgency: SOON, make: () => writes.types() });
+    return due.sort((a, b) => a.urgency - b.urgency);
+  }
+
+  private addProgress(job: LiveJob, now: number, due: Due[]): void {
+    if (job.dirtyChunks.size === 0 || job.cancelled) return;
+    const urgent = job.finished;
+    if (!urgent && now - (job.dirtySince ?? now) < PROGRESS_GAP_S) return;
+    for (const chunk of job.dirtyChunks) {
+      const make = (): Write => this.writes.progress(job, chunk);
+      due.push({ urgency: urgent ? ENDS : SOON, make });
+    }
+  }
+
+  private addMachine(m: Machine, due: Due[]): void {
+    const claiming = this.claiming(m);
+    const make = (): Write => this.writes.machine(m);
+    if (claiming !== null) due.push({ urgency: claiming, make });
+    else if (m.state === 'returning' || m.nextToken > m.token) due.push({ urgency: SOON, make });
+    else if (m.revision === 0 && m.attempts.size === 0) this.term.dirtyMachines.delete(m.id);
+    // Claims too many are safe; they are dropped with the next write, or when there is time.
+    else due.push({ urgency: LATER, make });
+  }
+
+  /** The highest priority among the claims on a machine that wait for being stored. */
+  private claiming(m: Machine): number | null {
+    let best: number | null = null;
+    for (const a of m.attempts.values()) {
+      if (a.state !== 'claiming') continue;
+      const priority = this.term.jobs.get(a.job)?.spec.priority ?? SOON - 1;
+      if (best === null || priority < best) best = priority;
+    }
+    return best;
+  }
+}
--- a/src/leader/leader.ts
+++ b/src/leader/leader.ts
@@ -20,6 +20,17 @@
 /** Records of machines that are silent and gone from the cloud's list are dropped after it. */
 const FORGET_LEASES = 6;
 
+/** What a leader works with, beside what its term rests on. */
+export interface LeaderServices {
+  state: StateClient;
+  cloud: CloudClient;
+  /** The leader's key has changed: this term is over. */
+  onLost: () => void;
+  costs: Costs;
+  /** What a pass may take of the processor; shared by the leaders of a controller. */
+  overload?: Overload;
+}
+
 /** Acts for one term: answers reports, places, stores, commands and keeps the fleet. */
 export class Leader {
   readonly term: Term;
@@ -28,6 +39,8 @@
   private readonly capacity: CapacityManager;
   private readonly direct: DirectCommands;
   private readonly arrivals: Arrivals;
+  private readonly costs: Costs;
+  private readonly overload: Overload;
   private timer: NodeJS.Timeout | null = null;
   private nextPass = -Infinity;
   private stopped = false;
@@ -36,12 +49,10 @@
 
   constructor(
     private readonly deps: TermDeps,
-    state: StateClient,
-    cloud: CloudClient,
-    onLost: () => void,
-    private readonly costs: Costs,
-    private readonly overload = new Overload(),
+    { state, cloud, onLost, costs, overload = new Overload() }: LeaderServices,
   ) {
+    this.costs = costs;
+    this.overload = overload;
     this.term = new Term(deps);
     this.term.onStir = () => this.schedule();
     this.arrivals = new Arrivals(deps.wallMs, deps.settings.workers.report_s, () => [
@@ -63,8 +74,15 @@
       (spot) => this.capacity.target(spot),
     );
     this.direct = new DirectCommands(this.term, () => this.schedule());
-    this.store = new TermStore(this.term, deps.settings.node, state, deps.clock, deps.log, onLost);
-    this.store.typesDirty = deps.replica.types === null && this.term.types.size > 0;
+    this.store = new TermStore({
+      term: this.term,
+      node: deps.settings.node,
+      state,
+      clock: deps.clock,
+      log: deps.log,
+      onLost,
+    });
+    if (deps.replica.types === null && this.term.types.size > 0) this.store.markTypes();
   }
 
   start(): void {
@@ -88,7 +106,7 @@
     this.term.setTypes(types);
     // Prices move all the time; only what validation and placing rest on is worth a write.
     if (JSON.stringify(types.map((t) => ({ ...t, spotPrice: 0 }))) !== before) {
-      this.store.typesDirty = true;
+      this.store.markTypes();
       this.store.nudge();
     }
     this.term.requestPass();
--- /dev/null
+++ b/src/leader/record-writes.ts
@@ -0,0 +1,159 @@
+/** Writes of single records of a term: what goes into a commit, and what its outcome means. */
+
+import type { Clock } from '../clock.js';
+import type { LiveJob } from '../jobs/live.js';
+import * as records from '../state/records.js';
+import type { Item, Op } from '../wire/state.js';
+import type { Machine } from '../workers/machine.js';
+import type { Term } from './term.js';
+
+/** What a write takes in a request beside its value and its key, which is there twice; in bytes. */
+const FRAME_BYTES = 100;
+/** Images that a machine's record names, at most: those used last. */
+const IMAGES_MAX = 32;
+
+/** What follows from the outcome of a write. */
+interface Outcomes {
+  /** It goes into a batch now. */
+  begin(): void;
+  /** It was carried out, with this revision. */
+  stored(revision: number): void;
+  /** It was not carried out, or that is not known. */
+  failed(): void;
+  /** What was read back after a commit whose outcome was open, or whose guard failed. */
+  reread(item: Item | null): void;
+}
+
+/** One record to be written, guarded by the revision that was known of it. */
+export interface Write extends Outcomes {
+  key: string;
+  guard: number;
+  op: Op;
+  /** What it takes in a request, about. */
+  bytes: number;
+}
+
+const NOTHING = (): void => undefined;
+
+function makeWrite(key: string, guard: number, op: Op, outcomes: Outcomes): Write {
+  const valueBytes = 'put' in op ? JSON.stringify(op.value).length : 0;
+  return { key, guard, op, bytes: key.length * 2 + FRAME_BYTES + valueBytes, ...outcomes };
+}
+
+/** Makes the writes of a term's records. */
+export class RecordWrites {
+  /** The machine types are to be written. */
+  typesDirty = false;
+  private typesRevision: number | undefined;
+
+  constructor(
+    private readonly term: Term,
+    private readonly node: string,
+    private readonly clock: Clock,
+  ) {}
+
+  /** A machine's record: what may be on it. */
+  machine(m: Machine): Write {
+    const { term } = this;
+    const claims = m.claims();
+    const key = records.machineKey(m.id);
+    const returning = m.state === 'returning';
+    const token = m.nextToken;
+    const value = records.encodeMachine({
+      owner: this.node,
+      term: term.deps.token,
+      ...(token > term.deps.token ? { token } : {}),
+      addr: m.addr,
+      type: m.type,
+      zone: m.zone,
+      spot: m.spot,
+      returning,
+      claims: claims.map((a) => ({ job: a.job, index: a.index, attempt: a.number })),
+      images: [...m.images].slice(-IMAGES_MAX).map(([image, i]) => [image, i.gb]),
+    });
+    return makeWrite(
+      key,
+      m.revision,
+      { put: key, value },
+      {
+        begin: () => term.dirtyMachines.delete(m.id),
+        stored: (revision) => {
+          m.revision = revision;
+          m.recordTerm = term.deps.token;
+          m.raiseToken(token);
+          if (returning) m.returnStored = true;
+          for (const a of claims) term.stored(a);
+        },
+        failed: () => term.dirtyMachines.add(m.id),
+        reread: (item) => (m.revision = item?.revision ?? 0),
+      },
+    );
+  }
+
+  /** The done tasks of a chunk of a job. */
+  progress(job: LiveJob, chunk: number): Write {
+    const key = records.progressKey(job.spec.id, chunk);
+    const value = records.encodeProgress(job.chunkRecord(chunk));
+    const fresh = job.unstored(chunk);
+    const stored = (revision: number): void => {
+      job.chunkRevisions.set(chunk, revision);
+      for (const a of job.storedTasks(chunk, fresh, this.clock.now())) {
+        a.settled = true;
+        this.term.urgent.add(a.machine);
+      }
+      if (job.finished && job.dirtyChunks.size === 0) this.term.completed(job);
+    };
+    return makeWrite(
+      key,
+      job.chunkRevisions.get(chunk) ?? 0,
+      { put: key, value },
+      {
+        begin: NOTHING,
+        stored,
+        failed: NOTHING,
+        reread: (item) => {
+          // Stored after all: writing it again would make "done" younger than it is, and a
+          // cancellation in between would seem to have come first.
+          // The time attained may differ by now: what is done decides.
+          const bits = item === null ? undefined : records.decodeProgress(item.value).bits;
+          if (item !== null && (bits === null || bits === records.decodeProgress(value).bits)) {
+            stored(item.revision);
+          } else job.chunkRevisions.set(chunk, item?.revision ?? 0);
+        },
+      },
+    );
+  }
+
+  /** Removes the record of a machine that is gone. */
+  removal(id: string, revision: number): Write {
+    const key = records.machineKey(id);
+    return makeWrite(
+      key,
+      revision,
+      { remove: key },
+      {
+        begin: NOTHING,
+        stored: () => this.term.removed(id, null),
+        failed: NOTHING,
+        reread: (item) => this.term.removed(id, item?.revision ?? null),
+      },
+    );
+  }
+
+  /** The machine types, for controllers that do not lead. */
+  types(): Write {
+    const value = records.encodeTypes([...this.term.types.values()]);
+    this.typesRevision ??= this.term.deps.replica.typesRevision;
+    return makeWrite(
+      records.TYPES,
+      this.typesRevision,
+      { put: records.TYPES, value },
+      {
+        begin: NOTHING,
+        stored: () => (this.typesDirty = false),
+        failed: NOTHING,
+        reread: (item) => (this.typesRevision = item?.revision ?? 0),
+      },
+    );
+  }
+}
--- a/test/meeting-helpers.ts
+++ b/test/meeting-helpers.ts
@@ -261,7 +261,7 @@
   pass(): void;
   sweep(): void;
   forget(m: Machine): void;
-  store: { flush(): Promise<boolean>; collect(): { make(): { stored(r: number): void } }[] };
+  store: { flush(): Promise<boolean> };
   scheduler: Scheduler;
   capacity: CapacityManager;
   direct: { push(): void };
@@ -321,10 +321,12 @@
         zone: () => this.zone,
         prove: () => undefined,
       },
-      this.store.client(),
-      { list: () => Promise.resolve([]) } as unknown as CloudClient,
-      () => undefined,
-      new Costs(() => this.now),
+      {
+        state: this.store.client(),
+        cloud: { list: () => Promise.resolve([]) } as unknown as CloudClient,
+        onLost: () => undefined,
+        costs: new Costs(() => this.now),
+      },
     );
     const leader = this.leader;
     this.parts = leader as unknown as LeaderParts;
