--- a/src/leader/leader.ts
+++ b/src/leader/leader.ts
@@ -5,20 +5,19 @@
 import type { StateClient } from '../state/client.js';
 import type { JobFacts } from '../state/replica.js';
 import { CHANGE_GAP_S, encodeOrders, type Report } from '../wire/workers.js';
-import { holds } from '../workers/attempt.js';
 import type { Machine } from '../workers/machine.js';
 import type { Costs } from '../costs.js';
 import { DirectCommands } from './direct.js';
+import { figures } from './figures.js';
 import { Overload } from '../admission/overload.js';
 import { Scheduler } from './scheduler.js';
 import { TermStore } from './store.js';
+import { closeJobs, lostForGood } from './sweep.js';
 import { Term, type TermDeps } from './term.js';
 import { CapacityManager } from './capacity.js';
 
 /** Events come in clusters: passes are at least so far apart. */
 const PASS_GAP_S = CHANGE_GAP_S / 10;
-/** Records of machines that are silent and gone from the cloud's list are dropped after it. */
-const FORGET_LEASES = 6;
 
 /** What a leader works with, beside what its term rests on. */
 export interface LeaderServices {
@@ -231,21 +230,8 @@
 
   /** Forgets jobs and machines that are over. */
   private sweep(): void {
-    const { term } = this;
-    const closing = [...term.jobs.values()].filter((j) => j.phase === 'closing');
-    if (closing.length > 0) {
-      const referred = new Set<string>();
-      for (const m of term.machines.values())
-        for (const a of m.attempts.values()) referred.add(a.job);
-      for (const job of closing) {
-        if (referred.has(job.spec.id)) continue;
-        job.become('closed');
-        term.jobs.delete(job.spec.id);
-      }
-    }
-    const patience = this.deps.settings.workers.lease_s * FORGET_LEASES;
-    for (const m of [...term.machines.values()]) {
-      if (m.state !== 'silent' || term.now - m.heardAt < patience) continue;
+    closeJobs(this.term);
+    for (const m of lostForGood(this.term)) {
       // Not in the cloud's list either: nothing is left to give back.
       if (this.capacity.unlisted(m.id)) this.forget(m);
     }
@@ -259,16 +245,6 @@
   // Figures
 
   figures(): Record<string, number> {
-    const by: Record<string, number> = {};
-    for (const m of this.term.machines.values()) {
-      by[`machines_${m.state}`] = (by[`machines_${m.state}`] ?? 0) + 1;
-      for (const a of m.attempts.values()) {
-        if (holds(a)) by[`attempts_${a.state}`] = (by[`attempts_${a.state}`] ?? 0) + 1;
-      }
-    }
-    by.machines_coming = this.capacity.fleet.coming.size;
-    by.jobs_open = this.term.jobs.size;
-    by.demand_tasks = this.capacity.demand.reduce((n, d) => n + d.tasks, 0);
-    return by;
+    return figures(this.term, this.capacity);
   }
 }
--- /dev/null
+++ b/src/leader/sweep.ts
@@ -0,0 +1,31 @@
+/** What a term need not remember any more. */
+
+import type { Machine } from '../workers/machine.js';
+import type { Term } from './term.js';
+
+/** Records of machines that are silent and gone from the cloud's list are dropped after it. */
+const FORGET_LEASES = 6;
+
+/** Closes and forgets jobs that are over and that no attempt on any machine is of. */
+export function closeJobs(term: Term): void {
+  const closing = [...term.jobs.values()].filter((j) => j.phase === 'closing');
+  if (closing.length === 0) return;
+  const referred = new Set<string>();
+  for (const m of term.machines.values()) {
+    for (const a of m.attempts.values()) referred.add(a.job);
+  }
+  for (const job of closing) {
+    if (referred.has(job.spec.id)) continue;
+    job.become('closed');
+    term.jobs.delete(job.spec.id);
+  }
+}
+
+/** Machines that have been silent for so long that they will not be back. */
+export function lostForGood(term: Term): Machine[] {
+  const { now } = term;
+  const patience = term.deps.settings.workers.lease_s * FORGET_LEASES;
+  return [...term.machines.values()].filter(
+    (m) => m.state === 'silent' && now - m.heardAt >= patience,
+  );
+}
