A late controller does not stand for election while a fitter one can

A controller several times slower stood like any other, also for its own former key, and was elected again. Now a late one that knows of a fitter one waits for it, for half a life of the leader's lease at most, and stands then all the same. The election gets that by an injected function.

The new test in meeting-elections.test.ts fails, one at a time, without the waiting, without its bound, without it for its own former key, and where the wait is not counted anew for each vacancy.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -145,6 +145,7 @@
         onKnownCancelled: (ids) => this.knownCancelled(ids),
         cancelledSince: (revision) => this.cancellationNotices.storedSince(revision),
       },
+      () => this.overload.late && this.fitness.fitter() !== null,
     );
     this.acknowledgements = new LeaderAcknowledgements(
       settings,
--- a/src/leadership/election.ts
+++ b/src/leadership/election.ts
@@ -20,6 +20,11 @@
  */
 export type Role = 'following' | 'standing' | 'leading' | 'continuing';
 
+/** A late controller leaves leadership to a fitter one for so many lives of the leader's lease, at most. */
+const GIVE_WAY_LIVES = 0.5;
+/** It looks so many times in that life whether it still has to. */
+const GIVE_WAY_LOOKS = 20;
+
 const ALLOWED: Record<Role, Role[]> = {
   following: ['standing'],
   standing: ['leading', 'following'],
@@ -39,6 +44,11 @@
   /** How often this process has stood. */
   private attempts = 0;
   private validUntil = -Infinity;
+  /**
+   * Since when this controller might stand, in seconds of the clock: nobody leads, or by the store only a
+   * former process of its own. Null: it might not.
+   */
+  private vacantSince: number | null = null;
   /** It has handed over, and does not stand before. */
   private standsFrom = -Infinity;
   /** Tells outages from refusals of this controller alone. */
@@ -61,6 +71,8 @@
     private readonly clock: Clock,
     private readonly log: Log,
     private readonly events: ElectionEvents,
+    /** This controller is late, and another one that could be elected is fitter. */
+    private readonly fitterCanStand: () => boolean = () => false,
   ) {
     // A third of the workers' lease: the successor has two thirds to reach them all.
     this.lifeS = workers.lease_s * 0.3;
@@ -78,6 +90,7 @@
     this.log.info({ from: this.role, to: role, token: this.token }, 'role');
     const led = this.leads;
     this.role = role;
+    if (role === 'leading') this.vacantSince = null;
     if (role === 'following' && led) {
       this.validUntil = -Infinity;
       this.state.setRole('follower');
@@ -139,9 +152,14 @@
     // My own former process is dead for certain: nothing to wait for.
     const mine = leader !== null && leader.node === this.node;
     if (leader !== null && !mine) {
+      this.vacantSince = null;
       await this.pause.wait(0.5);
       return;
     }
+    if (this.givesWay()) {
+      await this.pause.wait(this.lifeS / GIVE_WAY_LOOKS);
+      return;
+    }
     if (!mine) {
       // Apart from one another, so that a single node stands as a rule.
       await sleep(random() * 0.05 * this.lifeS);
@@ -155,6 +173,17 @@
     }
   }
 
+  /**
+   * Whether to let a fitter controller be elected first. Not for long: that one may have ended, and
+   * somebody has to stand.
+   */
+  private givesWay(): boolean {
+    const now = this.clock.now();
+    this.vacantSince ??= now;
+    if (now - this.vacantSince >= this.lifeS * GIVE_WAY_LIVES) return false;
+    return this.fitterCanStand();
+  }
+
   private async stand(guard: number): Promise<boolean> {
     const grantSentAt = this.clock.now();
     const lease = await this.state.grant(this.lifeS, 1);
--- a/test/meeting-elections.test.ts
+++ b/test/meeting-elections.test.ts
@@ -17,6 +17,7 @@
 interface Steps {
   stand(guard: number): Promise<boolean>;
   leadStep(): Promise<void>;
+  followStep(): Promise<void>;
 }
 
 class Controller {
@@ -25,11 +26,14 @@
   readonly steps: Steps;
   readonly told: string[] = [];
   deposed = 0;
+  /** Reads the store. */
+  readonly sync: () => Promise<boolean>;
 
   constructor(
     readonly store: MemoryStore,
     private readonly name = 'a',
     private readonly others: () => (Answer | null)[] = () => [null, null],
+    fitterCanStand: () => boolean = () => false,
   ) {
     const replica = store.listed();
     const follower = {
@@ -40,6 +44,7 @@
         return Promise.resolve(store.feed(replica) !== null);
       },
     };
+    this.sync = follower.sync;
     const names = ['x', 'y'];
     const peers = {
       names,
@@ -62,6 +67,7 @@
         onKnownCancelled: (ids) => void this.told.push(...ids),
         cancelledSince: (revision) => [...replica.cancelledSince(revision)],
       },
+      fitterCanStand,
     );
     this.steps = this.election as unknown as Steps;
     this.now = 100;
@@ -174,3 +180,55 @@
     assert.equal(await c.election.outage.mayKeep(), false);
   }
 });
+
+// A controller that was several times slower was elected again and again while a fast one followed.
+test('a late controller leaves leadership to a fitter one for a while, but somebody stands', async () => {
+  const step = LIFE / 20;
+  const put = (store: MemoryStore, node: string): unknown =>
+    store.put(records.LEADER, records.encodeLeader({ node, incarnation: node }));
+  interface Row {
+    name: string;
+    /** Whether a fitter one is known, by the time since the vacancy in lives of the leader's lease. */
+    fitter: (lives: number) => boolean;
+    leader?: string;
+    /** The other one is elected so many lives after the vacancy. */
+    electedAt?: number;
+    /** And gone again. */
+    goneAt?: number;
+    /** Bounds of when it stands, in lives; null: it does not. */
+    stands: [number, number] | null;
+  }
+  const rows: Row[] = [
+    { name: 'nobody is fitter', fitter: () => false, stands: [0, 0.1] },
+    { name: 'the fitter one is not elected', fitter: () => true, stands: [0.5, 0.6] },
+    { name: 'it is no longer fitter', fitter: (lives) => lives < 0.2, stands: [0.2, 0.3] },
+    { name: 'the fitter one is elected', fitter: () => true, electedAt: 0.3, stands: null },
+    { name: 'elected, and gone again', fitter: () => true, electedAt: 0.3, goneAt: 0.6, stands: [1.1, 1.2] },
+    { name: 'a key of its own former process', fitter: () => true, leader: 'a', stands: [0.5, 0.6] },
+    { name: 'the same, nobody is fitter', fitter: () => false, leader: 'a', stands: [0, 0.1] },
+  ]; // prettier-ignore
+  for (const { name, fitter, leader, electedAt = Infinity, goneAt = Infinity, stands } of rows) {
+    const store = new MemoryStore();
+    if (leader !== undefined) put(store, leader);
+    let lives = 0;
+    const c = new Controller(store, 'a', undefined, () => fitter(lives));
+    const began = c.now;
+    while (c.election.role === 'following' && lives < 2) {
+      lives = (c.now - began) / LIFE;
+      const other = lives >= electedAt && lives < goneAt;
+      if (other !== store.revision(records.LEADER) > 0 && leader === undefined) {
+        if (other) put(store, 'b');
+        else await store.commit([], [{ remove: records.LEADER }]);
+        await c.sync();
+      }
+      const stepped = c.steps.followStep();
+      c.election.nudge();
+      await stepped;
+      c.now += step;
+    }
+    const stood = c.election.role === 'leading';
+    assert.equal(stood, stands !== null, name);
+    if (stands === null) continue;
+    assert.ok(lives >= stands[0] - 1e-6 && lives <= stands[1], `${name}: after ${lives}`);
+  }
+});
