--- a/src/controller/load-log.ts
+++ b/src/controller/load-log.ts
@@ -17,7 +17,7 @@
 export interface LoadSources {
   clock: Clock;
   role: () => string;
-  overload: Pick<Overload, 'delayS' | 'meanLagS'>;
+  overload: Pick<Overload, 'delayS' | 'latenessS'>;
   requests: Pick<RequestQueue, 'size' | 'refused'>;
   reports: ReportCounts;
   /** Machines whose leases this controller as leader counted as lost, since its start. */
@@ -103,7 +103,7 @@
       role: role(),
       requests_waiting: requests.size,
       delay_ms: rounded(overload.delayS * 1000),
-      late_ms: rounded(overload.meanLagS * 1000),
+      late_ms: rounded(overload.latenessS * 1000),
       rss_mb: rounded(memory.rss / BYTES_PER_MB),
       heap_mb: rounded(memory.heapUsed / BYTES_PER_MB),
     };
--- a/src/heartbeat/reports.ts
+++ b/src/heartbeat/reports.ts
@@ -1,5 +1,6 @@
 import type { Election } from '../leadership/election.js';
-import type { PeerNet } from '../peers/peers.js';
+import type { ReplyAnswer } from '../peers/messages.js';
+import type { PeerNet } from '../peers/net.js';
 import type { ZoneLeaseKeeper, ZoneLeaseWatch } from '../leadership/zone-lease.js';
 import type { Clock } from '../clock.js';
 import type { Settings } from '../config/settings.js';
@@ -138,7 +139,7 @@
       );
       if (patience <= 0) break;
       const a = await peers.ask(to, { q: 'report', body, hop }, patience);
-      if (a?.status === 200 && typeof a.body === 'string') {
+      if (a?.status === 200 && a.body !== undefined) {
         this.counts.passedOn++;
         return { status: 200, body: a.body };
       }
@@ -181,7 +182,7 @@
   }
 
   /** Passed on by another controller. */
-  passedOn(body: string, hop: boolean): Promise<Reply | null> | Reply {
+  passedOn(body: string, hop: boolean): Promise<ReplyAnswer | null> | ReplyAnswer {
     const { settings, peers, replica } = this.parts;
     const leader = this.parts.leader();
     if (leader !== null) {
@@ -189,8 +190,6 @@
     }
     const leads = replica.leader?.node;
     if (!hop || leads === undefined || leads === settings.node) return { status: 503 };
-    return peers
-      .ask(leads, { q: 'report', body, hop: false }, ANSWER_WAIT_S * ASK_SHARE)
-      .then((a) => a as unknown as Reply | null);
+    return peers.ask(leads, { q: 'report', body, hop: false }, ANSWER_WAIT_S * ASK_SHARE);
   }
 }
--- a/test/load-lines.test.ts
+++ b/test/load-lines.test.ts
@@ -10,7 +10,7 @@
   const sources: LoadSources = {
     clock: { now: () => 0 },
     role: () => 'leading',
-    overload: { delayS: 0.25, meanLagS: 0 },
+    overload: { delayS: 0.25, latenessS: 0 },
     requests: { size: 7, refused: { report: 0, cancellation: 0, poll: 0, submission: 0 } },
     reports: new ReportCounts(),
     machinesLost: () => 0,
