Reports are passed on as bytes; those that repeat the last one are not parsed

Cause: a report that was passed on was decoded, parsed and validated by both controllers, and most reports differ from the machine's one before in the sequence number alone.

Change: a controller that does not lead reads machine and zone from the bytes and passes them on untouched. Where the scan is not certain it parses the report, as it does before any answer of its own; a leader's 400 is handed on. On the leader a report whose bytes equal the machine's last parsed one but for the number takes over its parse; all checks of order, token and lease are made as before. One body of at most 4 kB for each machine, in memory of its own, reused. An answer without commands is put together once for each token. Machine.compare is as it was.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -416,7 +416,7 @@
   private answer(_from: string, q: Question): Promise<Answer> | Answer {
     switch (q.q) {
       case 'report': {
-        if (typeof q.body !== 'string') return { status: 503 };
+        if (!Buffer.isBuffer(q.body)) return { status: 503 };
         const { body, hop } = q;
         const work = (): Answer | Promise<Answer> => this.passedOn(body, hop === true);
         return this.requests.run('report', work, { status: 503 }, PASSED_ON_PATIENCE_S);
@@ -448,7 +448,7 @@
     }
   }
 
-  private passedOn(body: string, hop: boolean): Answer | Promise<Answer> {
+  private passedOn(body: Buffer, hop: boolean): Answer | Promise<Answer> {
     const r = this.costs.time('report', () => this.reports.passedOn(body, hop));
     if (r instanceof Promise) return r.then((x) => ({ ...(x ?? { status: 504 }) }));
     return { ...r };
--- a/src/heartbeat/reports.ts
+++ b/src/heartbeat/reports.ts
@@ -13,11 +13,11 @@
   encodeElsewhere,
   encodeOrders,
   MAX_COMMANDS,
-  parseReport,
   type Command,
   type Report,
 } from '../wire/workers.js';
 import type { Leader } from '../leader/leader.js';
+import { ReceivedReport, type Routing } from './received-report.js';
 
 /**
  * Of the time that a worker waits for an answer, what it may be left waiting here, and what one of the
@@ -57,30 +57,51 @@
 
   /** `arrivedAt`: it may have waited here before its turn came. */
   checkin(body: Buffer, arrivedAt = this.parts.clock.now()): Reply | Promise<Reply> {
-    const { settings, election, replica, zoneKeeper, log } = this.parts;
-    const text = body.toString('utf8');
-    let report: Report;
-    try {
-      report = parseReport(JSON.parse(text));
-    } catch (e) {
-      if (!(e instanceof SyntaxError) && !(e instanceof BadMessage)) throw e;
-      // Garbage goes no further than here.
-      log.info({ err: e.message }, 'report dropped');
-      return { status: 400, body: '{}' };
-    }
-    const home = this.homeOf(report);
-    if (home !== null) return { status: 421, body: encodeElsewhere(home) };
+    return this.refuseMalformed(() => this.route(body, arrivedAt));
+  }
+
+  private route(body: Buffer, arrivedAt: number): Reply | Promise<Reply> {
+    const { settings, election, replica, zoneKeeper } = this.parts;
     const leader = this.parts.leader();
-    if (leader !== null && election.entitled) return leader.checkin(report);
-    if (zoneKeeper?.mayKeep() === true && report.zone === settings.zone) {
-      return this.keep(report, replica.lastToken);
+    if (leader !== null && election.entitled) return this.lead(leader, body);
+    const report = new ReceivedReport(body);
+    const home = this.homeOf(report.routing);
+    if (home !== null) return this.sendHome(report.parse(), home);
+    if (zoneKeeper?.mayKeep() === true && report.routing.zone === settings.zone) {
+      return this.keep(report.parse(), replica.lastToken);
     }
     const deadline = arrivedAt + ANSWER_WAIT_S * KEEP_SHARE;
     const alone = zoneKeeper?.state === 'alone';
     const leads = replica.leader;
     const served = this.parts.state.health === 'served';
-    if (!alone && leads === null && served) return { status: 503, retryAfter: 1 };
-    return this.relay(text, report, alone ? null : (leads?.node ?? settings.node), deadline);
+    if (!alone && leads === null && served) {
+      report.parse();
+      return { status: 503, retryAfter: 1 };
+    }
+    return this.relay(report, alone ? null : (leads?.node ?? settings.node), deadline);
+  }
+
+  /** A report straight from a worker to the leader. */
+  private lead(leader: Leader, body: Buffer): Reply {
+    const report = leader.read(body);
+    const home = this.homeOf(report);
+    return home === null ? leader.checkin(report, body) : this.sendHome(report, home);
+  }
+
+  /** Answers a malformed report with 400, whatever part of the work finds it to be so. */
+  private refuseMalformed<T>(work: () => Reply | Promise<T>): Reply | Promise<T | Reply> {
+    const refuse = (e: unknown): Reply => {
+      if (!(e instanceof BadMessage)) throw e;
+      // Garbage goes no further than here.
+      this.parts.log.info({ err: e.message }, 'report dropped');
+      return { status: 400, body: '{}' };
+    };
+    try {
+      const answer = work();
+      return answer instanceof Promise ? answer.catch(refuse) : answer;
+    } catch (e) {
+      return refuse(e);
+    }
   }
 
   /**
@@ -88,7 +109,7 @@
    * off, it is already where it can be kept; to look for that controller only then takes it longer
    * than its lease. Seldom for each worker, so that it is never sent back and forth.
    */
-  private homeOf(report: Report): string | null {
+  private homeOf(report: Routing): string | null {
     const { settings, replica, state, zoneLeases, clock } = this.parts;
     const home = zoneLeases.keeper(report.zone);
     if (home === null || home === settings.node) return null;
@@ -97,14 +118,20 @@
     const { report_s, lease_s } = settings.workers;
     if (!zoneLeases.steady(home, report_s * HOME_REPORTS)) return null;
     const last = this.sentHome.get(report.machine);
-    if (last !== undefined && now - last < lease_s * HOME_LEASES) return null;
+    return last !== undefined && now - last < lease_s * HOME_LEASES ? null : home;
+  }
+
+  private sendHome(report: Report, home: string): Reply {
+    const { settings, clock } = this.parts;
+    const now = clock.now();
+    const { lease_s } = settings.workers;
     this.sentHome.delete(report.machine);
     this.sentHome.set(report.machine, now);
     for (const [machine, at] of this.sentHome) {
       if (now - at < lease_s * HOME_LEASES) break;
       this.sentHome.delete(machine);
     }
-    return home;
+    return { status: 421, body: encodeElsewhere(home) };
   }
 
   /**
@@ -112,8 +139,7 @@
    * where it is: a leader that it cannot reach, or one that ends, costs it no connection of its own.
    */
   private async relay(
-    body: string,
-    report: Report,
+    report: ReceivedReport,
     leader: string | null,
     deadline: number,
   ): Promise<Reply> {
@@ -133,8 +159,9 @@
         deadline - clock.now(),
       );
       if (patience <= 0) break;
-      const a = await peers.ask(to, { q: 'report', body, hop }, patience);
+      const a = await peers.ask(to, { q: 'report', body: report.body, hop }, patience);
       if (a?.status === 200 && typeof a.body === 'string') return { status: 200, body: a.body };
+      if (a?.status === 400) return { status: 400, body: '{}' };
       answered ||= a !== null;
       // It was reached and does not lead: nothing is gained by other ways.
       if (a?.status === 503 && !hop) {
@@ -142,12 +169,14 @@
         if (!stale) break;
       }
     }
+    // No leader has judged it.
+    const parsed = report.parse();
     const token = replica.leader?.revision;
-    if (token !== undefined && (await election.outage.mayKeep())) return this.keep(report, token);
+    if (token !== undefined && (await election.outage.mayKeep())) return this.keep(parsed, token);
     // Cut off together with this zone: what runs here goes on.
-    const mine = report.zone === settings.zone;
+    const mine = parsed.zone === settings.zone;
     if (mine && !answered && zoneKeeper !== null && (await zoneKeeper.settle(deadline))) {
-      return this.keep(report, replica.lastToken);
+      return this.keep(parsed, replica.lastToken);
     }
     if (reached) return { status: 503, retryAfter: 1 };
     return { status: 421, body: encodeElsewhere(leader) };
@@ -172,10 +201,14 @@
   }
 
   /** Passed on by another controller. */
-  passedOn(body: string, hop: boolean): Promise<Reply | null> | Reply {
+  passedOn(body: Buffer, hop: boolean): Promise<Reply | null> | Reply {
+    return this.refuseMalformed(() => this.leadOrHop(body, hop));
+  }
+
+  private leadOrHop(body: Buffer, hop: boolean): Promise<Reply | null> | Reply {
     const { settings, peers, replica } = this.parts;
     const leader = this.parts.leader();
-    if (leader !== null) return leader.checkin(parseReport(JSON.parse(body)));
+    if (leader !== null) return leader.checkin(leader.read(body), body);
     const leads = replica.leader?.node;
     if (!hop || leads === undefined || leads === settings.node) return { status: 503 };
     return peers
--- a/src/leader/leader.ts
+++ b/src/leader/leader.ts
@@ -4,7 +4,8 @@
 import type { MachineType } from '../jobs/types.js';
 import type { StateClient } from '../state/client.js';
 import type { JobFacts } from '../state/replica.js';
-import { CHANGE_GAP_S, encodeOrders, type Report } from '../wire/workers.js';
+import { scanMachineHint } from '../wire/report-scan.js';
+import { CHANGE_GAP_S, decodeReport, encodeOrders, type Report } from '../wire/workers.js';
 import { holds } from '../workers/attempt.js';
 import type { Machine } from '../workers/machine.js';
 import type { Costs } from '../costs.js';
@@ -111,8 +112,18 @@
 
   // Reports
 
-  /** A worker's check-in, straight from it or passed on by another controller. */
-  checkin(report: Report): Reply {
+  /** The report in a body, parsed unless it repeats the machine's last one. Throws BadMessage. */
+  read(body: Buffer): Report {
+    const machine = scanMachineHint(body);
+    const known = machine === null ? undefined : this.term.machines.get(machine);
+    return known?.lastReport.repeat(body) ?? decodeReport(body);
+  }
+
+  /**
+   * A worker's check-in, straight from it or passed on by another controller. `body`: what it was read from,
+   * if the machine's next report is to be compared with it.
+   */
+  checkin(report: Report, body?: Buffer): Reply {
     const { term, deps } = this;
     if (!deps.entitled()) return { status: 503, retryAfter: 1 };
     // Of a later leader: it would drop an answer from here, and its lease would run out meanwhile.
@@ -122,6 +133,9 @@
     const now = term.now;
     const m = this.machineOf(report);
     const repeated = m.hasSeen(report);
+    if (body !== undefined && !repeated && !m.lastReport.gave(report)) {
+      m.lastReport.keep(report, body);
+    }
     // Fenced once by this term, forgotten, and back.
     if (report.token > m.token) m.raiseToken(term.latestRevision);
     const changes = m.apply(report, true, now);
--- a/src/peers/peers.ts
+++ b/src/peers/peers.ts
@@ -66,7 +66,7 @@
 
 export type Question =
   /** A worker's report, passed on as it came. `hop`: pass it on to the leader if you do not lead. */
-  | { q: 'report'; body: string; hop: boolean }
+  | { q: 'report'; body: Buffer; hop: boolean }
   /**
    * Does the state service refuse you too? Promise not to take over for a while if it does, and tell
    * the cancellations stored after the revision `applied`.
--- /dev/null
+++ b/src/wire/report-scan.ts
@@ -0,0 +1,224 @@
+/**
+ * Reads single fields from the bytes of a worker's report without parsing it as a whole.
+ *
+ * What a scan returns is what a full parse of the same bytes would give, if a full parse accepts them; a scan
+ * does not show that they are well-formed. It returns null for whatever it can't be certain of, and the caller
+ * parses the report instead: escapes and bytes beyond ASCII, a number in any form but plain digits, a field that
+ * is missing or of another type.
+ */
+
+const TAB = 0x09;
+const LINE_FEED = 0x0a;
+const CARRIAGE_RETURN = 0x0d;
+const SPACE = 0x20;
+const QUOTE = 0x22;
+const COMMA = 0x2c;
+const ZERO = 0x30;
+const NINE = 0x39;
+const COLON = 0x3a;
+const OPEN_BRACKET = 0x5b;
+const BACKSLASH = 0x5c;
+const CLOSE_BRACKET = 0x5d;
+const OPEN_BRACE = 0x7b;
+const CLOSE_BRACE = 0x7d;
+const FIRST_BEYOND_ASCII = 0x80;
+
+/** As many digits as always make an integer that a number holds exactly. */
+const MAX_DIGITS = 15;
+/** The longest name that a full parse accepts, in characters. */
+export const MAX_NAME = 200;
+
+const MACHINE = Buffer.from('bench');
+const ZONE = Buffer.from('yard');
+const TOKEN = Buffer.from('hallmark');
+const SEQUENCE = Buffer.from('tally');
+
+export interface ScannedReport {
+  machine: string;
+  zone: string;
+  token: number;
+  /** Where the value of the sequence number begins in the body, and where it has ended. */
+  sequenceStart: number;
+  sequenceEnd: number;
+}
+
+const isSpace = (byte: number | undefined): boolean =>
+  byte === SPACE || byte === LINE_FEED || byte === CARRIAGE_RETURN || byte === TAB;
+
+const isDigit = (byte: number): boolean => byte >= ZERO && byte <= NINE;
+
+/** Whether a byte goes on with a number, `true`, `false` or `null`. */
+function isLiteral(byte: number | undefined): boolean {
+  if (byte === undefined || isSpace(byte)) return false;
+  return byte !== COMMA && byte !== CLOSE_BRACE && byte !== CLOSE_BRACKET && byte !== QUOTE;
+}
+
+/** The integer written in plain digits, without leading zeros, from `start` to before `end`; or null. */
+export function readInteger(body: Buffer, start: number, end: number): number | null {
+  const digits = end - start;
+  if (digits < 1 || digits > MAX_DIGITS) return null;
+  if (digits > 1 && body[start] === ZERO) return null;
+  let value = 0;
+  for (let i = start; i < end; i++) {
+    const byte = body[i]!;
+    if (!isDigit(byte)) return null;
+    value = value * 10 + (byte - ZERO);
+  }
+  return value;
+}
+
+/** Goes through the members of the outermost object, one at a time. */
+class MemberScanner {
+  /** `unsure`: something was met that only a full parse can judge. */
+  state: 'members' | 'ended' | 'unsure' = 'members';
+  private keyStart = 0;
+  private keyEnd = 0;
+  valueStart = 0;
+  valueEnd = 0;
+  private position = 0;
+
+  constructor(private readonly body: Buffer) {
+    this.skipSpace();
+    this.expect(OPEN_BRACE);
+  }
+
+  /** Moves on to the next member. False: there is none, or it is unsure whether there is. */
+  next(): boolean {
+    if (this.state !== 'members') return false;
+    this.skipSpace();
+    this.keyStart = this.position + 1;
+    this.skipString();
+    this.keyEnd = this.position - 1;
+    this.skipSpace();
+    this.expect(COLON);
+    this.skipSpace();
+    this.valueStart = this.position;
+    this.skipValue();
+    this.valueEnd = this.position;
+    this.skipSpace();
+    return this.endMember();
+  }
+
+  keyIs(name: Buffer): boolean {
+    const { body, keyStart } = this;
+    if (this.keyEnd - keyStart !== name.length) return false;
+    for (let i = 0; i < name.length; i++) if (body[keyStart + i] !== name[i]) return false;
+    return true;
+  }
+
+  /** The present value, if it is a string that a full parse accepts as a name. */
+  name(): string | null {
+    const length = this.valueEnd - this.valueStart - 2;
+    if (this.body[this.valueStart] !== QUOTE || length < 1 || length > MAX_NAME) return null;
+    return this.body.toString('latin1', this.valueStart + 1, this.valueEnd - 1);
+  }
+
+  integer(): number | null {
+    return readInteger(this.body, this.valueStart, this.valueEnd);
+  }
+
+  /** After a member: another one, or the end of the object and of the body. */
+  private endMember(): boolean {
+    if (this.stateIsUnsure()) return false;
+    if (this.body[this.position] === COMMA) {
+      this.position++;
+      return true;
+    }
+    this.expect(CLOSE_BRACE);
+    this.skipSpace();
+    if (this.position !== this.body.length) this.state = 'unsure';
+    if (this.stateIsUnsure()) return false;
+    this.state = 'ended';
+    return true;
+  }
+
+  private stateIsUnsure(): boolean {
+    return this.state === 'unsure';
+  }
+
+  private expect(byte: number): void {
+    if (this.body[this.position] !== byte) this.state = 'unsure';
+    this.position++;
+  }
+
+  private skipSpace(): void {
+    while (isSpace(this.body[this.position])) this.position++;
+  }
+
+  private skipValue(): void {
+    const first = this.body[this.position];
+    if (first === QUOTE) this.skipString();
+    else if (first === OPEN_BRACE || first === OPEN_BRACKET) this.skipNested();
+    else this.skipLiteral();
+  }
+
+  private skipLiteral(): void {
+    const start = this.position;
+    while (isLiteral(this.body[this.position])) this.position++;
+    if (this.position === start) this.state = 'unsure';
+  }
+
+  /** Skips a string without escapes, in ASCII. */
+  private skipString(): void {
+    this.expect(QUOTE);
+    const { body } = this;
+    let position = this.position;
+    for (;;) {
+      const byte = body[position++];
+      if (byte === QUOTE) break;
+      if (byte === undefined || byte < SPACE || byte === BACKSLASH || byte >= FIRST_BEYOND_ASCII) {
+        this.state = 'unsure';
+        break;
+      }
+    }
+    this.position = position;
+  }
+
+  /** Skips an object or a list with all that is in it. */
+  private skipNested(): void {
+    let depth = 0;
+    while (this.state !== 'unsure') {
+      const byte = this.body[this.position];
+      if (byte === QUOTE) {
+        this.skipString();
+        continue;
+      }
+      this.position++;
+      if (byte === undefined) this.state = 'unsure';
+      if (byte === OPEN_BRACE || byte === OPEN_BRACKET) depth++;
+      if (byte === CLOSE_BRACE || byte === CLOSE_BRACKET) depth--;
+      if (depth === 0) return;
+    }
+  }
+}
+
+/** What routing and the recognition of unchanged reports need; null: parse the report. */
+export function scanReport(body: Buffer): ScannedReport | null {
+  const members = new MemberScanner(body);
+  let machine: string | null = null;
+  let zone: string | null = null;
+  let token: number | null = null;
+  let sequence: { start: number; end: number } | null = null;
+  while (members.next()) {
+    // As for JSON.parse, of a field that comes twice the last counts.
+    if (members.keyIs(MACHINE)) machine = members.name();
+    else if (members.keyIs(ZONE)) zone = members.name();
+    else if (members.keyIs(TOKEN)) token = members.integer();
+    else if (members.keyIs(SEQUENCE)) {
+      sequence = { start: members.valueStart, end: members.valueEnd };
+    }
+  }
+  if (members.state !== 'ended') return null;
+  if (machine === null || zone === null || token === null || sequence === null) return null;
+  return { machine, zone, token, sequenceStart: sequence.start, sequenceEnd: sequence.end };
+}
+
+/**
+ * The machine that a report seems to be of, from the first field of that name. A hint for looking something up:
+ * whoever uses it must compare the whole body.
+ */
+export function scanMachineHint(body: Buffer): string | null {
+  const members = new MemberScanner(body);
+  while (members.next()) if (members.keyIs(MACHINE)) return members.name();
+  return null;
+}
--- a/src/wire/workers.ts
+++ b/src/wire/workers.ts
@@ -1,3 +1,4 @@
+import { MAX_NAME } from './report-scan.js';
 import { BadMessage } from './users.js';
 
 /** Workers' reports and the commands to them: the only place that knows their field names. */
@@ -29,7 +30,7 @@
   seq: number;
   token: number;
   noticeS: number | null;
-  tasks: TaskReport[];
+  tasks: readonly Readonly<TaskReport>[];
 }
 
 export type Command =
@@ -60,7 +61,7 @@
   return x;
 };
 const text = (x: unknown, name: string): string => {
-  if (typeof x !== 'string' || x.length === 0 || x.length > 200) throw new BadMessage(name);
+  if (typeof x !== 'string' || x.length === 0 || x.length > MAX_NAME) throw new BadMessage(name);
   return x;
 };
 
@@ -108,6 +109,18 @@
   };
 }
 
+/** The report in a body as a worker sent it. Throws BadMessage if it is no JSON or not a report. */
+export function decodeReport(body: Buffer): Report {
+  let raw: unknown;
+  try {
+    raw = JSON.parse(body.toString('utf8'));
+  } catch (e) {
+    if (e instanceof SyntaxError) throw new BadMessage(e.message);
+    throw e;
+  }
+  return parseReport(raw);
+}
+
 const VERBS = { start: 'start', stop: 'kill', forget: 'reap' } as const;
 
 function encodeCommand(c: Command): Record<string, unknown> {
@@ -120,11 +133,19 @@
   return o;
 }
 
-/** Most answers hold no command. */
-export const encodeOrders = (token: number, commands: Command[]): string =>
-  commands.length === 0
-    ? `{"hallmark":${token},"orders":[]}`
-    : JSON.stringify({ hallmark: token, orders: commands.map(encodeCommand) });
+/** The last answer without commands. Most answers are of that kind, and most machines have the same token. */
+let withoutCommands = { token: 0, text: '{"hallmark":0,"orders":[]}' };
+
+/** An answer to a report: the token, and the commands in the order in which they are to be carried out. */
+export function encodeOrders(token: number, commands: Command[]): string {
+  if (commands.length > 0) {
+    return JSON.stringify({ hallmark: token, orders: commands.map(encodeCommand) });
+  }
+  if (withoutCommands.token !== token) {
+    withoutCommands = { token, text: `{"hallmark":${token},"orders":[]}` };
+  }
+  return withoutCommands.text;
+}
 
 export const encodeDirect = (token: number, session: number, commands: Command[]): string =>
   JSON.stringify({ hallmark: token, shift: session, orders: commands.map(encodeCommand) });
--- a/src/workers/machine.ts
+++ b/src/workers/machine.ts
@@ -1,5 +1,6 @@
 import { DRIFT } from '../clock.js';
-import type { Command, Report, TaskReport } from '../wire/workers.js';
+import type { Command, Report } from '../wire/workers.js';
+import { LastReport } from '../wire/last-report.js';
 import { MAX_COMMANDS } from '../wire/workers.js';
 import { advance, attemptKey, holds, makeAttempt, mayBeThere, type Attempt } from './attempt.js';
 
@@ -50,6 +51,8 @@
   /** The newest check-in that came by itself, fenced or not, and when. */
   private lastCheckin = { session: 0, seq: -1 };
   checkinAt = -Infinity;
+  /** The newest check-in that had to be parsed, to recognise those that only repeat it. */
+  readonly lastReport = new LastReport();
   heardAt: number;
   firstHeardAt: number | null = null;
   /** When the worker's lease has run out for certain. */
@@ -213,7 +216,7 @@
     return c;
   }
 
-  private compare(tasks: TaskReport[], checkin: boolean, now: number, c: Changes): void {
+  private compare(tasks: Report['tasks'], checkin: boolean, now: number, c: Changes): void {
     const shown = new Set<string>();
     for (const t of tasks) {
       const key = attemptKey(t.job, t.index, t.attempt);
--- a/test/link.test.ts
+++ b/test/link.test.ts
@@ -32,7 +32,7 @@
     .port;
   const to = [{ node: 'a', addr: { ...at, port } }];
   const client = new PeerNet('b', to, () => ({}), silentLog(), 500);
-  assert.deepEqual(await client.ask('a', { q: 'report', body: 'x', hop: false }, 2), {
+  assert.deepEqual(await client.ask('a', { q: 'report', body: Buffer.from('x'), hop: false }, 2), {
     saw: 'report',
   });
   for (const bytes of [
@@ -46,7 +46,7 @@
       s.on('close', () => resolve());
     });
   }
-  assert.deepEqual(await client.ask('a', { q: 'report', body: 'y', hop: false }, 2), {
+  assert.deepEqual(await client.ask('a', { q: 'report', body: Buffer.from('y'), hop: false }, 2), {
     saw: 'report',
   });
   // One question without an answer took hundreds of reports with it that were under way beside it.
@@ -56,7 +56,10 @@
   assert.deepEqual([got[0], got.filter((a) => a?.saw === 'elected').length], [null, 300]);
   const { accepted } = server as unknown as { accepted: Set<unknown> };
   assert.equal(accepted.size, 1, 'the same connection throughout');
-  assert.equal(await client.ask('nobody', { q: 'report', body: '', hop: false }, 1), null);
+  assert.equal(
+    await client.ask('nobody', { q: 'report', body: Buffer.from(''), hop: false }, 1),
+    null,
+  );
   client.close();
   server.close();
 });
--- /dev/null
+++ b/test/report-bytes.test.ts
@@ -0,0 +1,282 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Reports } from '../src/heartbeat/reports.js';
+import type { Reply } from '../src/http/server.js';
+import { silentLog } from '../src/log.js';
+import { encodeFrame, FrameReader, type Answer, type Question } from '../src/peers/peers.js';
+import { random, seedRandom } from '../src/random.js';
+import { LastReport } from '../src/wire/last-report.js';
+import { scanReport } from '../src/wire/report-scan.js';
+import { BadMessage } from '../src/wire/users.js';
+import { decodeReport, type Report } from '../src/wire/workers.js';
+import { settings } from './helpers.js';
+import { World } from './meeting-helpers.js';
+
+const bodyOf = (token: number, tally: number | string, machine = 'm'): string =>
+  `{"bench":"${machine}","addr":"127.0.0.1:1","casting":"g8","yard":"z1","loaner":true,"shift":1,` +
+  `"tally":${tally},"hallmark":${token},"recall_s":null,"pieces":[` +
+  `{"piece":"wk-1/0","pour":2,"temper":"running"},` +
+  `{"piece":"wk-2/0","pour":1,"temper":"ended","cause":"done"}]}`;
+
+function parsed(body: Buffer): Report | null {
+  try {
+    return decodeReport(body);
+  } catch (e) {
+    if (e instanceof BadMessage) return null;
+    throw e;
+  }
+}
+
+type Ask = (to: string, question: Question) => Promise<Answer | null>;
+
+/** A controller that knows of a leader, or is one. */
+function controller(
+  over: Record<string, unknown>,
+  ask: Ask = () => Promise.resolve(null),
+): Reports {
+  return new Reports({
+    settings: settings(),
+    election: { entitled: over.leader !== undefined, outage: { mayKeep: () => true } },
+    state: { health: 'served' },
+    replica: {
+      leader: { node: 'n-1', revision: 5 },
+      lastToken: 5,
+      jobs: new Map(),
+      machines: new Map(),
+    },
+    peers: { names: ['n-1'], ask },
+    zoneKeeper: null,
+    zoneLeases: { keeper: () => null, steady: () => true },
+    leader: () => null,
+    knownCancelled: () => false,
+    clock: { now: () => 0 },
+    log: silentLog(),
+    ...over,
+  } as unknown as ConstructorParameters<typeof Reports>[0]);
+}
+
+/** What a leader knows of its machines. */
+const known = ({ term }: World): unknown =>
+  [...term.machines.values()].map((m) => [
+    ...[m.id, m.state, m.session, m.seq, m.checkinSeq, m.token, m.takenAt, m.leaseEnd, m.addr],
+    ...[...m.attempts].map(([key, a]) => [key, a.state, a.cause, a.saved, a.session]),
+  ]);
+
+const pick = <T>(list: readonly T[]): T => list[Math.floor(random() * list.length)]!;
+const PIECES_OF_JSON = [
+  '"bench":"other",', '"yard":"z2",', '"hallmark":1,', '"tally":99,', '"x":{"bench":"y","a":["yard"]},',
+  '"x":"\\"tally\\":5",', '"b\\u0065nch":"other",', '"h\\u0061llmark":2,', ' ', '\n\t', '0', '1', '-', '.5', 'e1',
+  '"', '\\', '\\"', '{', '}', '[', ']', ',', ':', 'null', 'é', '\u0000', '1234567890123456',
+]; // prettier-ignore
+
+function mutated(text: string): Buffer {
+  const bytes = Buffer.from(text);
+  const at = Math.floor(random() * (bytes.length + 1));
+  const member = [...text.matchAll(/(?<=[{,])"/g)].map((m) => m.index);
+  const digit = [...text.matchAll(/\d/g)].map((m) => m.index);
+  const change = (from: number, to: number, put: string): Buffer =>
+    Buffer.concat([bytes.subarray(0, from), Buffer.from(put), bytes.subarray(to)]);
+  switch (Math.floor(random() * 6)) {
+    case 0:
+      return change(at, at, pick(PIECES_OF_JSON));
+    case 1: {
+      const before = pick(member);
+      return change(before, before, pick(PIECES_OF_JSON));
+    }
+    case 2:
+      return change(at, at + 1 + Math.floor(random() * 4), '');
+    case 3: {
+      const d = pick(digit);
+      return change(d, d + 1, pick(['0', '7', '00', '9e0', '1.0', '', '-1']));
+    }
+    case 4: {
+      const changed = Buffer.from(bytes);
+      if (at < changed.length) changed[at] = Math.floor(random() * 256);
+      return changed;
+    }
+    default: {
+      const members = Object.entries(JSON.parse(text) as object);
+      members.sort(() => random() - 0.5);
+      return Buffer.from(JSON.stringify(Object.fromEntries(members), null, pick([0, 1])));
+    }
+  }
+}
+
+test('a report gets the same verdict straight, passed on and without any shortcut', async () => {
+  seedRandom(20);
+  const [straight, passedOn, plain] = [new World(), new World(), new World()];
+  const leads = (w: World): Reports => controller({ leader: () => w.leader });
+  const [direct, leader] = [leads(straight), leads(passedOn)];
+  const ask: Ask = async (_to, question) => {
+    const [q] = new FrameReader().push(encodeFrame(question)) as [{ body: Buffer; hop: boolean }];
+    return { ...(await leader.passedOn(q.body, q.hop)) };
+  };
+  const follower = controller({}, ask);
+  const count = { good: 0, malformed: 0, scanned: 0, repeated: 0 };
+  const sent: Buffer[] = [];
+  for (let i = 1; i <= 3000; i++) {
+    const text = bodyOf(plain.token, i, pick(['m', 'n']));
+    const kind = random();
+    const body = kind < 0.4 ? Buffer.from(text) : kind < 0.5 && i > 1 ? pick(sent) : mutated(text);
+    sent.push(body);
+    for (const w of [straight, passedOn, plain]) w.fleet.now += 0.01;
+    const report = parsed(body);
+    const scanned = scanReport(body);
+    const last = report && straight.term.machines.get(report.machine)?.lastReport.repeat(body);
+    if (report === null) count.malformed++;
+    else count.good++;
+    if (report !== null && scanned !== null) {
+      const { machine, zone, token, sequenceStart, sequenceEnd } = scanned;
+      const digits = body.toString('latin1', sequenceStart, sequenceEnd);
+      const seen = { machine, zone, token, seq: Number(digits) };
+      assert.deepEqual({ ...report, ...seen }, report, body.toString());
+      count.scanned++;
+    }
+    if (last) {
+      assert.deepEqual(last, report, body.toString());
+      count.repeated++;
+    }
+    const want: Reply =
+      report === null ? { status: 400, body: '{}' } : plain.leader.checkin(report);
+    const answer = (r: Reply): unknown => [r.status, r.body];
+    assert.deepEqual(answer(await direct.checkin(body)), answer(want), body.toString());
+    const onward = await follower.checkin(body);
+    // A leader's 503 is no verdict: the follower may renew in its place then.
+    if (want.status !== 503) assert.deepEqual(answer(onward), answer(want), body.toString());
+    assert.deepEqual([known(straight), known(passedOn)], [known(plain), known(plain)]);
+  }
+  // Each kind in numbers, or the comparisons above show nothing.
+  assert.ok(Object.values(count).every((n) => n > 400), JSON.stringify(count)); // prettier-ignore
+});
+
+test('a scan finds what a full parse finds, or leaves the report to it', () => {
+  const found = { machine: 'm', zone: 'z1', token: 5 };
+  const text = bodyOf(5, 8);
+  const ahead = (members: string): string => text.replace('{', `{${members},`);
+  const spaced = JSON.stringify(JSON.parse(text), null, 1);
+  const turned = Object.fromEntries(Object.entries(JSON.parse(text) as object).reverse());
+  const named = (name: string): string => text.replace('"m"', `"${name}"`);
+  const cases: [string, string, object | null][] = [
+    ['as workers write it', text, found],
+    ['white space', `\t${spaced}\r\n`, found],
+    ['in another order', JSON.stringify(turned), found],
+    ['fields inside others', ahead('"x":[{"bench":"o","yard":"z2"},{"hallmark":1}]'), found],
+    ['strings like fields and brackets', ahead('"x":["]","}","{",":\'bench\':"]'), found],
+    ['the last of two counts', ahead('"bench":"o","yard":"z2","hallmark":1,"tally":1'), found],
+    ['an escaped field name', text.replace('}]}', '}],"b\\u0065nch":"o"}'), null],
+    ['an escape in a name', named('\\u006d'), null],
+    ['a name beyond ASCII', named('é'), null],
+    ['a name that is too long', named('m'.repeat(201)), null],
+    ['an empty name', named(''), null],
+    ['a name that is a number', text.replace('"m"', '31'), null],
+    ['no name', text.replace('bench', 'bank'), null],
+    ['something behind', `${text}]`, null],
+    ['cut short', text.slice(0, -1), null],
+    ['a token in another form', text.replace('"hallmark":5', '"hallmark":50e-1'), null],
+  ];
+  for (const [name, body, want] of cases) {
+    const scanned = scanReport(Buffer.from(body));
+    assert.deepEqual(scanned && { ...scanned, ...want }, want && scanned, name);
+    assert.equal(scanned === null, want === null, name);
+  }
+});
+
+test('malformed reports get 400 wherever they end, and whoever finds them out', async () => {
+  const good = Buffer.from(bodyOf(5, 1));
+  const bad = Buffer.from(bodyOf(5, 1).replace('running', 'dancing'));
+  assert.ok(scanReport(bad) !== null, 'the scan alone does not find it');
+  const busy: Ask = () => Promise.resolve({ status: 503 });
+  const judged: Ask = () => Promise.resolve({ status: 400, body: '{}' });
+  const home = { zoneLeases: { keeper: () => 'n-1', steady: () => true } };
+  const zoneKeeper = { mayKeep: () => true };
+  const cases: [string, Reports, number][] = [
+    ['sent home', controller(home), 421],
+    ['kept in a cut zone', controller({ zoneKeeper }), 200],
+    ['nobody leads', controller({ replica: { leader: null } }), 503],
+    ['renewed in an outage', controller({}, busy), 200],
+    ['nobody answers', controller({ election: { outage: { mayKeep: () => false } } }), 421],
+    ['the leader found it', controller({}, judged), 400],
+  ];
+  for (const [name, reports, status] of cases) {
+    assert.equal((await reports.checkin(bad)).status, 400, name);
+    assert.equal((await reports.checkin(good)).status, status, name);
+  }
+  const { leader } = new World();
+  assert.equal((await controller({ leader: () => leader }).passedOn(bad, false))?.status, 400);
+});
+
+test('only a report that repeats the last one is taken for it, and its order counts all the same', () => {
+  type Seen = [repeated: boolean, status: number, seq: number, renewed: boolean];
+  const swap = (from: string, to: string) => (token: number) => bodyOf(token, 9).replace(from, to);
+  const cases: [string, (token: number) => string, Seen][] = [
+    ['the next one', (t) => bodyOf(t, 9), [true, 200, 9, true]],
+    ['the next one, longer', (t) => bodyOf(t, 10), [true, 200, 10, true]],
+    ['an old copy', (t) => bodyOf(t, 7), [true, 200, 8, false]],
+    ['doubled', (t) => bodyOf(t, 8), [true, 200, 8, false]],
+    ['a later session', swap('"shift":1', '"shift":2'), [false, 200, 9, true]],
+    ['an earlier session', swap('"shift":1', '"shift":0'), [false, 200, 8, false]],
+    ['an older token', (t) => bodyOf(t - 1, 9), [false, 200, 9, true]],
+    ['a later token', (t) => bodyOf(t + 1, 9), [false, 503, 8, false]],
+    ['a notice appears', swap('null', '30'), [false, 200, 9, true]],
+    ['a task moves', swap('running', 'flushing'), [false, 200, 9, true]],
+    ['a task is gone', swap('{"piece":"wk-1/0","pour":2,"temper":"running"},', ''), [false, 200, 9, true]],
+    ['another machine', (t) => bodyOf(t, 9, 'n'), [false, 200, 8, false]],
+    ['another machine, as long', swap('"addr":"1', '"addr":"2'), [false, 200, 9, true]],
+    ['leading zeros', (t) => bodyOf(t, '09'), [false, 400, 8, false]],
+    ['an exponent', (t) => bodyOf(t, '9e0'), [false, 200, 9, true]],
+    ['a fraction', (t) => bodyOf(t, '9.5'), [false, 400, 8, false]],
+    ['below zero', (t) => bodyOf(t, '-9'), [false, 400, 8, false]],
+    ['too large', (t) => bodyOf(t, '9007199254740993'), [false, 400, 8, false]],
+    ['no number', (t) => bodyOf(t, ''), [false, 400, 8, false]],
+    ['a second number', (t) => bodyOf(t, '9,"tally":3'), [false, 200, 8, false]],
+    ['cut short', (t) => bodyOf(t, 9).slice(0, -1), [false, 400, 8, false]],
+  ]; // prettier-ignore
+  for (const [name, text, want] of cases) {
+    const w = new World();
+    const reports = controller({ leader: () => w.leader });
+    // The second shows the token to a machine that is known by now.
+    for (const tally of [1, 8]) void reports.checkin(Buffer.from(bodyOf(w.token, tally)));
+    w.fleet.now = 1;
+    const m = w.machine('m');
+    const { leaseEnd } = m;
+    const body = Buffer.from(text(w.token));
+    const repeated = m.lastReport.repeat(body) !== null;
+    const { status } = reports.checkin(body) as Reply;
+    assert.deepEqual([repeated, status, m.seq, m.leaseEnd > leaseEnd], want, name);
+    // A late copy takes no newer one's place.
+    if (m.seq === 8) assert.equal(m.lastReport.repeat(Buffer.from(bodyOf(w.token, 10)))?.seq, 10);
+    // What came in another form is compared with from then on, if it was newer.
+    if (status === 200 && m.seq === 9) {
+      assert.equal(m.lastReport.repeat(body)?.seq, name === 'an exponent' ? undefined : 9, name);
+    }
+  }
+});
+
+test('a sequence number beyond what a number holds exactly is left to the parser', () => {
+  const [largest, tooLarge] = ['9007199254740991', '9007199254740993'];
+  const last = new LastReport();
+  const body = Buffer.from(bodyOf(5, largest));
+  last.keep(decodeReport(body), body);
+  assert.equal(last.repeat(Buffer.from(bodyOf(5, tooLarge))), null);
+  assert.equal(parsed(Buffer.from(bodyOf(5, tooLarge))), null);
+});
+
+test('what is kept to recognise reports by is bounded, and in memory of its own', () => {
+  const long = (tasks: number): Buffer => {
+    const pieces = Array(tasks).fill('{"piece":"wk-1/0","pour":2,"temper":"running"}').join(',');
+    return Buffer.from(bodyOf(5, 1).replace(/\[.*\]/, `[${pieces}]`));
+  };
+  const last = new LastReport();
+  for (const [tasks, kept] of [
+    [1, true],
+    [70, true],
+    [100, false],
+    [2, true],
+  ] as const) {
+    const body = long(tasks);
+    last.keep(decodeReport(body), body);
+    assert.equal(last.repeat(body) !== null, kept, `${tasks} tasks`);
+    const { memory } = last as unknown as { memory: Buffer };
+    assert.ok(memory.buffer.byteLength <= 4096 && memory.buffer !== body.buffer);
+  }
+});
