--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -491,7 +491,7 @@
     }
   }
 
-  private passedOn(body: string, hop: boolean): ReplyAnswer | Promise<ReplyAnswer> {
+  private passedOn(body: Buffer, hop: boolean): ReplyAnswer | Promise<ReplyAnswer> {
     const r = this.costs.time('report', () => this.reports.passedOn(body, hop));
     if (r instanceof Promise) return r.then((x) => ({ ...(x ?? { status: 504 }) }));
     return { ...r };
--- a/src/peers/messages.ts
+++ b/src/peers/messages.ts
@@ -16,7 +16,7 @@
 
 export type Question =
   /** A worker's report, passed on as it came. `hop`: pass it on to the leader if you do not lead. */
-  | { q: 'report'; body: string; hop: boolean }
+  | { q: 'report'; body: Buffer; hop: boolean }
   /**
    * Does the state service refuse you too? Promise not to take over for a while if it does, and tell
    * the cancellations stored after the revision `applied`.
@@ -146,7 +146,7 @@
 }
 
 function parseReportQuestion({ body, hop }: Fields): QuestionOf<'report'> | null {
-  if (typeof body !== 'string') return null;
+  if (!Buffer.isBuffer(body)) return null;
   return { q: 'report', body, hop: hop === true };
 }
 
--- a/test/link.test.ts
+++ b/test/link.test.ts
@@ -58,7 +58,7 @@
     .port;
   const to = [{ node: 'a', addr: { ...at, port } }];
   const client = new PeerNet('b', to, () => ({}), silentLog(), 500, fitness('b'));
-  assert.deepEqual(await client.ask('a', { q: 'report', body: 'x', hop: false }, 2), {
+  assert.deepEqual(await client.ask('a', { q: 'report', body: Buffer.from('x'), hop: false }, 2), {
     ...SAW_REPORT,
   });
   const hello = encodeFrame({ v: PROTOCOL_VERSION, from: 'b' });
@@ -75,7 +75,7 @@
       s.on('close', () => resolve());
     });
   }
-  assert.deepEqual(await client.ask('a', { q: 'report', body: 'y', hop: false }, 2), {
+  assert.deepEqual(await client.ask('a', { q: 'report', body: Buffer.from('y'), hop: false }, 2), {
     ...SAW_REPORT,
   });
   // One question without an answer took hundreds of reports with it that were under way beside it.
@@ -85,7 +85,10 @@
   assert.deepEqual(got, [null, ...Array.from({ length: 300 }, (_, i) => ({ remainsS: i }))]);
   const { accepted } = server as unknown as { accepted: Set<unknown> };
   assert.equal(accepted.size, 1, 'the same connection throughout');
-  assert.equal(await client.ask('nobody', { q: 'report', body: '', hop: false }, 1), null);
+  assert.equal(
+    await client.ask('nobody', { q: 'report', body: Buffer.from(''), hop: false }, 1),
+    null,
+  );
   // Figures went both ways beside all this, without a question of their own.
   assert.deepEqual([noted.get('a'), noted.get('b')], [FIGURES.b, FIGURES.a]);
   client.close();
@@ -118,8 +121,8 @@
 
 test('a malformed question is none, and a malformed field of an answer is left out', () => {
   const questions: [object, boolean][] = [
-    [{ q: 'report', body: 'x', hop: true }, true],
-    [{ q: 'report', body: 5, hop: true }, false],
+    [{ q: 'report', body: Buffer.from('x'), hop: true }, true],
+    [{ q: 'report', body: 'x', hop: true }, false],
     [{ q: 'refused', token: 1, forMs: 5, applied: 2 }, true],
     [{ q: 'refused', token: 'x', forMs: 5, applied: 2 }, false],
     [{ q: 'refused', token: 1, forMs: NaN, applied: 2 }, false],
