--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -1,7 +1,8 @@
 import { random, uniqueName } from '../random.js';
 import { CloudClient } from '../cloud/client.js';
 import { Election } from '../leadership/election.js';
-import { PeerNet, type Answer, type Question } from '../peers/peers.js';
+import { PeerNet } from '../peers/net.js';
+import type { Answer, Question, ReplyAnswer } from '../peers/messages.js';
 import { ZoneLeaseKeeper, ZoneLeaseWatch, zoneLeaseKeepers } from '../leadership/zone-lease.js';
 import { sleep, steadyClock, type Clock } from '../clock.js';
 import type { Settings } from '../config/settings.js';
@@ -22,18 +23,27 @@
 import { CancellationNotices } from '../cancellation/notices.js';
 import { CancellationConfirmation } from '../cancellation/confirmation.js';
 import { Leader } from '../leader/leader.js';
+import { FitnessTable } from '../admission/fitness.js';
 import { HandOver } from '../admission/hand-over.js';
 import { Overload } from '../admission/overload.js';
 import { ASK_SHARE, KEEP_SHARE, Reports } from '../heartbeat/reports.js';
 import { RequestQueue } from '../admission/request-queue.js';
 import { Users } from '../api/users.js';
+import { LoadLog } from './load-log.js';
 
 /** Jobs that are over stay whole in memory for so many leases after their acceptance. */
 const TRIM_LEASES = 60;
+/**
+ * Reports that are passed on wait for others for this share of a report interval: a controller that does
+ * not lead then writes, and the leader reads, a batch of them at once.
+ */
+const GATHER_REPORTS = 0.1;
 /** Of the sockets, those for users and workers. */
 const SERVER_SOCKETS = 0.6;
 /** Costs are logged, and old jobs trimmed, once in so many ticks. */
 const COST_TICKS = 40;
+/** The load is logged once a report interval. */
+const LOAD_TICKS = 2;
 /**
  * How long a report may wait here for its turn: served later, its answer would come after whoever asked
  * has given up. To pass a report on takes a while too, and so does the way back of the answer to one
@@ -77,9 +87,13 @@
   private readonly costs: Costs;
   private readonly overload = new Overload();
   private readonly requests: RequestQueue;
+  private readonly fitness: FitnessTable;
   private readonly handOver: HandOver;
   private tickedAt: number | null = null;
   private ticks = 0;
+  /** Only where the log's level is `debug`. */
+  private readonly loadLog: LoadLog | null;
+  private lostInEarlierTerms = 0;
 
   constructor(
     readonly settings: Settings,
@@ -97,6 +111,11 @@
       overload: this.overload,
       onError: (e) => log.error({ err: String(e) }, 'serving requests failed'),
     });
+    this.fitness = new FitnessTable({
+      clock: this.clock,
+      reportS: settings.workers.report_s,
+      own: () => ({ latenessS: this.overload.latenessS, served: this.forwarder.served }),
+    });
     // Never the same twice: names of requests and of stored batches begin with it.
     this.incarnation = `${settings.node}-${uniqueName()}`;
     this.state = new StateClient(settings, this.clock);
@@ -137,6 +156,7 @@
         onKnownCancelled: (ids) => this.knownCancelled(ids),
         cancelledSince: (revision) => this.cancellationNotices.storedSince(revision),
       },
+      () => this.overload.late && this.fitness.fitter() !== null,
     );
     this.acknowledgements = new LeaderAcknowledgements(
       settings,
@@ -153,14 +173,17 @@
       (from, q) => this.answer(from, q),
       log,
       settings.limits.sockets,
+      this.fitness,
+      settings.workers.report_s * GATHER_REPORTS,
     );
     this.handOver = new HandOver({
       overload: this.overload,
-      peers: this.peers,
+      fitness: this.fitness,
       clock: this.clock,
       log,
       leaseS: settings.workers.lease_s,
       leads: () => this.election.writing,
+      electedAt: () => this.leader?.term.startedAt ?? this.clock.now(),
       resign: () => this.election.resign(),
     });
     const byZone = zoneLeaseKeepers([settings, ...settings.peers]);
@@ -249,6 +272,21 @@
       () => this.clock.now(),
       (e) => log.error({ err: String(e), stack: (e as Error).stack }, 'request failed'),
     );
+    this.loadLog = log.isLevelEnabled('debug') ? this.makeLoadLog() : null;
+  }
+
+  private makeLoadLog(): LoadLog {
+    const sources = {
+      clock: this.clock,
+      role: () => this.election.role,
+      overload: this.overload,
+      requests: this.requests,
+      reports: this.reports.counts,
+      machinesLost: () => this.lostInEarlierTerms + (this.leader?.term.machinesLost ?? 0),
+      stateTraffic: () => this.state.traffic,
+      passes: this.costs.passes,
+    };
+    return new LoadLog(sources, this.log);
   }
 
   /** Rejects, with everything closed again, when one of its addresses cannot be had. */
@@ -277,17 +315,20 @@
       this.overload.noteLag(lag, now);
     }
     this.tickedAt = now;
-    if (++this.ticks % COST_TICKS === 0) {
+    if (++this.ticks % LOAD_TICKS === 0) this.loadLog?.write();
+    if (this.ticks % COST_TICKS === 0) {
       this.log.debug(this.costs.figures(), 'costs');
       this.replica.trim(this.wallMs() - this.settings.workers.lease_s * TRIM_LEASES * 1000);
     }
     this.leader?.tick();
-    void this.handOver.consider();
+    this.handOver.consider();
+    this.fitness.refresh(this.peers);
   }
 
   stop(): void {
     this.stopped = true;
     clearInterval(this.tickTimer);
+    this.loadLog?.stop();
     this.election.stop();
     this.acknowledgements.stop();
     this.zoneKeeper?.stop();
@@ -329,7 +370,7 @@
   // Leadership
 
   private elected(token: number): void {
-    this.leader?.stop();
+    this.endTerm();
     this.leader = new Leader(
       {
         settings: this.settings,
@@ -350,11 +391,13 @@
         prove: () => void this.follower.sync().then((ok) => ok && this.leader?.term.requestPass()),
         writing: () => this.election.writing && this.election.token === token,
       },
-      this.state,
-      this.cloud,
-      () => this.election.nudge(),
-      this.costs,
-      this.overload,
+      {
+        state: this.state,
+        cloud: this.cloud,
+        onLost: () => this.election.nudge(),
+        costs: this.costs,
+        overload: this.overload,
+      },
     );
     void this.acknowledgements.collect(token);
     this.leader.start();
@@ -363,7 +406,13 @@
   }
 
   private deposed(): void {
-    this.leader?.stop();
+    this.endTerm();
+  }
+
+  private endTerm(): void {
+    if (this.leader === null) return;
+    this.leader.stop();
+    this.lostInEarlierTerms += this.leader.term.machinesLost;
     this.leader = null;
   }
 
@@ -416,39 +465,33 @@
   private answer(_from: string, q: Question): Promise<Answer> | Answer {
     switch (q.q) {
       case 'report': {
-        if (typeof q.body !== 'string') return { status: 503 };
         const { body, hop } = q;
-        const work = (): Answer | Promise<Answer> => this.passedOn(body, hop === true);
+        const work = (): ReplyAnswer | Promise<ReplyAnswer> => this.passedOn(body, hop);
         return this.requests.run('report', work, { status: 503 }, PASSED_ON_PATIENCE_S);
       }
       case 'elected':
         return this.acknowledgements.answer(q.token);
       case 'there':
-        return { there: true, delayS: this.overload.delayS, served: this.forwarder.served };
+        return { there: true };
       case 'user':
         // Refused without a status: another controller may have time for it.
-        if (!Object.hasOwn(CLASS_OF, q.to)) return {};
-        return this.requests.run<Answer>(
+        return this.requests.run<ReplyAnswer>(
           CLASS_OF[q.to],
           () => this.forwarder.passedOn(q.to, q.text),
           {},
         );
       case 'cancelling':
-        if (typeof q.job !== 'string' || q.job.length > 200) return {};
         this.cancellationNotices.noteAnnounced(q.job);
         return { told: true };
       case 'cancelled':
-        if (typeof q.job !== 'string' || q.job.length > 200) return {};
         this.knownCancelled([q.job]);
         return { noted: true };
       case 'refused':
-        return this.election.outage.answer(Number(q.token), Number(q.forMs), Number(q.applied));
-      default:
-        return {};
+        return this.election.outage.answer(q.token, q.forMs, q.applied);
     }
   }
 
-  private passedOn(body: string, hop: boolean): Answer | Promise<Answer> {
+  private passedOn(body: Buffer, hop: boolean): ReplyAnswer | Promise<ReplyAnswer> {
     const r = this.costs.time('report', () => this.reports.passedOn(body, hop));
     if (r instanceof Promise) return r.then((x) => ({ ...(x ?? { status: 504 }) }));
     return { ...r };
--- a/src/leader/leader.ts
+++ b/src/leader/leader.ts
@@ -4,21 +4,32 @@
 import type { MachineType } from '../jobs/types.js';
 import type { StateClient } from '../state/client.js';
 import type { JobFacts } from '../state/replica.js';
-import { CHANGE_GAP_S, encodeOrders, type Report } from '../wire/workers.js';
-import { holds } from '../workers/attempt.js';
+import { scanMachineHint } from '../wire/report-scan.js';
+import { CHANGE_GAP_S, decodeReport, encodeOrders, type Report } from '../wire/workers.js';
 import type { Machine } from '../workers/machine.js';
 import type { Costs } from '../costs.js';
 import { DirectCommands } from './direct.js';
+import { figures } from './figures.js';
 import { Overload } from '../admission/overload.js';
 import { Scheduler } from './scheduler.js';
 import { TermStore } from './store.js';
+import { closeJobs, lostForGood } from './sweep.js';
 import { Term, type TermDeps } from './term.js';
 import { CapacityManager } from './capacity.js';
 
 /** Events come in clusters: passes are at least so far apart. */
 const PASS_GAP_S = CHANGE_GAP_S / 10;
-/** Records of machines that are silent and gone from the cloud's list are dropped after it. */
-const FORGET_LEASES = 6;
+
+/** What a leader works with, beside what its term rests on. */
+export interface LeaderServices {
+  state: StateClient;
+  cloud: CloudClient;
+  /** The leader's key has changed: this term is over. */
+  onLost: () => void;
+  costs: Costs;
+  /** What a pass may take of the processor; shared by the leaders of a controller. */
+  overload?: Overload;
+}
 
 /** Acts for one term: answers reports, places, stores, commands and keeps the fleet. */
 export class Leader {
@@ -28,6 +39,8 @@
   private readonly capacity: CapacityManager;
   private readonly direct: DirectCommands;
   private readonly arrivals: Arrivals;
+  private readonly costs: Costs;
+  private readonly overload: Overload;
   private timer: NodeJS.Timeout | null = null;
   private nextPass = -Infinity;
   private stopped = false;
@@ -36,26 +49,24 @@
 
   constructor(
     private readonly deps: TermDeps,
-    state: StateClient,
-    cloud: CloudClient,
-    onLost: () => void,
-    private readonly costs: Costs,
-    private readonly overload = new Overload(),
+    { state, cloud, onLost, costs, overload = new Overload() }: LeaderServices,
   ) {
+    this.costs = costs;
+    this.overload = overload;
     this.term = new Term(deps);
     this.term.onStir = () => this.schedule();
     this.arrivals = new Arrivals(deps.wallMs, deps.settings.workers.report_s, () => [
       ...this.term.types.values(),
     ]);
     for (const j of deps.replica.jobs.values()) this.arrivals.add(j.spec, j.atMs);
-    this.capacity = new CapacityManager(
-      this.term,
+    this.capacity = new CapacityManager({
+      term: this.term,
       cloud,
-      () => this.scheduler,
-      this.arrivals,
-      (m) => this.forget(m),
-      (types) => this.onTypes(types),
-    );
+      scheduler: () => this.scheduler,
+      arrivals: this.arrivals,
+      forget: (m) => this.forget(m),
+      onTypes: (types) => this.onTypes(types),
+    });
     this.scheduler = new Scheduler(
       this.term,
       this.arrivals,
@@ -63,8 +74,15 @@
       (spot) => this.capacity.target(spot),
     );
     this.direct = new DirectCommands(this.term, () => this.schedule());
-    this.store = new TermStore(this.term, deps.settings.node, state, deps.clock, deps.log, onLost);
-    this.store.typesDirty = deps.replica.types === null && this.term.types.size > 0;
+    this.store = new TermStore({
+      term: this.term,
+      node: deps.settings.node,
+      state,
+      clock: deps.clock,
+      log: deps.log,
+      onLost,
+    });
+    if (deps.replica.types === null && this.term.types.size > 0) this.store.markTypes();
   }
 
   start(): void {
@@ -88,7 +106,7 @@
     this.term.setTypes(types);
     // Prices move all the time; only what validation and placing rest on is worth a write.
     if (JSON.stringify(types.map((t) => ({ ...t, spotPrice: 0 }))) !== before) {
-      this.store.typesDirty = true;
+      this.store.markTypes();
       this.store.nudge();
     }
     this.term.requestPass();
@@ -111,8 +129,18 @@
 
   // Reports
 
-  /** A worker's check-in, straight from it or passed on by another controller. */
-  checkin(report: Report): Reply {
+  /** The report in a body, parsed unless it repeats the machine's last one. Throws BadMessage. */
+  read(body: Buffer): Report {
+    const machine = scanMachineHint(body);
+    const known = machine === null ? undefined : this.term.machines.get(machine);
+    return known?.lastReport.repeat(body) ?? decodeReport(body);
+  }
+
+  /**
+   * A worker's check-in, straight from it or passed on by another controller. `body`: what it was read from,
+   * if the machine's next report is to be compared with it.
+   */
+  checkin(report: Report, body?: Buffer): Reply {
     const { term, deps } = this;
     if (!deps.entitled()) return { status: 503, retryAfter: 1 };
     // Of a later leader: it would drop an answer from here, and its lease would run out meanwhile.
@@ -122,6 +150,9 @@
     const now = term.now;
     const m = this.machineOf(report);
     const repeated = m.hasSeen(report);
+    if (body !== undefined && !repeated && !m.lastReport.gave(report)) {
+      m.lastReport.keep(report, body);
+    }
     // Fenced once by this term, forgotten, and back.
     if (report.token > m.token) m.raiseToken(term.latestRevision);
     const changes = m.apply(report, true, now);
@@ -213,21 +244,8 @@
 
   /** Forgets jobs and machines that are over. */
   private sweep(): void {
-    const { term } = this;
-    const closing = [...term.jobs.values()].filter((j) => j.phase === 'closing');
-    if (closing.length > 0) {
-      const referred = new Set<string>();
-      for (const m of term.machines.values())
-        for (const a of m.attempts.values()) referred.add(a.job);
-      for (const job of closing) {
-        if (referred.has(job.spec.id)) continue;
-        job.become('closed');
-        term.jobs.delete(job.spec.id);
-      }
-    }
-    const patience = this.deps.settings.workers.lease_s * FORGET_LEASES;
-    for (const m of [...term.machines.values()]) {
-      if (m.state !== 'silent' || term.now - m.heardAt < patience) continue;
+    closeJobs(this.term);
+    for (const m of lostForGood(this.term)) {
       // Not in the cloud's list either: nothing is left to give back.
       if (this.capacity.unlisted(m.id)) this.forget(m);
     }
@@ -241,16 +259,6 @@
   // Figures
 
   figures(): Record<string, number> {
-    const by: Record<string, number> = {};
-    for (const m of this.term.machines.values()) {
-      by[`machines_${m.state}`] = (by[`machines_${m.state}`] ?? 0) + 1;
-      for (const a of m.attempts.values()) {
-        if (holds(a)) by[`attempts_${a.state}`] = (by[`attempts_${a.state}`] ?? 0) + 1;
-      }
-    }
-    by.machines_coming = this.capacity.fleet.coming.size;
-    by.jobs_open = this.term.jobs.size;
-    by.demand_tasks = this.capacity.demand.reduce((n, d) => n + d.tasks, 0);
-    return by;
+    return figures(this.term, this.capacity);
   }
 }
