--- a/src/jobs/live.ts
+++ b/src/jobs/live.ts
@@ -3,6 +3,7 @@
 import type { JobFacts } from '../state/replica.js';
 import { BitSet } from './bit-set.js';
 import { chunkCount, chunkSize } from './chunks.js';
+import { requestKindOf } from './request-kind.js';
 import type { JobSpec } from './types.js';
 
 /**
@@ -46,6 +47,8 @@
   readonly acceptedAt: number;
   /** Steady time of the submission as well as this node can tell. */
   readonly submittedAt: number;
+  /** See `requestKindOf`. */
+  readonly requestKind: string;
   firstWantedAt: number;
 
   constructor(
@@ -55,6 +58,7 @@
     wallMs: number,
   ) {
     this.spec = facts.spec;
+    this.requestKind = requestKindOf(facts.spec);
     this.acceptedAt = facts.acceptedAt;
     this.submittedAt = now - Math.max(0, wallMs - facts.atMs) / 1000;
     this.firstWantedAt = now;
--- a/src/leader/unplaced-requests.ts
+++ b/src/leader/unplaced-requests.ts
@@ -16,23 +16,26 @@
  * they may use differs from job to job.
  */
 export class UnplacedRequests {
-  /** By what decides, beside the size, which machines a task may use: sizes that fit nowhere. */
-  private readonly sizes = new Map<string, Size[]>();
+  /** Sizes that fit nowhere, by what else decides which machines a task may use; see `flagsOf`. */
+  private readonly sizes = [0, 1, 2, 3].map(() => new Map<string, Size[]>());
 
   /** A task of the job found no capacity, and none can be made for it. */
   note(job: LiveJob): void {
     if (!isComparable(job)) return;
-    const key = kindOf(job);
-    const known = this.sizes.get(key);
-    if (known === undefined) this.sizes.set(key, [job.spec]);
-    else if (!known.some((size) => fits(size, job.spec))) known.push(job.spec);
+    const { requestKind, spec } = job;
+    const sizes = this.sizes[flagsOf(job)]!;
+    const known = sizes.get(requestKind);
+    if (known === undefined) sizes.set(requestKind, [spec]);
+    else if (!known.some((size) => fits(size, spec))) known.push(spec);
   }
 
   /** Whether a task of the job is sure to find no capacity either. */
   covers(job: LiveJob): boolean {
     if (!isComparable(job)) return false;
-    const known = this.sizes.get(kindOf(job));
-    return known?.some((size) => fits(size, job.spec)) ?? false;
+    const known = this.sizes[flagsOf(job)]!.get(job.requestKind);
+    if (known === undefined) return false;
+    for (const size of known) if (fits(size, job.spec)) return true;
+    return false;
   }
 }
 
@@ -41,11 +44,7 @@
   return !job.gang && !spec.oneZone && !spec.scatter && job.failedOn.size === 0;
 }
 
-/** Whatever, beside the size, decides on the machines that a task may use or have emptied for it. */
-function kindOf(job: LiveJob): string {
-  const { priority, kind, spot, zone, types, team, saveS, checkpointS } = job.spec;
-  const { long, guaranteed } = job;
-  return JSON.stringify([
-    priority, kind, spot, zone, types, team, saveS, checkpointS, long, guaranteed,
-  ]); // prettier-ignore
+/** What changes from pass to pass: long work has a share of its own, a guarantee lets it stop other work. */
+function flagsOf({ long, guaranteed }: LiveJob): number {
+  return (long ? 1 : 0) + (guaranteed ? 2 : 0);
 }
