Controllers tell how long their passed-on reports wait; leaders hand over by that too

Change: each controller tells the mean wait of its passed-on reports with its figures; a leader hands over when the least of them is above half of what the others wait, for as long as for its own lateness. A controller whose passed-on reports wait is none to send workers home to; and workers may be sent home again after one and a half leases instead of three.

--- a/src/admission/fitness.ts
+++ b/src/admission/fitness.ts
@@ -3,7 +3,7 @@
 import type { Fitness } from '../peers/messages.js';
 import type { PeerNet } from '../peers/net.js';
 import { ANSWER_WAIT_S } from '../wire/workers.js';
-import { LATE_S } from './overload.js';
+import { LATE_S, RELAY_LATE_S } from './overload.js';
 
 /** A connection carries this controller's figure once in so many report intervals, at most. */
 const SEND_REPORTS = 0.25;
@@ -75,11 +75,11 @@
 
   /**
    * The controller that is best off by a fresh figure, where the state service serves it and it is less than
-   * half as late as this one. Null: none is known.
+   * half as late as `latenessS`, this one's lateness. Null: none is known.
    */
-  fitter(): string | null {
+  fitter(latenessS = this.options.own().latenessS): string | null {
     let best: string | null = null;
-    let bestS = this.options.own().latenessS * FITTER_SHARE;
+    let bestS = latenessS * FITTER_SHARE;
     for (const node of this.others.keys()) {
       const fitness = this.fresh(node);
       if (fitness === null || !fitness.served || fitness.latenessS >= bestS) continue;
@@ -89,10 +89,27 @@
     return best;
   }
 
-  /** Whether another controller is too late, by a fresh figure. */
+  /**
+   * Whether another controller could not answer workers in time, by a fresh figure: it is late, or the
+   * reports that it passes on wait for too long.
+   */
   isLate(node: string): boolean {
     const fitness = this.fresh(node);
-    return fitness !== null && fitness.latenessS > LATE_S;
+    if (fitness === null) return false;
+    return fitness.latenessS > LATE_S || (fitness.relayS ?? 0) > RELAY_LATE_S;
+  }
+
+  /**
+   * Seconds that reports passed on to this controller wait for its answers, by fresh figures of the others:
+   * the least of them, since one that is slow itself waits longer. 0: none has told.
+   */
+  relayWaitS(): number {
+    let least = Infinity;
+    for (const node of this.others.keys()) {
+      const relayS = this.fresh(node)?.relayS;
+      if (relayS !== undefined) least = Math.min(least, relayS);
+    }
+    return least === Infinity ? 0 : least;
   }
 
   private fresh(node: string): Fitness | null {
--- a/src/admission/hand-over.ts
+++ b/src/admission/hand-over.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '../clock.js';
 import type { Log } from '../log.js';
 import type { FitnessTable } from './fitness.js';
-import type { Overload } from './overload.js';
+import { HAND_OVER_AFTER_S, RELAY_LATE_S, type Overload } from './overload.js';
 
 /** A controller hands over no more than once in so many workers' leases. */
 const GAP_LEASES = 2;
@@ -14,7 +14,7 @@
 
 export interface HandOverOptions {
   overload: Overload;
-  fitness: Pick<FitnessTable, 'fitter'>;
+  fitness: Pick<FitnessTable, 'fitter' | 'relayWaitS'>;
   clock: Clock;
   log: Log;
   /** The workers' lease, in seconds. */
@@ -37,6 +37,8 @@
  */
 export class HandOver {
   private resignedAt = -Infinity;
+  /** Since when reports passed on to this controller have waited for too long; null: they have not. */
+  private relaysLateSince: number | null = null;
 
   constructor(private readonly options: HandOverOptions) {}
 
@@ -44,13 +46,26 @@
   consider(): void {
     const { leads, electedAt, overload, fitness, clock, leaseS, log, resign } = this.options;
     const now = clock.now();
-    if (!leads() || !overload.tooLateToLead(now)) return;
+    const relayWaitS = fitness.relayWaitS();
+    if (!leads()) return;
+    if (!this.relaysTooLate(relayWaitS, now) && !overload.tooLateToLead(now)) return;
     if (now - this.resignedAt < leaseS * GAP_LEASES) return;
     if (now - electedAt() < leaseS * SETTLE_LEASES) return;
-    const fitter = fitness.fitter();
+    const latenessS = Math.max(overload.latenessS, relayWaitS);
+    const fitter = fitness.fitter(latenessS);
     if (fitter === null) return;
     this.resignedAt = now;
-    log.info({ latenessS: overload.latenessS, fitter }, 'too late to lead: hands over');
+    log.info({ latenessS, relayWaitS, fitter }, 'too late to lead: hands over');
     void resign();
   }
+
+  /** Whether other controllers have waited too long for too long. */
+  private relaysTooLate(relayWaitS: number, now: number): boolean {
+    if (relayWaitS <= RELAY_LATE_S) {
+      this.relaysLateSince = null;
+      return false;
+    }
+    this.relaysLateSince ??= now;
+    return now - this.relaysLateSince >= HAND_OVER_AFTER_S;
+  }
 }
--- a/src/admission/overload.ts
+++ b/src/admission/overload.ts
@@ -46,6 +46,13 @@
 const HAND_OVER_AFTER_SHARE = 0.25;
 /** Seconds of lateness above which a controller is too late for a leader. */
 export const LATE_S = ANSWER_WAIT_S * HAND_OVER_SHARE;
+/** How long a controller is too late before it hands over, in seconds. */
+export const HAND_OVER_AFTER_S = ANSWER_WAIT_S * HAND_OVER_AFTER_SHARE;
+/**
+ * Seconds that reports passed on to a leader may wait for their answers: half of what other controllers wait
+ * for one (`ASK_SHARE` of the reports).
+ */
+export const RELAY_LATE_S = ANSWER_WAIT_S * 0.125;
 
 /** How far this controller is behind, and what it does less of because of that. */
 export class Overload {
@@ -80,7 +87,7 @@
   /** Whether this controller has been too late for long enough that another one had better lead. */
   tooLateToLead(nowS: number): boolean {
     const { tooLateSince } = this;
-    return tooLateSince !== null && nowS - tooLateSince >= ANSWER_WAIT_S * HAND_OVER_AFTER_SHARE;
+    return tooLateSince !== null && nowS - tooLateSince >= HAND_OVER_AFTER_S;
   }
 
   /**
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -114,7 +114,11 @@
     this.fitness = new FitnessTable({
       clock: this.clock,
       reportS: settings.workers.report_s,
-      own: () => ({ latenessS: this.overload.latenessS, served: this.forwarder.served }),
+      own: () => ({
+        latenessS: this.overload.latenessS,
+        served: this.forwarder.served,
+        relayS: this.reports.relayWait.meanS,
+      }),
     });
     // Never the same twice: names of requests and of stored batches begin with it.
     this.incarnation = `${settings.node}-${uniqueName()}`;
--- a/src/heartbeat/redirects.ts
+++ b/src/heartbeat/redirects.ts
@@ -5,8 +5,11 @@
 import type { Replica } from '../state/replica.js';
 import type { Routing } from './received-report.js';
 
-/** A controller sends a worker elsewhere no more than once in so many leases. */
-const REDIRECT_LEASES = 3;
+/**
+ * A controller sends a worker elsewhere no more than once in so many leases. With three, workers that had left their
+ * zone's controller while the leader was late were still away when their zone was cut off, 25 s later.
+ */
+const REDIRECT_LEASES = 1.5;
 /** The controller of a zone has been there for so many report intervals before workers are sent to it. */
 const HOME_REPORTS = 2;
 
@@ -22,7 +25,7 @@
 
 /**
  * Which workers are told to report to another controller. Seldom for each worker, so that none is sent back
- * and forth: by one controller once in three leases. The answer is a 421, which renews nothing.
+ * and forth: by one controller once in one and a half leases. The answer is a 421, which renews nothing.
  *
  * A late controller that sent its own workers to a fitter one was tried: they were away when their zone was
  * cut off, or lost their leases on the way, see docs/results.md.
--- /dev/null
+++ b/src/heartbeat/relay-wait.ts
@@ -0,0 +1,37 @@
+import type { Clock } from '../clock.js';
+
+/** What the latest report counts in the mean. */
+const WEIGHT = 0.1;
+/** A mean to which nothing was added for so many report intervals says nothing of the present. */
+const FRESH_REPORTS = 2;
+
+/**
+ * How long reports that this controller passes on to the leader wait for their answers, those that got none
+ * included. A leader that falls behind may not see it itself: while its timers are hardly late, others
+ * give up waiting for it.
+ */
+export class RelayWait {
+  private mean = 0;
+  private notedAt = -Infinity;
+
+  constructor(
+    private readonly clock: Clock,
+    /** The workers' report interval, in seconds. */
+    private readonly reportS: number,
+  ) {}
+
+  /** Seconds from a question to its answer, or until it was given up. */
+  note(seconds: number): void {
+    this.mean = this.isFresh ? this.mean + (seconds - this.mean) * WEIGHT : seconds;
+    this.notedAt = this.clock.now();
+  }
+
+  private get isFresh(): boolean {
+    return this.clock.now() - this.notedAt < this.reportS * FRESH_REPORTS;
+  }
+
+  /** The mean of the latest, in seconds; undefined: none was passed on lately. */
+  get meanS(): number | undefined {
+    return this.isFresh ? this.mean : undefined;
+  }
+}
--- a/src/heartbeat/reports.ts
+++ b/src/heartbeat/reports.ts
@@ -20,6 +20,7 @@
 import type { Leader } from '../leader/leader.js';
 import { ReceivedReport } from './received-report.js';
 import { Redirects } from './redirects.js';
+import { RelayWait } from './relay-wait.js';
 import { ReportCounts } from './report-counts.js';
 
 /**
@@ -53,8 +54,10 @@
 export class Reports {
   private readonly redirects: Redirects;
   readonly counts = new ReportCounts();
+  readonly relayWait: RelayWait;
 
   constructor(private readonly parts: Parts) {
+    this.relayWait = new RelayWait(parts.clock, parts.settings.workers.report_s);
     this.redirects = new Redirects(parts);
   }
 
@@ -138,7 +141,9 @@
         deadline - clock.now(),
       );
       if (patience <= 0) break;
+      const askedAt = clock.now();
       const a = await peers.ask(to, { q: 'report', body: report.body, hop }, patience);
+      if (!hop) this.relayWait.note(clock.now() - askedAt);
       if (a?.status === 200 && a.body !== undefined) {
         this.counts.passedOn++;
         return { status: 200, body: a.body };
--- a/src/peers/messages.ts
+++ b/src/peers/messages.ts
@@ -81,6 +81,8 @@
   latenessS: number;
   /** Whether the state service serves it. */
   served: boolean;
+  /** Seconds that reports it passed on to the leader waited lately; none: it passed none on. */
+  relayS?: number;
 }
 
 /** The first frame of a connection. */
@@ -190,7 +192,11 @@
 // Frames
 
 const hello = v.object({ v: v.literal(PROTOCOL_VERSION), from: v.string() });
-const fitness = v.object({ latenessS: amount, served: v.boolean() });
+const fitness = v.object({
+  latenessS: amount,
+  served: v.boolean(),
+  relayS: v.optional(amount),
+});
 
 /** The name of the controller that has opened the connection. */
 export function parseHello(frame: unknown): string {
--- a/test/hand-over.test.ts
+++ b/test/hand-over.test.ts
@@ -30,6 +30,8 @@
 const idle: Fitness = { latenessS: 0, served: true };
 const asLate: Fitness = { ...idle, latenessS: LATE };
 const cutOff: Fitness = { ...idle, served: false };
+/** Another controller whose reports wait for the leader. */
+const waits = (relayS: number, latenessS = 0): Fitness => ({ latenessS, served: true, relayS });
 const lately = (lag: number): number[] => Array<number>(6).fill(lag);
 
 const CASES: Case[] = [
@@ -46,6 +48,10 @@
   { name: 'late, what the others told is stale', lags: lately(LATE), others: [idle, idle], age: 3.5, resigns: 0 },
   { name: 'late, but it does not lead', lags: lately(LATE), others: [idle, idle], leads: false, resigns: 0 },
   { name: 'late because it has just been elected', lags: lately(LATE), others: [idle, idle], led: 0.6, resigns: 0 },
+  { name: 'in time by its timers, but whoever passes reports on waits', lags: lately(0.01), others: [waits(0.8), waits(0.9)], resigns: 1 },
+  { name: 'only one of them waits, which is slow itself', lags: lately(0.01), others: [waits(0.1), waits(0.9)], resigns: 0 },
+  { name: 'they wait, and are late themselves', lags: lately(0.01), others: [waits(0.8, 0.45), waits(0.9, 0.5)], resigns: 0 },
+  { name: 'they waited, as they told too long ago', lags: lately(0.01), others: [waits(0.8), waits(0.9)], age: 3.5, resigns: 0 },
   { name: 'late for longer: once', lags: [...lately(LATE), ...lately(LATE)], others: [idle, idle], resigns: 1 },
 ]; // prettier-ignore
 
@@ -142,6 +148,8 @@
     ['a', 'b', 'nobody'].map((name) => node.fitness.isLate(name)),
     [true, false, false],
   );
+  node.fitness.note('e', waits(ANSWER_WAIT_S * 0.2));
+  assert.equal(node.fitness.isLate('e'), true, 'what it passes on waits for too long');
   now += REPORT_S * 4;
   assert.deepEqual([node.fitness.fitter(), node.fitness.isLate('a')], [null, false], 'stale');
 });
--- a/test/reports.test.ts
+++ b/test/reports.test.ts
@@ -3,6 +3,7 @@
 import type { ReplyAnswer } from '../src/peers/messages.js';
 import { silentLog } from '../src/log.js';
 import { CancellationNotices } from '../src/cancellation/notices.js';
+import { RelayWait } from '../src/heartbeat/relay-wait.js';
 import { Reports } from '../src/heartbeat/reports.js';
 import type { Replica } from '../src/state/replica.js';
 import { ANSWER_WAIT_S } from '../src/wire/workers.js';
@@ -86,3 +87,22 @@
   c.noteAnnounced('wk-c');
   assert.deepEqual([c.knows('wk-4999'), c.knows('wk-b'), c.knows('wk-c')], [false, true, true]);
 });
+
+test('how long passed-on reports wait: a mean of the latest, and only of the present', () => {
+  let now = 0;
+  const wait = new RelayWait({ now: () => now }, 1);
+  assert.equal(wait.meanS, undefined);
+  wait.note(1);
+  assert.equal(wait.meanS, 1);
+  // One that is late does not make a mean, many do.
+  for (let i = 0; i < 30; i++) wait.note(0.1);
+  assert.ok(wait.meanS! < 0.15);
+  wait.note(1);
+  assert.ok(wait.meanS! < 0.25);
+  for (let i = 0; i < 10; i++) wait.note(1);
+  assert.ok(wait.meanS! > 0.6);
+  now = 2.5;
+  assert.equal(wait.meanS, undefined, 'nothing was passed on lately');
+  wait.note(0.1);
+  assert.equal(wait.meanS, 0.1, 'and what was before does not count');
+});
