--- a/src/leader/leader.ts
+++ b/src/leader/leader.ts
@@ -5,21 +5,19 @@
 import type { StateClient } from '../state/client.js';
 import type { JobFacts } from '../state/replica.js';
 import { scanMachineHint } from '../wire/report-scan.js';
-import { CHANGE_GAP_S, decodeReport, encodeOrders, type Report } from '../wire/workers.js';
+import { decodeReport, encodeOrders, type Report } from '../wire/workers.js';
 import type { Machine } from '../workers/machine.js';
 import type { Costs } from '../costs.js';
 import { DirectCommands } from './direct.js';
 import { figures } from './figures.js';
 import { Overload } from '../admission/overload.js';
+import { PASS_GAP_S, PassPacing } from './pass-pacing.js';
 import { Scheduler } from './scheduler.js';
 import { TermStore } from './store.js';
 import { closeJobs, lostForGood } from './sweep.js';
 import { Term, type TermDeps } from './term.js';
 import { CapacityManager } from './capacity.js';
 
-/** Events come in clusters: passes are at least so far apart. */
-const PASS_GAP_S = CHANGE_GAP_S / 10;
-
 /** What a leader works with, beside what its term rests on. */
 export interface LeaderServices {
   state: StateClient;
@@ -40,9 +38,8 @@
   private readonly direct: DirectCommands;
   private readonly arrivals: Arrivals;
   private readonly costs: Costs;
-  private readonly overload: Overload;
   private timer: NodeJS.Timeout | null = null;
-  private nextPass = -Infinity;
+  private readonly pacing: PassPacing;
   private stopped = false;
   /** Whether it has been logged how long this term took to hear of its machines. */
   private fencedLogged = false;
@@ -52,8 +49,9 @@
     { state, cloud, onLost, costs, overload = new Overload() }: LeaderServices,
   ) {
     this.costs = costs;
-    this.overload = overload;
     this.term = new Term(deps);
+    const { startedAt } = this.term;
+    this.pacing = new PassPacing({ leaseS: deps.settings.workers.lease_s, overload, startedAt });
     this.term.onStir = () => this.schedule();
     this.arrivals = new Arrivals(deps.wallMs, deps.settings.workers.report_s, () => [
       ...this.term.types.values(),
@@ -186,7 +184,7 @@
 
   private schedule(): void {
     if (this.stopped || this.timer !== null) return;
-    const wait = Math.max(PASS_GAP_S / 4, this.nextPass - this.deps.clock.now());
+    const wait = Math.max(PASS_GAP_S / 4, this.pacing.nextAt - this.deps.clock.now());
     this.timer = setTimeout(() => {
       this.timer = null;
       try {
@@ -213,7 +211,7 @@
     const { term, deps, capacity } = this;
     if (!deps.entitled()) return;
     term.expire();
-    if (deps.writing()) {
+    if (deps.writing() && this.pacing.places(began)) {
       const r = this.scheduler.pass();
       capacity.demand = r.demand;
       capacity.rooms = r.rooms;
@@ -223,10 +221,7 @@
     this.direct.push();
     if (capacity.demand.length > 0) capacity.fleet.nudge();
     const end = deps.clock.now();
-    this.nextPass = Math.max(
-      began + PASS_GAP_S,
-      end + (end - began) * (1 / this.overload.passShare - 1),
-    );
+    this.pacing.ended(began, end);
   }
 
   private logFenced(): void {
