--- a/src/admission/hand-over.ts
+++ b/src/admission/hand-over.ts
@@ -10,7 +10,7 @@
  * of every machine anew, on code that has not been compiled yet. It once handed over because of that, so
  * did the next one, and machines lost their leases to five changes of leader in forty seconds.
  */
-const SETTLE_LEASES = 1;
+const SETTLE_LEASES = 2;
 
 export interface HandOverOptions {
   overload: Overload;
