--- a/src/leader/pass-pacing.ts
+++ b/src/leader/pass-pacing.ts
@@ -9,6 +9,12 @@
  * on; and by the share of time that passes may take, the next one came only twenty seconds later.
  */
 const LONGEST_PAUSE_LEASES = 0.3;
+/**
+ * A leader that is late from its beginning places nothing for so many leases: until then it hears of all
+ * machines whose leases can still be renewed. With 0.3 its first pass came just when leases ran out
+ * that had last been renewed before all controllers ended.
+ */
+const FIRST_PAUSE_LEASES = 1;
 
 export interface PassPacingOptions {
   /** The workers' lease, in seconds. */
@@ -22,17 +28,17 @@
 export class PassPacing {
   /** When the next pass may begin, in seconds of the clock. */
   nextAt = -Infinity;
-  /** When work was last placed; at first the beginning of the term. */
-  private placedAt: number;
+  /** While it is late, this leader places nothing before this time, in seconds of the clock. */
+  private placesFrom: number;
 
   constructor(private readonly options: PassPacingOptions) {
-    this.placedAt = options.startedAt;
+    this.placesFrom = options.startedAt + options.leaseS * FIRST_PAUSE_LEASES;
   }
 
   /** Whether a pass that begins now places. Then it counts as having placed. */
   places(now: number): boolean {
-    if (this.options.overload.late && now - this.placedAt < this.longestPauseS) return false;
-    this.placedAt = now;
+    if (this.options.overload.late && now < this.placesFrom) return false;
+    this.placesFrom = now + this.longestPauseS;
     return true;
   }
 
