--- a/src/admission/fitness.ts
+++ b/src/admission/fitness.ts
@@ -3,7 +3,7 @@
 import type { Fitness } from '../peers/messages.js';
 import type { PeerNet } from '../peers/net.js';
 import { ANSWER_WAIT_S } from '../wire/workers.js';
-import { LATE_S, RELAY_LATE_S } from './overload.js';
+import { LATE_S } from './overload.js';
 
 /** A connection carries this controller's figure once in so many report intervals, at most. */
 const SEND_REPORTS = 0.25;
@@ -89,14 +89,10 @@
     return best;
   }
 
-  /**
-   * Whether another controller could not answer workers in time, by a fresh figure: it is late, or the
-   * reports that it passes on wait for too long.
-   */
+  /** Whether another controller is too late, by a fresh figure. */
   isLate(node: string): boolean {
     const fitness = this.fresh(node);
-    if (fitness === null) return false;
-    return fitness.latenessS > LATE_S || (fitness.relayS ?? 0) > RELAY_LATE_S;
+    return fitness !== null && fitness.latenessS > LATE_S;
   }
 
   /**
--- a/src/heartbeat/redirects.ts
+++ b/src/heartbeat/redirects.ts
@@ -45,7 +45,8 @@
   /**
    * The controller of a worker's own zone, when the worker should go there. Should the zone be cut off, it is
    * already where it can be kept; to look for that controller only then takes it longer than its lease. Not
-   * while that controller is late: it could not answer in time.
+   * while that controller is late: it could not pass the report on in time. A late leader answers by itself, and
+   * hands over where another one is fitter; kept from it, workers were away when their zone was cut off.
    */
   private homeOf(zone: string): string | null {
     const { settings, replica, state, zoneLeases, isLate } = this.options;
@@ -53,7 +54,7 @@
     if (home === null || home === settings.node) return null;
     if (replica.leader === null || state.health !== 'served') return null;
     if (!zoneLeases.steady(home, settings.workers.report_s * HOME_REPORTS)) return null;
-    return isLate(home) ? null : home;
+    return isLate(home) && home !== replica.leader.node ? null : home;
   }
 
   private get spanS(): number {
