--- a/src/leader/leader.ts
+++ b/src/leader/leader.ts
@@ -50,8 +50,7 @@
   ) {
     this.costs = costs;
     this.term = new Term(deps);
-    const { startedAt } = this.term;
-    this.pacing = new PassPacing({ leaseS: deps.settings.workers.lease_s, overload, startedAt });
+    this.pacing = new PassPacing({ leaseS: deps.settings.workers.lease_s, overload });
     this.term.onStir = () => this.schedule();
     this.arrivals = new Arrivals(deps.wallMs, deps.settings.workers.report_s, () => [
       ...this.term.types.values(),
@@ -211,7 +210,7 @@
     const { term, deps, capacity } = this;
     if (!deps.entitled()) return;
     term.expire();
-    if (deps.writing() && this.pacing.places(began)) {
+    if (deps.writing()) {
       const r = this.scheduler.pass();
       capacity.demand = r.demand;
       capacity.rooms = r.rooms;
