--- a/src/admission/fitness.ts
+++ b/src/admission/fitness.ts
@@ -75,11 +75,11 @@
 
   /**
    * The controller that is best off by a fresh figure, where the state service serves it and it is less than
-   * half as late as this one. Null: none is known.
+   * half as late as `latenessS`, this one's lateness. Null: none is known.
    */
-  fitter(): string | null {
+  fitter(latenessS = this.options.own().latenessS): string | null {
     let best: string | null = null;
-    let bestS = this.options.own().latenessS * FITTER_SHARE;
+    let bestS = latenessS * FITTER_SHARE;
     for (const node of this.others.keys()) {
       const fitness = this.fresh(node);
       if (fitness === null || !fitness.served || fitness.latenessS >= bestS) continue;
@@ -95,6 +95,19 @@
     return fitness !== null && fitness.latenessS > LATE_S;
   }
 
+  /**
+   * Seconds that reports passed on to this controller wait for its answers, by fresh figures of the others:
+   * the least of them, since one that is slow itself waits longer. 0: none has told.
+   */
+  relayWaitS(): number {
+    let least = Infinity;
+    for (const node of this.others.keys()) {
+      const relayS = this.fresh(node)?.relayS;
+      if (relayS !== undefined) least = Math.min(least, relayS);
+    }
+    return least === Infinity ? 0 : least;
+  }
+
   private fresh(node: string): Fitness | null {
     const { clock, reportS } = this.options;
     const entry = this.others.get(node);
--- a/src/heartbeat/redirects.ts
+++ b/src/heartbeat/redirects.ts
@@ -5,8 +5,11 @@
 import type { Replica } from '../state/replica.js';
 import type { Routing } from './received-report.js';
 
-/** A controller sends a worker elsewhere no more than once in so many leases. */
-const REDIRECT_LEASES = 3;
+/**
+ * A controller sends a worker elsewhere no more than once in so many leases. With three, workers that had left their
+ * zone's controller while the leader was late were still away when their zone was cut off, 25 s later.
+ */
+const REDIRECT_LEASES = 1.5;
 /** The controller of a zone has been there for so many report intervals before workers are sent to it. */
 const HOME_REPORTS = 2;
 
@@ -22,7 +25,7 @@
 
 /**
  * Which workers are told to report to another controller. Seldom for each worker, so that none is sent back
- * and forth: by one controller once in three leases. The answer is a 421, which renews nothing.
+ * and forth: by one controller once in one and a half leases. The answer is a 421, which renews nothing.
  *
  * A late controller that sent its own workers to a fitter one was tried: they were away when their zone was
  * cut off, or lost their leases on the way, see docs/results.md.
@@ -42,7 +45,8 @@
   /**
    * The controller of a worker's own zone, when the worker should go there. Should the zone be cut off, it is
    * already where it can be kept; to look for that controller only then takes it longer than its lease. Not
-   * while that controller is late: it could not answer in time.
+   * while that controller is late: it could not pass the report on in time. A late leader answers by itself, and
+   * hands over where another one is fitter; kept from it, workers were away when their zone was cut off.
    */
   private homeOf(zone: string): string | null {
     const { settings, replica, state, zoneLeases, isLate } = this.options;
@@ -50,7 +54,7 @@
     if (home === null || home === settings.node) return null;
     if (replica.leader === null || state.health !== 'served') return null;
     if (!zoneLeases.steady(home, settings.workers.report_s * HOME_REPORTS)) return null;
-    return isLate(home) ? null : home;
+    return isLate(home) && home !== replica.leader.node ? null : home;
   }
 
   private get spanS(): number {
