--- a/src/api/request-forwarder.ts
+++ b/src/api/request-forwarder.ts
@@ -3,7 +3,7 @@
 import type { Reply } from '../http/server.js';
 import type { StateClient } from '../state/client.js';
 import type { Follower } from '../state/follow.js';
-import { SUBMIT_WAIT_S } from '../wire/users.js';
+import { mayAwait, SUBMIT_WAIT_S } from '../wire/users.js';
 import type { Users } from './users.js';
 
 /** What a user asks for, in a form that can be passed on to another controller. */
@@ -30,6 +30,7 @@
     private readonly peers: Pick<PeerNet, 'lately' | 'ask'>,
     private readonly workers: { lease_s: number },
     private readonly now: () => number,
+    private readonly knowsPipelines: (node: string) => boolean = () => true,
   ) {}
 
   /** The state service serves this controller, and it has read the store. */
@@ -70,7 +71,10 @@
     const text = request.to === 'submit' ? request.body.toString('utf8') : request.id;
     const question: QuestionOf<'user'> = { q: 'user', to: request.to, text };
     let reached = false;
+    // A version that does not know them would take a job that needs others for one that does not.
+    const awaits = request.to === 'submit' && mayAwait(request.body);
     for (const node of this.peers.lately()) {
+      if (awaits && !this.knowsPipelines(node)) continue;
       const a = await this.peers.ask(node, question, RELAY_S);
       reached ||= a !== null;
       if (a?.status === undefined) continue;
--- a/src/api/users.ts
+++ b/src/api/users.ts
@@ -5,7 +5,8 @@
 import { neverRuns } from '../scheduler/quota.js';
 import type { Follower } from '../state/follow.js';
 import type { RequestWriter } from '../state/request-writer.js';
-import { outcome, type JobFacts, type Replica } from '../state/replica.js';
+import { outcome, type JobFacts } from '../state/job-facts.js';
+import type { Replica } from '../state/replica.js';
 import {
   BadMessage,
   encodeAccepted,
@@ -22,22 +23,41 @@
 const SUBMIT_S = 2;
 
 const UNSURE: Reply = { status: 503, retryAfter: 1 };
+/** An older version serves beside this one: what it does not know is not asked of it. */
+const UPGRADING: Reply = { status: 503, retryAfter: 2 };
+const TOO_LARGE = 'larger than what the state service takes of one job';
+
+export interface UsersOptions {
+  settings: Settings;
+  follower: Pick<Follower, 'ready' | 'sync'>;
+  replica: Replica;
+  requestWriter: RequestWriter;
+  types: () => MachineType[] | null;
+  /** Seconds after which a cancellation can be taken; 0: now. */
+  mayCancel: (id: string) => Promise<number>;
+  /** Whether users may be told of a stored cancellation. */
+  mayTellCancelled: (facts: JobFacts, id: string) => Promise<boolean>;
+  /** Whether a controller is there that does not know jobs that need other jobs. */
+  pipelinesUnknown: () => boolean;
+  wallMs: () => number;
+  log: Log;
+}
 
 /** The users' interface. Nothing is told that is not stored, and nothing older than was told. */
 export class Users {
-  constructor(
-    private readonly settings: Settings,
-    private readonly follower: Follower,
-    private readonly replica: Replica,
-    private readonly requestWriter: RequestWriter,
-    private readonly types: () => MachineType[] | null,
-    /** Seconds after which a cancellation can be taken; 0: now. */
-    private readonly mayCancel: (id: string) => Promise<number>,
-    /** Whether users may be told of a stored cancellation. */
-    private readonly mayTellCancelled: (facts: JobFacts, id: string) => Promise<boolean>,
-    private readonly wallMs: () => number,
-    private readonly log: Log,
-  ) {}
+  private readonly settings: Settings;
+  private readonly follower: UsersOptions['follower'];
+  private readonly replica: Replica;
+  private readonly requestWriter: RequestWriter;
+  private readonly types: () => MachineType[] | null;
+
+  constructor(private readonly options: UsersOptions) {
+    this.settings = options.settings;
+    this.follower = options.follower;
+    this.replica = options.replica;
+    this.requestWriter = options.requestWriter;
+    this.types = options.types;
+  }
 
   ready(): boolean {
     return this.follower.ready && this.types() !== null;
@@ -69,12 +89,36 @@
     if (!this.follower.ready || types === null || this.requestWriter.full(SUBMIT_S)) return UNSURE;
     const never = neverRuns(spec, this.settings.teams, types);
     if (never !== null) return this.refuse(spec.id, 422, never);
-    const o = await this.requestWriter.accept({ spec, atMs: Math.round(this.wallMs()) }, SUBMIT_S);
+    const accepted = { spec, atMs: Math.round(this.options.wallMs()) };
+    if (!this.requestWriter.fits(accepted)) return this.refuse(spec.id, 422, TOO_LARGE);
+    if (spec.awaits.length > 0) {
+      if (this.options.pipelinesUnknown()) return UPGRADING;
+      const obstacle = await this.cannotAwait(spec);
+      if (obstacle === 'unsure') return UNSURE;
+      if (obstacle !== null) return this.refuse(spec.id, 422, obstacle.reason);
+    }
+    const o = await this.requestWriter.accept(accepted, SUBMIT_S);
     const facts = this.replica.jobs.get(spec.id);
     if (o === null || facts === undefined || !(await this.tellable(facts, spec.id))) return UNSURE;
     return { status: 201, body: encodeAccepted(spec.id, this.shown(facts)) };
   }
 
+  /**
+   * Why a job can never await what it names; null: it can. That a job was never accepted is said only
+   * after a read that began by now: another controller may have accepted it a millisecond ago.
+   */
+  private async cannotAwait(spec: JobSpec): Promise<{ reason: string } | 'unsure' | null> {
+    if (spec.awaits.includes(spec.id)) return { reason: 'awaits itself' };
+    const known = (id: string): boolean => this.replica.jobs.has(id);
+    if (!spec.awaits.every(known) && !(await this.follower.sync())) return 'unsure';
+    for (const id of spec.awaits) {
+      const needed = this.replica.jobs.get(id);
+      if (needed === undefined) return { reason: `awaits ${id}, which was never accepted` };
+      if (needed.spec.kind === 'service') return { reason: `awaits ${id}, which is a service` };
+    }
+    return null;
+  }
+
   private idOf(body: Buffer): string | null {
     try {
       const ref = parseObject(body).ref;
@@ -90,7 +134,7 @@
       if (!(await this.follower.sync())) return UNSURE;
       if (this.replica.jobs.has(id)) return this.current(id);
     }
-    this.log.debug({ id, why }, 'submission refused');
+    this.options.log.debug({ id, why }, 'submission refused');
     return { status, body: encodeError(why) };
   }
 
@@ -107,7 +151,7 @@
    * tasks must not be renewed all through it.
    */
   private async tellable(facts: JobFacts, id: string): Promise<boolean> {
-    return outcome(facts) !== 'cancelled' || this.mayTellCancelled(facts, id);
+    return outcome(facts) !== 'cancelled' || this.options.mayTellCancelled(facts, id);
   }
 
   /** The job as of now; undefined: nobody submitted it; null: unsure. A final state never changes. */
@@ -137,7 +181,7 @@
     if (facts === undefined) return { status: 404, body: encodeError('no such job') };
     let o: string | null = outcome(facts);
     if (o === 'open') {
-      const wait = await this.mayCancel(id);
+      const wait = await this.options.mayCancel(id);
       if (wait > 0) return { status: 503, retryAfter: wait };
       o = await this.requestWriter.cancel(id, SUBMIT_S);
     }
--- a/src/cancellation/confirmation.ts
+++ b/src/cancellation/confirmation.ts
@@ -1,7 +1,8 @@
 import type { PeerNet } from '../peers/net.js';
 import { UNHEARD_CONFIRM_S } from '../leadership/renewal.js';
 import type { Clock } from '../clock.js';
-import type { JobFacts, Replica } from '../state/replica.js';
+import { neverStarted, type JobFacts } from '../state/job-facts.js';
+import type { Replica } from '../state/replica.js';
 import { SUBMIT_WAIT_S } from '../wire/users.js';
 
 /**
@@ -45,7 +46,8 @@
 
   /** True: users may be told. False: not yet; the same question may be asked again later. */
   async confirm(facts: JobFacts, id: string): Promise<boolean> {
-    if (this.nothingRuns(facts)) return true;
+    // Waiting for others to its end, or cancelled with one of them: there is no task to keep alive.
+    if (neverStarted(facts) || this.nothingRuns(facts)) return true;
     const entry = this.entry(id);
     if (entry.confirmed) return true;
     if (this.options.clock.now() - entry.since >= UNHEARD_CONFIRM_S) {
--- a/src/cancellation/notices.ts
+++ b/src/cancellation/notices.ts
@@ -2,7 +2,8 @@
 import type { ZoneLeaseWatch } from '../leadership/zone-lease.js';
 import type { Clock } from '../clock.js';
 import type { Settings } from '../config/settings.js';
-import { outcome, type Replica } from '../state/replica.js';
+import { outcome } from '../state/job-facts.js';
+import type { Replica } from '../state/replica.js';
 import { TELL_WAIT_S } from './confirmation.js';
 
 /**
--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -2,6 +2,7 @@
 import { parse } from 'smol-toml';
 import * as v from 'valibot';
 import { endpoint, type Endpoint } from './endpoint.js';
+import { withNext, type StateLimits } from './state-limits.js';
 
 /** The platform's settings file, checked. Fields that are not listed here are ignored. */
 
@@ -15,6 +16,8 @@
 );
 const name = v.pipe(v.string(), v.minLength(1), v.maxLength(100), v.regex(/^\S+$/, 'has spaces'));
 
+const stateLimits = { rps: positive, write_rps: positive, value_kb: positive, txn_ops: whole };
+
 const schema = v.object({
   host_name: name,
   domain: name,
@@ -56,7 +59,7 @@
       gang_peer_s: positive,
       cancel_s: positive,
     }),
-    state: v.object({ rps: positive, write_rps: positive, value_kb: positive, txn_ops: whole }),
+    state: v.object({ ...stateLimits, next: v.optional(v.partial(v.object(stateLimits)), {}) }),
     cloud: v.object({ rps: positive, list_lag_s: amount }),
     limits: v.object({ cpu_share: positive, mem_mb: positive, sockets: whole }),
   }),
@@ -85,7 +88,10 @@
   teams: Map<string, Team>;
   objectives: Parsed['settings']['objectives'];
   workers: Parsed['settings']['workers'];
-  state: Parsed['settings']['state'];
+  /** The smaller ones of the present limits and of those that come next. */
+  state: StateLimits;
+  /** KiB of a value by which progress is divided into records: part of the stored format. */
+  progressValueKb: number;
   cloud: Parsed['settings']['cloud'];
   limits: Parsed['settings']['limits'];
 }
@@ -123,7 +129,8 @@
     ),
     objectives: p.settings.objectives,
     workers: p.settings.workers,
-    state: p.settings.state,
+    state: withNext(p.settings.state, p.settings.state.next),
+    progressValueKb: p.settings.state.value_kb,
     cloud: p.settings.cloud,
     limits: p.settings.limits,
   };
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -30,6 +30,7 @@
 import { RequestQueue } from '../admission/request-queue.js';
 import { Users } from '../api/users.js';
 import { LoadLog } from './load-log.js';
+import { Versions } from './versions.js';
 
 /** Jobs that are over stay whole in memory for so many leases after their acceptance. */
 const TRIM_LEASES = 60;
@@ -89,6 +90,7 @@
   private readonly requests: RequestQueue;
   private readonly fitness: FitnessTable;
   private readonly handOver: HandOver;
+  private readonly versions: Versions;
   private tickedAt: number | null = null;
   private ticks = 0;
   /** Only where the log's level is `debug`. */
@@ -123,9 +125,9 @@
     // Never the same twice: names of requests and of stored batches begin with it.
     this.incarnation = `${settings.node}-${uniqueName()}`;
     this.state = new StateClient(settings, this.clock);
-    this.replica = new Replica(this.state.valueBytes);
+    this.replica = new Replica(Math.floor(settings.progressValueKb * 1024));
     this.replica.listener = {
-      onJob: (j) => this.leader?.onJob(j),
+      onReady: (j) => this.leader?.onReady(j),
       onCancelled: (j) => this.leader?.onCancelled(j),
       onLeader: () => {
         this.election.nudge();
@@ -180,6 +182,17 @@
       this.fitness,
       settings.workers.report_s * GATHER_REPORTS,
     );
+    this.versions = new Versions({
+      node: settings.node,
+      others: settings.peers.map((peer) => peer.node),
+      leaseS: settings.workers.lease_s,
+      replica: this.replica,
+      peers: () => this.peers,
+      state: this.state,
+      follower: this.follower,
+      clock: this.clock,
+      log,
+    });
     this.handOver = new HandOver({
       overload: this.overload,
       fitness: this.fitness,
@@ -252,17 +265,18 @@
       waitUnlessNoted: (job, noted) => this.cancellationNotices.waitUnlessNoted(job, noted),
       rememberS: settings.workers.lease_s * CONFIRMED_LEASES,
     });
-    const users = new Users(
+    const users = new Users({
       settings,
-      this.follower,
-      this.replica,
+      follower: this.follower,
+      replica: this.replica,
       requestWriter,
-      () => this.types(),
-      (job) => this.cancellationNotices.wait(job),
-      (facts, job) => confirmation.confirm(facts, job),
-      this.wallMs,
+      types: () => this.types(),
+      mayCancel: (job) => this.cancellationNotices.wait(job),
+      mayTellCancelled: (facts, job) => confirmation.confirm(facts, job),
+      pipelinesUnknown: () => this.versions.isOldPresent('pipelines'),
+      wallMs: this.wallMs,
       log,
-    );
+    });
     this.forwarder = new RequestForwarder(
       users,
       this.state,
@@ -270,6 +284,7 @@
       this.peers,
       settings.workers,
       () => this.clock.now(),
+      (node) => this.versions.knows(node, 'pipelines'),
     );
     this.server = new HttpServer(
       (m) => this.handle(m),
@@ -306,6 +321,7 @@
     void this.follower.run();
     void this.election.run();
     void this.zoneKeeper?.run();
+    void this.versions.publish();
     void this.fetchTypes();
     this.tickTimer = setInterval(() => this.onTick(), this.settings.workers.report_s * 500);
     this.log.info({ bind: this.settings.bind }, 'started');
@@ -320,6 +336,7 @@
       this.overload.noteLag(lag, now);
     }
     this.tickedAt = now;
+    this.versions.note();
     if (++this.ticks % LOAD_TICKS === 0) this.loadLog?.write();
     if (this.ticks % COST_TICKS === 0) {
       this.log.debug(this.costs.figures(), 'costs');
@@ -337,6 +354,7 @@
     this.election.stop();
     this.acknowledgements.stop();
     this.zoneKeeper?.stop();
+    this.versions.stop();
     this.follower.stop();
     this.leader?.stop();
     this.leader = null;
@@ -386,6 +404,7 @@
         policy: this.policy,
         token,
         incarnation: this.incarnation,
+        denseRecords: () => this.versions.everyoneKnows('pipelines'),
         entitled: () => this.election.entitled && this.election.token === token,
         keptUntil: () =>
           Math.max(
--- /dev/null
+++ b/src/controller/versions.ts
@@ -0,0 +1,104 @@
+import type { Clock } from '../clock.js';
+import { sleep } from '../clock.js';
+import type { Log } from '../log.js';
+import { FEATURES, type Feature } from '../peers/messages.js';
+import type { PeerNet } from '../peers/net.js';
+import type { StateClient } from '../state/client.js';
+import type { Follower } from '../state/follow.js';
+import * as records from '../state/records.js';
+import type { Replica } from '../state/replica.js';
+
+/** A controller that nothing was heard of for so many leases is not counted as present. */
+const PRESENT_LEASES = 3;
+/** The record of this controller's version is tried again after so many leases. */
+const PUBLISH_LEASES = 0.1;
+
+export interface VersionsOptions {
+  /** Names of this controller and of all others. */
+  node: string;
+  others: readonly string[];
+  leaseS: number;
+  replica: Pick<Replica, 'versions' | 'leader'>;
+  peers: () => Pick<PeerNet, 'heardFeatures' | 'silentS'>;
+  state: Pick<StateClient, 'commit' | 'writes'>;
+  follower: Pick<Follower, 'ready' | 'sync'>;
+  clock: Clock;
+  log: Log;
+}
+
+/**
+ * Which controllers run a version that knows pipelines. Each tells it by a record of its own that
+ * outlives it, and with the first frame of each connection. A controller that has never told is taken
+ * for an old one; the latest hello counts more than the record, since an old version does not change
+ * the record of the newer one that ran before it.
+ */
+export class Versions {
+  private stopped = false;
+  private announced = false;
+
+  constructor(private readonly options: VersionsOptions) {}
+
+  /** Whether a controller's version, as far as is known, can do this. */
+  knows(node: string, feature: Feature): boolean {
+    const { replica, peers } = this.options;
+    if (node === this.options.node) return FEATURES.includes(feature);
+    const heard = peers().heardFeatures(node);
+    if (heard !== null) return heard.has(feature);
+    return replica.versions.get(node)?.record.features.includes(feature) ?? false;
+  }
+
+  /** Whether every controller has told that its version can do this. */
+  everyoneKnows(feature: Feature): boolean {
+    return this.options.others.every((node) => this.knows(node, feature));
+  }
+
+  /**
+   * Whether a controller of a version that cannot do this leads, or has been heard of lately. Its silence
+   * is no proof, and none is needed: what such a version would misread it is never shown.
+   */
+  isOldPresent(feature: Feature): boolean {
+    const { others, leaseS, replica, peers } = this.options;
+    const leader = replica.leader?.node;
+    return others.some((node) => {
+      if (this.knows(node, feature)) return false;
+      return node === leader || peers().silentS(node) < leaseS * PRESENT_LEASES;
+    });
+  }
+
+  /** Stores what this controller's version can do, until that is done. */
+  async publish(): Promise<void> {
+    const { node, leaseS, replica, state, follower, log } = this.options;
+    const key = records.versionKey(node);
+    const value = records.encodeVersion({ features: [...FEATURES] });
+    while (!this.stopped && !this.isPublished()) {
+      try {
+        if (follower.ready) {
+          state.writes.force(1);
+          const revision = replica.versions.get(node)?.revision ?? 0;
+          await state.commit([{ key, revision }], [{ put: key, value }], leaseS * PUBLISH_LEASES);
+          await follower.sync();
+        }
+      } catch (e) {
+        log.debug({ err: String(e) }, 'version not stored');
+      }
+      await sleep(leaseS * PUBLISH_LEASES);
+    }
+  }
+
+  private isPublished(): boolean {
+    const own = this.options.replica.versions.get(this.options.node)?.record;
+    return own !== undefined && own.features.join() === FEATURES.join();
+  }
+
+  /** Called regularly: logs, once, that there is no way back to an older version. */
+  note(): void {
+    if (this.announced || !this.everyoneKnows('pipelines')) return;
+    this.announced = true;
+    const message = 'every controller knows pipelines: do not go back to an older version';
+    this.options.log.info({ node: this.options.node }, message);
+  }
+
+  stop(): void {
+    this.stopped = true;
+  }
+}
--- a/src/heartbeat/reports.ts
+++ b/src/heartbeat/reports.ts
@@ -7,7 +7,8 @@
 import type { Reply } from '../http/server.js';
 import type { Log } from '../log.js';
 import type { StateClient } from '../state/client.js';
-import { outcome, type Replica } from '../state/replica.js';
+import { outcome } from '../state/job-facts.js';
+import type { Replica } from '../state/replica.js';
 import { BadMessage } from '../wire/users.js';
 import {
   ANSWER_WAIT_S,
--- a/src/jobs/live.ts
+++ b/src/jobs/live.ts
@@ -1,10 +1,10 @@
 import type { Attempt } from '../workers/attempt.js';
 import { holds } from '../workers/attempt.js';
-import type { JobFacts } from '../state/replica.js';
+import type { JobFacts } from '../state/job-facts.js';
 import { BitSet } from './bit-set.js';
 import { chunkCount, chunkSize } from './chunks.js';
 import { requestKindOf } from './request-kind.js';
-import type { JobSpec } from './types.js';
+import type { JobSpec, Priority } from './types.js';
 
 /**
  * A leader's running picture of one accepted job. Its phases:
@@ -21,7 +21,8 @@
 }
 
 export class LiveJob {
-  readonly spec: JobSpec;
+  /** What the user asked for, with the priority of the most important job that needs this one. */
+  spec: JobSpec;
   phase: Phase = 'open';
   cancelled = false;
   readonly done: BitSet;
@@ -44,12 +45,12 @@
   private readonly requeued = new Set<number>();
   private readonly retries = new Map<number, Retry>();
   private readonly numbers = new Map<number, number>();
-  readonly acceptedAt: number;
-  /** Steady time of the submission as well as this node can tell. */
-  readonly submittedAt: number;
+  /** Revision from which its tasks may start. */
+  readonly readyAt: number;
+  /** Steady time since when its tasks may start, as well as this node can tell. */
+  readonly readySince: number;
   /** See `requestKindOf`. */
-  readonly requestKind: string;
-  firstWantedAt: number;
+  requestKind: string;
 
   constructor(
     readonly facts: JobFacts,
@@ -59,9 +60,8 @@
   ) {
     this.spec = facts.spec;
     this.requestKind = requestKindOf(facts.spec);
-    this.acceptedAt = facts.acceptedAt;
-    this.submittedAt = now - Math.max(0, wallMs - facts.atMs) / 1000;
-    this.firstWantedAt = now;
+    this.readyAt = facts.readyAt ?? facts.acceptedAt;
+    this.readySince = now - Math.max(0, wallMs - facts.readyMs) / 1000;
     this.attainedS = facts.attainedS;
     this.done = new BitSet(this.spec.tasks);
     this.storedDone = new BitSet(this.spec.tasks);
@@ -76,6 +76,13 @@
     if (this.done.count > 0) this.succeeded = true;
   }
 
+  /** Treats the job as one of this priority. */
+  setPriority(priority: Priority): void {
+    if (priority === this.spec.priority) return;
+    this.spec = { ...this.facts.spec, priority };
+    this.requestKind = requestKindOf(this.spec);
+  }
+
   get gang(): boolean {
     return this.spec.kind === 'gang';
   }
--- a/src/jobs/types.ts
+++ b/src/jobs/types.ts
@@ -27,8 +27,13 @@
   checkpointS: number;
   saveS: number;
   deadlineS: number | null;
+  /** Ids of the jobs that have to be done before any task of this one starts, each once. */
+  awaits: readonly string[];
 }
 
+/** What most jobs need: no other one. Shared, since there are very many of them. */
+export const NO_JOBS: readonly string[] = Object.freeze([]);
+
 export interface MachineType {
   name: string;
   cores: number;
--- a/src/leader/evictions.ts
+++ b/src/leader/evictions.ts
@@ -132,7 +132,7 @@
     this.slots ??= this.rooms.map((r) => this.slot(r));
     const spec = job.spec;
     const from = spec.priority - (job.guaranteed ? 1 : 0);
-    const ageS = this.term.now - job.submittedAt;
+    const ageS = this.term.now - job.readySince;
     const within = this.waits.next(spec.class, ageS);
     const leftS = within === null ? null : within - ageS - COMMAND_S;
     const open: Open[] = [];
--- a/src/leader/gang-reservations.ts
+++ b/src/leader/gang-reservations.ts
@@ -64,7 +64,7 @@
 
   private isStarved(job: LiveJob, usages: Usages): boolean {
     const { now, deps } = this.term;
-    if (!job.gang || now - job.submittedAt < deps.settings.workers.lease_s * RESERVE_LEASES) {
+    if (!job.gang || now - job.readySince < deps.settings.workers.lease_s * RESERVE_LEASES) {
       return false;
     }
     const { spec } = job;
--- a/src/leader/inheritance.ts
+++ b/src/leader/inheritance.ts
@@ -1,15 +1,19 @@
 /** What a new term takes over from the store. */
 
-import { outcome, type JobFacts, type Replica, type StoredMachine } from '../state/replica.js';
+import { isReady, type JobFacts } from '../state/job-facts.js';
+import type { Replica, StoredMachine } from '../state/replica.js';
 import { makeAttempt } from '../workers/attempt.js';
 import { Machine } from '../workers/machine.js';
 import type { AttemptStops } from './attempt-stops.js';
 import type { TermState } from './term-state.js';
 
-/** Open jobs in the order of acceptance, as those that come later are: guarantees go by it. */
+/**
+ * Jobs that may start, in the order in which they became ready, as those that come later are: guarantees
+ * go by it.
+ */
 export function openJobs(replica: Replica): JobFacts[] {
-  const open = [...replica.jobs.values()].filter((f) => outcome(f) === 'open');
-  return open.sort((a, b) => a.acceptedAt - b.acceptedAt);
+  const open = [...replica.jobs.values()].filter((f) => isReady(f));
+  return open.sort((a, b) => a.readyAt! - b.readyAt!);
 }
 
 /**
--- a/src/leader/job-placement.ts
+++ b/src/leader/job-placement.ts
@@ -109,7 +109,7 @@
 
   /** Seconds within which a task should be told to start; null: its class has no objective left. */
   private leftS(job: LiveJob, now: number): number | null {
-    const ageS = now - job.submittedAt;
+    const ageS = now - job.readySince;
     const within = this.waits.next(job.spec.class, ageS);
     return within === null ? null : within - ageS - COMMAND_S;
   }
@@ -178,7 +178,7 @@
         class: job.spec.class,
         machine: m.id,
         imageWaitS: room.imageWaitS(job.spec.image, job.spec.imageGb),
-        ageS: this.term.now - job.submittedAt,
+        ageS: this.term.now - job.readySince,
       },
       'placed',
     );
--- a/src/leader/leader.ts
+++ b/src/leader/leader.ts
@@ -3,7 +3,7 @@
 import type { Reply } from '../http/server.js';
 import type { MachineType } from '../jobs/types.js';
 import type { StateClient } from '../state/client.js';
-import type { JobFacts } from '../state/replica.js';
+import type { JobFacts } from '../state/job-facts.js';
 import { scanMachineHint } from '../wire/report-scan.js';
 import { decodeReport, encodeOrders, type Report } from '../wire/workers.js';
 import type { Machine } from '../workers/machine.js';
@@ -55,7 +55,9 @@
     this.arrivals = new Arrivals(deps.wallMs, deps.settings.workers.report_s, () => [
       ...this.term.types.values(),
     ]);
-    for (const j of deps.replica.jobs.values()) this.arrivals.add(j.spec, j.atMs);
+    for (const j of deps.replica.jobs.values()) {
+      if (j.readyAt !== null) this.arrivals.add(j.spec, j.readyMs);
+    }
     this.capacity = new CapacityManager({
       term: this.term,
       cloud,
@@ -109,8 +111,9 @@
     this.term.requestPass();
   }
 
-  onJob(facts: JobFacts): void {
-    this.arrivals.add(facts.spec, facts.atMs);
+  /** A job was accepted that needs no other one, or the last one that it needs is done. */
+  onReady(facts: JobFacts): void {
+    this.arrivals.add(facts.spec, facts.readyMs);
     this.term.addJob(facts);
   }
 
--- a/src/leader/queue.ts
+++ b/src/leader/queue.ts
@@ -1,9 +1,11 @@
 import type { LiveJob } from '../jobs/live.js';
+import { Outlooks, type Outlook } from '../pipelines/outlook.js';
 import { within } from '../jobs/types.js';
 import { LongMarks, compareJobs, remaining, scores, type Ready } from '../scheduler/rank.js';
 import type { Term } from './term.js';
 
-const asReady = (j: LiveJob): Ready => ({
+/** As the ranking sees a job without others after it: a pipeline of its own. */
+const alone = (j: LiveJob): Ready => ({
   unfinishedS: j.unfinishedPredictedS,
   finishedS: j.finishedPredictedS,
   attainedS: j.attainedS,
@@ -12,32 +14,65 @@
   successors: [],
 });
 
+/** With what waits for it: of the rest of the pipeline the longest path counts. */
+function before(j: LiveJob, { criticalS, depth, successors }: Outlook): Ready {
+  const own = alone(j);
+  return {
+    ...own,
+    unfinishedS: own.unfinishedS + criticalS,
+    pipelineMeanS: (own.predictedS + criticalS) / (depth + 1),
+    successors,
+  };
+}
+
 /** Open jobs in the order in which they are placed. */
 export class Queue {
   private readonly marks = new LongMarks();
+  private readonly outlooks: Outlooks;
+
+  constructor(private readonly term: Term) {
+    this.outlooks = new Outlooks(term.deps.replica.dependencies);
+  }
+
+  private asReady(j: LiveJob): Ready {
+    if (!this.hasSuccessors(j)) return alone(j);
+    return before(j, this.outlooks.of(j.facts));
+  }
 
-  constructor(private readonly term: Term) {}
+  private hasSuccessors(j: LiveJob): boolean {
+    return this.term.deps.replica.dependencies.hasDependents(j.spec.id);
+  }
+
+  /** A job is treated as having the priority of the most important job that needs it. */
+  private inheritPriority(j: LiveJob): void {
+    const { facts } = j;
+    j.setPriority(this.hasSuccessors(j) ? this.outlooks.of(facts).priority : facts.spec.priority);
+  }
 
   /** Ranks open jobs that have tasks to start. */
   ranked(now: number): LiveJob[] {
     const { policy } = this.term.deps;
     const open: LiveJob[] = [];
-    for (const j of this.term.jobs.values()) if (j.phase === 'open') open.push(j);
+    for (const j of this.term.jobs.values()) {
+      if (j.phase !== 'open') continue;
+      this.inheritPriority(j);
+      open.push(j);
+    }
     const finite = open.filter((j) => j.spec.kind !== 'service');
-    const remainings = finite.map((j) => remaining(asReady(j), policy));
+    const remainings = finite.map((j) => remaining(this.asReady(j), policy));
     this.marks.update(remainings, policy, now);
     finite.forEach((j, i) => (j.long = this.marks.isLong(remainings[i]!, j.long)));
     this.markGuaranteed(open);
     const waiting = open.filter((j) => j.pendingCount > 0);
     const s = scores(
-      waiting.map(asReady),
+      waiting.map((j) => this.asReady(j)),
       waiting.map((j) => j.long),
       policy,
     );
     const order = waiting.map((job, i) => {
       job.score = s[i]!;
-      const { guaranteed, score, acceptedAt } = job;
-      return { job, priority: job.spec.priority, guaranteed, score, acceptedAt };
+      const { guaranteed, score, readyAt } = job;
+      return { job, priority: job.spec.priority, guaranteed, score, readyAt };
     });
     return order.sort(compareJobs).map((o) => o.job);
   }
--- a/src/leader/record-writes.ts
+++ b/src/leader/record-writes.ts
@@ -93,7 +93,9 @@
   /** The done tasks of a chunk of a job. */
   progress(job: LiveJob, chunk: number): Write {
     const key = records.progressKey(job.spec.id, chunk);
-    const value = records.encodeProgress(job.chunkRecord(chunk));
+    const record = job.chunkRecord(chunk);
+    const doneMs = record.bits === null ? { doneMs: this.term.deps.wallMs() } : {};
+    const value = records.encodeProgress({ ...record, ...doneMs });
     const fresh = job.unstored(chunk);
     const stored = (revision: number): void => {
       job.chunkRevisions.set(chunk, revision);
--- a/src/leader/report-digest.ts
+++ b/src/leader/report-digest.ts
@@ -85,7 +85,7 @@
         index: a.index,
         class: job.spec.class,
         machine: m.id,
-        ageS: now - job.submittedAt,
+        ageS: now - job.readySince,
       },
       'runs',
     );
--- a/src/leader/scheduler.ts
+++ b/src/leader/scheduler.ts
@@ -6,7 +6,7 @@
 import type { JobSpec } from '../jobs/types.js';
 import { leavesSoon, Waits } from '../scheduler/objectives.js';
 import type { FreeCapacity, Weights } from '../scheduler/place.js';
-import { specOf } from '../state/replica.js';
+import { specOf } from '../state/job-facts.js';
 import { CHANGE_GAP_S } from '../wire/workers.js';
 import type { Machine } from '../workers/machine.js';
 import { Evictions } from './evictions.js';
--- a/src/leader/start-permission.ts
+++ b/src/leader/start-permission.ts
@@ -4,11 +4,13 @@
 import type { Attempt } from '../workers/attempt.js';
 import type { TermState } from './term-state.js';
 
-/** Its job is open, its task not done, its machine ready; of a gang, every claim is stored. */
+/** Its job is open and ready, its task not done, its machine ready; of a gang, every claim is stored. */
 export function mayStart(state: TermState, a: Attempt): boolean {
   const job = state.jobs.get(a.job);
   const m = state.machines.get(a.machine);
   if (job === undefined || m === undefined || job.phase !== 'open') return false;
+  // By the store's changes in their order, whatever this leader believes of the jobs that it needs.
+  if (job.facts.readyAt === null) return false;
   if (m.state !== 'ready' || m.takenAt !== null) return false;
   if (job.done.has(a.index)) return false;
   return !job.gang || isGangStored(job, a.number);
--- a/src/leader/term-state.ts
+++ b/src/leader/term-state.ts
@@ -19,6 +19,8 @@
   policy: Policy;
   token: number;
   incarnation: string;
+  /** Whether every controller reads dense records: see `encodeMachine`. */
+  denseRecords: () => boolean;
   entitled: () => boolean;
   writing: () => boolean;
   /** Until when another controller may have renewed leases because the state service was down. */
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -1,7 +1,7 @@
 /** A term of leadership, put together of its parts. */
 
 import { LiveJob } from '../jobs/live.js';
-import type { JobFacts } from '../state/replica.js';
+import type { JobFacts } from '../state/job-facts.js';
 import { advance, type Attempt } from '../workers/attempt.js';
 import type { Changes, Machine } from '../workers/machine.js';
 import { AttemptStops } from './attempt-stops.js';
--- a/src/peers/link.ts
+++ b/src/peers/link.ts
@@ -6,6 +6,7 @@
 import { fitnessAttachment, type FitnessExchange } from './fitness-exchange.js';
 import { FrameReader, FrameWriter } from './frames.js';
 import {
+  FEATURES,
   parseAnswer,
   parseFromAnswerer,
   PROTOCOL_VERSION,
@@ -110,7 +111,7 @@
       clearTimeout(slow);
       down();
     });
-    writer.write({ v: PROTOCOL_VERSION, from: self } satisfies HelloFrame);
+    writer.write({ v: PROTOCOL_VERSION, from: self, features: FEATURES } satisfies HelloFrame);
   }
 
   private received(raw: unknown): void {
--- a/src/peers/messages.ts
+++ b/src/peers/messages.ts
@@ -85,10 +85,26 @@
   relayS?: number;
 }
 
+/**
+ * What a version can do that earlier ones with the same protocol cannot. A version without the list
+ * has none of it.
+ */
+export type Feature =
+  /** Jobs that need other jobs, and all forms of records that came with them. */
+  'pipelines';
+export const FEATURES: readonly Feature[] = ['pipelines'];
+
 /** The first frame of a connection. */
 export interface HelloFrame {
   v: number;
   from: string;
+  features: readonly string[];
+}
+
+/** Who has opened a connection, and what its version can do. */
+export interface Hello {
+  from: string;
+  features: ReadonlySet<string>;
 }
 export interface QuestionFrame {
   id: number;
@@ -191,18 +207,22 @@
 
 // Frames
 
-const hello = v.object({ v: v.literal(PROTOCOL_VERSION), from: v.string() });
+const hello = v.object({
+  v: v.literal(PROTOCOL_VERSION),
+  from: v.string(),
+  features: v.fallback(v.optional(v.array(v.string()), []), []),
+});
 const fitness = v.object({
   latenessS: amount,
   served: v.boolean(),
   relayS: v.optional(amount),
 });
 
-/** The name of the controller that has opened the connection. */
-export function parseHello(frame: unknown): string {
+export function parseHello(frame: unknown): Hello {
   const result = v.safeParse(hello, frame);
   if (!result.success) throw new BrokenFrame('unknown version');
-  return result.output.from;
+  const { from, features } = result.output;
+  return { from, features: new Set(features) };
 }
 
 function parseFitness(raw: unknown): Fitness {
--- a/src/peers/net.ts
+++ b/src/peers/net.ts
@@ -27,6 +27,10 @@
   private readonly links = new Map<string, Link>();
   private readonly accepted = new Set<Socket>();
   private closed = false;
+  /** What each of the others said of its version when it opened its latest connection. */
+  private readonly features = new Map<string, ReadonlySet<string>>();
+  /** When a frame of another controller came last, in milliseconds of `performance.now()`. */
+  private readonly heardAt = new Map<string, number>();
 
   constructor(
     self: string,
@@ -64,6 +68,7 @@
         return;
       }
       const frame = parseFromAsker(raw);
+      this.heardAt.set(from, performance.now());
       if (frame.kind === 'fitness') {
         this.fitness.note(from, frame.fitness);
         return;
@@ -84,8 +89,10 @@
   }
 
   private identify(hello: unknown): string {
-    const from = parseHello(hello);
+    const { from, features } = parseHello(hello);
     if (!this.links.has(from)) throw new BrokenFrame('unknown peer');
+    this.features.set(from, features);
+    this.heardAt.set(from, performance.now());
     return from;
   }
 
@@ -119,6 +126,18 @@
     return [...this.links.keys()];
   }
 
+  /** What another controller said of its version; null: it has not opened a connection to this one. */
+  heardFeatures(node: string): ReadonlySet<string> | null {
+    return this.features.get(node) ?? null;
+  }
+
+  /** Seconds since anything came from another controller; Infinity: nothing has. */
+  silentS(node: string): number {
+    const answeredAt = this.links.get(node)?.answeredAt ?? -Infinity;
+    const heardAt = Math.max(answeredAt, this.heardAt.get(node) ?? -Infinity);
+    return (performance.now() - heardAt) / 1000;
+  }
+
   /** The others, those that answered last first. */
   lately(): string[] {
     const links = [...this.links].sort((a, b) => b[1].answeredAt - a[1].answeredAt);
--- /dev/null
+++ b/src/pipelines/dependency-graph.ts
@@ -0,0 +1,161 @@
+import { isWaiting, outcome, specOf, type JobFacts } from '../state/job-facts.js';
+
+/** Told in the order of the store's changes, or once a listing is complete. */
+export interface DependencyEvents {
+  /** All jobs that it needs are done: its tasks may start. */
+  onReady(job: JobFacts): void;
+  /** A job that it needs is cancelled, and so is it. */
+  onCancelled(job: JobFacts): void;
+}
+
+/**
+ * Jobs that need other jobs. What holds for a job follows from the changes of the store alone:
+ *
+ *   ready      from the revision at which the last job that it needs was done
+ *   cancelled  as soon as a job that it needs is, or with its acceptance if that came later
+ *
+ * The older of the two counts, as with "done" and "cancelled" of one job. A job that is cancelled is
+ * never done, so a job that is cancelled through another one was never ready.
+ *
+ * All walks keep their own stack: chains may have thousands of jobs.
+ */
+export class DependencyGraph {
+  /** Jobs by one that they need and that is not known to be over. */
+  private readonly dependents = new Map<string, JobFacts[]>();
+  /** Raised with every change: what was derived from the graph before may differ now. */
+  version = 0;
+
+  constructor(
+    private readonly jobs: ReadonlyMap<string, JobFacts>,
+    private readonly events: DependencyEvents,
+  ) {}
+
+  /** Open jobs that name this job and wait for it. */
+  dependentsOf(id: string): readonly JobFacts[] {
+    return (this.dependents.get(id) ?? []).filter(isWaiting);
+  }
+
+  hasDependents(id: string): boolean {
+    return this.dependents.has(id);
+  }
+
+  /** A job was accepted, in the order of changes. */
+  accepted(job: JobFacts): void {
+    this.version++;
+    this.link(job);
+    for (const id of job.spec.awaits) {
+      const needed = this.jobs.get(id);
+      if (needed !== undefined && outcome(needed) === 'cancelled') inheritCancellation(job, needed);
+    }
+    if (outcome(job) === 'cancelled') {
+      this.events.onCancelled(job);
+      this.cancelled(job);
+    } else if (outcome(job) === 'open' && job.readyAt !== null) this.events.onReady(job);
+  }
+
+  /** A job is done, in the order of changes. */
+  done(job: JobFacts): void {
+    this.version++;
+    for (const dependent of this.take(job)) {
+      dependent.missing--;
+      if (dependent.missing > 0 || outcome(dependent) !== 'open') continue;
+      this.makeReady(dependent);
+      this.events.onReady(dependent);
+    }
+  }
+
+  /** A job is cancelled, in the order of changes: all that need it, directly or through others, are too. */
+  cancelled(job: JobFacts): void {
+    this.version++;
+    const over = [job];
+    for (let next = over.pop(); next !== undefined; next = over.pop()) {
+      for (const dependent of this.take(next)) {
+        if (outcome(dependent) !== 'open') continue;
+        inheritCancellation(dependent, next);
+        this.events.onCancelled(dependent);
+        over.push(dependent);
+      }
+    }
+  }
+
+  /**
+   * A listing is complete. It goes by key and not by revision, so nothing was concluded while it came
+   * in; what had been concluded from an earlier one and the changes since stands.
+   */
+  rebuild(): void {
+    this.version++;
+    this.dependents.clear();
+    const unready: JobFacts[] = [];
+    for (const job of this.jobs.values()) {
+      if (specOf(job) !== null && job.readyAt === null) unready.push(job);
+    }
+    for (const job of unready) this.linkAll(job);
+    this.spreadCancellations();
+    for (const job of unready) if (job.missing === 0) this.makeReady(job);
+    for (const job of unready) {
+      if (outcome(job) === 'cancelled') this.events.onCancelled(job);
+      else if (outcome(job) === 'open' && job.readyAt !== null) this.events.onReady(job);
+    }
+  }
+
+  /** Links a job to what it needs; ready at once where all of that is done. */
+  private link(job: JobFacts): void {
+    this.linkAll(job);
+    if (job.missing === 0) this.makeReady(job);
+  }
+
+  private linkAll(job: JobFacts): void {
+    job.missing = 0;
+    for (const id of job.spec.awaits) {
+      const needed = this.jobs.get(id);
+      if (needed !== undefined && outcome(needed) === 'done') continue;
+      job.missing++;
+      const waiting = this.dependents.get(id);
+      if (waiting === undefined) this.dependents.set(id, [job]);
+      else waiting.push(job);
+    }
+  }
+
+  /** The oldest cancellation counts, by whatever way it comes. */
+  private spreadCancellations(): void {
+    const changed: JobFacts[] = [];
+    for (const id of this.dependents.keys()) {
+      const needed = this.jobs.get(id);
+      if (needed !== undefined && outcome(needed) === 'cancelled') changed.push(needed);
+    }
+    for (let next = changed.pop(); next !== undefined; next = changed.pop()) {
+      for (const dependent of this.dependents.get(next.spec.id) ?? []) {
+        if (inheritCancellation(dependent, next)) changed.push(dependent);
+      }
+    }
+  }
+
+  private take(job: JobFacts): JobFacts[] {
+    const waiting = this.dependents.get(job.spec.id) ?? [];
+    this.dependents.delete(job.spec.id);
+    return waiting;
+  }
+
+  /** All that it needs is done. Cancelled before that, it is never ready. */
+  private makeReady(job: JobFacts): void {
+    let revision = job.acceptedAt;
+    let ms = job.atMs;
+    for (const id of job.spec.awaits) {
+      const needed = this.jobs.get(id)!;
+      revision = Math.max(revision, needed.doneAt!);
+      ms = Math.max(ms, needed.doneMs);
+    }
+    if (job.cancelledAt !== null && job.cancelledAt < revision) return;
+    job.readyAt = revision;
+    job.readyMs = ms;
+  }
+}
+
+/** Returns whether that made the cancellation of `job` older. */
+function inheritCancellation(job: JobFacts, needed: JobFacts): boolean {
+  const revision = Math.max(needed.cancelledAt!, job.acceptedAt);
+  if (job.cancelledAt !== null && job.cancelledAt <= revision) return false;
+  job.cancelledAt = revision;
+  job.cancelledWithNeeded = true;
+  return true;
+}
--- /dev/null
+++ b/src/pipelines/outlook.ts
@@ -0,0 +1,77 @@
+import type { JobSpec, Priority } from '../jobs/types.js';
+import type { Successor } from '../scheduler/rank.js';
+import type { JobFacts } from '../state/job-facts.js';
+import type { DependencyGraph } from './dependency-graph.js';
+
+/** What comes after a job in its pipeline. */
+export interface Outlook {
+  /** The highest priority of the job and of all that need it. */
+  priority: Priority;
+  /** Jobs that name it, with their predicted work in seconds and their distance from the last job. */
+  successors: Successor[];
+  /** Predicted seconds of the longest path of jobs after it. */
+  criticalS: number;
+  /** Jobs on the longest path after it. */
+  depth: number;
+  /** Time of day in ms at which it has to be done for all deadlines to hold as predicted; Infinity: none. */
+  latestEndMs: number;
+}
+
+/** Predicted run time of all tasks of a job, in seconds. Those of a gang run side by side. */
+export const predictedWorkS = (spec: JobSpec): number =>
+  spec.kind === 'gang' ? spec.estimateS : spec.estimateS * spec.tasks;
+
+/** Derives what comes after jobs; kept until the graph changes. */
+export class Outlooks {
+  private readonly known = new Map<string, Outlook>();
+  private version = -1;
+
+  constructor(private readonly graph: DependencyGraph) {}
+
+  of(job: JobFacts): Outlook {
+    if (this.graph.version !== this.version) {
+      this.known.clear();
+      this.version = this.graph.version;
+    }
+    return this.known.get(job.spec.id) ?? this.derive(job);
+  }
+
+  /** Dependents first; with a stack of its own, since chains may have thousands of jobs. */
+  private derive(root: JobFacts): Outlook {
+    const stack = [root];
+    const begun = new Set<string>();
+    for (let job = stack.at(-1); job !== undefined; job = stack.at(-1)) {
+      const { id } = job.spec;
+      const dependents = this.graph.dependentsOf(id);
+      if (!begun.has(id)) {
+        begun.add(id);
+        const before = stack.length;
+        for (const dependent of dependents) {
+          const { id: next } = dependent.spec;
+          if (!begun.has(next) && !this.known.has(next)) stack.push(dependent);
+        }
+        if (stack.length > before) continue;
+      }
+      stack.pop();
+      if (!this.known.has(id)) this.known.set(id, this.combine(job, dependents));
+    }
+    return this.known.get(root.spec.id)!;
+  }
+
+  private combine(job: JobFacts, dependents: readonly JobFacts[]): Outlook {
+    const { priority, deadlineS } = job.spec;
+    const latestEndMs = deadlineS === null ? Infinity : job.atMs + deadlineS * 1000;
+    const outlook: Outlook = { priority, successors: [], criticalS: 0, depth: 0, latestEndMs };
+    for (const { spec } of dependents) {
+      const after = this.known.get(spec.id);
+      if (after === undefined) continue;
+      outlook.priority = Math.min(outlook.priority, after.priority) as Priority;
+      outlook.successors.push({ workS: predictedWorkS(spec), depth: after.depth });
+      outlook.criticalS = Math.max(outlook.criticalS, spec.estimateS + after.criticalS);
+      outlook.depth = Math.max(outlook.depth, after.depth + 1);
+      const startMs = after.latestEndMs - spec.estimateS * 1000;
+      outlook.latestEndMs = Math.min(outlook.latestEndMs, startMs);
+    }
+    return outlook;
+  }
+}
--- a/src/scheduler/rank.ts
+++ b/src/scheduler/rank.ts
@@ -19,7 +19,7 @@
   /** Predicted time of this job and the mean over its pipeline's jobs. */
   predictedS: number;
   pipelineMeanS: number;
-  /** Jobs that wait for this one. The protocol's pipelines have a single job, hence none. */
+  /** Jobs that wait for this one. */
   successors: Successor[];
 }
 
@@ -90,7 +90,7 @@
   priority: number;
   guaranteed: boolean;
   score: number;
-  acceptedAt: number;
+  readyAt: number;
 }
 
 /** Priority and guarantees come first (protocol), then the score, then age. */
@@ -98,5 +98,5 @@
   if (a.priority !== b.priority) return a.priority - b.priority;
   if (a.guaranteed !== b.guaranteed) return a.guaranteed ? -1 : 1;
   if (a.score !== b.score) return b.score - a.score;
-  return a.acceptedAt - b.acceptedAt;
+  return a.readyAt - b.readyAt;
 }
--- /dev/null
+++ b/src/state/job-facts.ts
@@ -0,0 +1,63 @@
+import type { BitSet } from '../jobs/bit-set.js';
+import type { JobSpec } from '../jobs/types.js';
+import type { Accepted } from './records.js';
+
+/** Which tasks of one stored part of a job are done. */
+export interface StoredPart {
+  bits: BitSet;
+  revision: number;
+  attainedS: number;
+}
+
+/** What the store says of one job. A pure function of the changes up to a revision. */
+export interface JobFacts extends Accepted {
+  /** Revision at which it was accepted. */
+  acceptedAt: number;
+  /** Revision of the first cancellation: its own, or that of a job that it needs. */
+  cancelledAt: number | null;
+  /** It was cancelled with a job that it needs, before its own user cancelled it. */
+  cancelledWithNeeded: boolean;
+  /** Revision at which its last task was stored as done. */
+  doneAt: number | null;
+  /** Time of day in ms at which its last task was found done, as the leader had it; 0: not known. */
+  doneMs: number;
+  /**
+   * Revision from which its tasks may start: all jobs that it needs were done by then, and it was not
+   * cancelled before. Null: they must not.
+   */
+  readyAt: number | null;
+  /** Time of day in ms of the same moment; of its acceptance where it needs no other job. */
+  readyMs: number;
+  /** How many entries of `spec.awaits` are not known to be done. */
+  missing: number;
+  doneTasks: number;
+  attainedS: number;
+  /** Dropped once the job is over. */
+  chunks: Map<number, StoredPart> | null;
+  /** Attempts that machine records name at present. */
+  claims: number;
+}
+
+/** Null: it is over, and what it asked for has left memory. */
+export const specOf = (j: JobFacts): JobSpec | null => (j.spec.id === '' ? null : j.spec);
+
+export type Outcome = 'open' | 'done' | 'cancelled';
+
+/** The older one of "done" and "cancelled" counts, on every node and for ever. */
+export function outcome(j: JobFacts): Outcome {
+  if (j.cancelledAt !== null && (j.doneAt === null || j.cancelledAt < j.doneAt)) return 'cancelled';
+  return j.doneAt !== null ? 'done' : 'open';
+}
+
+/** Not over, and in need of no other job any more: its tasks may start. */
+export const isReady = (j: JobFacts): boolean => j.readyAt !== null && outcome(j) === 'open';
+
+/** Accepted, not over, and still in need of other jobs: nothing of it may start. */
+export const isWaiting = (j: JobFacts): boolean => j.readyAt === null && outcome(j) === 'open';
+
+/**
+ * Whether no task of a cancelled job was ever started, nor can be: it was cancelled before it became
+ * ready, and a leader starts tasks of a job only once its copy of the store shows it as ready.
+ */
+export const neverStarted = (j: JobFacts): boolean =>
+  j.readyAt === null && outcome(j) === 'cancelled';
--- a/src/state/records.ts
+++ b/src/state/records.ts
@@ -1,9 +1,11 @@
-import type { JobSpec, MachineType } from '../jobs/types.js';
+import { NO_JOBS, type JobSpec, type MachineType } from '../jobs/types.js';
 
 /**
  * What the controllers keep in the state service. Keys:
  *
  *   ps/j/<incarnation>-<n>   accepted jobs and cancellations, a batch each; never changed again
+ *   ps/d/<incarnation>-<n>   accepted jobs that need other jobs, likewise
+ *   ps/v/<node>              what the version that a controller runs, or has run last, can do
  *   ps/p/<job>/<chunk>       which tasks are done; never changed again once all are
  *   ps/m/<machine>           a machine, its owner and the attempts that may be on it
  *   ps/l                     the leader, attached to its lease; its revision is the token
@@ -11,10 +13,15 @@
  *   ps/a/<node>              the latest leader that a controller has acknowledged by way of the store
  *   ps/t                     the machine types, for times when the cloud does not answer
  *
+ * Versions before pipelines ignore ps/d/ and ps/v/: a job that needs others can never be started by one
+ * of them. docs/upgrade.md says of each record what older versions do with it.
+ *
  * Order in time is the order of revisions: of "done" and "cancelled" the older one counts.
  */
 export const ROOT = 'ps/';
 export const JOBS = 'ps/j/';
+export const DEPENDENT_JOBS = 'ps/d/';
+export const VERSIONS = 'ps/v/';
 export const PROGRESS = 'ps/p/';
 export const MACHINES = 'ps/m/';
 export const NODES = 'ps/n/';
@@ -24,6 +31,7 @@
 
 export const progressKey = (job: string, chunk: number): string => `${PROGRESS}${job}/${chunk}`;
 export const nodeKey = (node: string): string => `${NODES}${node}`;
+export const versionKey = (node: string): string => `${VERSIONS}${node}`;
 export const ackKey = (node: string): string => `${ACKS}${node}`;
 export const machineKey = (id: string): string => `${MACHINES}${id}`;
 
@@ -50,6 +58,8 @@
     s.id, s.class, s.team, KINDS.indexOf(s.kind), s.priority, s.tasks, s.cores, s.gpus, s.memGb,
     s.image, s.imageGb, s.types, s.zone, flags, s.estimateS, s.checkpointS, s.saveS, s.deadlineS,
     atMs,
+    // Appended only where there are any: all other jobs are stored as by versions that do not know it.
+    ...(s.awaits.length === 0 ? [] : [s.awaits]),
   ]; // prettier-ignore
 }
 
@@ -82,6 +92,7 @@
       checkpointS: a[15] as number,
       saveS: a[16] as number,
       deadlineS: a[17] as number | null,
+      awaits: (a[19] as string[] | undefined) ?? NO_JOBS,
     },
     atMs: a[18] as number,
   };
@@ -92,16 +103,20 @@
   bits: string | null;
   /** Seconds of run time that the tasks have had, failed runs included. */
   attainedS: number;
+  /** Time of day in ms at which it was written, once all are done. Older versions leave it out. */
+  doneMs?: number;
 }
 
 export const encodeProgress = (p: ProgressRecord): unknown => ({
   b: p.bits,
   a: Math.round(p.attainedS),
+  ...(p.doneMs === undefined ? {} : { m: Math.round(p.doneMs) }),
 });
 
 export function decodeProgress(value: unknown): ProgressRecord {
-  const o = value as { b: string | null; a?: number };
-  return { bits: o.b, attainedS: o.a ?? 0 };
+  const o = value as { b: string | null; a?: number; m?: number };
+  const doneMs = typeof o.m === 'number' ? { doneMs: o.m } : {};
+  return { bits: o.b, attainedS: o.a ?? 0, ...doneMs };
 }
 
 export interface Claim {
@@ -159,6 +174,16 @@
   };
 }
 
+export interface VersionRecord {
+  features: string[];
+}
+
+export const encodeVersion = (r: VersionRecord): unknown => ({ f: r.features });
+export function decodeVersion(value: unknown): VersionRecord {
+  const o = value as { f: string[] };
+  return { features: o.f.map(String) };
+}
+
 export interface LeaderRecord {
   node: string;
   incarnation: string;
--- a/src/state/replica.ts
+++ b/src/state/replica.ts
@@ -1,45 +1,15 @@
-import type { JobSpec, MachineType } from '../jobs/types.js';
+import type { MachineType } from '../jobs/types.js';
 import { BitSet } from '../jobs/bit-set.js';
 import { chunkCount, chunkSize, chunkTasks } from '../jobs/chunks.js';
+import { DependencyGraph } from '../pipelines/dependency-graph.js';
 import type { Change, Item } from '../wire/state.js';
+import { outcome, specOf, type JobFacts } from './job-facts.js';
+import { LeanJobs } from './lean-jobs.js';
 import * as records from './records.js';
 
-/** What the store says of one job. A pure function of the changes up to a revision. */
-export interface JobFacts extends records.Accepted {
-  /** Revision at which it was accepted. */
-  acceptedAt: number;
-  /** Revision of the first cancellation. */
-  cancelledAt: number | null;
-  /** Revision at which its last task was stored as done. */
-  doneAt: number | null;
-  doneTasks: number;
-  attainedS: number;
-  /** Dropped once the job is over. */
-  chunks: Map<number, { bits: BitSet; revision: number; attainedS: number }> | null;
-  /** Attempts that machine records name at present. */
-  claims: number;
-}
-
-/** What is left of the description of a job that was over long ago, shared by all alike. */
-const LEAN: JobSpec = {
-  id: '', class: '', team: '', kind: 'array', priority: 3, tasks: 0, cores: 0, gpus: 0, memGb: 0,
-  image: '', imageGb: 0, types: null, zone: null, oneZone: false, scatter: false, spot: false,
-  estimateS: 0, checkpointS: 0, saveS: 0, deadlineS: null,
-}; // prettier-ignore
-
-/** Null: it is over, and what it asked for has left memory. */
-export const specOf = (j: JobFacts): JobSpec | null => (j.spec.id === '' ? null : j.spec);
-
-export type Outcome = 'open' | 'done' | 'cancelled';
-
-/** The older one of "done" and "cancelled" counts, on every node and for ever. */
-export function outcome(j: JobFacts): Outcome {
-  if (j.cancelledAt !== null && (j.doneAt === null || j.cancelledAt < j.doneAt)) return 'cancelled';
-  return j.doneAt !== null ? 'done' : 'open';
-}
-
 export interface Listener {
-  onJob?(j: JobFacts): void;
+  /** A job may start from now on: it was accepted, or all jobs that it needs are done. */
+  onReady?(j: JobFacts): void;
   onCancelled?(j: JobFacts): void;
   onLeader?(): void;
   /** A controller's key was put or is gone. */
@@ -64,6 +34,8 @@
   readonly present = new Map<string, number>();
   /** What controllers have acknowledged by way of the store, and the record's revision. */
   readonly acks = new Map<string, { ack: records.AckRecord; revision: number }>();
+  /** What the version that a controller ran last could do, and the record's revision. */
+  readonly versions = new Map<string, { record: records.VersionRecord; revision: number }>();
   /** The highest token that is known. */
   lastToken = 0;
   types: MachineType[] | null = null;
@@ -74,6 +46,10 @@
   private earlyProgress = new Map<string, Item[]>();
   private listing = false;
   private lastCancelled = { since: -1, applied: -1, ids: [] as readonly string[] };
+  readonly dependencies = new DependencyGraph(this.jobs, {
+    onReady: (job) => this.listener.onReady?.(job),
+    onCancelled: (job) => this.closeCancelled(job),
+  });
   listener: Listener = {};
 
   constructor(valueBytes: number) {
@@ -84,7 +60,7 @@
     return this.perChunk;
   }
 
-  private readonly lean = new Map<number, JobSpec>();
+  private readonly lean = new LeanJobs();
 
   /**
    * Of jobs that are over and were accepted before this time only the outcome stays in memory: users
@@ -94,21 +70,7 @@
   trim(beforeMs: number): void {
     for (const [id, j] of this.jobs) {
       if (j.atMs >= beforeMs || j.claims > 0 || j.spec.id === '' || outcome(j) === 'open') continue;
-      const { tasks } = j.spec;
-      let lean = this.lean.get(tasks);
-      if (lean === undefined) this.lean.set(tasks, (lean = { ...LEAN, tasks }));
-      const { atMs, acceptedAt, cancelledAt, doneAt, doneTasks } = j;
-      this.jobs.set(id, {
-        spec: lean,
-        atMs,
-        acceptedAt,
-        cancelledAt,
-        doneAt,
-        doneTasks,
-        attainedS: 0,
-        chunks: null,
-        claims: 0,
-      });
+      this.jobs.set(id, this.lean.make(j));
     }
   }
 
@@ -125,6 +87,7 @@
   /** The listing is complete, with the changes since its first page. */
   listed(): void {
     this.listing = false;
+    this.dependencies.rebuild();
     for (const facts of this.jobs.values()) {
       if (facts.chunks !== null && outcome(facts) === 'cancelled') this.closeCancelled(facts);
     }
@@ -169,7 +132,7 @@
 
   private put(key: string, value: unknown, revision: number): void {
     try {
-      if (key.startsWith(records.JOBS))
+      if (key.startsWith(records.JOBS) || key.startsWith(records.DEPENDENT_JOBS))
         this.applySubmissions(records.decodeSubmissions(value), revision);
       else if (key.startsWith(records.PROGRESS)) this.progress(key, value, revision);
       else if (key.startsWith(records.MACHINES)) {
@@ -185,6 +148,10 @@
         const ack = records.decodeAck(value);
         this.acks.set(node, { ack, revision });
         this.listener.onAck?.(node, ack);
+      } else if (key.startsWith(records.VERSIONS)) {
+        const node = key.slice(records.VERSIONS.length);
+        if ((this.versions.get(node)?.revision ?? -1) >= revision) return;
+        this.versions.set(node, { record: records.decodeVersion(value), revision });
       } else if (key === records.LEADER) {
         if (this.leader !== null && this.leader.revision >= revision) return;
         this.leader = { ...records.decodeLeader(value), revision };
@@ -222,49 +189,72 @@
   }
 
   private applySubmissions(r: records.SubmissionsRecord, revision: number): void {
-    for (const accepted of r.jobs) {
-      const id = accepted.spec.id;
-      const old = this.jobs.get(id);
-      if (old !== undefined) {
-        // Two nodes accepted the same job at once: the same job, the older acceptance counts, in
-        // whatever order a listing shows the two.
-        if (revision < old.acceptedAt) {
-          old.acceptedAt = revision;
-          if (specOf(old) !== null) Object.assign(old, accepted);
-        }
-        continue;
-      }
-      // Field by field: spreading `accepted` takes ten times as long as all the rest, see docs/profile.md.
-      const facts: JobFacts = {
-        spec: accepted.spec,
-        atMs: accepted.atMs,
-        acceptedAt: revision,
-        cancelledAt: this.earlyCancels.get(id) ?? null,
-        doneAt: null,
-        doneTasks: 0,
-        attainedS: 0,
-        chunks: new Map(),
-        claims: 0,
-      };
-      this.earlyCancels.delete(id);
-      this.jobs.set(id, facts);
-      for (const item of this.earlyProgress.get(id) ?? []) {
-        this.progress(item.key, item.value, item.revision);
-      }
-      this.earlyProgress.delete(id);
-      if (outcome(facts) === 'open') this.listener.onJob?.(facts);
+    for (const accepted of r.jobs) this.applyAccepted(accepted, revision);
+    for (const id of r.cancels) this.applyCancellation(id, revision);
+  }
+
+  private applyAccepted(accepted: records.Accepted, revision: number): void {
+    const id = accepted.spec.id;
+    const old = this.jobs.get(id);
+    if (old !== undefined) {
+      this.acceptedTwice(old, accepted, revision);
+      return;
     }
-    for (const id of r.cancels) {
-      const facts = this.jobs.get(id);
-      if (facts === undefined) {
-        // A listing goes by key, not by time: the job itself may come later.
-        const early = this.earlyCancels.get(id);
-        this.earlyCancels.set(id, Math.min(early ?? Infinity, revision));
-      } else if (facts.cancelledAt === null || revision < facts.cancelledAt) {
-        facts.cancelledAt = revision;
-        if (!this.listing && outcome(facts) === 'cancelled') this.closeCancelled(facts);
-      }
+    const alone = accepted.spec.awaits.length === 0;
+    // Field by field: spreading `accepted` takes ten times as long as all the rest, see docs/profile.md.
+    const facts: JobFacts = {
+      spec: accepted.spec,
+      atMs: accepted.atMs,
+      acceptedAt: revision,
+      cancelledAt: this.earlyCancels.get(id) ?? null,
+      cancelledWithNeeded: false,
+      doneAt: null,
+      doneMs: 0,
+      readyAt: alone ? revision : null,
+      readyMs: accepted.atMs,
+      missing: 0,
+      doneTasks: 0,
+      attainedS: 0,
+      chunks: new Map(),
+      claims: 0,
+    };
+    this.earlyCancels.delete(id);
+    this.jobs.set(id, facts);
+    for (const item of this.earlyProgress.get(id) ?? []) {
+      this.progress(item.key, item.value, item.revision);
+    }
+    this.earlyProgress.delete(id);
+    if (alone && outcome(facts) === 'open') this.listener.onReady?.(facts);
+    else if (!this.listing) this.dependencies.accepted(facts);
+  }
+
+  /**
+   * Two nodes accepted the same job at once: the same job, the older acceptance counts, in whatever
+   * order a listing shows the two.
+   */
+  private acceptedTwice(old: JobFacts, accepted: records.Accepted, revision: number): void {
+    if (revision >= old.acceptedAt) return;
+    old.acceptedAt = revision;
+    if (specOf(old) === null) return;
+    Object.assign(old, accepted);
+    old.readyAt = accepted.spec.awaits.length === 0 ? revision : null;
+    old.readyMs = accepted.atMs;
+  }
+
+  private applyCancellation(id: string, revision: number): void {
+    const facts = this.jobs.get(id);
+    if (facts === undefined) {
+      // A listing goes by key, not by time: the job itself may come later.
+      const early = this.earlyCancels.get(id);
+      this.earlyCancels.set(id, Math.min(early ?? Infinity, revision));
+      return;
     }
+    if (facts.cancelledAt !== null && revision > facts.cancelledAt) return;
+    facts.cancelledAt = revision;
+    facts.cancelledWithNeeded = false;
+    if (this.listing || outcome(facts) !== 'cancelled') return;
+    this.closeCancelled(facts);
+    this.dependencies.cancelled(facts);
   }
 
   private closeCancelled(facts: JobFacts): void {
@@ -305,10 +295,12 @@
     }
     facts.doneTasks = done;
     facts.attainedS = attained;
+    facts.doneMs = Math.max(facts.doneMs, p.doneMs ?? 0);
     const chunks = chunkCount(facts.spec.tasks, this.perChunk);
     if (done === facts.spec.tasks && facts.chunks.size === chunks) {
       facts.doneAt = last;
       facts.chunks = null;
+      if (!this.listing && outcome(facts) === 'done') this.dependencies.done(facts);
     }
   }
 
--- a/src/state/request-writer.ts
+++ b/src/state/request-writer.ts
@@ -1,8 +1,9 @@
 import { random } from '../random.js';
 import { sleep, type Budget, type Clock } from '../clock.js';
 import type { Log } from '../log.js';
-import type { Outcome, Replica } from './replica.js';
-import { outcome } from './replica.js';
+import type { Outcome } from './job-facts.js';
+import type { Replica } from './replica.js';
+import { outcome } from './job-facts.js';
 import type { Follower } from './follow.js';
 import { Refused, type CommitResult, type StateClient } from './client.js';
 import * as records from './records.js';
@@ -15,6 +16,15 @@
 /** Requests in a row without an answer after which a batch is given up. */
 const FAILURES = 2;
 
+/** What a record takes beside its jobs and cancellations, in bytes. */
+const RECORD_BYTES = 64;
+/** Of the largest value that the state service takes, what a record fills. */
+const VALUE_SHARE = 0.9;
+
+/** Bytes that a job takes in a record. */
+const sizeOf = (accepted: records.Accepted): number =>
+  Buffer.byteLength(JSON.stringify(records.encodeJob(accepted))) + 1;
+
 /**
  * Stores what users ask for: accepted jobs and cancellations. What arrives while a batch is under
  * way goes into the next one, so that an answer waits for milliseconds and costs a fraction of a
@@ -35,6 +45,11 @@
     private readonly log: Log,
   ) {}
 
+  /** Whether the state service takes a record with this job, alone if need be. */
+  fits(accepted: records.Accepted): boolean {
+    return RECORD_BYTES + sizeOf(accepted) <= this.state.valueBytes * VALUE_SHARE;
+  }
+
   /** Whether more waits than can be stored within this time: what comes now would wait in vain. */
   full(timeoutS: number): boolean {
     const bytes = this.queue.reduce((n, e) => n + e.size, 0);
@@ -43,7 +58,7 @@
 
   /** Resolves with the job's outcome once it is stored and read back; null: unsure. */
   accept(accepted: records.Accepted, timeoutS: number): Promise<Outcome | null> {
-    const size = JSON.stringify(records.encodeJob(accepted)).length + 1;
+    const size = sizeOf(accepted);
     return this.enqueue({ kind: 'job', accepted, size }, timeoutS);
   }
 
@@ -69,16 +84,38 @@
     for (const e of late) e.resolve(null);
     this.queue = this.queue.filter((e) => e.deadline > now);
     const batch: Entry[] = [];
-    let bytes = 64;
+    let bytes = RECORD_BYTES;
     while (this.queue.length > 0) {
       const e = this.queue[0]!;
-      if (batch.length > 0 && bytes + e.size > this.state.valueBytes * 0.9) break;
+      if (batch.length > 0 && bytes + e.size > this.state.valueBytes * VALUE_SHARE) break;
       bytes += e.size;
       batch.push(this.queue.shift()!);
     }
     return batch;
   }
 
+  /**
+   * The records of a batch, to be put in one transaction. Jobs that need others go where versions that
+   * would start them at once do not look.
+   */
+  private puts(batch: Entry[]): { put: string; value: unknown }[] {
+    const jobs = batch.flatMap((e) => (e.kind === 'job' ? [e.accepted] : []));
+    const cancels = batch.flatMap((e) => (e.kind === 'cancel' ? [e.id] : []));
+    const dependent = jobs.filter((job) => job.spec.awaits.length > 0);
+    const others = jobs.filter((job) => job.spec.awaits.length === 0);
+    const name = `${this.incarnation}-${this.counter++}`;
+    const puts: { put: string; value: unknown }[] = [];
+    if (others.length + cancels.length > 0) {
+      const value = records.encodeSubmissions({ jobs: others, cancels });
+      puts.push({ put: records.JOBS + name, value });
+    }
+    if (dependent.length > 0) {
+      const value = records.encodeSubmissions({ jobs: dependent, cancels: [] });
+      puts.push({ put: records.DEPENDENT_JOBS + name, value });
+    }
+    return puts;
+  }
+
   private async drain(): Promise<void> {
     this.running = true;
     try {
@@ -93,11 +130,10 @@
   }
 
   private async store(batch: Entry[]): Promise<void> {
-    const record: records.SubmissionsRecord = {
-      jobs: batch.flatMap((e) => (e.kind === 'job' ? [e.accepted] : [])),
-      cancels: batch.flatMap((e) => (e.kind === 'cancel' ? [e.id] : [])),
-    };
-    const key = `${records.JOBS}${this.incarnation}-${this.counter++}`;
+    const puts = this.puts(batch);
+    const guards = puts.map(({ put }) => ({ key: put, revision: 0 }));
+    // One write is taken already; with dependent jobs beside others it is two.
+    if (puts.length > 1) this.budget.force(puts.length - 1);
     const deadline = Math.max(...batch.map((e) => e.deadline));
     let stored = false;
     let first = true;
@@ -108,14 +144,10 @@
       if (!first) while (!this.budget.take(1)) await sleep(this.budget.wait(1));
       first = false;
       try {
-        const r: CommitResult = await this.state.commit(
-          [{ key, revision: 0 }],
-          [{ put: key, value: records.encodeSubmissions(record) }],
-          1.5,
-        );
+        const r: CommitResult = await this.state.commit(guards, puts, 1.5);
         // A failed condition: an attempt that was not answered has been carried out after all.
         stored = true;
-        if (!r.ok) this.log.debug({ key }, 'stored by an earlier attempt');
+        if (!r.ok) this.log.debug({ keys: r.failed }, 'stored by an earlier attempt');
       } catch (e) {
         if (e instanceof Refused && (e.status === 400 || e.status === 503)) break;
         if (!(e instanceof Refused && e.status === 429)) failures++;
--- a/src/wire/users.ts
+++ b/src/wire/users.ts
@@ -1,5 +1,5 @@
 import * as v from 'valibot';
-import type { JobKind, JobSpec, Priority } from '../jobs/types.js';
+import { NO_JOBS, type JobKind, type JobSpec, type Priority } from '../jobs/types.js';
 
 /** Users' messages: the only place that knows their field names. */
 
@@ -39,6 +39,7 @@
   stamp_s: amount,
   stamping_s: amount,
   due_s: v.nullish(amount, null),
+  awaits: v.nullish(v.array(v.pipe(v.string(), v.regex(ID))), null),
 });
 
 export function parseSubmission(body: Buffer): JobSpec {
@@ -70,9 +71,14 @@
     checkpointS: o.stamp_s,
     saveS: o.stamping_s,
     deadlineS: o.due_s,
+    awaits: o.awaits === null || o.awaits.length === 0 ? NO_JOBS : [...new Set(o.awaits)],
   };
 }
 
+/** Whether a submission may be one that needs other jobs. False is certain. */
+export const mayAwait = (body: Buffer): boolean =>
+  body.includes('"awaits"') || body.includes('\\u');
+
 export function parseObject(body: Buffer): Record<string, unknown> {
   let raw: unknown;
   try {
--- a/test/confirmation.test.ts
+++ b/test/confirmation.test.ts
@@ -5,7 +5,8 @@
 import type { ZoneLeaseWatch } from '../src/leadership/zone-lease.js';
 import { CancellationNotices } from '../src/cancellation/notices.js';
 import { CancellationConfirmation } from '../src/cancellation/confirmation.js';
-import type { JobFacts, Replica } from '../src/state/replica.js';
+import type { JobFacts } from '../src/state/job-facts.js';
+import type { Replica } from '../src/state/replica.js';
 import { settings } from './helpers.js';
 
 const JOB = 'wk-000001';
--- a/test/meeting-helpers.ts
+++ b/test/meeting-helpers.ts
@@ -315,6 +315,7 @@
         policy: DEFAULT_POLICY,
         token,
         incarnation: 'n',
+        denseRecords: () => true,
         entitled: () => this.token === token,
         writing: () => this.writing && this.token === token,
         keptUntil: () => -Infinity,
@@ -333,7 +334,7 @@
     this.parts.schedule = () => undefined;
     this.parts.direct.push = () => undefined;
     replica.listener = {
-      onJob: (facts) => leader.onJob(facts),
+      onReady: (facts) => leader.onReady(facts),
       onCancelled: (facts) => leader.onCancelled(facts),
     };
     this.parts.capacity.fleet.listedOnce = true;
--- a/test/meeting-leaders.test.ts
+++ b/test/meeting-leaders.test.ts
@@ -3,7 +3,7 @@
 import { test } from 'node:test';
 import type { TaskReport } from '../src/wire/workers.js';
 import * as records from '../src/state/records.js';
-import { outcome } from '../src/state/replica.js';
+import { outcome } from '../src/state/job-facts.js';
 import { World, type Worker } from './meeting-helpers.js';
 
 const JOB = 'wk-000001';
--- a/test/meeting-records.test.ts
+++ b/test/meeting-records.test.ts
@@ -1,7 +1,7 @@
 /** Records that are written, listed and removed while transactions and reports come late. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { outcome } from '../src/state/replica.js';
+import { outcome } from '../src/state/job-facts.js';
 import * as records from '../src/state/records.js';
 import { MemoryStore, World } from './meeting-helpers.js';
 
@@ -42,7 +42,7 @@
   store.cancel(JOB, 'a');
   const open: string[] = [];
   const replica = store.listed({
-    onJob: (facts) => void (outcome(facts) === 'open' && open.push(facts.spec.id)),
+    onReady: (facts) => void (outcome(facts) === 'open' && open.push(facts.spec.id)),
   });
   assert.equal(outcome(replica.jobs.get(JOB)!), 'cancelled');
   assert.deepEqual(replica.cancelledSince(0), [JOB], 'told to others in an outage');
--- a/test/meeting-users.test.ts
+++ b/test/meeting-users.test.ts
@@ -6,7 +6,8 @@
 import { Follower } from '../src/state/follow.js';
 import { RequestWriter } from '../src/state/request-writer.js';
 import * as records from '../src/state/records.js';
-import { outcome, type Replica } from '../src/state/replica.js';
+import { outcome } from '../src/state/job-facts.js';
+import type { Replica } from '../src/state/replica.js';
 import type { Budget } from '../src/clock.js';
 import { g8, settings } from './helpers.js';
 import { MemoryStore } from './meeting-helpers.js';
@@ -40,9 +41,10 @@
   const mayCancel = (): Promise<number> => Promise.resolve(0);
   const types = (): (typeof g8)[] => [g8];
   const mayTell = (): Promise<boolean> => Promise.resolve(true);
-  const users = new Users(
-    settings(), follower, replica, requestWriter, types, mayCancel, mayTell, () => 1000, log,
-  ); // prettier-ignore
+  const users = new Users({
+    settings: settings(), follower, replica, requestWriter, types, mayCancel,
+    mayTellCancelled: mayTell, pipelinesUnknown: () => false, wallMs: () => 1000, log,
+  }); // prettier-ignore
   return { users, follower, replica };
 }
 
--- a/test/pass-helpers.ts
+++ b/test/pass-helpers.ts
@@ -38,6 +38,7 @@
       policy: DEFAULT_POLICY,
       token: TOKEN,
       incarnation: 'x',
+      denseRecords: () => true,
       entitled: () => true,
       writing: () => true,
       keptUntil: () => -Infinity,
--- a/test/replica.test.ts
+++ b/test/replica.test.ts
@@ -3,7 +3,8 @@
 import { BitSet } from '../src/jobs/bit-set.js';
 import { LiveJob } from '../src/jobs/live.js';
 import * as records from '../src/state/records.js';
-import { outcome, Replica, specOf } from '../src/state/replica.js';
+import { outcome, specOf } from '../src/state/job-facts.js';
+import { Replica } from '../src/state/replica.js';
 import { makeAttempt } from '../src/workers/attempt.js';
 import { spec } from './helpers.js';
 
--- a/test/sched.test.ts
+++ b/test/sched.test.ts
@@ -79,9 +79,9 @@
 });
 
 test('order of jobs', () => {
-  const o = { priority: 1, guaranteed: false, score: 1, acceptedAt: 5 };
+  const o = { priority: 1, guaranteed: false, score: 1, readyAt: 5 };
   const sorted = [
-    { ...o, n: 'old', acceptedAt: 1 },
+    { ...o, n: 'old', readyAt: 1 },
     { ...o, n: 'low', priority: 3, score: 9 },
     { ...o, n: 'score', score: 2 },
     { ...o, n: 'guaranteed', guaranteed: true },
