Machine records: a dense form for claims, images only as far as they fit

Claims are written as ranges by job and attempt where the plain form is too large and every controller has told that it reads that; the plain form stays otherwise. Space is counted in bytes, and only where it may matter.

--- /dev/null
+++ b/src/leader/claim-space.ts
@@ -0,0 +1,71 @@
+/** Whether a machine's record can name more claims. */
+
+import type { LiveJob } from '../jobs/live.js';
+import type { FreeCapacity } from '../scheduler/place.js';
+import { bytesWithoutImages, type ClaimForm } from '../state/machine-record.js';
+import { MOST_REPORTED_TASKS } from '../wire/workers.js';
+import type { Machine } from '../workers/machine.js';
+import { machineRecord, machineRecordBytes } from './stored-machine.js';
+import type { Term } from './term.js';
+
+/** A claim takes no more than so many bytes: a job's id, its attempt, the task and what is between. */
+const CLAIM_BYTES = 64;
+/** In the dense form, one more task of a job that the record names already. */
+const DENSE_TASK_BYTES = 8;
+/** A record without claims and images takes no more than so many bytes, as a rule. */
+const FRAME_BYTES = 512;
+
+interface Measured {
+  version: number;
+  bytes: number;
+}
+
+/**
+ * A machine's record names all claims on it and may not outgrow a value of the store. With tasks of a
+ * thousandth of a core one did, and nothing could be stored any more. Bytes are counted only on machines
+ * that hold so many claims that it may matter, and anew only after a change.
+ */
+export class ClaimSpace {
+  private readonly measured = new Map<string, Measured>();
+  private form: ClaimForm = 'plain';
+  private readonly mostBytes: number;
+
+  constructor(private readonly term: Term) {
+    this.mostBytes = machineRecordBytes(term.deps.settings);
+  }
+
+  beginPass(): void {
+    const form: ClaimForm = this.term.deps.denseRecords() ? 'dense' : 'plain';
+    if (form !== this.form) this.measured.clear();
+    this.form = form;
+    if (this.measured.size > this.term.machines.size * 2) this.measured.clear();
+  }
+
+  /** Whether a task of the job, or of a gang all that fit there, can be claimed on a machine. */
+  has(job: LiveJob, room: FreeCapacity): boolean {
+    const m = this.term.machines.get(room.id)!;
+    const held = m.attempts.size;
+    const more = job.gang ? tasksThatFit(job, room) : 1;
+    if (held === 0) return true;
+    if (held + more > MOST_REPORTED_TASKS) return false;
+    if (FRAME_BYTES + (held + more) * CLAIM_BYTES <= this.mostBytes) return true;
+    const eachMore = this.form === 'dense' ? DENSE_TASK_BYTES : CLAIM_BYTES;
+    return this.bytes(m) + CLAIM_BYTES + (more - 1) * eachMore <= this.mostBytes;
+  }
+
+  private bytes(m: Machine): number {
+    const known = this.measured.get(m.id);
+    if (known?.version === m.version) return known.bytes;
+    const bytes = bytesWithoutImages(machineRecord(this.term, m), this.form);
+    this.measured.set(m.id, { version: m.version, bytes });
+    return bytes;
+  }
+}
+
+/** Tasks of a gang that fit into what is free on a machine; at least one. */
+function tasksThatFit({ spec }: LiveJob, room: FreeCapacity): number {
+  const cores = spec.cores > 0 ? room.cores / spec.cores : Infinity;
+  const gpus = spec.gpus > 0 ? room.gpus / spec.gpus : Infinity;
+  const memory = spec.memGb > 0 ? room.memGb / spec.memGb : Infinity;
+  return Math.max(1, Math.min(spec.tasks, Math.floor(Math.min(cores, gpus, memory))));
+}
--- a/src/leader/leader.ts
+++ b/src/leader/leader.ts
@@ -75,7 +75,6 @@
     this.direct = new DirectCommands(this.term, () => this.schedule());
     this.store = new TermStore({
       term: this.term,
-      node: deps.settings.node,
       state,
       clock: deps.clock,
       log: deps.log,
--- a/src/leader/machine-eligibility.ts
+++ b/src/leader/machine-eligibility.ts
@@ -4,14 +4,12 @@
 import type { JobSpec } from '../jobs/types.js';
 import { freeShare, type FreeCapacity } from '../scheduler/place.js';
 import type { Machine } from '../workers/machine.js';
+import { ClaimSpace } from './claim-space.js';
 import { freeMachines, type FreeCapacityIndex } from './free-capacity.js';
 import type { GangReservations } from './gang-reservations.js';
 import type { MayUse } from './pass-context.js';
 import type { Term } from './term.js';
 
-/** Of the largest value that the store takes, what a machine's claims may take; and one of them. */
-const CLAIMS_SHARE = 0.5;
-const CLAIM_BYTES = 64;
 /** A machine that has not reported for so many intervals gets nothing new. */
 const HEARD_REPORTS = 2.5;
 const ANY: MayUse = () => true;
@@ -51,9 +49,14 @@
   /** Answers of `spotShort` within a pass. */
   private readonly shortTypes = new Map<string, boolean>();
 
-  constructor(private readonly options: EligibilityOptions) {}
+  private readonly claimSpace: ClaimSpace;
+
+  constructor(private readonly options: EligibilityOptions) {
+    this.claimSpace = new ClaimSpace(options.term);
+  }
 
   beginPass(rooms: FreeCapacity[]): void {
+    this.claimSpace.beginPass();
     for (const spot of [false, true]) {
       this.excess.set(spot, freeMachines(rooms, spot) - this.options.warm(spot));
     }
@@ -71,17 +74,9 @@
     const { reservations } = this.options;
     const leavesWarm = this.leavesWarm(job);
     return (room) =>
-      !reservations.isReservedFrom(job, room.id) && this.hasClaimsLeft(room.id) && leavesWarm(room);
-  }
-
-  /**
-   * A machine's record names all claims on it and may not outgrow a value of the store. With tasks of a
-   * thousandth of a core one did, and nothing could be stored any more.
-   */
-  private hasClaimsLeft(id: string): boolean {
-    const { term } = this.options;
-    const bytes = term.deps.settings.state.value_kb * 1024 * CLAIMS_SHARE;
-    return term.machines.get(id)!.attempts.size < Math.max(1, bytes / CLAIM_BYTES);
+      !reservations.isReservedFrom(job, room.id) &&
+      this.claimSpace.has(job, room) &&
+      leavesWarm(room);
   }
 
   /**
--- a/src/leader/record-writes.ts
+++ b/src/leader/record-writes.ts
@@ -5,13 +5,11 @@
 import * as records from '../state/records.js';
 import type { Item, Op } from '../wire/state.js';
 import type { Machine } from '../workers/machine.js';
+import { machineRecord, machineRecordBytes } from './stored-machine.js';
 import type { Term } from './term.js';
 
 /** What a write takes in a request beside its value and its key, which is there twice; in bytes. */
 const FRAME_BYTES = 100;
-/** Images that a machine's record names, at most: those used last. */
-const IMAGES_MAX = 32;
-
 /** What follows from the outcome of a write. */
 interface Outcomes {
   /** It goes into a batch now. */
@@ -48,7 +46,6 @@
 
   constructor(
     private readonly term: Term,
-    private readonly node: string,
     private readonly clock: Clock,
   ) {}
 
@@ -59,18 +56,9 @@
     const key = records.machineKey(m.id);
     const returning = m.state === 'returning';
     const token = m.nextToken;
-    const value = records.encodeMachine({
-      owner: this.node,
-      term: term.deps.token,
-      ...(token > term.deps.token ? { token } : {}),
-      addr: m.addr,
-      type: m.type,
-      zone: m.zone,
-      spot: m.spot,
-      returning,
-      claims: claims.map((a) => ({ job: a.job, index: a.index, attempt: a.number })),
-      images: [...m.images].slice(-IMAGES_MAX).map(([image, i]) => [image, i.gb]),
-    });
+    const record = machineRecord(term, m);
+    const form = term.deps.denseRecords() ? 'dense' : 'plain';
+    const value = records.encodeMachine(record, machineRecordBytes(term.deps.settings), form);
     return makeWrite(
       key,
       m.revision,
--- a/src/leader/store.ts
+++ b/src/leader/store.ts
@@ -23,8 +23,6 @@
 
 export interface TermStoreOptions {
   term: Term;
-  /** The name of this controller. */
-  node: string;
   state: StateClient;
   clock: Clock;
   log: Log;
@@ -44,8 +42,8 @@
   private readonly due: DueWrites;
 
   constructor(private readonly options: TermStoreOptions) {
-    const { term, node, clock } = options;
-    this.writes = new RecordWrites(term, node, clock);
+    const { term, clock } = options;
+    this.writes = new RecordWrites(term, clock);
     this.due = new DueWrites(term, this.writes, clock);
   }
 
--- /dev/null
+++ b/src/leader/stored-machine.ts
@@ -0,0 +1,32 @@
+/** What is stored of a machine of a term. */
+
+import type { Settings } from '../config/settings.js';
+import type { MachineRecord } from '../state/machine-record.js';
+import type { Machine } from '../workers/machine.js';
+import type { TermState } from './term-state.js';
+
+/** Images that a machine's record names, at most: those used last. */
+const IMAGES_MAX = 32;
+/** Of the largest value that the state service takes, what a machine's record may fill. */
+const RECORD_SHARE = 0.95;
+
+/** The most that a machine's record may take, in bytes. */
+export const machineRecordBytes = ({ state }: Pick<Settings, 'state'>): number =>
+  Math.floor(state.value_kb * 1024 * RECORD_SHARE);
+
+/** The record as it would be stored now. */
+export function machineRecord({ deps }: TermState, m: Machine): MachineRecord {
+  const token = m.nextToken;
+  return {
+    owner: deps.settings.node,
+    term: deps.token,
+    ...(token > deps.token ? { token } : {}),
+    addr: m.addr,
+    type: m.type,
+    zone: m.zone,
+    spot: m.spot,
+    returning: m.state === 'returning',
+    claims: m.claims().map((a) => ({ job: a.job, index: a.index, attempt: a.number })),
+    images: [...m.images].slice(-IMAGES_MAX).map(([image, i]) => [image, i.gb]),
+  };
+}
--- /dev/null
+++ b/src/state/machine-record.ts
@@ -0,0 +1,163 @@
+/** A machine's record in the store: what may be on it, and who commands it. */
+
+export interface Claim {
+  job: string;
+  index: number;
+  attempt: number;
+}
+
+export interface MachineRecord {
+  /** The controller that owns the machine. Its term is the revision of its leadership. */
+  owner: string;
+  term: number;
+  /** Token that its worker may have been given, where that is above `term`. */
+  token?: number;
+  addr: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+  returning: boolean;
+  claims: Claim[];
+  /** Images that were seen there, the latest last, with their size. */
+  images: [string, number][];
+}
+
+/**
+ * How claims are written.
+ *
+ *   plain  a list of lists, as by all versions
+ *   dense  one word for each attempt of a job, with ranges of its tasks; versions before pipelines take
+ *          such a record for garbage, and the machine for one without claims
+ */
+export type ClaimForm = 'plain' | 'dense';
+
+/** What the dense form can hold: ids without its separators. */
+const PLAIN_WORD = /^[\w.-]+$/;
+/** Radix of attempts in the dense form. */
+const RADIX = 36;
+
+/** Whether all claims can be written in the dense form. */
+const isDenseable = (claims: Claim[]): boolean => claims.every(({ job }) => PLAIN_WORD.test(job));
+
+/**
+ * The stored form of a record, within so many bytes where that can be had: dense where that is allowed and
+ * the plain form is too large, and without the images that were used longest ago. Images are worth
+ * something, claims are never left out.
+ */
+export function encodeMachine(
+  m: MachineRecord,
+  maxBytes = Infinity,
+  allowed: ClaimForm = 'plain',
+): unknown {
+  const whole = encodeAs(m, 'plain');
+  if (bytesOf(whole) <= maxBytes) return whole;
+  const form = allowed === 'dense' && isDenseable(m.claims) ? 'dense' : 'plain';
+  const left = maxBytes - bytesOf(encodeAs({ ...m, images: [] }, form));
+  return encodeAs({ ...m, images: latestWithin(m.images, left) }, form);
+}
+
+/** Bytes of a record without any images. */
+export function bytesWithoutImages(m: MachineRecord, allowed: ClaimForm): number {
+  const form = allowed === 'dense' && isDenseable(m.claims) ? 'dense' : 'plain';
+  return bytesOf(encodeAs({ ...m, images: [] }, form));
+}
+
+const bytesOf = (value: unknown): number => Buffer.byteLength(JSON.stringify(value));
+
+/** The images used last that take no more than so many bytes. */
+function latestWithin(images: [string, number][], bytes: number): [string, number][] {
+  const kept: [string, number][] = [];
+  let left = bytes;
+  for (const image of images.toReversed()) {
+    left -= bytesOf(image) + 1;
+    if (left < 0) break;
+    kept.unshift(image);
+  }
+  return kept;
+}
+
+const encodeAs = (m: MachineRecord, form: ClaimForm): unknown => ({
+  o: m.owner,
+  e: m.term,
+  ...(m.token === undefined ? {} : { k: m.token }),
+  a: m.addr,
+  c: m.type,
+  z: m.zone,
+  f: (m.spot ? 1 : 0) | (m.returning ? 2 : 0),
+  ...(form === 'dense'
+    ? { d: denseClaims(m.claims) }
+    : { t: m.claims.map((c) => [c.job, c.index, c.attempt]) }),
+  i: m.images,
+});
+
+export function decodeMachine(value: unknown): MachineRecord {
+  const o = value as Record<string, unknown>;
+  const f = o.f as number;
+  return {
+    owner: o.o as string,
+    term: o.e as number,
+    ...(typeof o.k === 'number' ? { token: o.k } : {}),
+    addr: o.a as string,
+    type: o.c as string,
+    zone: o.z as string,
+    spot: (f & 1) !== 0,
+    returning: (f & 2) !== 0,
+    claims: decodeClaims(o),
+    images: (o.i as [string, number][] | undefined) ?? [],
+  };
+}
+
+function decodeClaims({ t, d }: Record<string, unknown>): Claim[] {
+  if (typeof d === 'string') return readDense(d);
+  return (t as [string, number, number][]).map(([job, index, attempt]) => ({
+    job,
+    index,
+    attempt,
+  }));
+}
+
+/** `job:attempt:tasks` for each attempt of a job, with a space between; tasks as `0-3,7`. */
+function denseClaims(claims: Claim[]): string {
+  const groups = new Map<string, number[]>();
+  for (const { job, index, attempt } of claims) {
+    const name = `${job}:${attempt.toString(RADIX)}`;
+    const indexes = groups.get(name);
+    if (indexes === undefined) groups.set(name, [index]);
+    else indexes.push(index);
+  }
+  return [...groups].map(([name, indexes]) => `${name}:${ranges(indexes)}`).join(' ');
+}
+
+function ranges(indexes: number[]): string {
+  const parts: string[] = [];
+  const sorted = indexes.toSorted((a, b) => a - b);
+  for (let i = 0; i < sorted.length;) {
+    const first = sorted[i]!;
+    let last = first;
+    for (i++; sorted[i] === last + 1; i++) last++;
+    parts.push(first === last ? `${first}` : `${first}-${last}`);
+  }
+  return parts.join(',');
+}
+
+function readDense(text: string): Claim[] {
+  const claims: Claim[] = [];
+  for (const group of text.split(' ')) {
+    if (group === '') continue;
+    const [job = '', attempt = '', tasks = ''] = group.split(':');
+    for (const part of tasks.split(',')) {
+      const [first = '', last = first] = part.split('-');
+      for (let index = whole(first, 10); index <= whole(last, 10); index++) {
+        claims.push({ job, index, attempt: whole(attempt, RADIX) });
+      }
+    }
+  }
+  return claims;
+}
+
+/** Throws where it is no whole number: the record is garbage then. */
+function whole(text: string, radix: number): number {
+  const n = Number.parseInt(text, radix);
+  if (!Number.isSafeInteger(n)) throw new Error('no number');
+  return n;
+}
--- a/src/state/records.ts
+++ b/src/state/records.ts
@@ -35,6 +35,8 @@
 export const ackKey = (node: string): string => `${ACKS}${node}`;
 export const machineKey = (id: string): string => `${MACHINES}${id}`;
 
+export { decodeMachine, encodeMachine, type Claim, type MachineRecord } from './machine-record.js';
+
 /** An accepted job and the time of day of its acceptance in ms. */
 export interface Accepted {
   spec: JobSpec;
@@ -119,61 +121,6 @@
   return { bits: o.b, attainedS: o.a ?? 0, ...doneMs };
 }
 
-export interface Claim {
-  job: string;
-  index: number;
-  attempt: number;
-}
-
-export interface MachineRecord {
-  /** The controller that owns the machine. Its term is the revision of its leadership. */
-  owner: string;
-  term: number;
-  /** Token that its worker may have been given, where that is above `term`. */
-  token?: number;
-  addr: string;
-  type: string;
-  zone: string;
-  spot: boolean;
-  returning: boolean;
-  claims: Claim[];
-  /** Images that were seen there, the latest last, with their size. */
-  images: [string, number][];
-}
-
-export const encodeMachine = (m: MachineRecord): unknown => ({
-  o: m.owner,
-  e: m.term,
-  ...(m.token === undefined ? {} : { k: m.token }),
-  a: m.addr,
-  c: m.type,
-  z: m.zone,
-  f: (m.spot ? 1 : 0) | (m.returning ? 2 : 0),
-  t: m.claims.map((c) => [c.job, c.index, c.attempt]),
-  i: m.images,
-});
-
-export function decodeMachine(value: unknown): MachineRecord {
-  const o = value as Record<string, unknown>;
-  const f = o.f as number;
-  return {
-    owner: o.o as string,
-    term: o.e as number,
-    ...(typeof o.k === 'number' ? { token: o.k } : {}),
-    addr: o.a as string,
-    type: o.c as string,
-    zone: o.z as string,
-    spot: (f & 1) !== 0,
-    returning: (f & 2) !== 0,
-    claims: (o.t as [string, number, number][]).map(([job, index, attempt]) => ({
-      job,
-      index,
-      attempt,
-    })),
-    images: (o.i as [string, number][] | undefined) ?? [],
-  };
-}
-
 export interface VersionRecord {
   features: string[];
 }
--- a/src/wire/workers.ts
+++ b/src/wire/workers.ts
@@ -153,5 +153,11 @@
 export const encodeElsewhere = (node: string | null): string =>
   node === null ? '{}' : JSON.stringify({ foreman: node });
 
+/** Bytes of a request at most (protocol), and what a report takes for each task. */
+const REQUEST_BYTES = 64 * 1024;
+const REPORTED_TASK_BYTES = 128;
+/** Tasks on a machine, those that have ended among them, that a report has place for. */
+export const MOST_REPORTED_TASKS = Math.floor(REQUEST_BYTES / REPORTED_TASK_BYTES);
+
 /** The most commands in one message, far below a line of 64 KiB. */
 export const MAX_COMMANDS = 400;
