--- a/src/clock.ts
+++ b/src/clock.ts
@@ -45,6 +45,9 @@
 export class Budget {
   private level: number;
   private at: number;
+  /** What the bucket holds where that is not in proportion to the rate. */
+  private burst: number | null = null;
+
   constructor(
     private rate: number,
     private readonly clock: Clock,
@@ -56,21 +59,25 @@
 
   private fill(): void {
     const now = this.clock.now();
-    this.level = Math.min(
-      Math.max(1, this.rate * this.burst_s),
-      this.level + (now - this.at) * this.rate,
-    );
+    this.level = Math.min(this.capacity, this.level + (now - this.at) * this.rate);
     this.at = now;
   }
 
-  setRate(rate: number): void {
+  /** `burst`: what the bucket holds; null: a second's worth, as at first. */
+  setRate(rate: number, burst: number | null = null): void {
     this.fill();
     this.rate = rate;
+    this.burst = burst;
+  }
+
+  /** What comes in a second. */
+  get perSecond(): number {
+    return Math.max(1, this.rate);
   }
 
   /** What is there after a pause. */
   get capacity(): number {
-    return Math.max(1, this.rate * this.burst_s);
+    return Math.max(1, this.burst ?? this.rate * this.burst_s);
   }
 
   /** What is there now. */
--- a/src/state/client.ts
+++ b/src/state/client.ts
@@ -16,6 +16,12 @@
 
 export type Health = 'unknown' | 'served' | 'refused' | 'silent';
 
+/**
+ * Of a second's worth of all writes, what a follower may write at once: users submit the jobs of a pipeline
+ * one after another, and with a follower's share of a second the third one waited for most of another.
+ */
+const FOLLOWER_BURST = 0.3;
+
 /** The state service as this node sees it, within this node's share of the request limits. */
 export class StateClient {
   private readonly http: HttpClient;
@@ -57,7 +63,7 @@
     const { rps, write_rps } = this.settings.state;
     const writes = (role === 'leader' ? 1 - 0.45 * followers : 0.45 / n) * write_rps * 0.9;
     const reads = (role === 'leader' ? 1 - 0.8 * followers : 0.8 / n) * rps * 0.9;
-    this.writes.setRate(writes);
+    this.writes.setRate(writes, role === 'leader' ? null : write_rps * FOLLOWER_BURST);
     this.requests.setRate(reads);
   }
 
--- a/src/state/request-writer.ts
+++ b/src/state/request-writer.ts
@@ -53,7 +53,7 @@
   /** Whether more waits than can be stored within this time: what comes now would wait in vain. */
   full(timeoutS: number): boolean {
     const bytes = this.queue.reduce((n, e) => n + e.size, 0);
-    return bytes > this.budget.capacity * timeoutS * this.state.valueBytes;
+    return bytes > this.budget.perSecond * timeoutS * this.state.valueBytes;
   }
 
   /** Resolves with the job's outcome once it is stored and read back; null: unsure. */
--- a/test/meeting-users.test.ts
+++ b/test/meeting-users.test.ts
@@ -36,7 +36,7 @@
   const client = store.client();
   const follower = new Follower(client, replica, clock, log, () => 0, 0);
   follower.ready = true;
-  const budget = { take: () => true, capacity: 100 } as unknown as Budget;
+  const budget = { take: () => true, perSecond: 100, force: () => undefined } as unknown as Budget;
   const requestWriter = new RequestWriter(name, client, follower, replica, budget, clock, log);
   const mayCancel = (): Promise<number> => Promise.resolve(0);
   const types = (): (typeof g8)[] => [g8];
