Tests: pipelines from the store alone (property-based), users' answers at any controller

A job that another controller has accepted is found before a submission is refused for an upgrade: the test found 503 where the job was known.

--- a/src/api/users.ts
+++ b/src/api/users.ts
@@ -25,6 +25,8 @@
 const UNSURE: Reply = { status: 503, retryAfter: 1 };
 /** An older version serves beside this one: what it does not know is not asked of it. */
 const UPGRADING: Reply = { status: 503, retryAfter: 2 };
+/** It can never run. */
+const invalid = (why: string): Reply => ({ status: 422, body: encodeError(why) });
 const TOO_LARGE = 'larger than what the state service takes of one job';
 
 export interface UsersOptions {
@@ -81,21 +83,23 @@
       spec = parseSubmission(body);
     } catch (e) {
       if (!(e instanceof BadMessage)) throw e;
-      return this.refuse(this.idOf(body), 400, e.message);
+      const reply = { status: 400, body: encodeError(e.message) };
+      return this.refuse(this.idOf(body), reply, e.message);
     }
     const known = this.replica.jobs.get(spec.id);
     if (known !== undefined) return this.current(spec.id);
     const types = this.types();
     if (!this.follower.ready || types === null || this.requestWriter.full(SUBMIT_S)) return UNSURE;
     const never = neverRuns(spec, this.settings.teams, types);
-    if (never !== null) return this.refuse(spec.id, 422, never);
+    if (never !== null) return this.refuse(spec.id, invalid(never), never);
     const accepted = { spec, atMs: Math.round(this.options.wallMs()) };
-    if (!this.requestWriter.fits(accepted)) return this.refuse(spec.id, 422, TOO_LARGE);
+    if (!this.requestWriter.fits(accepted))
+      return this.refuse(spec.id, invalid(TOO_LARGE), TOO_LARGE);
     if (spec.awaits.length > 0) {
-      if (this.options.pipelinesUnknown()) return UPGRADING;
+      if (this.options.pipelinesUnknown()) return this.refuse(spec.id, UPGRADING, 'upgrading');
       const obstacle = await this.cannotAwait(spec);
       if (obstacle === 'unsure') return UNSURE;
-      if (obstacle !== null) return this.refuse(spec.id, 422, obstacle.reason);
+      if (obstacle !== null) return this.refuse(spec.id, invalid(obstacle.reason), obstacle.reason);
     }
     const o = await this.requestWriter.accept(accepted, SUBMIT_S);
     const facts = this.replica.jobs.get(spec.id);
@@ -129,13 +133,13 @@
   }
 
   /** An accepted job is never refused later, whatever its repetition looks like. */
-  private async refuse(id: string | null, status: number, why: string): Promise<Reply> {
+  private async refuse(id: string | null, reply: Reply, why: string): Promise<Reply> {
     if (id !== null) {
       if (!(await this.follower.sync())) return UNSURE;
       if (this.replica.jobs.has(id)) return this.current(id);
     }
     this.options.log.debug({ id, why }, 'submission refused');
-    return { status, body: encodeError(why) };
+    return reply;
   }
 
   private async current(id: string): Promise<Reply> {
--- a/test/meeting-helpers.ts
+++ b/test/meeting-helpers.ts
@@ -105,6 +105,10 @@
     return this.ledger;
   }
 
+  keys(): string[] {
+    return [...this.items.keys()];
+  }
+
   value(key: string): unknown {
     return this.items.get(key)?.value;
   }
--- a/test/meeting-users.test.ts
+++ b/test/meeting-users.test.ts
@@ -1,59 +1,10 @@
 /** Meetings of users' requests with one another and with a state service that answers late or not. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { silentLog } from '../src/log.js';
-import { Users } from '../src/api/users.js';
-import { Follower } from '../src/state/follow.js';
-import { RequestWriter } from '../src/state/request-writer.js';
 import * as records from '../src/state/records.js';
 import { outcome } from '../src/state/job-facts.js';
-import type { Replica } from '../src/state/replica.js';
-import type { Budget } from '../src/clock.js';
-import { g8, settings } from './helpers.js';
 import { MemoryStore } from './meeting-helpers.js';
-
-const JOB = 'wk-000412';
-const VALID = {
-  ref: JOB, guild: 'train', crew: 't', form: 'batch', rank: 'high', pieces: 2, cores: 1.0,
-  gpus: 1.0, mem_gb: 6.0, mould: 'i', image_gb: 6.2, castings: ['g8'], yard: null, one_zone: true,
-  scatter: false, loaner: true, reckon_s: 240.0, stamp_s: 30.0, stamping_s: 4.0, due_s: 900.0,
-}; // prettier-ignore
-
-const body = (change: Record<string, unknown> = {}): Buffer =>
-  Buffer.from(JSON.stringify({ ...VALID, ...change }));
-
-interface Controller {
-  users: Users;
-  follower: Follower;
-  replica: Replica;
-}
-
-/** A controller's side for users; it knows of the store what it reads when it has to. */
-function controller(store: MemoryStore, name: string): Controller {
-  const clock = { now: () => 0 };
-  const log = silentLog();
-  const replica = store.listed();
-  const client = store.client();
-  const follower = new Follower(client, replica, clock, log, () => 0, 0);
-  follower.ready = true;
-  const budget = { take: () => true, perSecond: 100, force: () => undefined } as unknown as Budget;
-  const requestWriter = new RequestWriter(name, client, follower, replica, budget, clock, log);
-  const mayCancel = (): Promise<number> => Promise.resolve(0);
-  const types = (): (typeof g8)[] => [g8];
-  const mayTell = (): Promise<boolean> => Promise.resolve(true);
-  const users = new Users({
-    settings: settings(), follower, replica, requestWriter, types, mayCancel,
-    mayTellCancelled: mayTell, pipelinesUnknown: () => false, wallMs: () => 1000, log,
-  }); // prettier-ignore
-  return { users, follower, replica };
-}
-
-/** What a user is told: the status, and the state of the job. */
-async function told(reply: Promise<{ status: number; body?: unknown }>): Promise<string> {
-  const { status, body: text } = await reply;
-  const { temper = '' } = JSON.parse(String(text ?? '{}')) as { temper?: string };
-  return `${status} ${temper}`.trim();
-}
+import { body, JOB, told, VALID, usersSide, type UsersSide } from './users-helpers.js';
 
 const finish = (store: MemoryStore): number =>
   store.put(records.progressKey(JOB, 0), records.encodeProgress({ bits: null, attainedS: 1 }));
@@ -68,8 +19,8 @@
   ];
   for (const [name, want] of cases) {
     const store = new MemoryStore();
-    const all = ['a', 'b', 'c'].map((n) => controller(store, n));
-    const [a, b] = all as [Controller, Controller, Controller];
+    const all = ['a', 'b', 'c'].map((n) => usersSide(store, n));
+    const [a, b] = all as [UsersSide, UsersSide, UsersSide];
     assert.equal(await told(b.users.poll(JOB)), '404');
     // All three are asked at once; whoever is slower repeats it.
     const accepted = await Promise.all(all.map((c) => told(c.users.submit(body()))));
@@ -96,7 +47,7 @@
 
 test('a question waits for a read that began after it, not for one that is under way', async () => {
   const store = new MemoryStore();
-  const a = controller(store, 'a');
+  const a = usersSide(store, 'a');
   const changes = store.changes.bind(store);
   const answers: (() => void)[] = [];
   store.changes = async (prefix, after) => {
@@ -121,7 +72,7 @@
 test('a submission or cancellation whose answer is lost, or that comes late, counts once', async () => {
   for (const mode of ['lose answers', 'hold back', 'refuse'] as const) {
     const store = new MemoryStore();
-    const [a, b] = [controller(store, 'a'), controller(store, 'b')];
+    const [a, b] = [usersSide(store, 'a'), usersSide(store, 'b')];
     store.mode = mode;
     assert.equal(await told(a.users.submit(body())), '503', mode);
     assert.equal(store.ledger, mode === 'lose answers' ? 1 : 0, 'stored once');
@@ -137,7 +88,7 @@
     store.deliver();
     finish(store);
     store.feed(b.replica);
-    for (const c of [a, b, controller(store, 'c')]) {
+    for (const c of [a, b, usersSide(store, 'c')]) {
       assert.equal(await told(c.users.poll(JOB)), '200 cancelled', mode);
       assert.equal(outcome(c.replica.jobs.get(JOB)!), 'cancelled', mode);
     }
@@ -147,7 +98,7 @@
 
 test('while the state service refuses, nothing is told but what never changes any more', async () => {
   const store = new MemoryStore();
-  const a = controller(store, 'a');
+  const a = usersSide(store, 'a');
   await a.users.submit(body());
   await a.users.submit(body({ ref: 'wk-2' }));
   await a.users.cancel('wk-2');
@@ -173,7 +124,7 @@
   ];
   for (const [name, change] of defects) {
     const store = new MemoryStore();
-    const [a, b] = [controller(store, 'a'), controller(store, 'b')];
+    const [a, b] = [usersSide(store, 'a'), usersSide(store, 'b')];
     await a.users.submit(body());
     assert.match(await told(b.users.submit(body(change))), /^20[01] queued$/, name);
     assert.equal(b.replica.jobs.get(JOB)!.spec.tasks, 2, name);
@@ -185,7 +136,7 @@
 test('a submission that lacks a field, or can never run, is refused and leaves nothing behind', async () => {
   const nullable = ['castings', 'yard', 'due_s'];
   const store = new MemoryStore();
-  const a = controller(store, 'a');
+  const a = usersSide(store, 'a');
   for (const field of Object.keys(VALID)) {
     const ref = { ref: 'wk-7' };
     const without = body({ ...ref, [field]: undefined });
--- /dev/null
+++ b/test/pipelines.test.ts
@@ -0,0 +1,266 @@
+/** Jobs that need other jobs: the same facts by whatever way the store's changes come. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { Outlooks } from '../src/pipelines/outlook.js';
+import { outcome, type JobFacts } from '../src/state/job-facts.js';
+import * as records from '../src/state/records.js';
+import { Replica } from '../src/state/replica.js';
+import type { Change } from '../src/wire/state.js';
+import { spec } from './helpers.js';
+
+type Put = Extract<Change, { kind: 'put' }>;
+
+const idOf = (i: number): string => `wk-${i}`;
+const through = (value: unknown): unknown => JSON.parse(JSON.stringify(value));
+
+/** What happens to one of the jobs, in the order of the store. */
+type Step =
+  | { what: 'accept'; job: number; awaits: number[] }
+  | { what: 'cancel'; job: number }
+  | { what: 'done'; job: number };
+
+/** What should hold of a job; a plain and slow way to say it. */
+interface Expected {
+  acceptedAt: number;
+  cancelledAt: number;
+  doneAt: number;
+  awaits: number[];
+}
+
+class Reference {
+  readonly jobs = new Map<number, Expected>();
+
+  cancelledAt(job: number): number {
+    const { acceptedAt, cancelledAt, awaits } = this.jobs.get(job)!;
+    const needed = awaits.filter((id) => this.outcome(id) === 'cancelled');
+    return Math.min(cancelledAt, ...needed.map((id) => Math.max(this.cancelledAt(id), acceptedAt)));
+  }
+
+  outcome(job: number): string {
+    const { doneAt } = this.jobs.get(job)!;
+    const cancelledAt = this.cancelledAt(job);
+    if (cancelledAt < doneAt) return 'cancelled';
+    return doneAt < Infinity ? 'done' : 'open';
+  }
+
+  readyAt(job: number): number | null {
+    const { acceptedAt, awaits } = this.jobs.get(job)!;
+    if (!awaits.every((id) => this.outcome(id) === 'done')) return null;
+    const ready = Math.max(acceptedAt, ...awaits.map((id) => this.jobs.get(id)!.doneAt));
+    return this.cancelledAt(job) < ready ? null : ready;
+  }
+}
+
+/** Applies steps that are possible; returns the changes of the store and what should follow. */
+function play(steps: Step[]): { changes: Put[]; reference: Reference } {
+  const reference = new Reference();
+  const changes: Put[] = [];
+  const put = (key: string, value: unknown): void => {
+    changes.push({ kind: 'put', key, value: through(value), revision: changes.length + 1 });
+  };
+  for (const step of steps) {
+    const known = reference.jobs.get(step.job);
+    const now = changes.length + 1;
+    if (step.what === 'accept') {
+      const awaits = step.awaits.filter((id) => reference.jobs.has(id) && id !== step.job);
+      const accepted = { spec: spec({ id: idOf(step.job), awaits: awaits.map(idOf) }), atMs: now };
+      const prefix = awaits.length > 0 ? records.DEPENDENT_JOBS : records.JOBS;
+      // Names of writers come in no order: a listing may show the later of two acceptances first.
+      const key = `${prefix}${(now * 7) % 10}-${now}`;
+      // Accepted once more, as by two controllers at the same time: the same job, the older counts.
+      const first = known === undefined;
+      if (first) {
+        const never = Infinity;
+        const job = { acceptedAt: now, cancelledAt: never, doneAt: never, awaits };
+        reference.jobs.set(step.job, job);
+        put(key, records.encodeSubmissions({ jobs: [accepted], cancels: [] }));
+      } else {
+        const again = {
+          spec: spec({ id: idOf(step.job), awaits: known.awaits.map(idOf) }),
+          atMs: now,
+        };
+        put(key, records.encodeSubmissions({ jobs: [again], cancels: [] }));
+      }
+    } else if (known === undefined) continue;
+    else if (step.what === 'cancel') {
+      known.cancelledAt = Math.min(known.cancelledAt, now);
+      put(`${records.JOBS}c-${now}`, { s: [], c: [idOf(step.job)] });
+    } else if (reference.readyAt(step.job) !== null && known.doneAt === Infinity) {
+      known.doneAt = now;
+      const value = records.encodeProgress({ bits: null, attainedS: 1, doneMs: now });
+      put(records.progressKey(idOf(step.job), 0), value);
+    }
+  }
+  return { changes, reference };
+}
+
+const JOBS = 12;
+const job = fc.nat(JOBS - 1);
+const steps = fc.array(
+  fc.oneof(
+    { weight: 4, arbitrary: fc.record({ what: fc.constant('accept' as const), job, awaits: fc.uniqueArray(job, { maxLength: 4 }) }) },
+    { weight: 1, arbitrary: fc.record({ what: fc.constant('cancel' as const), job }) },
+    { weight: 4, arbitrary: fc.record({ what: fc.constant('done' as const), job }) },
+  ),
+  { maxLength: 60 },
+); // prettier-ignore
+
+/** A replica with what it has told of each job. */
+function replica(): { replica: Replica; ready: string[]; cancelled: Set<string> } {
+  const made = { replica: new Replica(8192), ready: [] as string[], cancelled: new Set<string>() };
+  made.replica.listener = {
+    onReady: (facts) => made.ready.push(facts.spec.id),
+    onCancelled: (facts) => made.cancelled.add(facts.spec.id),
+  };
+  return made;
+}
+
+function streamed(changes: Put[]): ReturnType<typeof replica> {
+  const made = replica();
+  for (const change of changes) made.replica.advance(change.revision, [change]);
+  return made;
+}
+
+/** Lists what is there after `listedUpTo` changes, in the order of keys, and follows the rest. */
+function listed(changes: Put[], listedUpTo: number): ReturnType<typeof replica> {
+  const made = replica();
+  const latest = new Map<string, Put>();
+  for (const change of changes.slice(0, listedUpTo)) latest.set(change.key, change);
+  for (const key of [...latest.keys()].sort()) made.replica.item(latest.get(key)!);
+  made.replica.applied = listedUpTo;
+  made.replica.listed();
+  for (const change of changes.slice(listedUpTo)) made.replica.advance(change.revision, [change]);
+  return made;
+}
+
+function shown(facts: JobFacts): object {
+  const { acceptedAt, cancelledAt, cancelledWithNeeded, readyAt, readyMs } = facts;
+  const cancelled = outcome(facts) === 'cancelled' ? { cancelledAt, cancelledWithNeeded } : {};
+  return { outcome: outcome(facts), acceptedAt, readyAt, readyMs, ...cancelled };
+}
+
+test('waiting, ready and cancelled follow from the store alone, listed or streamed, and as expected', () => {
+  fc.assert(
+    fc.property(steps, fc.nat(60), (history, cut) => {
+      const { changes, reference } = play(history);
+      const live = streamed(changes);
+      for (const made of [live, listed(changes, changes.length), listed(changes, Math.min(cut, changes.length))]) {
+        for (const [number, expected] of reference.jobs) {
+          const facts = made.replica.jobs.get(idOf(number))!;
+          assert.equal(outcome(facts), reference.outcome(number));
+          assert.equal(facts.readyAt, reference.readyAt(number));
+          assert.equal(facts.acceptedAt, expected.acceptedAt);
+          if (reference.outcome(number) === 'cancelled') {
+            assert.equal(facts.cancelledAt, reference.cancelledAt(number));
+          }
+          assert.deepEqual(shown(facts), shown(live.replica.jobs.get(idOf(number))!));
+        }
+      }
+    }),
+    { numRuns: 500 },
+  ); // prettier-ignore
+});
+
+test('each job is told as ready once, never before its time, and never when it was cancelled first', () => {
+  fc.assert(
+    fc.property(steps, (history) => {
+      const { changes, reference } = play(history);
+      const { ready, cancelled, replica: copy } = streamed(changes);
+      const wanted = [...reference.jobs.keys()].filter((id) => reference.readyAt(id) !== null);
+      assert.deepEqual([...ready].sort(), wanted.map(idOf).sort());
+      for (const facts of copy.jobs.values()) {
+        if (outcome(facts) === 'cancelled') assert.ok(cancelled.has(facts.spec.id));
+      }
+    }),
+    { numRuns: 300 },
+  );
+});
+
+const accept = (job: object, revision: number, prefix = records.DEPENDENT_JOBS): Put => ({
+  kind: 'put',
+  key: `${prefix}a-${revision}`,
+  value: through(records.encodeSubmissions({ jobs: [{ spec: spec(job), atMs: 0 }], cancels: [] })),
+  revision,
+});
+const cancel = (id: string, revision: number): Put => ({
+  kind: 'put',
+  key: `${records.JOBS}c-${revision}`,
+  value: { s: [], c: [id] },
+  revision,
+});
+
+test('a chain of thousands and thousands that wait for one are cancelled at once, with one change', () => {
+  const many = 20_000;
+  const shapes: [string, (i: number) => string][] = [
+    ['a chain', (i) => idOf(i - 1)],
+    ['all wait for one', () => idOf(0)],
+  ];
+  for (const [name, needs] of shapes) {
+    const changes = [accept({ id: idOf(0) }, 1, records.JOBS)];
+    for (let i = 1; i <= many; i++)
+      changes.push(accept({ id: idOf(i), awaits: [needs(i)] }, i + 1));
+    const { replica: copy, cancelled } = streamed(changes);
+    const outlooks = new Outlooks(copy.dependencies);
+    assert.equal(outlooks.of(copy.jobs.get(idOf(0))!).depth, name === 'a chain' ? many : 1, name);
+    copy.advance(many + 2, [cancel(idOf(0), many + 2)]);
+    assert.equal(cancelled.size, many + 1, name);
+    assert.ok(
+      [...copy.jobs.values()].every((facts) => outcome(facts) === 'cancelled'),
+      name,
+    );
+    const again = listed([...changes, cancel(idOf(0), many + 2)], many + 2);
+    assert.ok(
+      [...again.replica.jobs.values()].every((f) => outcome(f) === 'cancelled'),
+      name,
+    );
+  }
+});
+
+test('what comes after a job: priority, work, the longest path, and by when it has to be done', () => {
+  const { replica: copy } = streamed([
+    accept({ id: 'wk-1', priority: 3, estimateS: 15, tasks: 4 }, 1, records.JOBS),
+    accept({ id: 'wk-2', priority: 3, estimateS: 25, tasks: 10, awaits: ['wk-1'] }, 2),
+    accept({ id: 'wk-3', priority: 2, estimateS: 20, tasks: 3, kind: 'gang', awaits: ['wk-1'] }, 3),
+    accept({ id: 'wk-4', priority: 1, estimateS: 8, tasks: 3, deadlineS: 100, awaits: ['wk-2', 'wk-3'] }, 4),
+  ]); // prettier-ignore
+  const outlooks = new Outlooks(copy.dependencies);
+  const of = (id: string): object => outlooks.of(copy.jobs.get(id)!);
+  assert.deepEqual(of('wk-1'), {
+    priority: 1, criticalS: 33, depth: 2, latestEndMs: 67_000,
+    successors: [{ workS: 250, depth: 1 }, { workS: 20, depth: 1 }],
+  }); // prettier-ignore
+  assert.deepEqual(of('wk-2'), {
+    priority: 1, criticalS: 8, depth: 1, latestEndMs: 92_000, successors: [{ workS: 24, depth: 0 }],
+  }); // prettier-ignore
+  // The last job is named late, or cancelled: what is before it is seen anew.
+  copy.advance(5, [accept({ id: 'wk-5', priority: 0, estimateS: 1, awaits: ['wk-3'] }, 5)]);
+  assert.equal(outlooks.of(copy.jobs.get('wk-1')!).priority, 0);
+  copy.advance(6, [cancel('wk-5', 6)]);
+  assert.equal(outlooks.of(copy.jobs.get('wk-1')!).priority, 1);
+  copy.advance(7, [cancel('wk-4', 7)]);
+  assert.equal(outlooks.of(copy.jobs.get('wk-1')!).priority, 2);
+});
+
+test('jobs that are over long ago and have left memory still count for those that name them', () => {
+  const progress = (id: string, revision: number): Put => ({
+    kind: 'put',
+    key: records.progressKey(id, 0),
+    value: through(records.encodeProgress({ bits: null, attainedS: 1 })),
+    revision,
+  });
+  const { replica: copy, ready } = streamed([
+    accept({ id: 'wk-1' }, 1, records.JOBS),
+    accept({ id: 'wk-2' }, 2, records.JOBS),
+    accept({ id: 'wk-3', kind: 'service' }, 3, records.JOBS),
+    progress('wk-1', 4),
+    cancel('wk-2', 5),
+    cancel('wk-3', 6),
+  ]);
+  copy.trim(1);
+  copy.advance(8, [accept({ id: 'wk-4', awaits: ['wk-1'] }, 7), accept({ id: 'wk-5', awaits: ['wk-1', 'wk-2'] }, 8)]); // prettier-ignore
+  assert.equal(ready.at(-1), 'wk-4');
+  assert.equal(outcome(copy.jobs.get('wk-5')!), 'cancelled');
+  assert.equal(copy.jobs.get('wk-5')!.readyAt, null);
+  assert.equal(copy.jobs.get('wk-3')!.spec.kind, 'service', 'a service is known as one for ever');
+});
--- /dev/null
+++ b/test/users-helpers.ts
@@ -0,0 +1,63 @@
+/** A controller's side for users over a state service in memory. */
+import type { Budget } from '../src/clock.js';
+import { Users, type UsersOptions } from '../src/api/users.js';
+import { silentLog } from '../src/log.js';
+import { Follower } from '../src/state/follow.js';
+import type { Replica } from '../src/state/replica.js';
+import { RequestWriter } from '../src/state/request-writer.js';
+import { g8, settings } from './helpers.js';
+import type { MemoryStore } from './meeting-helpers.js';
+
+export const JOB = 'wk-000412';
+export const VALID = {
+  ref: JOB, guild: 'train', crew: 't', form: 'batch', rank: 'high', pieces: 2, cores: 1.0,
+  gpus: 1.0, mem_gb: 6.0, mould: 'i', image_gb: 6.2, castings: ['g8'], yard: null, one_zone: true,
+  scatter: false, loaner: true, reckon_s: 240.0, stamp_s: 30.0, stamping_s: 4.0, due_s: 900.0,
+}; // prettier-ignore
+
+export const body = (change: Record<string, unknown> = {}): Buffer =>
+  Buffer.from(JSON.stringify({ ...VALID, ...change }));
+
+export interface UsersSide {
+  users: Users;
+  follower: Follower;
+  replica: Replica;
+}
+
+/** It knows of the store what it reads when it has to. */
+export function usersSide(
+  store: MemoryStore,
+  name: string,
+  over: Partial<UsersOptions> = {},
+): UsersSide {
+  const clock = { now: () => 0 };
+  const log = silentLog();
+  const replica = store.listed();
+  const client = store.client();
+  const follower = new Follower(client, replica, clock, log, () => 0, 0);
+  follower.ready = true;
+  const force = (): void => undefined;
+  const budget = { take: () => true, perSecond: 100, force } as unknown as Budget;
+  const requestWriter = new RequestWriter(name, client, follower, replica, budget, clock, log);
+  const users = new Users({
+    settings: settings(),
+    follower,
+    replica,
+    requestWriter,
+    types: () => [g8],
+    mayCancel: () => Promise.resolve(0),
+    mayTellCancelled: () => Promise.resolve(true),
+    pipelinesUnknown: () => false,
+    wallMs: () => 1000,
+    log,
+    ...over,
+  });
+  return { users, follower, replica };
+}
+
+/** What a user is told: the status, and the state of the job. */
+export async function told(reply: Promise<{ status: number; body?: unknown }>): Promise<string> {
+  const { status, body: text } = await reply;
+  const { temper = '' } = JSON.parse(String(text ?? '{}')) as { temper?: string };
+  return `${status} ${temper}`.trim();
+}
