--- /dev/null
+++ b/test/cluster-pipelines.test.ts
@@ -0,0 +1,125 @@
+/** Pipelines in a whole cluster, with troubles between their jobs. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import * as records from '../src/state/records.js';
+import { until, wait } from './helpers.js';
+import { playAll, type Cluster, type Row } from './standins/cluster.js';
+
+const LEASE = 2;
+/** Longer than the troubles. */
+const TASK_S = 0.5;
+const LONG_S = 60;
+
+const FIRST = 'wk-000101';
+const SECOND = 'wk-000102';
+const GANG = 'wk-000103';
+const LAST = 'wk-000104';
+/** In the order of submission, with what each needs. */
+const STAGES: [ref: string, over: object][] = [
+  [FIRST, { pieces: 3, rank: 'best_effort' }],
+  [SECOND, { pieces: 5, rank: 'best_effort', awaits: [FIRST] }],
+  [GANG, { pieces: 2, form: 'group', awaits: [FIRST] }],
+  [LAST, { pieces: 2, rank: 'high', due_s: 60, awaits: [SECOND, GANG] }],
+];
+
+/** The controllers that are there. */
+const present = ({ indexes, controllers }: Cluster): number[] =>
+  indexes.filter((at) => controllers[at] !== null);
+
+/** Each job at another controller, as a balancer would. */
+async function submitAll(cluster: Cluster, long: string[] = []): Promise<void> {
+  const at = present(cluster);
+  for (const [i, [ref, over]] of STAGES.entries()) {
+    const runS = long.includes(ref) ? LONG_S : TASK_S;
+    await cluster.users.submit(at[i % at.length]!, ref, over, runS);
+  }
+}
+
+async function allSee(cluster: Cluster, ref: string, state: string): Promise<void> {
+  for (const at of present(cluster)) await cluster.users.sees(at, ref, state);
+}
+
+interface Trouble extends Row {
+  /** What happens once the first job runs. */
+  during?: (cluster: Cluster) => Promise<void>;
+  /** What happens once it is done. */
+  between?: (cluster: Cluster) => Promise<void>;
+}
+
+const endLeader = async (cluster: Cluster): Promise<void> => void (await cluster.endLeader());
+
+async function outage(cluster: Cluster): Promise<void> {
+  cluster.state.down = true;
+  await wait(LEASE * 600);
+  cluster.state.down = false;
+}
+
+async function loseAnswers({ state }: Cluster): Promise<void> {
+  state.disturb(records.PROGRESS, { how: 'answer_lost' }, 4);
+  state.disturb(records.MACHINES, { how: 'doubled', afterS: 0.3 }, 4);
+  return Promise.resolve();
+}
+
+async function lowerLimits({ state }: Cluster): Promise<void> {
+  state.limits = { valueBytes: 2048, operations: 4 };
+  return Promise.resolve();
+}
+
+test('the jobs of a pipeline run one after another, whatever happens between them', async () => {
+  const rows: Trouble[] = [
+    { name: 'nothing' },
+    { name: 'the leader ends while the first job runs', during: endLeader },
+    { name: 'the leader ends when it is done', between: endLeader },
+    { name: 'an outage while the first job runs', during: outage },
+    { name: 'an outage when it is done', between: outage },
+    { name: 'answers of the state service are lost', during: loseAnswers, between: loseAnswers },
+    { name: 'limits are lowered, then the leader ends', during: lowerLimits, between: endLeader },
+  ];
+  const nextLimits = 'value_kb = 2.0\ntxn_ops = 4\nwrite_rps = 150.0';
+  await playAll(rows, { leaseS: LEASE, nextLimits }, async (cluster, { during, between }) => {
+    await submitAll(cluster);
+    await until('the first job runs', () => cluster.tasks(FIRST).length > 0);
+    await during?.(cluster);
+    await until('it is done', () => cluster.rules.jobs.get(FIRST)!.completed.size === 3);
+    await between?.(cluster);
+    for (const [ref] of STAGES) await allSee(cluster, ref, 'done');
+    assert.equal(cluster.state.tooLarge, 0, 'nothing is refused for its size');
+  });
+});
+
+interface Called extends Row {
+  job: string;
+  /** Jobs that run for long, so that the cancellation meets them. */
+  long: string[];
+  /** What happens beside the cancellation. */
+  beside?: (cluster: Cluster) => Promise<void>;
+  cancelled: string[];
+  done: string[];
+}
+
+test('a cancellation in the middle of a pipeline reaches all that need the job, and nothing else', async () => {
+  const rest = [SECOND, GANG, LAST];
+  const rows: Called[] = [
+    { name: 'the first job', job: FIRST, long: [FIRST], cancelled: [FIRST, ...rest], done: [] },
+    { name: 'a job of two in the middle', job: SECOND, long: [SECOND], cancelled: [SECOND, LAST], done: [FIRST, GANG] },
+    { name: 'the last, while it waits', job: LAST, long: [SECOND, GANG], cancelled: [LAST], done: [FIRST] },
+    { name: 'the leader ends beside it', job: FIRST, long: [FIRST], beside: endLeader, cancelled: [FIRST, ...rest], done: [] },
+    { name: 'an outage beside it', job: SECOND, long: [SECOND], beside: outage, cancelled: [SECOND, LAST], done: [FIRST, GANG] },
+  ]; // prettier-ignore
+  await playAll(rows, { leaseS: LEASE }, async (cluster, row) => {
+    await submitAll(cluster, row.long);
+    await until('it runs', () => cluster.tasks(row.long[0]!).length > 0);
+    const beside = row.beside?.(cluster);
+    const at = present(cluster).find((index) => index !== cluster.leader()) ?? 0;
+    await cluster.users.cancel(at, row.job);
+    await beside;
+    for (const ref of row.cancelled) await allSee(cluster, ref, 'cancelled');
+    for (const ref of row.done) await allSee(cluster, ref, 'done');
+    for (const ref of row.cancelled) await cluster.gone(ref);
+    // One that is submitted afterwards is cancelled with them.
+    const late = 'wk-000105';
+    await cluster.users.submit(at, late, { awaits: [row.cancelled.at(-1)!] });
+    await allSee(cluster, late, 'cancelled');
+    assert.equal(cluster.rules.starts.get(`${late}/0`), undefined);
+  });
+});
--- a/test/helpers.ts
+++ b/test/helpers.ts
@@ -21,6 +21,8 @@
   leaseS = 2,
   zones = ports.map(() => 'z1'),
   cancelS = 6,
+  /** Limits of the state service that come later, TOML. */
+  nextLimits = '',
 ): string {
   const seeds = ports
     .map((p, i) => [p, i] as const)
@@ -61,6 +63,7 @@
 write_rps = 200.0
 value_kb = 8.0
 txn_ops = 8
+${nextLimits === '' ? '' : `[settings.state.next]\n${nextLimits}`}
 [settings.cloud]
 rps = 50.0
 list_lag_s = 0.5
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -32,6 +32,15 @@
     this.rules.answered(question, ref, this.rules.told(ref), status, state);
   }
 
+  /** A job that this one needs; cancelled so long ago, or not. */
+  needed(cancelledAgoMs?: number): void {
+    const cancelledAt = cancelledAgoMs === undefined ? null : Date.now() - cancelledAgoMs;
+    this.rules.jobs.set('wk-0', {
+      submission: submission('wk-0'), runS: 1, accepted: true, final: null,
+      cancelAsked: cancelledAt !== null, cancelledAt, completed: new Set(),
+    }); // prettier-ignore
+  }
+
   cancelled(agoMs = 0): void {
     this.rules.jobs.get('wk-1')!.cancelAsked = true;
     this.answer('cancel', 200, 'cancelled');
@@ -61,6 +70,11 @@
     ['cancelled by nobody', {}, (s) => s.answer('poll', 200, 'cancelled'), 'went_back'],
     ['cancelled, then running', {}, (s) => (s.cancelled(), s.answer('poll', 200, 'running')), 'went_back'],
     ['cancelled, then done', {}, (s) => (s.cancelled(), s.rules.completed('wk-1/0'), s.answer('poll', 200, 'done')), 'went_back'],
+    ['before what it needs', { awaits: ['wk-0'] }, (s) => (s.needed(), s.start(0)), 'too_early'],
+    ['after what it needs', { awaits: ['wk-0'] }, (s) => (s.needed(), s.rules.completed('wk-0/0'), s.start(0)), null],
+    ['cancelled with what it needs', { awaits: ['wk-0'] }, (s) => (s.needed(1000), s.answer('poll', 200, 'cancelled')), null],
+    ['queued long after what it needs was cancelled', { awaits: ['wk-0'] }, (s) => (s.needed(1000), s.answer('poll', 200, 'queued')), 'orphaned'],
+    ['queued right after that', { awaits: ['wk-0'] }, (s) => (s.needed(0), s.answer('poll', 200, 'queued')), null],
     ['accepted, over the limit', { form: 'group', pieces: 4 }, (s) => ((s.rules.jobs.get('wk-1')!.accepted = false), s.answer('submit', 201, 'queued')), 'cannot_run'],
   ]; // prettier-ignore
   const scenes = cases.map(([name, over, play, rule]) => {
