--- /dev/null
+++ b/scripts/production-build.ts
@@ -0,0 +1,35 @@
+import { execFileSync } from 'node:child_process';
+import { existsSync, mkdirSync, readFileSync, rmSync, symlinkSync, writeFileSync } from 'node:fs';
+import { join, resolve } from 'node:path';
+import { parse } from 'smol-toml';
+
+/** Where the builds of earlier versions are kept, below the project. */
+const BUILDS = 'target/production';
+/** Written into a build's folder once it is whole. */
+const COMPLETE = 'complete';
+
+/** The commit of the version in production, by the deploy file. */
+export function productionCommit(): string {
+  const deploy = parse(readFileSync('deploy/service.toml', 'utf8'));
+  if (typeof deploy.production !== 'string') throw new Error('deploy/service.toml: no production');
+  return deploy.production;
+}
+
+/**
+ * Builds the version in production from the repository's history, with the libraries that are installed
+ * here, unless that was done before. Returns its folder, with the program below `target/`.
+ */
+export function buildProduction(): string {
+  const commit = productionCommit();
+  const dir = resolve(BUILDS, commit);
+  if (existsSync(join(dir, COMPLETE))) return dir;
+  rmSync(dir, { recursive: true, force: true });
+  mkdirSync(dir, { recursive: true });
+  const sources = ['package.json', 'tsconfig.json', 'src', 'scripts', 'deploy'];
+  const archive = execFileSync('git', ['archive', commit, ...sources], { maxBuffer: 2 ** 28 });
+  execFileSync('tar', ['-x', '-C', dir], { input: archive });
+  symlinkSync(resolve('node_modules'), join(dir, 'node_modules'));
+  execFileSync('npm', ['run', '--silent', 'build'], { cwd: dir, stdio: 'inherit' });
+  writeFileSync(join(dir, COMPLETE), '');
+  return dir;
+}
--- /dev/null
+++ b/scripts/production-fixtures.ts
@@ -0,0 +1,48 @@
+import { mkdirSync, writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { pathToFileURL } from 'node:url';
+import type * as Messages from '../src/peers/messages.js';
+import type * as Records from '../src/state/records.js';
+import { buildProduction, productionCommit } from './production-build.js';
+
+/**
+ * Writes test/fixtures/production.json: records and frames as the version in production makes them, and
+ * what it makes of those of the present version.
+ *
+ *     npm run fixtures
+ */
+
+const TARGET = 'test/fixtures/production.json';
+const JOB = {
+  id: 'wk-000412', class: 'train', team: 'vision', kind: 'gang', priority: 1, tasks: 16, cores: 8,
+  gpus: 1, memGb: 64, image: 'img-07', imageGb: 6.2, types: ['g8'], zone: null, oneZone: true,
+  scatter: false, spot: true, estimateS: 240, checkpointS: 30, saveS: 4, deadlineS: 900,
+} as const; // prettier-ignore
+const MACHINE = {
+  owner: 'n-0', term: 41, token: 43, addr: '10.1.0.232:9000', type: 'g8', zone: 'a', spot: true,
+  returning: false, claims: [{ job: JOB.id, index: 3, attempt: 41 }], images: [['img-07', 6.2]],
+}; // prettier-ignore
+
+const dir = buildProduction();
+const load = async <M>(path: string): Promise<M> =>
+  (await import(pathToFileURL(join(dir, 'target', path)).href)) as M;
+const records = await load<typeof Records>('state/records.js');
+const messages = await load<typeof Messages>('peers/messages.js');
+
+const made = {
+  made_by: 'npm run fixtures',
+  production: productionCommit(),
+  submissions: records.encodeSubmissions({
+    jobs: [{ spec: JOB as unknown as Records.Accepted['spec'], atMs: 1000 }],
+    cancels: ['wk-000398'],
+  }),
+  progress: records.encodeProgress({ bits: null, attainedS: 12.4 }),
+  machine: records.encodeMachine(MACHINE as Records.MachineRecord),
+  leader: records.encodeLeader({ node: 'n-0', incarnation: 'n-0-x/1' }),
+  acknowledgement: records.encodeAck({ token: 41, remainsS: -0.5 }),
+  hello: { v: messages.PROTOCOL_VERSION, from: 'n-0' },
+};
+
+mkdirSync('test/fixtures', { recursive: true });
+writeFileSync(TARGET, `${JSON.stringify(made, null, 2)}\n`);
+process.stdout.write(`${TARGET} written\n`);
