--- a/test/settings.test.ts
+++ b/test/settings.test.ts
@@ -10,6 +10,24 @@
   assert.equal(s.teams.get('t')?.gpusMax, 12);
 });
 
+test('of present and next limits the smaller ones count; progress stays divided as it is stored', () => {
+  const present = { rps: 1000, write_rps: 200, value_kb: 8, txn_ops: 8 };
+  const cases: [string, string, object][] = [
+    ['none', '', {}],
+    ['all', 'rps = 9.0\nwrite_rps = 5.0\nvalue_kb = 2.0\ntxn_ops = 4', { rps: 9, write_rps: 5, value_kb: 2, txn_ops: 4 }],
+    ['some', 'value_kb = 2.0', { value_kb: 2 }],
+    ['larger ones', 'value_kb = 16.0\ntxn_ops = 20', {}],
+  ]; // prettier-ignore
+  for (const [name, next, smaller] of cases) {
+    const s = parseSettings(settingsText(0, undefined, 3, 4, 2, undefined, 6, next));
+    assert.deepEqual(s.state, { ...present, ...smaller }, name);
+    assert.equal(s.progressValueKb, 8, name);
+  }
+});
+
+const withNext = (t: string, next: string): string =>
+  t.replace('[settings.cloud]', `[settings.state.next]\n${next}\n[settings.cloud]`);
+
 const broken: [string, (t: string) => string, RegExp][] = [
   ['not TOML', (t) => t + '\n[[[', /not valid TOML/],
   ['no state address', (t) => t.replace(/^state = .*$/m, ''), /endpoints\.state/],
@@ -22,6 +40,8 @@
   ['a negative lease', (t) => t.replace(/lease_s = .*/, 'lease_s = -1.0'), /lease_s/],
   ['a word for a number', (t) => t.replace(/write_rps = .*/, 'write_rps = "x"'), /write_rps/],
   ['an infinite rate', (t) => t.replace(/write_rps = .*/, 'write_rps = inf'), /write_rps/],
+  ['a next limit of nothing', (t) => withNext(t, 'value_kb = 0.0'), /state\.next\.value_kb/],
+  ['a next limit as a word', (t) => withNext(t, 'txn_ops = "x"'), /state\.next\.txn_ops/],
   ['no zones', (t) => t.replace(/zones = .*/, 'zones = []'), /zones/],
 ];
 
--- /dev/null
+++ b/test/versions.test.ts
@@ -0,0 +1,159 @@
+/** The version in production and this one side by side: records, frames, and who is there. */
+import assert from 'node:assert/strict';
+import { readFileSync } from 'node:fs';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { Versions } from '../src/controller/versions.js';
+import { silentLog } from '../src/log.js';
+import { FEATURES, parseHello, PROTOCOL_VERSION } from '../src/peers/messages.js';
+import * as records from '../src/state/records.js';
+import { bytesWithoutImages } from '../src/state/machine-record.js';
+import { Replica } from '../src/state/replica.js';
+
+/** As the version in production writes them: see its `made_by`. */
+const production = JSON.parse(readFileSync('test/fixtures/production.json', 'utf8')) as Record<
+  'submissions' | 'progress' | 'machine' | 'leader' | 'acknowledgement' | 'hello',
+  unknown
+>;
+
+const through = <T>(value: T): unknown => JSON.parse(JSON.stringify(value));
+
+test('what the version in production writes is read, and written to the letter as it reads it', () => {
+  const cases: [string, unknown, (value: unknown) => unknown][] = [
+    ['submissions', production.submissions, (v) => records.encodeSubmissions(records.decodeSubmissions(v))],
+    ['progress', production.progress, (v) => records.encodeProgress(records.decodeProgress(v))],
+    ['machine', production.machine, (v) => records.encodeMachine(records.decodeMachine(v))],
+    ['machine, dense allowed', production.machine, (v) => records.encodeMachine(records.decodeMachine(v), 2048, 'dense')],
+    ['leader', production.leader, (v) => records.encodeLeader(records.decodeLeader(v))],
+    ['acknowledgement', production.acknowledgement, (v) => records.encodeAck(records.decodeAck(v))],
+  ]; // prettier-ignore
+  for (const [name, value, rewrite] of cases)
+    assert.deepEqual(through(rewrite(value)), value, name);
+  const [job] = records.decodeSubmissions(production.submissions).jobs;
+  assert.deepEqual([job!.spec.id, job!.spec.awaits], ['wk-000412', []]);
+});
+
+test('a hello without features is of an old version, and both versions take the same protocol', () => {
+  const old = parseHello(production.hello);
+  assert.deepEqual([old.from, [...old.features]], ['n-0', []]);
+  const now = { v: PROTOCOL_VERSION, from: 'n-1', features: FEATURES };
+  assert.deepEqual([...parseHello(now).features], [...FEATURES]);
+  assert.equal((production.hello as { v: number }).v, PROTOCOL_VERSION);
+  // Of a later version yet: what it can do beyond this one is no matter.
+  assert.ok(parseHello({ ...now, features: ['pipelines', 'more'] }).features.has('pipelines'));
+  assert.deepEqual([...parseHello({ ...now, features: 7 }).features], []);
+});
+
+const claim = fc.record({
+  job: fc.constantFrom('wk-000001', 'wk-2', 'wk-123456789012345678'),
+  index: fc.nat(100_000),
+  attempt: fc.nat(1_000_000),
+});
+const machine = (claims: records.Claim[], images: [string, number][] = []): records.MachineRecord => ({
+  owner: 'n-0', term: 4, addr: '10.0.0.1:9000', type: 'g8', zone: 'z', spot: true, returning: false,
+  claims, images,
+}); // prettier-ignore
+
+const inOrder = (claims: records.Claim[]): string[] =>
+  claims.map(({ job, index, attempt }) => `${job}/${index}#${attempt}`).sort();
+
+test('the dense form of claims loses nothing', () => {
+  const claims = fc.uniqueArray(claim, { selector: (c) => inOrder([c])[0], maxLength: 200 });
+  fc.assert(
+    fc.property(claims, (all) => {
+      const value = records.encodeMachine(machine(all), 1, 'dense');
+      assert.deepEqual(inOrder(records.decodeMachine(through(value)).claims), inOrder(all));
+    }),
+  );
+});
+
+test('a record is dense only where it must be and may be, and images go before claims do', () => {
+  const claims = (count: number): records.Claim[] =>
+    Array.from({ length: count }, (_, index) => ({
+      job: `wk-${100000 + (index % 8)}`,
+      index,
+      attempt: 123456,
+    }));
+  const images = Array.from({ length: 32 }, (_, i): [string, number] => [`image-${i}`, 34.3]);
+  const cases: [string, number, 'plain' | 'dense', 't' | 'd', boolean][] = [
+    ['small', 4, 'dense', 't', true],
+    ['too large, every controller is new', 64, 'dense', 'd', true],
+    ['too large, an old one is there', 60, 'plain', 't', false],
+    ['a hundred times as many as fit in the plain form', 6000, 'dense', 'd', false],
+  ];
+  for (const [name, count, allowed, form, keepsAll] of cases) {
+    const record = machine(claims(count), images);
+    const value = records.encodeMachine(record, 2048, allowed) as Record<string, unknown>;
+    assert.ok(form in value, name);
+    const read = records.decodeMachine(through(value));
+    assert.deepEqual(inOrder(read.claims), inOrder(record.claims), name);
+    assert.equal(read.images.length === images.length, keepsAll, name);
+    // Those that stay are the ones used last.
+    assert.deepEqual(read.images, images.slice(images.length - read.images.length), name);
+    const least = bytesWithoutImages(record, allowed);
+    assert.ok(JSON.stringify(value).length <= Math.max(2048, least), name);
+  }
+  const foreign = [{ job: 'a b:c', index: 0, attempt: 1 }];
+  assert.ok('t' in (records.encodeMachine(machine(foreign), 1, 'dense') as object), 'an odd name');
+});
+
+const LEASE_S = 2;
+
+interface Present {
+  /** What its record in the store says; null: there is none. */
+  record: string[] | null;
+  /** What its latest hello said; null: none was heard. */
+  hello: string[] | null;
+  /** Seconds since anything was heard of it. */
+  silentS: number;
+  leads?: boolean;
+}
+
+function versions(others: Record<string, Present>): Versions {
+  const replica = new Replica(8192);
+  const put = (key: string, value: unknown): void => {
+    const revision = replica.applied + 1;
+    replica.advance(revision, [{ kind: 'put', key, value: through(value), revision }]);
+  };
+  for (const [node, { record, leads }] of Object.entries(others)) {
+    if (record !== null) put(records.versionKey(node), records.encodeVersion({ features: record }));
+    if (leads === true) put(records.LEADER, records.encodeLeader({ node, incarnation: 'x' }));
+  }
+  return new Versions({
+    node: 'self',
+    others: Object.keys(others),
+    leaseS: LEASE_S,
+    replica,
+    peers: () => ({
+      heardFeatures: (node) => (others[node]!.hello === null ? null : new Set(others[node]!.hello)),
+      silentS: (node) => others[node]!.silentS,
+    }),
+    state: null!,
+    follower: null!,
+    clock: { now: () => 0 },
+    log: silentLog(),
+  });
+}
+
+test('an old version counts as present while it is heard of or leads, and never for good', () => {
+  const NEW: Present = { record: ['pipelines'], hello: ['pipelines'], silentS: 0 };
+  const OLD: Present = { record: null, hello: [], silentS: 0 };
+  const cases: [string, Present, { everyone: boolean; old: boolean }][] = [
+    ['new', NEW, { everyone: true, old: false }],
+    ['new, by its record alone', { ...NEW, hello: null }, { everyone: true, old: false }],
+    ['new, by its hello alone', { ...NEW, record: null }, { everyone: true, old: false }],
+    ['new, ended', { ...NEW, silentS: Infinity }, { everyone: true, old: false }],
+    ['old', OLD, { everyone: false, old: true }],
+    ['old, only its answers were heard', { ...OLD, hello: null }, { everyone: false, old: true }],
+    ['old once more after it was new', { ...NEW, hello: [] }, { everyone: false, old: true }],
+    ['old, silent for long', { ...OLD, silentS: LEASE_S * 4 }, { everyone: false, old: false }],
+    ['old, cut off, and it leads', { ...OLD, silentS: Infinity, leads: true }, { everyone: false, old: true }],
+    ['never heard of', { record: null, hello: null, silentS: Infinity }, { everyone: false, old: false }],
+  ]; // prettier-ignore
+  for (const [name, other, { everyone, old }] of cases) {
+    const seen = versions({ b: NEW, c: other });
+    assert.equal(seen.everyoneKnows('pipelines'), everyone, name);
+    assert.equal(seen.isOldPresent('pipelines'), old, name);
+    assert.equal(seen.knows('c', 'pipelines'), everyone, name);
+  }
+});
