--- /dev/null
+++ b/test/pipeline-leader.test.ts
@@ -0,0 +1,167 @@
+/** A leader and jobs that need other jobs: what waits, what starts, and with which priority. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { World } from './meeting-helpers.js';
+
+const FIRST = 'wk-000001';
+const SECOND = 'wk-000002';
+const THIRD = 'wk-000003';
+const OTHER = 'wk-000009';
+/** One machine of the stand-in has so many. */
+const MACHINE_GPUS = 8;
+
+function world(machines: string[], gpusMax = 100): World {
+  const w = new World(gpusMax);
+  for (const id of machines) w.fleet.add(id);
+  return w;
+}
+
+function finish(w: World, job: string): void {
+  for (const worker of w.fleet.workers.values()) {
+    for (const task of worker.running(job)) worker.end(task, 'done');
+  }
+}
+
+test('a job that waits holds nothing: no limit, no guarantee, no machine, no start', async () => {
+  const w = world(['a'], MACHINE_GPUS);
+  w.job({ id: FIRST, tasks: 1 });
+  w.job({ id: SECOND, tasks: MACHINE_GPUS, gpus: 1, priority: 0, awaits: [FIRST] });
+  w.job({ id: OTHER, tasks: MACHINE_GPUS - 1, priority: 3 });
+  await w.run(3);
+  assert.deepEqual(
+    [w.fleet.running(FIRST), w.fleet.running(SECOND), w.fleet.running(OTHER)],
+    [1, 0, 7],
+  );
+  assert.ok(!w.term.jobs.has(SECOND));
+  assert.equal(w.parts.capacity.demand.length, 0, 'nothing is rented for it');
+  // The same for a leader that takes over, whatever it lists first.
+  w.takeOver();
+  await w.run(3);
+  assert.deepEqual([w.term.jobs.has(SECOND), w.fleet.running(SECOND)], [false, 0]);
+  finish(w, FIRST);
+  await w.run(4);
+  assert.ok(w.fleet.running(SECOND) > 0, 'and it starts when it may');
+});
+
+test('a task starts only when the store shows what it needs as done, not when this leader believes so', async () => {
+  const w = world(['a']);
+  w.job({ id: FIRST });
+  w.job({ id: SECOND, awaits: [FIRST] });
+  await w.run(2);
+  finish(w, FIRST);
+  // The worker says it is done; the record is not stored, and another controller cancels the job first.
+  w.store.mode = 'refuse';
+  await w.run(2);
+  assert.equal(w.fleet.running(SECOND), 0, 'done, but not stored');
+  w.store.mode = 'serve';
+  w.cancel(FIRST);
+  await w.run(3);
+  assert.equal(w.fleet.running(SECOND), 0, 'the older one counts');
+  w.takeOver();
+  await w.run(3);
+  assert.equal(w.fleet.starts.get(`${SECOND}/0`), undefined);
+  assert.deepEqual(w.fleet.broken, []);
+});
+
+test('an older cancellation that is carried out late, beside the end of the job, is waited for', async () => {
+  const w = world(['a']);
+  w.job({ id: FIRST });
+  w.job({ id: SECOND, awaits: [FIRST] });
+  await w.run(2);
+  // This leader's copy ends before the cancellation; its own commit of the end succeeds after it.
+  w.store.cancel(FIRST);
+  finish(w, FIRST);
+  w.checkin(w.fleet.workers.get('a')!);
+  w.term.requestPass();
+  await w.parts.store.flush();
+  w.parts.pass();
+  await w.parts.store.flush();
+  w.checkin(w.fleet.workers.get('a')!);
+  assert.equal(w.fleet.starts.get(`${SECOND}/0`), undefined);
+  await w.run(3);
+  assert.equal(w.fleet.starts.get(`${SECOND}/0`), undefined);
+});
+
+test('what came before a cancellation goes on, and the cancelled ones release their place', async () => {
+  const w = world(['a'], MACHINE_GPUS);
+  w.job({ id: FIRST });
+  w.job({ id: SECOND, tasks: 4, awaits: [FIRST] });
+  w.job({ id: THIRD, awaits: [SECOND] });
+  await w.run(2);
+  finish(w, FIRST);
+  await w.run(3);
+  assert.equal(w.fleet.running(SECOND), 4);
+  w.cancel(SECOND);
+  await w.run(3);
+  assert.deepEqual([w.fleet.running(SECOND), w.fleet.running(THIRD)], [0, 0]);
+  w.job({ id: OTHER, tasks: MACHINE_GPUS });
+  await w.run(3);
+  assert.equal(w.fleet.running(OTHER), MACHINE_GPUS);
+  assert.deepEqual(w.fleet.broken, []);
+});
+
+test('a job has the priority of the most important one that needs it, as long as that one does', async () => {
+  const w = world(['a']);
+  w.job({ id: FIRST, tasks: 2, priority: 3 });
+  await w.run(2);
+  const priority = (): number => w.term.jobs.get(FIRST)!.spec.priority;
+  assert.equal(priority(), 3);
+  w.job({ id: SECOND, priority: 2, awaits: [FIRST] });
+  await w.run(1);
+  assert.equal(priority(), 2);
+  // Named late, and through another one.
+  w.job({ id: THIRD, priority: 0, awaits: [SECOND] });
+  await w.run(1);
+  assert.equal(priority(), 0);
+  w.takeOver();
+  await w.run(1);
+  assert.equal(priority(), 0, 'at a new leader too');
+  w.cancel(THIRD);
+  await w.run(1);
+  assert.equal(priority(), 2);
+});
+
+test('a job that an important one needs may make room for itself, and loses none to lesser work', async () => {
+  const w = world(['a'], MACHINE_GPUS * 2);
+  w.job({ id: OTHER, tasks: MACHINE_GPUS, priority: 2 });
+  await w.run(2);
+  w.job({ id: FIRST, tasks: MACHINE_GPUS, priority: 3 });
+  await w.run(2);
+  assert.deepEqual([w.fleet.running(OTHER), w.fleet.running(FIRST)], [MACHINE_GPUS, 0]);
+  w.job({ id: SECOND, priority: 1, awaits: [FIRST] });
+  await w.run(4);
+  assert.deepEqual([w.fleet.running(OTHER), w.fleet.running(FIRST)], [0, MACHINE_GPUS]);
+});
+
+test('times count from the moment when a job may start, deadlines aside', async () => {
+  const w = world(['a']);
+  w.job({ id: FIRST });
+  w.job({ id: SECOND, awaits: [FIRST] });
+  await w.run(20);
+  finish(w, FIRST);
+  await w.run(1);
+  const ageS = (): number => w.now - w.term.jobs.get(SECOND)!.readySince;
+  assert.ok(ageS() <= 1.5, `${ageS()} s`);
+  const before = ageS();
+  w.takeOver();
+  await w.run(1);
+  assert.ok(Math.abs(ageS() - before - 1) <= 0.5, `at a new leader ${ageS()} s after ${before} s`);
+});
+
+test('a machine full of small tasks is not full by the bytes of its record, under the next limits', async () => {
+  const w = world(['a']);
+  w.settings.state.value_kb = 2;
+  w.takeOver();
+  await w.run(1);
+  const small = { cores: 0.1, gpus: 0, memGb: 0 };
+  for (let i = 0; i < 8; i++) w.job({ id: `wk-${1000 + i}`, tasks: 10, ...small });
+  await w.run(4);
+  const running = [...Array(8).keys()].map((i) => w.fleet.running(`wk-${1000 + i}`));
+  assert.deepEqual(running, Array(8).fill(10));
+  const record = JSON.stringify(w.store.value('ps/m/a'));
+  assert.ok(record.length <= 2048, `${record.length} bytes`);
+  w.takeOver();
+  await w.run(4);
+  assert.deepEqual([...w.fleet.starts.values()], Array(80).fill(1), 'none is started twice');
+  assert.deepEqual(w.fleet.broken, []);
+});
