Progress in parts: arrays whose record no longer fits are finished under smaller limits

Parts (ps/q/) say which tasks they are of; they are written only where a chunk is too large and every controller reads them, and count together with older chunks. LiveJob's part of it has a module of its own, jobs/progress.

--- a/src/jobs/live.ts
+++ b/src/jobs/live.ts
@@ -1,8 +1,10 @@
 import type { Attempt } from '../workers/attempt.js';
 import { holds } from '../workers/attempt.js';
 import type { JobFacts } from '../state/job-facts.js';
-import { BitSet } from './bit-set.js';
-import { chunkCount, chunkSize } from './chunks.js';
+import { progressKey, progressPartKey, type ProgressRecord } from '../state/records.js';
+import type { BitSet } from './bit-set.js';
+import { chunkCount } from './chunks.js';
+import { JobProgress, type ProgressLayout } from './progress.js';
 import { requestKindOf } from './request-kind.js';
 import type { JobSpec, Priority } from './types.js';
 
@@ -25,14 +27,11 @@
   spec: JobSpec;
   phase: Phase = 'open';
   cancelled = false;
-  readonly done: BitSet;
-  readonly storedDone: BitSet;
+  readonly progress: JobProgress;
   /** Attempts of each task that hold room somewhere, or that may. */
   readonly live = new Map<number, Attempt[]>();
   /** Done tasks whose end is not stored yet. */
   awaiting: Attempt[] = [];
-  readonly dirtyChunks = new Set<number>();
-  dirtySince: number | null = null;
   attainedS: number;
   /** Machines on which its tasks failed. */
   readonly failedOn = new Set<string>();
@@ -40,7 +39,6 @@
   long = false;
   score = 0;
   guaranteed = false;
-  readonly chunkRevisions = new Map<number, number>();
   private cursor = 0;
   private readonly requeued = new Set<number>();
   private readonly retries = new Map<number, Retry>();
@@ -54,7 +52,7 @@
 
   constructor(
     readonly facts: JobFacts,
-    private readonly perChunk: number,
+    layout: ProgressLayout,
     now: number,
     wallMs: number,
   ) {
@@ -63,19 +61,18 @@
     this.readyAt = facts.readyAt ?? facts.acceptedAt;
     this.readySince = now - Math.max(0, wallMs - facts.readyMs) / 1000;
     this.attainedS = facts.attainedS;
-    this.done = new BitSet(this.spec.tasks);
-    this.storedDone = new BitSet(this.spec.tasks);
-    for (const [chunk, c] of facts.chunks ?? []) {
-      this.chunkRevisions.set(chunk, c.revision);
-      for (let i = 0; i < c.bits.size; i++) {
-        if (!c.bits.has(i)) continue;
-        this.done.add(chunk * perChunk + i);
-        this.storedDone.add(chunk * perChunk + i);
-      }
+    this.progress = new JobProgress(this.spec.tasks, layout);
+    for (const [key, { first, bits, revision }] of facts.progress ?? []) {
+      this.progress.read(key, first, bits, revision);
     }
     if (this.done.count > 0) this.succeeded = true;
   }
 
+  /** Tasks that are done, stored or not. */
+  get done(): BitSet {
+    return this.progress.done;
+  }
+
   /** Treats the job as one of this priority. */
   setPriority(priority: Priority): void {
     if (priority === this.spec.priority) return;
@@ -146,40 +143,34 @@
 
   markDone(index: number, now: number): boolean {
     this.succeeded = true;
-    if (!this.done.add(index)) return false;
+    if (!this.progress.add(index, now)) return false;
     this.requeued.delete(index);
     this.retries.delete(index);
-    this.dirtyChunks.add(Math.floor(index / this.perChunk));
-    this.dirtySince ??= now;
     return true;
   }
 
-  /** Done tasks of a chunk that no stored record names yet. */
-  unstored(chunk: number): number[] {
-    const out: number[] = [];
-    const end = Math.min(this.spec.tasks, (chunk + 1) * this.perChunk);
-    for (let i = chunk * this.perChunk; i < end; i++) {
-      if (this.done.has(i) && !this.storedDone.has(i)) out.push(i);
-    }
-    return out;
-  }
-
   /** These are stored now. Returns the ended attempts that have been dealt with by this. */
-  storedTasks(chunk: number, indexes: number[], now: number): Attempt[] {
-    for (const i of indexes) this.storedDone.add(i);
-    if (this.unstored(chunk).length === 0) this.dirtyChunks.delete(chunk);
-    this.dirtySince = this.dirtyChunks.size === 0 ? null : now;
-    const over = this.awaiting.filter((a) => this.storedDone.has(a.index));
-    this.awaiting = this.awaiting.filter((a) => !this.storedDone.has(a.index));
+  storedTasks(unit: number, indexes: number[], now: number): Attempt[] {
+    this.progress.stored(unit, indexes, now);
+    const over = this.awaiting.filter((a) => this.progress.isStored(a.index));
+    this.awaiting = this.awaiting.filter((a) => !this.progress.isStored(a.index));
     return over;
   }
 
-  chunkRecord(chunk: number): { bits: string | null; attainedS: number } {
-    const size = chunkSize(this.spec.tasks, this.perChunk, chunk);
-    const bits = new BitSet(size);
-    for (let i = 0; i < size; i++) if (this.done.has(chunk * this.perChunk + i)) bits.add(i);
-    const chunks = chunkCount(this.spec.tasks, this.perChunk);
-    return { bits: bits.full ? null : bits.encode(), attainedS: this.attainedS / chunks };
+  /** What is to be stored of a chunk or part of its progress. */
+  progressRecord(unit: number): ProgressRecord {
+    const { layout } = this.progress;
+    const units = chunkCount(this.spec.tasks, layout.tasksEach);
+    const tasks = layout.kind === 'parts' ? { tasks: this.progress.range(unit).count } : {};
+    return { bits: this.progress.bits(unit), attainedS: this.attainedS / units, ...tasks };
+  }
+
+  /** The key of that record. */
+  progressKey(unit: number): string {
+    const { layout } = this.progress;
+    const { id } = this.facts.spec;
+    if (layout.kind === 'chunks') return progressKey(id, unit);
+    return progressPartKey(id, this.progress.range(unit).first);
   }
 
   /** Attempts that hold room. */
--- a/src/leader/due-writes.ts
+++ b/src/leader/due-writes.ts
@@ -47,11 +47,12 @@
   }
 
   private addProgress(job: LiveJob, now: number, due: Due[]): void {
-    if (job.dirtyChunks.size === 0 || job.cancelled) return;
+    const { dirty, dirtySince } = job.progress;
+    if (dirty.size === 0 || job.cancelled) return;
     const urgent = job.finished;
-    if (!urgent && now - (job.dirtySince ?? now) < PROGRESS_GAP_S) return;
-    for (const chunk of job.dirtyChunks) {
-      const make = (): Write => this.writes.progress(job, chunk);
+    if (!urgent && now - (dirtySince ?? now) < PROGRESS_GAP_S) return;
+    for (const unit of dirty) {
+      const make = (): Write => this.writes.progress(job, unit);
       due.push({ urgency: urgent ? ENDS : SOON, make });
     }
   }
--- a/src/leader/leader.ts
+++ b/src/leader/leader.ts
@@ -12,6 +12,7 @@
 import { figures } from './figures.js';
 import { Overload } from '../admission/overload.js';
 import { PASS_GAP_S, PassPacing } from './pass-pacing.js';
+import { dividePending } from './progress-layout.js';
 import { Scheduler } from './scheduler.js';
 import { TermStore } from './store.js';
 import { closeJobs, lostForGood } from './sweep.js';
@@ -202,6 +203,7 @@
     if (!this.fencedLogged) this.logFenced();
     this.capacity.consolidate();
     if (this.deps.writing()) this.term.fenceUnanswered();
+    dividePending(this.term);
     this.sweep();
     this.term.requestPass();
   }
@@ -234,7 +236,7 @@
   }
 
   private anyDirty(): boolean {
-    for (const j of this.term.jobs.values()) if (j.dirtyChunks.size > 0) return true;
+    for (const j of this.term.jobs.values()) if (j.progress.dirty.size > 0) return true;
     return false;
   }
 
--- a/src/leader/record-writes.ts
+++ b/src/leader/record-writes.ts
@@ -78,24 +78,25 @@
     );
   }
 
-  /** The done tasks of a chunk of a job. */
-  progress(job: LiveJob, chunk: number): Write {
-    const key = records.progressKey(job.spec.id, chunk);
-    const record = job.chunkRecord(chunk);
+  /** The done tasks of a chunk or part of a job. */
+  progress(job: LiveJob, unit: number): Write {
+    const key = job.progressKey(unit);
+    const { progress } = job;
+    const record = job.progressRecord(unit);
     const doneMs = record.bits === null ? { doneMs: this.term.deps.wallMs() } : {};
     const value = records.encodeProgress({ ...record, ...doneMs });
-    const fresh = job.unstored(chunk);
+    const fresh = progress.unstored(unit);
     const stored = (revision: number): void => {
-      job.chunkRevisions.set(chunk, revision);
-      for (const a of job.storedTasks(chunk, fresh, this.clock.now())) {
+      progress.revisions.set(key, revision);
+      for (const a of job.storedTasks(unit, fresh, this.clock.now())) {
         a.settled = true;
         this.term.urgent.add(a.machine);
       }
-      if (job.finished && job.dirtyChunks.size === 0) this.term.completed(job);
+      if (job.finished && progress.dirty.size === 0) this.term.completed(job);
     };
     return makeWrite(
       key,
-      job.chunkRevisions.get(chunk) ?? 0,
+      progress.revisions.get(key) ?? 0,
       { put: key, value },
       {
         begin: NOTHING,
@@ -108,7 +109,7 @@
           const bits = item === null ? undefined : records.decodeProgress(item.value).bits;
           if (item !== null && (bits === null || bits === records.decodeProgress(value).bits)) {
             stored(item.revision);
-          } else job.chunkRevisions.set(chunk, item?.revision ?? 0);
+          } else progress.revisions.set(key, item?.revision ?? 0);
         },
       },
     );
--- a/src/leader/report-digest.ts
+++ b/src/leader/report-digest.ts
@@ -132,7 +132,7 @@
     // A gang completes together: if one task is done, all are.
     for (const i of indexes) job.markDone(i, this.state.now);
     // Stored already, as for the other tasks of a gang: nothing is written again.
-    if (job.storedDone.has(a.index)) a.settled = true;
+    if (job.progress.isStored(a.index)) a.settled = true;
     else job.awaiting.push(a);
     job.release(a);
     for (const other of [...(job.live.get(a.index) ?? [])]) this.stops.stop(other, 0);
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -9,6 +9,7 @@
 import { inheritMachine, openJobs } from './inheritance.js';
 import { LeaseExpiry } from './lease-expiry.js';
 import { MachineHealth } from './machine-health.js';
+import { progressLayout } from './progress-layout.js';
 import { ReportDigest } from './report-digest.js';
 import { mayStart } from './start-permission.js';
 import { TermState, type TermDeps } from './term-state.js';
@@ -41,8 +42,8 @@
   addJob(facts: JobFacts): LiveJob {
     let job = this.jobs.get(facts.spec.id);
     if (job === undefined) {
-      const { replica, wallMs } = this.deps;
-      job = new LiveJob(facts, replica.chunkTasks, this.now, wallMs());
+      const layout = progressLayout(this, facts.spec.tasks);
+      job = new LiveJob(facts, layout, this.now, this.deps.wallMs());
       this.jobs.set(facts.spec.id, job);
     }
     this.requestPass();
--- a/src/state/job-facts.ts
+++ b/src/state/job-facts.ts
@@ -2,8 +2,10 @@
 import type { JobSpec } from '../jobs/types.js';
 import type { Accepted } from './records.js';
 
-/** Which tasks of one stored part of a job are done. */
-export interface StoredPart {
+/** Which tasks a stored record names as done. */
+export interface StoredProgress {
+  /** The task of the lowest bit. */
+  first: number;
   bits: BitSet;
   revision: number;
   attainedS: number;
@@ -32,8 +34,8 @@
   missing: number;
   doneTasks: number;
   attainedS: number;
-  /** Dropped once the job is over. */
-  chunks: Map<number, StoredPart> | null;
+  /** Its records of done tasks, by key. Dropped once the job is over. */
+  progress: Map<string, StoredProgress> | null;
   /** Attempts that machine records name at present. */
   claims: number;
 }
--- a/src/state/lean-jobs.ts
+++ b/src/state/lean-jobs.ts
@@ -30,7 +30,7 @@
       missing: 0,
       doneTasks,
       attainedS: 0,
-      chunks: null,
+      progress: null,
       claims: 0,
     };
   }
--- a/src/state/records.ts
+++ b/src/state/records.ts
@@ -7,6 +7,7 @@
  *   ps/d/<incarnation>-<n>   accepted jobs that need other jobs, likewise
  *   ps/v/<node>              what the version that a controller runs, or has run last, can do
  *   ps/p/<job>/<chunk>       which tasks are done; never changed again once all are
+ *   ps/q/<job>/<first task> the same of fewer tasks, where a chunk is larger than a value may be
  *   ps/m/<machine>           a machine, its owner and the attempts that may be on it
  *   ps/l                     the leader, attached to its lease; its revision is the token
  *   ps/n/<node>              a controller that is there, attached to a lease of its own
@@ -23,6 +24,7 @@
 export const DEPENDENT_JOBS = 'ps/d/';
 export const VERSIONS = 'ps/v/';
 export const PROGRESS = 'ps/p/';
+export const PROGRESS_PARTS = 'ps/q/';
 export const MACHINES = 'ps/m/';
 export const NODES = 'ps/n/';
 export const ACKS = 'ps/a/';
@@ -30,6 +32,8 @@
 export const TYPES = 'ps/t';
 
 export const progressKey = (job: string, chunk: number): string => `${PROGRESS}${job}/${chunk}`;
+export const progressPartKey = (job: string, first: number): string =>
+  `${PROGRESS_PARTS}${job}/${first}`;
 export const nodeKey = (node: string): string => `${NODES}${node}`;
 export const versionKey = (node: string): string => `${VERSIONS}${node}`;
 export const ackKey = (node: string): string => `${ACKS}${node}`;
@@ -107,18 +111,22 @@
   attainedS: number;
   /** Time of day in ms at which it was written, once all are done. Older versions leave it out. */
   doneMs?: number;
+  /** Tasks that a part is of; chunks leave it out. */
+  tasks?: number;
 }
 
 export const encodeProgress = (p: ProgressRecord): unknown => ({
   b: p.bits,
   a: Math.round(p.attainedS),
   ...(p.doneMs === undefined ? {} : { m: Math.round(p.doneMs) }),
+  ...(p.tasks === undefined ? {} : { n: p.tasks }),
 });
 
 export function decodeProgress(value: unknown): ProgressRecord {
-  const o = value as { b: string | null; a?: number; m?: number };
+  const o = value as { b: string | null; a?: number; m?: number; n?: number };
   const doneMs = typeof o.m === 'number' ? { doneMs: o.m } : {};
-  return { bits: o.b, attainedS: o.a ?? 0, ...doneMs };
+  const tasks = typeof o.n === 'number' ? { tasks: o.n } : {};
+  return { bits: o.b, attainedS: o.a ?? 0, ...doneMs, ...tasks };
 }
 
 export interface VersionRecord {
--- a/src/state/replica.ts
+++ b/src/state/replica.ts
@@ -1,9 +1,9 @@
 import type { MachineType } from '../jobs/types.js';
 import { BitSet } from '../jobs/bit-set.js';
-import { chunkCount, chunkSize, chunkTasks } from '../jobs/chunks.js';
+import { chunkSize, chunkTasks } from '../jobs/chunks.js';
 import { DependencyGraph } from '../pipelines/dependency-graph.js';
 import type { Change, Item } from '../wire/state.js';
-import { outcome, specOf, type JobFacts } from './job-facts.js';
+import { outcome, specOf, type JobFacts, type StoredProgress } from './job-facts.js';
 import { LeanJobs } from './lean-jobs.js';
 import * as records from './records.js';
 
@@ -89,7 +89,7 @@
     this.listing = false;
     this.dependencies.rebuild();
     for (const facts of this.jobs.values()) {
-      if (facts.chunks !== null && outcome(facts) === 'cancelled') this.closeCancelled(facts);
+      if (facts.progress !== null && outcome(facts) === 'cancelled') this.closeCancelled(facts);
     }
   }
 
@@ -134,7 +134,8 @@
     try {
       if (key.startsWith(records.JOBS) || key.startsWith(records.DEPENDENT_JOBS))
         this.applySubmissions(records.decodeSubmissions(value), revision);
-      else if (key.startsWith(records.PROGRESS)) this.progress(key, value, revision);
+      else if (key.startsWith(records.PROGRESS) || key.startsWith(records.PROGRESS_PARTS))
+        this.progress(key, value, revision);
       else if (key.startsWith(records.MACHINES)) {
         this.machine(key.slice(records.MACHINES.length), records.decodeMachine(value), revision);
       } else if (key.startsWith(records.NODES)) {
@@ -215,7 +216,7 @@
       missing: 0,
       doneTasks: 0,
       attainedS: 0,
-      chunks: new Map(),
+      progress: new Map(),
       claims: 0,
     };
     this.earlyCancels.delete(id);
@@ -258,15 +259,12 @@
   }
 
   private closeCancelled(facts: JobFacts): void {
-    facts.chunks = null;
+    facts.progress = null;
     this.listener.onCancelled?.(facts);
   }
 
   private progress(key: string, value: unknown, revision: number): void {
-    const rest = key.slice(records.PROGRESS.length);
-    const slash = rest.indexOf('/');
-    const id = rest.slice(0, slash);
-    const chunk = Number(rest.slice(slash + 1));
+    const { id, number, isPart } = progressName(key);
     const facts = this.jobs.get(id);
     if (facts === undefined) {
       const early = this.earlyProgress.get(id) ?? [];
@@ -274,34 +272,27 @@
       this.earlyProgress.set(id, early);
       return;
     }
-    if (facts.doneAt !== null || facts.chunks === null) return;
-    const old = facts.chunks.get(chunk);
+    if (facts.doneAt !== null || facts.progress === null) return;
+    const old = facts.progress.get(key);
     if (old !== undefined && old.revision >= revision) return;
-    const size = chunkSize(facts.spec.tasks, this.perChunk, chunk);
     const p = records.decodeProgress(value);
-    let bits: BitSet;
-    if (p.bits === null) {
-      bits = new BitSet(size);
-      bits.fill();
-    } else bits = BitSet.decode(size, p.bits);
-    facts.chunks.set(chunk, { bits, revision, attainedS: p.attainedS });
-    let done = 0;
-    let attained = 0;
-    let last = 0;
-    for (const c of facts.chunks.values()) {
-      done += c.bits.count;
-      attained += c.attainedS;
-      last = Math.max(last, c.revision);
-    }
-    facts.doneTasks = done;
-    facts.attainedS = attained;
+    const first = isPart ? number : number * this.perChunk;
+    const size = isPart ? (p.tasks ?? 0) : chunkSize(facts.spec.tasks, this.perChunk, number);
+    const { attainedS } = p;
+    facts.progress.set(key, { first, bits: bitsOf(p.bits, size), revision, attainedS });
     facts.doneMs = Math.max(facts.doneMs, p.doneMs ?? 0);
-    const chunks = chunkCount(facts.spec.tasks, this.perChunk);
-    if (done === facts.spec.tasks && facts.chunks.size === chunks) {
-      facts.doneAt = last;
-      facts.chunks = null;
-      if (!this.listing && outcome(facts) === 'done') this.dependencies.done(facts);
-    }
+    this.sumProgress(facts);
+  }
+
+  /** Done when all records together name all tasks, with the youngest of them. */
+  private sumProgress(facts: JobFacts): void {
+    const stored = [...facts.progress!.values()];
+    facts.doneTasks = countDone(facts.spec.tasks, stored);
+    facts.attainedS = stored.reduce((sum, { attainedS }) => sum + attainedS, 0);
+    if (facts.doneTasks < facts.spec.tasks) return;
+    facts.doneAt = Math.max(...stored.map(({ revision }) => revision));
+    facts.progress = null;
+    if (!this.listing && outcome(facts) === 'done') this.dependencies.done(facts);
   }
 
   private machine(id: string, record: records.MachineRecord, revision: number): void {
@@ -321,3 +312,28 @@
     }
   }
 }
+
+/** What the key of a record of done tasks says; `number`: of the chunk, or of the first task of a part. */
+function progressName(key: string): { id: string; number: number; isPart: boolean } {
+  const isPart = key.startsWith(records.PROGRESS_PARTS);
+  const rest = key.slice((isPart ? records.PROGRESS_PARTS : records.PROGRESS).length);
+  const slash = rest.indexOf('/');
+  return { id: rest.slice(0, slash), number: Number(rest.slice(slash + 1)), isPart };
+}
+
+function bitsOf(text: string | null, size: number): BitSet {
+  if (text !== null) return BitSet.decode(size, text);
+  const bits = new BitSet(size);
+  bits.fill();
+  return bits;
+}
+
+/** Tasks that any of the records names. Chunks and parts of one job may overlap. */
+function countDone(tasks: number, stored: StoredProgress[]): number {
+  if (stored.length === 1) return stored[0]!.bits.count;
+  const all = new BitSet(tasks);
+  for (const { first, bits } of stored) {
+    for (let i = 0; i < bits.size; i++) if (bits.has(i)) all.add(first + i);
+  }
+  return all.count;
+}
--- a/test/pipeline-leader.test.ts
+++ b/test/pipeline-leader.test.ts
@@ -121,6 +121,21 @@
   assert.equal(priority(), 2);
 });
 
+test('with a deadline that is far off a job keeps its own priority until the time left is short', async () => {
+  const w = world(['a']);
+  w.job({ id: FIRST, priority: 3, estimateS: 10 });
+  w.job({ id: SECOND, priority: 1, estimateS: 20, deadlineS: 60, awaits: [FIRST] });
+  await w.run(2);
+  // It has to be done 40 s after its submission: it is urgent as soon as its 10 s, taken half as long
+  // again, and a boot of 1 s do not fit into what is left.
+  const priority = (): number => w.term.jobs.get(FIRST)!.spec.priority;
+  assert.equal(priority(), 3);
+  await w.run(20);
+  assert.equal(priority(), 3);
+  await w.run(4);
+  assert.equal(priority(), 1);
+});
+
 test('a job that an important one needs may make room for itself, and loses none to lesser work', async () => {
   const w = world(['a'], MACHINE_GPUS * 2);
   w.job({ id: OTHER, tasks: MACHINE_GPUS, priority: 2 });
--- a/test/replica.test.ts
+++ b/test/replica.test.ts
@@ -88,17 +88,27 @@
       1,
     ),
   );
-  const live = new LiveJob(r.jobs.get('wk-000001')!, r.chunkTasks, 0, 5);
+  const live = new LiveJob(
+    r.jobs.get('wk-000001')!,
+    { kind: 'chunks', tasksEach: r.chunkTasks },
+    0,
+    5,
+  );
   for (let i = 0; i < 99_999; i += 2) live.markDone(i, 0);
-  for (const chunk of live.dirtyChunks) {
-    assert.ok(JSON.stringify(records.encodeProgress(live.chunkRecord(chunk))).length < 8192);
+  for (const chunk of live.progress.dirty) {
+    assert.ok(JSON.stringify(records.encodeProgress(live.progressRecord(chunk))).length < 8192);
   }
 });
 
 test('the life of a task: wanted, claimed, lost, wanted again, done, stored', () => {
   const r = new Replica(8192);
   r.item(job(1));
-  const live = new LiveJob(r.jobs.get('wk-000001')!, r.chunkTasks, 0, 5);
+  const live = new LiveJob(
+    r.jobs.get('wk-000001')!,
+    { kind: 'chunks', tasksEach: r.chunkTasks },
+    0,
+    5,
+  );
   assert.deepEqual(live.pending(0, 9), [0, 1]);
   const a = makeAttempt('wk-000001', 0, live.nextNumber(0, 50), 'm', 'claiming', 0);
   live.claimed(a);
@@ -112,10 +122,10 @@
   assert.deepEqual(live.pending(2, 9), [0, 1]);
   live.markDone(0, 3);
   live.awaiting.push(a);
-  const fresh = live.unstored(0);
+  const fresh = live.progress.unstored(0);
   live.markDone(1, 3);
   assert.deepEqual(live.storedTasks(0, fresh, 4), [a], 'settled by the record that names it');
-  assert.ok(live.dirtyChunks.has(0), 'what was done meanwhile is written next');
+  assert.ok(live.progress.dirty.has(0), 'what was done meanwhile is written next');
   assert.ok(live.finished);
 });
 
--- a/test/unplaced-requests.test.ts
+++ b/test/unplaced-requests.test.ts
@@ -14,7 +14,10 @@
   const wanted = spec({ id: 'wk-1', kind: 'array', cores: 4, gpus: 1, memGb: 8, ...over });
   const value = records.encodeSubmissions({ jobs: [{ spec: wanted, atMs: 0 }], cancels: [] });
   replica.item({ key: `${records.JOBS}x-1`, value, revision: 1 });
-  return Object.assign(new LiveJob(replica.jobs.get('wk-1')!, 100, 0, 0), marks);
+  return Object.assign(
+    new LiveJob(replica.jobs.get('wk-1')!, { kind: 'chunks', tasksEach: 100 }, 0, 0),
+    marks,
+  );
 }
 
 // Each case is a job that is asked about after one of 4 cores, 1 GPU and 8 GB found no capacity.
