--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -1,14 +1,12 @@
-import { random, uniqueName } from '../random.js';
+import { uniqueName } from '../random.js';
 import { CloudClient } from '../cloud/client.js';
 import { Election } from '../leadership/election.js';
 import { PeerNet } from '../peers/net.js';
-import type { Answer, Question, ReplyAnswer } from '../peers/messages.js';
 import { ZoneLeaseKeeper, ZoneLeaseWatch, zoneLeaseKeepers } from '../leadership/zone-lease.js';
-import { sleep, steadyClock, type Clock } from '../clock.js';
+import { steadyClock, type Clock } from '../clock.js';
 import type { Settings } from '../config/settings.js';
 import type { Message } from '../http/parser.js';
 import { HttpServer, type Reply } from '../http/server.js';
-import type { MachineType } from '../jobs/types.js';
 import type { Log } from '../log.js';
 import type { Policy } from '../operator/policy.js';
 import { StateClient } from '../state/client.js';
@@ -16,7 +14,6 @@
 import { RequestWriter } from '../state/request-writer.js';
 import { Replica } from '../state/replica.js';
 import { route } from '../wire/users.js';
-import { ANSWER_WAIT_S } from '../wire/workers.js';
 import { LeaderAcknowledgements } from '../leadership/leader-acknowledgements.js';
 import { Costs } from '../costs.js';
 import { RequestForwarder, type UserRequest } from '../api/request-forwarder.js';
@@ -26,10 +23,14 @@
 import { FitnessTable } from '../admission/fitness.js';
 import { HandOver } from '../admission/hand-over.js';
 import { Overload } from '../admission/overload.js';
-import { ASK_SHARE, KEEP_SHARE, Reports } from '../heartbeat/reports.js';
+import { Reports } from '../heartbeat/reports.js';
 import { RequestQueue } from '../admission/request-queue.js';
 import { Users } from '../api/users.js';
 import { LoadLog } from './load-log.js';
+import { MachineTypes } from './machine-types.js';
+import { pipelineFigures } from './pipeline-figures.js';
+import { PeerAnswers } from './peer-answers.js';
+import { CLASS_OF, RELAY_PATIENCE_S, REPORT_PATIENCE_S } from './request-classes.js';
 import { Versions } from './versions.js';
 
 /** Jobs that are over stay whole in memory for so many leases after their acceptance. */
@@ -45,15 +46,6 @@
 const COST_TICKS = 40;
 /** The load is logged once a report interval. */
 const LOAD_TICKS = 2;
-/**
- * How long a report may wait here for its turn: served later, its answer would come after whoever asked
- * has given up. To pass a report on takes a while too, and so does the way back of the answer to one
- * that was passed on.
- */
-const REPORT_PATIENCE_S = ANSWER_WAIT_S * KEEP_SHARE;
-const RELAY_PATIENCE_S = ANSWER_WAIT_S * (KEEP_SHARE - ASK_SHARE);
-const PASSED_ON_PATIENCE_S = ANSWER_WAIT_S * ASK_SHARE * 0.75;
-const CLASS_OF = { submit: 'submission', poll: 'poll', cancel: 'cancellation' } as const;
 const BUSY: Reply = { status: 503, retryAfter: 1 };
 /** What is known of the confirmation of cancellations is kept for so many leases. */
 const CONFIRMED_LEASES = 20;
@@ -77,13 +69,14 @@
   private readonly zoneLeases: ZoneLeaseWatch;
   private readonly cancellationNotices: CancellationNotices;
   private readonly reports: Reports;
+  private readonly peerAnswers: PeerAnswers;
   readonly server: HttpServer;
   leader: Leader | null = null;
   private readonly cloud: CloudClient;
+  private readonly machineTypes: MachineTypes;
   private readonly clock: Clock;
   private readonly wallMs: () => number;
   private readonly incarnation: string;
-  private stopped = false;
   private tickTimer: NodeJS.Timeout | undefined;
   private readonly costs: Costs;
   private readonly overload = new Overload();
@@ -145,6 +138,13 @@
       Math.min(0.1, (3 * settings.nodes) / settings.state.rps),
     );
     this.cloud = new CloudClient(settings, this.clock);
+    this.machineTypes = new MachineTypes({
+      cloud: this.cloud,
+      follower: this.follower,
+      replica: this.replica,
+      leader: () => this.leader,
+      log,
+    });
     this.election = new Election(
       settings.node,
       this.incarnation,
@@ -176,7 +176,7 @@
     this.peers = new PeerNet(
       settings.node,
       settings.peers,
-      (from, q) => this.answer(from, q),
+      (_from, question) => this.peerAnswers.answer(question),
       log,
       settings.limits.sockets,
       this.fitness,
@@ -270,7 +270,7 @@
       follower: this.follower,
       replica: this.replica,
       requestWriter,
-      types: () => this.types(),
+      types: () => this.machineTypes.known,
       mayCancel: (job) => this.cancellationNotices.wait(job),
       mayTellCancelled: (facts, job) => confirmation.confirm(facts, job),
       pipelinesUnknown: () => this.versions.isOldPresent('pipelines'),
@@ -286,6 +286,16 @@
       () => this.clock.now(),
       (node) => this.versions.knows(node, 'pipelines'),
     );
+    this.peerAnswers = new PeerAnswers({
+      requests: this.requests,
+      costs: this.costs,
+      reports: this.reports,
+      forwarder: this.forwarder,
+      election: this.election,
+      acknowledgements: this.acknowledgements,
+      cancellationNotices: this.cancellationNotices,
+      knownCancelled: (ids) => this.knownCancelled(ids),
+    });
     this.server = new HttpServer(
       (m) => this.handle(m),
       { sockets: Math.floor(settings.limits.sockets * SERVER_SOCKETS), readS: 5, idleS: 120 },
@@ -322,7 +332,7 @@
     void this.election.run();
     void this.zoneKeeper?.run();
     void this.versions.publish();
-    void this.fetchTypes();
+    void this.machineTypes.fetch();
     this.tickTimer = setInterval(() => this.onTick(), this.settings.workers.report_s * 500);
     this.log.info({ bind: this.settings.bind }, 'started');
   }
@@ -348,13 +358,13 @@
   }
 
   stop(): void {
-    this.stopped = true;
     clearInterval(this.tickTimer);
     this.loadLog?.stop();
     this.election.stop();
     this.acknowledgements.stop();
     this.zoneKeeper?.stop();
     this.versions.stop();
+    this.machineTypes.stop();
     this.follower.stop();
     this.leader?.stop();
     this.leader = null;
@@ -364,32 +374,6 @@
     this.cloud.close();
   }
 
-  // Machine types: from the store as a rule, from the cloud when nobody has stored them yet.
-
-  private fetched: MachineType[] | null = null;
-
-  types(): MachineType[] | null {
-    if (this.leader !== null && this.leader.term.types.size > 0) {
-      return [...this.leader.term.types.values()];
-    }
-    return this.replica.types ?? this.fetched;
-  }
-
-  private async fetchTypes(): Promise<void> {
-    while (!this.stopped && this.types() === null) {
-      if (this.follower.ready) {
-        try {
-          this.fetched = await this.cloud.types();
-          this.leader?.onTypes(this.fetched);
-          return;
-        } catch (e) {
-          this.log.debug({ err: String(e) }, 'machine types not had');
-          await sleep(1 + random());
-        }
-      } else await sleep(0.05);
-    }
-  }
-
   // Leadership
 
   private elected(token: number): void {
@@ -425,8 +409,8 @@
     );
     void this.acknowledgements.collect(token);
     this.leader.start();
-    if (this.fetched !== null && this.leader.term.types.size === 0)
-      this.leader.onTypes(this.fetched);
+    const { fetched } = this.machineTypes;
+    if (fetched !== null && this.leader.term.types.size === 0) this.leader.onTypes(fetched);
   }
 
   private deposed(): void {
@@ -486,41 +470,6 @@
     }
   }
 
-  private answer(_from: string, q: Question): Promise<Answer> | Answer {
-    switch (q.q) {
-      case 'report': {
-        const { body, hop } = q;
-        const work = (): ReplyAnswer | Promise<ReplyAnswer> => this.passedOn(body, hop);
-        return this.requests.run('report', work, { status: 503 }, PASSED_ON_PATIENCE_S);
-      }
-      case 'elected':
-        return this.acknowledgements.answer(q.token);
-      case 'there':
-        return { there: true };
-      case 'user':
-        // Refused without a status: another controller may have time for it.
-        return this.requests.run<ReplyAnswer>(
-          CLASS_OF[q.to],
-          () => this.forwarder.passedOn(q.to, q.text),
-          {},
-        );
-      case 'cancelling':
-        this.cancellationNotices.noteAnnounced(q.job);
-        return { told: true };
-      case 'cancelled':
-        this.knownCancelled([q.job]);
-        return { noted: true };
-      case 'refused':
-        return this.election.outage.answer(q.token, q.forMs, q.applied);
-    }
-  }
-
-  private passedOn(body: Buffer, hop: boolean): ReplyAnswer | Promise<ReplyAnswer> {
-    const r = this.costs.time('report', () => this.reports.passedOn(body, hop));
-    if (r instanceof Promise) return r.then((x) => ({ ...(x ?? { status: 504 }) }));
-    return { ...r };
-  }
-
   figures(): Record<string, unknown> {
     return {
       node: this.settings.node,
@@ -529,6 +478,8 @@
       leader: this.replica.leader?.node ?? null,
       revision: this.replica.applied,
       jobs: this.replica.jobs.size,
+      ...pipelineFigures(this.replica),
+      pipelines_known: this.versions.everyoneKnows('pipelines'),
       connections: this.server.connections,
       garbage: this.replica.garbage,
       cancellations_heard: this.cancellationNotices.size,
--- /dev/null
+++ b/src/controller/machine-types.ts
@@ -0,0 +1,61 @@
+import type { CloudClient } from '../cloud/client.js';
+import { sleep } from '../clock.js';
+import type { MachineType } from '../jobs/types.js';
+import type { Leader } from '../leader/leader.js';
+import type { Log } from '../log.js';
+import { random } from '../random.js';
+import type { Follower } from '../state/follow.js';
+import type { Replica } from '../state/replica.js';
+
+/** Seconds between two looks whether the store has been read. */
+const LOOK_S = 0.05;
+/** Seconds before the cloud is asked again, with as much again at random. */
+const RETRY_S = 1;
+
+export interface MachineTypesOptions {
+  cloud: Pick<CloudClient, 'types'>;
+  follower: Pick<Follower, 'ready'>;
+  replica: Pick<Replica, 'types'>;
+  leader: () => Leader | null;
+  log: Log;
+}
+
+/** The machine types: from the store as a rule, from the cloud when nobody has stored them yet. */
+export class MachineTypes {
+  /** What the cloud said. */
+  fetched: MachineType[] | null = null;
+  private stopped = false;
+
+  constructor(private readonly options: MachineTypesOptions) {}
+
+  /** Null: not known yet. */
+  get known(): MachineType[] | null {
+    const { leader, replica } = this.options;
+    const types = leader()?.term.types;
+    if (types !== undefined && types.size > 0) return [...types.values()];
+    return replica.types ?? this.fetched;
+  }
+
+  /** Asks the cloud until the types are known from anywhere. */
+  async fetch(): Promise<void> {
+    const { cloud, follower, leader, log } = this.options;
+    while (!this.stopped && this.known === null) {
+      if (!follower.ready) {
+        await sleep(LOOK_S);
+        continue;
+      }
+      try {
+        this.fetched = await cloud.types();
+        leader()?.onTypes(this.fetched);
+        return;
+      } catch (e) {
+        log.debug({ err: String(e) }, 'machine types not had');
+        await sleep(RETRY_S + random());
+      }
+    }
+  }
+
+  stop(): void {
+    this.stopped = true;
+  }
+}
--- /dev/null
+++ b/src/controller/pipeline-figures.ts
@@ -0,0 +1,22 @@
+import { isWaiting, neverStarted, outcome } from '../state/job-facts.js';
+import type { Replica } from '../state/replica.js';
+
+export interface PipelineFigures {
+  /** Open jobs that wait for others. */
+  jobs_waiting: number;
+  /** Open jobs that may start, or have. */
+  jobs_ready: number;
+  /** Jobs that were cancelled with one that they need. */
+  jobs_cancelled_with_needed: number;
+}
+
+/** Counts over all jobs that the store holds: asked for now and then, by operators. */
+export function pipelineFigures({ jobs }: Pick<Replica, 'jobs'>): PipelineFigures {
+  const figures = { jobs_waiting: 0, jobs_ready: 0, jobs_cancelled_with_needed: 0 };
+  for (const facts of jobs.values()) {
+    if (isWaiting(facts)) figures.jobs_waiting++;
+    else if (outcome(facts) === 'open') figures.jobs_ready++;
+    else if (facts.cancelledWithNeeded && neverStarted(facts)) figures.jobs_cancelled_with_needed++;
+  }
+  return figures;
+}
--- /dev/null
+++ b/src/controller/request-classes.ts
@@ -0,0 +1,18 @@
+import { ASK_SHARE, KEEP_SHARE } from '../heartbeat/reports.js';
+import { ANSWER_WAIT_S } from '../wire/workers.js';
+
+/** The class of each kind of users' requests in the request queue. */
+export const CLASS_OF = {
+  submit: 'submission',
+  poll: 'poll',
+  cancel: 'cancellation',
+} as const;
+
+/**
+ * How long a report may wait here for its turn: served later, its answer would come after whoever asked
+ * has given up. To pass a report on takes a while too, and so does the way back of the answer to one
+ * that was passed on.
+ */
+export const REPORT_PATIENCE_S = ANSWER_WAIT_S * KEEP_SHARE;
+export const RELAY_PATIENCE_S = ANSWER_WAIT_S * (KEEP_SHARE - ASK_SHARE);
+export const PASSED_ON_PATIENCE_S = ANSWER_WAIT_S * ASK_SHARE * 0.75;
