--- a/test/request-forwarder.test.ts
+++ b/test/request-forwarder.test.ts
@@ -16,7 +16,13 @@
 type Peers = Record<string, ReplyAnswer | null>;
 
 /** A forwarder over stand-ins: `own` is what this controller can answer by itself. */
-function forwarder(health: Health, own: number, peers: Peers, final = false) {
+function forwarder(
+  health: Health,
+  own: number,
+  peers: Peers,
+  final = false,
+  knowsPipelines: (node: string) => boolean = () => true,
+) {
   const asked: string[] = [];
   const clock = { now: 0 };
   const state = { health };
@@ -36,7 +42,8 @@
   } as unknown as PeerNet;
   const follower = { ready: true, sync: () => Promise.resolve(false) };
   const times = { lease_s: 10 };
-  const f = new RequestForwarder(users, state, follower, net, times, () => clock.now);
+  const now = (): number => clock.now;
+  const f = new RequestForwarder(users, state, follower, net, times, now, knowsPipelines);
   return { f, asked, clock, state };
 }
 
@@ -60,6 +67,25 @@
   }
 });
 
+test('a job that needs others is passed on only to controllers that know such jobs', async () => {
+  // One of an old version would take it for a job that needs none, and start it too early.
+  const cases: [string, string, string[]][] = [
+    ['none needed', '{"ref":"wk-1"}', ['old']],
+    ['a list', '{"ref":"wk-1","awaits":["wk-2"]}', ['new']],
+    ['a list, named with an escape', '{"ref":"wk-1","\\u0061waits":["wk-2"]}', ['new']],
+  ];
+  for (const [name, text, asked] of cases) {
+    const peers = { old: { status: 201 }, new: { status: 201 } };
+    const t = forwarder('refused', 503, peers, false, (node) => node === 'new');
+    const reply = await t.f.serve({ to: 'submit', body: Buffer.from(text) });
+    assert.equal(reply.status, 201, name);
+    assert.deepEqual(t.asked, asked, name);
+  }
+  const t = forwarder('refused', 503, { old: { status: 201 } }, false, () => false);
+  const body = Buffer.from('{"awaits":["wk-2"]}');
+  assert.equal((await t.f.serve({ to: 'submit', body })).status, 503, 'nobody knows them');
+});
+
 test('a controller that can help nobody sends users elsewhere, but not in an outage for all', async () => {
   const cases: [string, Peers, boolean][] = [
     ['cut off from all', { a: null, b: null }, false],
