--- a/test/large.test.ts
+++ b/test/large.test.ts
@@ -10,17 +10,21 @@
 import { RuleChecker } from './standins/rules.js';
 import { StateService } from './standins/state.js';
 
-const MACHINES = 800;
-const JOBS = 4000;
+/** More than any deployment has: no fixed limit may stand below that. */
+const MACHINES = 5000;
+const TASKS_EACH = 4;
 /** Of the jobs, those that are not over: a task of each is on a machine. */
-const OPEN = 1600;
+const OPEN = MACHINES * TASKS_EACH;
+const JOBS = OPEN + 5000;
+/** Reports at a time. */
+const AT_ONCE = 50;
 
-test('a term begins with hundreds of machines and thousands of jobs, and knows all that runs', async () => {
+test('a term begins with thousands of machines and tens of thousands of tasks, and knows all that runs', async () => {
   const state = new StateService();
   const teams = new Map<string, number>();
   const rules = new RuleChecker({ cancelS: 60, teams, machineGpus: MACHINE_GPUS });
   const cloud = new Cloud(rules, { leaseS: 60, gangPeerS: 1 });
-  state.page = 100;
+  state.page = 1000;
   await state.listen();
   await cloud.listen();
   const put = (key: string, data: unknown): void => {
@@ -40,7 +44,11 @@
   }
   const images = Array.from({ length: 32 }, (_, k): [string, number] => [`image-${k}`, 34.3]);
   const claims = (i: number): records.Claim[] =>
-    [0, 1].map((k) => ({ job: id((i * 2 + k) % OPEN), index: 0, attempt: 1 }));
+    Array.from({ length: TASKS_EACH }, (_, k) => ({
+      job: id(i * TASKS_EACH + k),
+      index: 0,
+      attempt: 1,
+    }));
   for (let i = 0; i < MACHINES; i++) {
     const value = records.encodeMachine({
       owner: 'n-1', term: 1, addr: '127.0.0.1:1', type: 'g8', zone: 'z1', spot: false,
@@ -57,7 +65,7 @@
     await until('leads', () => node.leader !== null);
     assert.equal(node.leader!.figures().machines_unheard, MACHINES);
     assert.equal(node.leader!.figures().jobs_open, OPEN);
-    assert.equal(node.leader!.figures().attempts_inherited, MACHINES * 2);
+    assert.equal(node.leader!.figures().attempts_inherited, OPEN);
     const token = node.election.token;
     const report = async (i: number, tally: number, hallmark: number): Promise<void> => {
       const body = JSON.stringify({
@@ -75,12 +83,14 @@
       [1, 1],
       [2, token],
     ] as const) {
-      for (let i = 0; i < MACHINES; i += 50) {
-        await Promise.all(Array.from({ length: 50 }, (_, k) => report(i + k, tally, hallmark)));
+      for (let i = 0; i < MACHINES; i += AT_ONCE) {
+        await Promise.all(
+          Array.from({ length: AT_ONCE }, (_, k) => report(i + k, tally, hallmark)),
+        );
       }
     }
     assert.equal(node.leader!.figures().machines_ready, MACHINES);
-    assert.equal(node.leader!.figures().attempts_running, MACHINES * 2);
+    assert.equal(node.leader!.figures().attempts_running, OPEN);
   } finally {
     node.stop();
     cloud.close();
--- a/test/meeting-witness.test.ts
+++ b/test/meeting-witness.test.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { Election } from '../src/leadership/election.js';
+import { encodeFrame, MAX_FRAME } from '../src/peers/frames.js';
 import type { PeerNet } from '../src/peers/net.js';
 import { silentLog } from '../src/log.js';
 import { Refused, Unanswered } from '../src/state/client.js';
@@ -36,7 +37,7 @@
       onElected: () => undefined,
       onDeposed: () => undefined,
       onKnownCancelled: () => undefined,
-      cancelledSince: () => [],
+      cancelledSince: (revision) => [...replica.cancelledSince(revision)],
     },
   );
   clock.now = 0;
@@ -73,6 +74,26 @@
   assert.notEqual((await election.outage.answer(3, 1000, 0)).refused, true);
 });
 
+test('thousands of cancellations are told in an outage, and those of jobs without tasks are not', async () => {
+  // A fixed number of 4,096 once kept a controller from bearing witness: all work would have ended.
+  const many = 10_000;
+  const idOf = (i: number): string => `wk-${1_000_000 + i}`;
+  const store = new MemoryStore();
+  for (let i = 0; i < many; i++) store.accept({ id: idOf(i) });
+  const first = 'wk-1';
+  store.accept({ id: first });
+  for (let i = 0; i < many; i++) store.accept({ id: `wk-2${idOf(i).slice(3)}`, awaits: [first] });
+  const before = store.ledger;
+  for (let i = 0; i < many; i++) store.cancel(idOf(i));
+  store.cancel(first);
+  const { election } = controller(store);
+  store.mode = 'refuse';
+  const answer = await election.outage.answer(1, 1000, before);
+  assert.equal(answer.refused, true);
+  assert.equal(answer.cancelled?.length, many + 1);
+  assert.ok(encodeFrame({ id: 1, a: answer }).length <= MAX_FRAME);
+});
+
 test("an earlier attempt's key that turns up late is not taken for this attempt's", async () => {
   // It hangs on the earlier attempt's lease, which nobody renews.
   const store = new MemoryStore();
