--- a/test/pipeline-leader.test.ts
+++ b/test/pipeline-leader.test.ts
@@ -180,3 +180,18 @@
   assert.deepEqual([...w.fleet.starts.values()], Array(80).fill(1), 'none is started twice');
   assert.deepEqual(w.fleet.broken, []);
 });
+
+test('beside an old controller a machine gets no more claims than the plain form of its record can name', async () => {
+  const w = world(['a']);
+  w.settings.state.value_kb = 2;
+  w.takeOver();
+  w.term.deps.denseRecords = () => false;
+  await w.run(1);
+  const small = { cores: 0.05, gpus: 0, memGb: 0 };
+  for (let i = 0; i < 8; i++) w.job({ id: `wk-${1000 + i}`, tasks: 20, ...small });
+  await w.run(6);
+  const running = [...Array(8).keys()].reduce((n, i) => n + w.fleet.running(`wk-${1000 + i}`), 0);
+  assert.ok(running > 40 && running < 160, `${running} tasks run`);
+  const record = JSON.stringify(w.store.value('ps/m/a'));
+  assert.ok(record.length <= 2048 && record.includes('"t":'), `${record.length} bytes`);
+});
