--- a/src/leader/queue.ts
+++ b/src/leader/queue.ts
@@ -25,6 +25,9 @@
   };
 }
 
+/** Estimates are often wrong by half (protocol). */
+const ESTIMATE_ERROR = 1.5;
+
 /** Open jobs in the order in which they are placed. */
 export class Queue {
   private readonly marks = new LongMarks();
@@ -43,10 +46,28 @@
     return this.term.deps.replica.dependencies.hasDependents(j.spec.id);
   }
 
-  /** A job is treated as having the priority of the most important job that needs it. */
+  /**
+   * A job is treated as having the priority of the most important job that needs it, once the time left
+   * for what comes before the deadline is short. Until then its own will do: raised from the beginning,
+   * arrays of a hundred small tasks took places and writes from work that was to start at once.
+   */
   private inheritPriority(j: LiveJob): void {
     const { facts } = j;
-    j.setPriority(this.hasSuccessors(j) ? this.outlooks.of(facts).priority : facts.spec.priority);
+    if (!this.hasSuccessors(j)) {
+      j.setPriority(facts.spec.priority);
+      return;
+    }
+    const outlook = this.outlooks.of(facts);
+    j.setPriority(this.isUrgent(j, outlook) ? outlook.priority : facts.spec.priority);
+  }
+
+  /** Whether it may end too late if it waits for a machine to boot first. Without a deadline: always. */
+  private isUrgent({ spec }: LiveJob, { latestEndMs }: Outlook): boolean {
+    const { deps, types } = this.term;
+    let bootS = 0;
+    for (const type of types.values()) bootS = Math.max(bootS, type.bootS);
+    const leftS = (latestEndMs - deps.wallMs()) / 1000;
+    return latestEndMs === Infinity || leftS < spec.estimateS * ESTIMATE_ERROR + bootS;
   }
 
   /** Ranks open jobs that have tasks to start. */
