Machine types that do not fit into a value are not stored

The refused write would have been tried again for ever under a smaller limit: about a dozen types at 2 KiB. Every controller asks the cloud when the store has none.

--- a/src/leader/store.ts
+++ b/src/leader/store.ts
@@ -47,9 +47,16 @@
     this.due = new DueWrites(term, this.writes, clock);
   }
 
-  /** The machine types differ from those stored. */
+  /**
+   * The machine types differ from those stored. Where they do not fit into one value they are not stored: a
+   * refused write would be tried for ever, and every controller asks the cloud when the store has none.
+   */
   markTypes(): void {
-    this.writes.typesDirty = true;
+    const { term, log } = this.options;
+    const bytes = Buffer.byteLength(JSON.stringify(records.encodeTypes([...term.types.values()])));
+    const mostBytes = term.deps.settings.state.value_kb * 1024;
+    this.writes.typesDirty = bytes <= mostBytes;
+    if (!this.writes.typesDirty) log.info({ bytes, mostBytes }, 'machine types are not stored');
   }
 
   nudge(): void {
--- a/test/pipeline-leader.test.ts
+++ b/test/pipeline-leader.test.ts
@@ -181,6 +181,23 @@
   assert.deepEqual(w.fleet.broken, []);
 });
 
+test('machine types that do not fit into a value are not stored, and keep nothing else from being stored', async () => {
+  const w = world(['a']);
+  w.settings.state.value_kb = 2;
+  w.takeOver();
+  const before = w.store.revision('ps/t');
+  const types = [...w.term.types.values()];
+  const more = Array.from({ length: 30 }, (_, i) => ({ ...types[0]!, name: `type-${i}` }));
+  w.leader.onTypes([...types, ...more]);
+  w.job({ id: FIRST });
+  await w.run(2);
+  assert.equal(w.store.revision('ps/t'), before);
+  assert.equal(w.fleet.running(FIRST), 1);
+  w.leader.onTypes([...types, more[0]!]);
+  await w.run(1);
+  assert.ok(w.store.revision('ps/t') > before, 'those that fit are');
+});
+
 test('beside an old controller a machine gets no more claims than the plain form of its record can name', async () => {
   const w = world(['a']);
   w.settings.state.value_kb = 2;
