--- a/test/cluster-pipelines.test.ts
+++ b/test/cluster-pipelines.test.ts
@@ -3,7 +3,7 @@
 import { test } from 'node:test';
 import * as records from '../src/state/records.js';
 import { until, wait } from './helpers.js';
-import { playAll, type Cluster, type Row } from './standins/cluster.js';
+import { Cluster, playAll, type Row } from './standins/cluster.js';
 
 const LEASE = 2;
 /** Longer than the troubles. */
@@ -87,6 +87,25 @@
   });
 });
 
+test('each controller tells what its version can do, and learns it of the others, also after their ends', async () => {
+  const cluster = await Cluster.start({ leaseS: LEASE });
+  const known = (at: number): boolean =>
+    cluster.controllers[at]!.figures().pipelines_known === true;
+  try {
+    await until('all know', () => cluster.indexes.every(known));
+    const entries = cluster.indexes.map((at) =>
+      cluster.state.keys.get(records.versionKey(`n-${at}`)),
+    );
+    assert.ok(entries.every((entry) => entry !== undefined && entry.loan === undefined));
+    // The records outlive their controllers: one that begins alone knows of the others.
+    for (const at of cluster.indexes) cluster.stopController(at);
+    await cluster.startController(0);
+    await until('it has read them', () => known(0));
+  } finally {
+    cluster.close();
+  }
+});
+
 interface Called extends Row {
   job: string;
   /** Jobs that run for long, so that the cancellation meets them. */
