--- a/src/api/users.ts
+++ b/src/api/users.ts
@@ -31,7 +31,7 @@
 
 export interface UsersOptions {
   settings: Settings;
-  follower: Pick<Follower, 'ready' | 'sync' | 'syncNow'>;
+  follower: Pick<Follower, 'ready' | 'sync'>;
   replica: Replica;
   requestWriter: RequestWriter;
   types: () => MachineType[] | null;
@@ -114,7 +114,7 @@
   private async cannotAwait(spec: JobSpec): Promise<{ reason: string } | 'unsure' | null> {
     if (spec.awaits.includes(spec.id)) return { reason: 'awaits itself' };
     const known = (id: string): boolean => this.replica.jobs.has(id);
-    if (!spec.awaits.every(known) && !(await this.follower.syncNow())) return 'unsure';
+    if (!spec.awaits.every(known) && !(await this.follower.sync())) return 'unsure';
     for (const id of spec.awaits) {
       const needed = this.replica.jobs.get(id);
       if (needed === undefined) return { reason: `awaits ${id}, which was never accepted` };
--- a/src/jobs/live.ts
+++ b/src/jobs/live.ts
@@ -28,6 +28,8 @@
   phase: Phase = 'open';
   cancelled = false;
   readonly progress: JobProgress;
+  /** Tasks that are done, stored or not: those of `progress`, asked for very often. */
+  readonly done: BitSet;
   /** Attempts of each task that hold room somewhere, or that may. */
   readonly live = new Map<number, Attempt[]>();
   /** Done tasks whose end is not stored yet. */
@@ -62,17 +64,13 @@
     this.readySince = now - Math.max(0, wallMs - facts.readyMs) / 1000;
     this.attainedS = facts.attainedS;
     this.progress = new JobProgress(this.spec.tasks, layout);
+    this.done = this.progress.done;
     for (const [key, { first, bits, revision }] of facts.progress ?? []) {
       this.progress.read(key, first, bits, revision);
     }
     if (this.done.count > 0) this.succeeded = true;
   }
 
-  /** Tasks that are done, stored or not. */
-  get done(): BitSet {
-    return this.progress.done;
-  }
-
   /** Treats the job as one of this priority. */
   setPriority(priority: Priority): void {
     if (priority === this.spec.priority) return;
--- a/src/leader/claim-space.ts
+++ b/src/leader/claim-space.ts
@@ -27,6 +27,8 @@
  */
 export class ClaimSpace {
   private readonly measured = new Map<string, Measured>();
+  /** Machines whose bytes have to be counted. */
+  private readonly crowded = new Set<string>();
   private form: ClaimForm = 'plain';
   private readonly mostBytes: number;
 
@@ -39,20 +41,32 @@
     if (form !== this.form) this.measured.clear();
     this.form = form;
     if (this.measured.size > this.term.machines.size * 2) this.measured.clear();
+    this.crowded.clear();
+    for (const m of this.term.machines.values()) this.noteClaimed(m);
+  }
+
+  /** A claim was added to a machine, in a pass. */
+  noteClaimed(m: Machine): void {
+    if (!this.surelyHolds(m.attempts.size + 1)) this.crowded.add(m.id);
   }
 
   /** Whether a task of the job, or of a gang all that fit there, can be claimed on a machine. */
   has(job: LiveJob, room: FreeCapacity): boolean {
+    // Asked for each job and machine of each pass: as a rule this is all.
+    if (this.crowded.size === 0 && !job.gang) return true;
     const m = this.term.machines.get(room.id)!;
     const held = m.attempts.size;
     const more = job.gang ? tasksThatFit(job, room) : 1;
-    if (held === 0) return true;
+    if (held === 0 || this.surelyHolds(held + more)) return true;
     if (held + more > MOST_REPORTED_TASKS) return false;
-    if (FRAME_BYTES + (held + more) * CLAIM_BYTES <= this.mostBytes) return true;
     const eachMore = this.form === 'dense' ? DENSE_TASK_BYTES : CLAIM_BYTES;
     return this.bytes(m) + CLAIM_BYTES + (more - 1) * eachMore <= this.mostBytes;
   }
 
+  private surelyHolds(claims: number): boolean {
+    return claims <= MOST_REPORTED_TASKS && FRAME_BYTES + claims * CLAIM_BYTES <= this.mostBytes;
+  }
+
   private bytes(m: Machine): number {
     const known = this.measured.get(m.id);
     if (known?.version === m.version) return known.bytes;
--- a/src/leader/job-placement.ts
+++ b/src/leader/job-placement.ts
@@ -164,6 +164,7 @@
     const fetchS = room.imageWaitS(spec.image, spec.imageGb);
     if (fetchS === room.fetchS(spec.imageGb)) a.fetchS = fetchS;
     m.claim(a);
+    this.eligibility.noteClaimed(m);
     job.claimed(a);
     term.dirtyMachines.add(m.id);
   }
--- a/src/leader/machine-eligibility.ts
+++ b/src/leader/machine-eligibility.ts
@@ -69,6 +69,11 @@
     this.excess.set(room.spot, excess + freeShare(room) - freeShareBefore);
   }
 
+  /** A claim was added to a machine. */
+  noteClaimed(m: Machine): void {
+    this.claimSpace.noteClaimed(m);
+  }
+
   /** The machines a job may use, whatever is held for long work. */
   mayUse(job: LiveJob): MayUse {
     const { reservations } = this.options;
--- a/src/leader/queue.ts
+++ b/src/leader/queue.ts
@@ -72,21 +72,24 @@
 
   /** Ranks open jobs that have tasks to start. */
   ranked(now: number): LiveJob[] {
-    const { policy } = this.term.deps;
+    const { policy, replica } = this.term.deps;
+    // Most fleets have no pipelines at most times, and passes are many.
+    const noPipelines = replica.dependencies.isEmpty;
+    const asReady = noPipelines ? alone : (j: LiveJob): Ready => this.asReady(j);
     const open: LiveJob[] = [];
     for (const j of this.term.jobs.values()) {
       if (j.phase !== 'open') continue;
-      this.inheritPriority(j);
+      if (!noPipelines || j.spec !== j.facts.spec) this.inheritPriority(j);
       open.push(j);
     }
     const finite = open.filter((j) => j.spec.kind !== 'service');
-    const remainings = finite.map((j) => remaining(this.asReady(j), policy));
+    const remainings = finite.map((j) => remaining(asReady(j), policy));
     this.marks.update(remainings, policy, now);
     finite.forEach((j, i) => (j.long = this.marks.isLong(remainings[i]!, j.long)));
     this.markGuaranteed(open);
     const waiting = open.filter((j) => j.pendingCount > 0);
     const s = scores(
-      waiting.map((j) => this.asReady(j)),
+      waiting.map(asReady),
       waiting.map((j) => j.long),
       policy,
     );
--- a/src/peers/net.ts
+++ b/src/peers/net.ts
@@ -29,7 +29,7 @@
   private closed = false;
   /** What each of the others said of its version when it opened its latest connection. */
   private readonly features = new Map<string, ReadonlySet<string>>();
-  /** When a frame of another controller came last, in milliseconds of `performance.now()`. */
+  /** When a hello or a figure of another controller came last, in milliseconds of `performance.now()`. */
   private readonly heardAt = new Map<string, number>();
 
   constructor(
@@ -68,8 +68,8 @@
         return;
       }
       const frame = parseFromAsker(raw);
-      this.heardAt.set(from, performance.now());
       if (frame.kind === 'fitness') {
+        this.heardAt.set(from, performance.now());
         this.fitness.note(from, frame.fitness);
         return;
       }
--- a/src/pipelines/dependency-graph.ts
+++ b/src/pipelines/dependency-graph.ts
@@ -35,6 +35,11 @@
     return (this.dependents.get(id) ?? []).filter(isWaiting);
   }
 
+  /** Whether no job waits for another one. */
+  get isEmpty(): boolean {
+    return this.dependents.size === 0;
+  }
+
   hasDependents(id: string): boolean {
     return this.dependents.has(id);
   }
--- a/src/state/follow.ts
+++ b/src/state/follow.ts
@@ -1,5 +1,5 @@
 import { random } from '../random.js';
-import { Pause, sleep, type Clock } from '../clock.js';
+import { sleep, type Clock } from '../clock.js';
 import type { Log } from '../log.js';
 import { StateClient } from './client.js';
 import { Replica } from './replica.js';
@@ -15,9 +15,6 @@
   private syncSent = false;
   private again: Promise<boolean> | null = null;
   private lastSyncAt = -Infinity;
-  /** The next read does not wait for the gap between two. */
-  private hurried = false;
-  private readonly gap = new Pause();
 
   constructor(
     private readonly state: StateClient,
@@ -73,16 +70,6 @@
     this.log.info({ revision, jobs: jobs.size, machines: machines.size, tookS }, 'store read');
   }
 
-  /**
-   * As `sync`, without waiting for the least time between two reads: for submissions and cancellations,
-   * which are few, as many as this node may write. Polls are many, and wait.
-   */
-  syncNow(): Promise<boolean> {
-    this.hurried = true;
-    this.gap.end();
-    return this.sync();
-  }
-
   /**
    * True once the replica holds everything that had been stored when this was called. Callers share
    * reads: one that begins after the call is needed, one already under way may be too old.
@@ -105,8 +92,7 @@
 
   private async readNow(): Promise<boolean> {
     const wait = this.lastSyncAt + this.syncGapS - this.clock.now();
-    if (wait > 0 && !this.hurried) await this.gap.wait(wait);
-    this.hurried = false;
+    if (wait > 0) await sleep(wait);
     // The read is sent after this point; whoever joins later waits for the next one.
     this.syncSent = true;
     const sentAt = this.clock.now();
--- a/src/state/request-writer.ts
+++ b/src/state/request-writer.ts
@@ -158,7 +158,7 @@
     let synced = false;
     failures = 0;
     while (stored && !synced && failures++ < FAILURES && this.clock.now() < deadline) {
-      synced = await this.follower.syncNow();
+      synced = await this.follower.sync();
       if (!synced) await sleep(0.05);
     }
     for (const e of batch) {
