--- a/test/pipelines.test.ts
+++ b/test/pipelines.test.ts
@@ -63,25 +63,19 @@
     const known = reference.jobs.get(step.job);
     const now = changes.length + 1;
     if (step.what === 'accept') {
-      const awaits = step.awaits.filter((id) => reference.jobs.has(id) && id !== step.job);
-      const accepted = { spec: spec({ id: idOf(step.job), awaits: awaits.map(idOf) }), atMs: now };
-      const prefix = awaits.length > 0 ? records.DEPENDENT_JOBS : records.JOBS;
-      // Names of writers come in no order: a listing may show the later of two acceptances first.
-      const key = `${prefix}${(now * 7) % 10}-${now}`;
       // Accepted once more, as by two controllers at the same time: the same job, the older counts.
-      const first = known === undefined;
-      if (first) {
+      const awaits =
+        known?.awaits ?? step.awaits.filter((id) => reference.jobs.has(id) && id !== step.job);
+      if (known === undefined) {
         const never = Infinity;
         const job = { acceptedAt: now, cancelledAt: never, doneAt: never, awaits };
         reference.jobs.set(step.job, job);
-        put(key, records.encodeSubmissions({ jobs: [accepted], cancels: [] }));
-      } else {
-        const again = {
-          spec: spec({ id: idOf(step.job), awaits: known.awaits.map(idOf) }),
-          atMs: now,
-        };
-        put(key, records.encodeSubmissions({ jobs: [again], cancels: [] }));
       }
+      const accepted = { spec: spec({ id: idOf(step.job), awaits: awaits.map(idOf) }), atMs: now };
+      const prefix = awaits.length > 0 ? records.DEPENDENT_JOBS : records.JOBS;
+      // Names of writers come in no order: a listing may show the later of two acceptances first.
+      const key = `${prefix}${(now * 7) % 10}-${now}`;
+      put(key, records.encodeSubmissions({ jobs: [accepted], cancels: [] }));
     } else if (known === undefined) continue;
     else if (step.what === 'cancel') {
       known.cancelledAt = Math.min(known.cancelledAt, now);
