Read once more: one place knows when a controller was heard, and what stood twice stands once

- FitnessTable already notes when each controller was heard; PeerNet kept the same beside it for Versions.
- The slowest boot of all types was looked for in each pass, and for each job that others wait for; the term derives it when the types change.
- The choice of the form of claims stood twice in machine-record; link of the dependency graph had one caller.
- mixed-versions takes submissions and whole-number options from where they were already.
- The comment on late priority says what was measured, not a cause that was not looked into.

--- a/scripts/costs.ts
+++ b/scripts/costs.ts
@@ -1,6 +1,7 @@
-import { Command, InvalidArgumentError } from 'commander';
+import { Command } from 'commander';
 import { wait } from '../test/helpers.js';
 import { Fleet, memoryMb, paced, processorSeconds } from './fleet-load.js';
+import { positive } from './options.js';
 import { summary } from './summary.js';
 
 /**
@@ -243,12 +244,6 @@
   }
 }
 
-function positive(text: string): number {
-  const value = Number(text);
-  if (!Number.isInteger(value) || value < 1) throw new InvalidArgumentError('must be above 0.');
-  return value;
-}
-
 const program = new Command('costs')
   .option('--machines <n>', 'machines of the fleet', positive, 170)
   .option('--pairs <n>', 'measurements of each build', positive, 1)
--- a/scripts/mixed-versions.ts
+++ b/scripts/mixed-versions.ts
@@ -2,7 +2,7 @@
 import { spawn, type ChildProcess } from 'node:child_process';
 import { createWriteStream, mkdirSync, writeFileSync } from 'node:fs';
 import { join, resolve } from 'node:path';
-import { Command, InvalidArgumentError } from 'commander';
+import { Command } from 'commander';
 import {
   freePort,
   GANG_PEER_S,
@@ -15,7 +15,8 @@
 import { Cloud, MACHINE_GPUS } from '../test/standins/cloud.js';
 import { RuleChecker } from '../test/standins/rules.js';
 import { StateService } from '../test/standins/state.js';
-import { Users } from '../test/standins/users.js';
+import { submission, Users } from '../test/standins/users.js';
+import { positive } from './options.js';
 import { buildProduction } from './production-build.js';
 
 /**
@@ -147,10 +148,7 @@
 
     await rollout.replace(0, 'now');
     await rollout.replace(1, 'old');
-    const early = await users.submitOnce(0, {
-      ...pipelineJob(refOf(round, 80, 1)),
-      awaits: [array],
-    });
+    const early = await users.submitOnce(0, submission(refOf(round, 80, 1), { awaits: [array] }));
     assert.equal(early.status, 503, 'refused while an old version is present');
     for (const index of [1, 2]) {
       const mixed = refOf(round, 91, index);
@@ -183,12 +181,6 @@
   assert.deepEqual(rules.violations, []);
 }
 
-const pipelineJob = (ref: string): Parameters<Users['submitOnce']>[1] => ({
-  ref, guild: 'c', crew: 't', form: 'batch', rank: 'standard', pieces: 2, cores: 1, gpus: 1,
-  mem_gb: 1, mould: 'i', image_gb: 1, castings: null, yard: null, one_zone: false, scatter: false,
-  loaner: false, reckon_s: 1, stamp_s: 0, stamping_s: 0, due_s: null,
-}); // prettier-ignore
-
 /** Three jobs, one after another; `firstS`: how long the first one runs. */
 async function submitPipeline(
   rollout: Rollout,
@@ -208,14 +200,8 @@
   }
 }
 
-function wholeNumber(text: string): number {
-  const n = Number(text);
-  if (!Number.isInteger(n) || n < 1) throw new InvalidArgumentError('must be a whole number');
-  return n;
-}
-
 const program = new Command('mixed-versions')
-  .option('--rounds <n>', 'how often it is played', wholeNumber, 1)
+  .option('--rounds <n>', 'how often it is played', positive, 1)
   .parse();
 const { rounds } = program.opts<{ rounds: number }>();
 const builds = { old: buildProduction(), now: resolve('.') };
--- a/scripts/production-fixtures.ts
+++ b/scripts/production-fixtures.ts
@@ -6,8 +6,8 @@
 import { buildProduction, productionCommit } from './production-build.js';
 
 /**
- * Writes test/fixtures/production.json: records and frames as the version in production makes them, and
- * what it makes of those of the present version.
+ * Writes test/fixtures/production.json: records as the version in production makes them, and its hello, whose
+ * fields are those of that version's `Link`.
  *
  *     npm run fixtures
  */
--- a/src/admission/fitness.ts
+++ b/src/admission/fitness.ts
@@ -108,6 +108,12 @@
     return least === Infinity ? 0 : least;
   }
 
+  /** Seconds since another controller told a figure, over any connection; Infinity: it has told none. */
+  silentS(node: string): number {
+    const { others } = this;
+    return this.options.clock.now() - (others.get(node)?.heardAt ?? -Infinity);
+  }
+
   private fresh(node: string): Fitness | null {
     const { clock, reportS } = this.options;
     const entry = this.others.get(node);
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -188,6 +188,7 @@
       leaseS: settings.workers.lease_s,
       replica: this.replica,
       peers: () => this.peers,
+      fitness: this.fitness,
       state: this.state,
       follower: this.follower,
       clock: this.clock,
--- a/src/controller/versions.ts
+++ b/src/controller/versions.ts
@@ -1,3 +1,4 @@
+import type { FitnessTable } from '../admission/fitness.js';
 import type { Clock } from '../clock.js';
 import { sleep } from '../clock.js';
 import type { Log } from '../log.js';
@@ -19,7 +20,8 @@
   others: readonly string[];
   leaseS: number;
   replica: Pick<Replica, 'versions' | 'leader'>;
-  peers: () => Pick<PeerNet, 'heardFeatures' | 'silentS'>;
+  peers: () => Pick<PeerNet, 'heardFeatures'>;
+  fitness: Pick<FitnessTable, 'silentS'>;
   state: Pick<StateClient, 'commit' | 'writes'>;
   follower: Pick<Follower, 'ready' | 'sync'>;
   clock: Clock;
@@ -57,11 +59,11 @@
    * is no proof, and none is needed: what such a version would misread it is never shown.
    */
   isOldPresent(feature: Feature): boolean {
-    const { others, leaseS, replica, peers } = this.options;
+    const { others, leaseS, replica, fitness } = this.options;
     const leader = replica.leader?.node;
     return others.some((node) => {
       if (this.knows(node, feature)) return false;
-      return node === leader || peers().silentS(node) < leaseS * PRESENT_LEASES;
+      return node === leader || fitness.silentS(node) < leaseS * PRESENT_LEASES;
     });
   }
 
--- a/src/leader/queue.ts
+++ b/src/leader/queue.ts
@@ -48,8 +48,8 @@
 
   /**
    * A job is treated as having the priority of the most important job that needs it, once the time left
-   * for what comes before the deadline is short. Until then its own will do: raised from the beginning,
-   * arrays of a hundred small tasks took places and writes from work that was to start at once.
+   * for what comes before the deadline is short. Raised from the beginning, days with troubles went worse:
+   * docs/results.md.
    */
   private inheritPriority(j: LiveJob): void {
     const { facts } = j;
@@ -63,11 +63,9 @@
 
   /** Whether it may end too late if it waits for a machine to boot first. Without a deadline: always. */
   private isUrgent({ spec }: LiveJob, { latestEndMs }: Outlook): boolean {
-    const { deps, types } = this.term;
-    let bootS = 0;
-    for (const type of types.values()) bootS = Math.max(bootS, type.bootS);
+    const { deps, slowestBootS } = this.term;
     const leftS = (latestEndMs - deps.wallMs()) / 1000;
-    return latestEndMs === Infinity || leftS < spec.estimateS * ESTIMATE_ERROR + bootS;
+    return latestEndMs === Infinity || leftS < spec.estimateS * ESTIMATE_ERROR + slowestBootS;
   }
 
   /** Ranks open jobs that have tasks to start. */
--- a/src/leader/scheduler.ts
+++ b/src/leader/scheduler.ts
@@ -78,8 +78,7 @@
   }
 
   weights(): Weights {
-    let bootS = 0;
-    for (const t of this.term.types.values()) bootS = Math.max(bootS, t.bootS);
+    const bootS = this.term.slowestBootS;
     const hot = this.arrivals.hot();
     return { ordinaryS: bootS * ORDINARY_BOOTS, spreadS: bootS * SPREAD_BOOTS, hot };
   }
--- a/src/leader/term-state.ts
+++ b/src/leader/term-state.ts
@@ -53,6 +53,8 @@
    */
   latestRevision: number;
   types = new Map<string, MachineType>();
+  /** The longest nominal boot of all types, in seconds. */
+  slowestBootS = 0;
   /** Set when something happened that placing should look at. */
   stirred = true;
   onStir: () => void = () => undefined;
@@ -75,6 +77,7 @@
 
   setTypes(types: MachineType[]): void {
     this.types = new Map(types.map((t) => [t.name, t]));
+    this.slowestBootS = Math.max(0, ...types.map((t) => t.bootS));
   }
 
   /** The machine of this name; one that nothing is known of is added. */
--- a/src/peers/net.ts
+++ b/src/peers/net.ts
@@ -29,8 +29,6 @@
   private closed = false;
   /** What each of the others said of its version when it opened its latest connection. */
   private readonly features = new Map<string, ReadonlySet<string>>();
-  /** When a hello or a figure of another controller came last, in milliseconds of `performance.now()`. */
-  private readonly heardAt = new Map<string, number>();
 
   constructor(
     self: string,
@@ -69,7 +67,6 @@
       }
       const frame = parseFromAsker(raw);
       if (frame.kind === 'fitness') {
-        this.heardAt.set(from, performance.now());
         this.fitness.note(from, frame.fitness);
         return;
       }
@@ -92,7 +89,6 @@
     const { from, features } = parseHello(hello);
     if (!this.links.has(from)) throw new BrokenFrame('unknown peer');
     this.features.set(from, features);
-    this.heardAt.set(from, performance.now());
     return from;
   }
 
@@ -131,13 +127,6 @@
     return this.features.get(node) ?? null;
   }
 
-  /** Seconds since anything came from another controller; Infinity: nothing has. */
-  silentS(node: string): number {
-    const answeredAt = this.links.get(node)?.answeredAt ?? -Infinity;
-    const heardAt = Math.max(answeredAt, this.heardAt.get(node) ?? -Infinity);
-    return (performance.now() - heardAt) / 1000;
-  }
-
   /** The others, those that answered last first. */
   lately(): string[] {
     const links = [...this.links].sort((a, b) => b[1].answeredAt - a[1].answeredAt);
--- a/src/pipelines/dependency-graph.ts
+++ b/src/pipelines/dependency-graph.ts
@@ -48,6 +48,7 @@
   accepted(job: JobFacts): void {
     this.version++;
     this.link(job);
+    if (job.missing === 0) this.makeReady(job);
     for (const id of job.spec.awaits) {
       const needed = this.jobs.get(id);
       if (needed !== undefined && outcome(needed) === 'cancelled') inheritCancellation(job, needed);
@@ -94,7 +95,7 @@
     for (const job of this.jobs.values()) {
       if (specOf(job) !== null && job.readyAt === null) unready.push(job);
     }
-    for (const job of unready) this.linkAll(job);
+    for (const job of unready) this.link(job);
     this.spreadCancellations();
     for (const job of unready) if (job.missing === 0) this.makeReady(job);
     for (const job of unready) {
@@ -103,13 +104,8 @@
     }
   }
 
-  /** Links a job to what it needs; ready at once where all of that is done. */
+  /** Notes a job with each one that it needs and that is not done. */
   private link(job: JobFacts): void {
-    this.linkAll(job);
-    if (job.missing === 0) this.makeReady(job);
-  }
-
-  private linkAll(job: JobFacts): void {
     job.missing = 0;
     for (const id of job.spec.awaits) {
       const needed = this.jobs.get(id);
--- a/src/state/machine-record.ts
+++ b/src/state/machine-record.ts
@@ -36,8 +36,11 @@
 /** Radix of attempts in the dense form. */
 const RADIX = 36;
 
-/** Whether all claims can be written in the dense form. */
-const isDenseable = (claims: Claim[]): boolean => claims.every(({ job }) => PLAIN_WORD.test(job));
+/** The densest form that is allowed and can hold all claims. */
+function densest({ claims }: MachineRecord, allowed: ClaimForm): ClaimForm {
+  if (allowed === 'plain') return 'plain';
+  return claims.every(({ job }) => PLAIN_WORD.test(job)) ? 'dense' : 'plain';
+}
 
 /**
  * The stored form of a record, within so many bytes where that can be had: dense where that is allowed and
@@ -51,15 +54,14 @@
 ): unknown {
   const whole = encodeAs(m, 'plain');
   if (bytesOf(whole) <= maxBytes) return whole;
-  const form = allowed === 'dense' && isDenseable(m.claims) ? 'dense' : 'plain';
+  const form = densest(m, allowed);
   const left = maxBytes - bytesOf(encodeAs({ ...m, images: [] }, form));
   return encodeAs({ ...m, images: latestWithin(m.images, left) }, form);
 }
 
 /** Bytes of a record without any images. */
 export function bytesWithoutImages(m: MachineRecord, allowed: ClaimForm): number {
-  const form = allowed === 'dense' && isDenseable(m.claims) ? 'dense' : 'plain';
-  return bytesOf(encodeAs({ ...m, images: [] }, form));
+  return bytesOf(encodeAs({ ...m, images: [] }, densest(m, allowed)));
 }
 
 const bytesOf = (value: unknown): number => Buffer.byteLength(JSON.stringify(value));
--- a/test/versions.test.ts
+++ b/test/versions.test.ts
@@ -126,8 +126,8 @@
     replica,
     peers: () => ({
       heardFeatures: (node) => (others[node]!.hello === null ? null : new Set(others[node]!.hello)),
-      silentS: (node) => others[node]!.silentS,
     }),
+    fitness: { silentS: (node) => others[node]!.silentS },
     state: null!,
     follower: null!,
     clock: { now: () => 0 },
