--- a/src/cloud/fleet.ts
+++ b/src/cloud/fleet.ts
@@ -4,6 +4,7 @@
 import type { MachineType } from '../jobs/types.js';
 import { RENT_MAX, RETURN_MAX, type ListedMachine, type RentRequest } from '../wire/cloud.js';
 import type { CloudClient } from './client.js';
+import type { StoredRent } from '../subsystems/subsystem.js';
 import type { Wanted } from './plan.js';
 
 /** A machine that is rented but has not reported yet. */
@@ -19,6 +20,8 @@
 
 export interface FleetHost {
   entitled(): boolean;
+  /** Requests under names that are stored: sent before all others. */
+  storedRents(): StoredRent[];
   /** What to rent now. */
   wanted(): Wanted[];
   /** Machines to give back now, their records already marked. */
@@ -109,6 +112,7 @@
       this.host.returned(back);
     }
     await this.retryRents();
+    await this.sendStored();
     for (const w of this.host.wanted()) {
       for (let left = w.count; left > 0; left -= RENT_MAX) {
         if (this.stopped || !this.host.entitled()) return;
@@ -132,20 +136,35 @@
     }
   }
 
+  /** Each is asked for until it is answered, by whoever leads: the name is the same, and so is the answer. */
+  private async sendStored(): Promise<void> {
+    for (const rent of this.host.storedRents()) {
+      if (this.stopped || !this.host.entitled()) return;
+      rent.sending();
+      const result = await this.cloud.rent(rent.request);
+      this.log.info({ request: rent.request, result: result.how }, 'rent, stored');
+      if (result.how === 'rented') this.rented(rent.request, result.ids);
+      if (result.how === 'none') this.noteShort(rent.request);
+      rent.answered(result);
+    }
+  }
+
+  private rented({ type, zone, spot, count }: RentRequest, ids: string[]): void {
+    const now = this.clock.now();
+    for (const id of ids) {
+      if (this.host.known(id) || this.gone.has(id)) continue;
+      this.coming.set(id, { id, type, zone, spot, since: now, listed: false, running: false });
+    }
+    if (ids.length < count) this.noteShort({ type, zone, spot });
+  }
+
   private async rent(request: RentRequest, since: number): Promise<void> {
     const r = await this.cloud.rent(request);
     this.log.info({ request, result: r.how }, 'rent');
     switch (r.how) {
-      case 'rented': {
-        const now = this.clock.now();
-        for (const id of r.ids) {
-          if (this.host.known(id)) continue;
-          const { type, zone, spot } = request;
-          this.coming.set(id, { id, type, zone, spot, since: now, listed: false, running: false });
-        }
-        if (r.ids.length < request.count) this.noteShort(request);
+      case 'rented':
+        this.rented(request, r.ids);
         break;
-      }
       case 'none':
         this.noteShort(request);
         break;
--- a/src/cloud/plan.ts
+++ b/src/cloud/plan.ts
@@ -38,6 +38,8 @@
   perZone: Map<string, number>;
   weights: Weights;
   most: number;
+  /** Whether a job may use a machine that is there or on its way; missing: it may. */
+  may?: (spec: JobSpec, room: FreeCapacity) => boolean;
 }
 
 let serial = 0;
@@ -101,8 +103,11 @@
   let count = 0;
   for (const d of input.demand) {
     const zones = new Map(d.zones);
+    const { may } = input;
+    const where =
+      may === undefined ? { zones } : { zones, may: (r: FreeCapacity) => may(d.spec, r) };
     for (let i = 0; i < d.tasks; i++) {
-      let room = bestFit(d.spec, input.rooms, { zones }, input.weights);
+      let room = bestFit(d.spec, input.rooms, where, input.weights);
       if (room === null) {
         if (count >= input.most) break;
         const kind = choose(d.spec, zones, input);
--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -85,6 +85,8 @@
   stateAddr: Endpoint;
   nodes: number;
   zones: string[];
+  /** How far a machine's time of day may be from the true one, in ms. */
+  skewMs: number;
   teams: Map<string, Team>;
   objectives: Parsed['settings']['objectives'];
   workers: Parsed['settings']['workers'];
@@ -121,6 +123,7 @@
     stateAddr: endpoint(p.endpoints.state),
     nodes: p.settings.count,
     zones: p.settings.zones,
+    skewMs: p.settings.skew_ms,
     teams: new Map(
       p.settings.teams.map((t) => [
         t.name,
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -9,6 +9,8 @@
 import { HttpServer, type Reply } from '../http/server.js';
 import type { Log } from '../log.js';
 import type { Policy } from '../operator/policy.js';
+import type { FeaturesFileRecord } from '../state/records.js';
+import type { Subsystem } from '../subsystems/subsystem.js';
 import { StateClient } from '../state/client.js';
 import { Follower } from '../state/follow.js';
 import { RequestWriter } from '../state/request-writer.js';
@@ -53,6 +55,13 @@
 export interface ControllerOptions {
   clock?: Clock;
   wallMs?: () => number;
+  /** What the features file switches on; missing: nothing. */
+  features?: ControllerFeatures;
+}
+
+export interface ControllerFeatures {
+  file: FeaturesFileRecord;
+  subsystems: readonly Subsystem[];
 }
 
 /** One controller: everything of it that does input and output, put together. */
@@ -89,6 +98,7 @@
   /** Only where the log's level is `debug`. */
   private readonly loadLog: LoadLog | null;
   private lostInEarlierTerms = 0;
+  private readonly subsystems: readonly Subsystem[];
 
   constructor(
     readonly settings: Settings,
@@ -97,6 +107,7 @@
     options: ControllerOptions = {},
   ) {
     this.clock = options.clock ?? steadyClock;
+    this.subsystems = options.features?.subsystems ?? [];
     this.costs = new Costs(() => this.clock.now());
     this.wallMs = options.wallMs ?? Date.now;
     this.requests = new RequestQueue({
@@ -193,6 +204,7 @@
       follower: this.follower,
       clock: this.clock,
       log,
+      ...(options.features === undefined ? {} : { file: options.features.file }),
     });
     this.handOver = new HandOver({
       overload: this.overload,
@@ -406,6 +418,7 @@
         onLost: () => this.election.nudge(),
         costs: this.costs,
         overload: this.overload,
+        subsystems: this.subsystems,
       },
     );
     void this.acknowledgements.collect(token);
@@ -443,6 +456,8 @@
           : { status: 503, retryAfter: 1 };
       case 'metrics':
         return { status: 200, body: JSON.stringify(this.figures()) };
+      case 'subsystem':
+        return this.subsystemView(to.name);
       case 'wrong-method':
         return { status: 405, body: '{}' };
       case 'nowhere':
@@ -464,6 +479,17 @@
     return this.requests.run(CLASS_OF[request.to], work, BUSY);
   }
 
+  /** What a subsystem's records say, for operators; the same on every controller. */
+  private subsystemView(name: string): Reply {
+    const subsystem = this.subsystems.find((s) => s.name === name);
+    if (subsystem === undefined) return { status: 404, body: '{}' };
+    if (!this.follower.ready) return BUSY;
+    const own = this.replica.subsystems.of(name);
+    const view = subsystem.view(own, this.settings, this.wallMs());
+    // In many lines: no line of an answer may be longer than 64 KiB.
+    return { status: 200, body: JSON.stringify(view, null, 1) };
+  }
+
   private knownCancelled(ids: string[]): void {
     for (const id of ids) {
       this.cancellationNotices.noteStored(id);
@@ -481,6 +507,7 @@
       jobs: this.replica.jobs.size,
       ...pipelineFigures(this.replica),
       pipelines_known: this.versions.everyoneKnows('pipelines'),
+      features_differ: this.versions.withOtherFeatures().join(' '),
       connections: this.server.connections,
       garbage: this.replica.garbage,
       cancellations_heard: this.cancellationNotices.size,
--- a/src/controller/versions.ts
+++ b/src/controller/versions.ts
@@ -6,6 +6,7 @@
 import type { PeerNet } from '../peers/net.js';
 import type { StateClient } from '../state/client.js';
 import type { Follower } from '../state/follow.js';
+import type { FeaturesFileRecord } from '../state/records.js';
 import * as records from '../state/records.js';
 import type { Replica } from '../state/replica.js';
 
@@ -26,6 +27,8 @@
   follower: Pick<Follower, 'ready' | 'sync'>;
   clock: Clock;
   log: Log;
+  /** This controller's features file; missing: it has none. */
+  file?: FeaturesFileRecord;
 }
 
 /**
@@ -37,6 +40,8 @@
 export class Versions {
   private stopped = false;
   private announced = false;
+  /** Controllers that were logged last as having other features. */
+  private differing = '';
 
   constructor(private readonly options: VersionsOptions) {}
 
@@ -70,8 +75,12 @@
   /** Stores what this controller's version can do, until that is done. */
   async publish(): Promise<void> {
     const { node, leaseS, replica, state, follower, log } = this.options;
+    const { file } = this.options;
     const key = records.versionKey(node);
-    const value = records.encodeVersion({ features: [...FEATURES] });
+    const value = records.encodeVersion({
+      features: [...FEATURES],
+      ...(file === undefined ? {} : { file }),
+    });
     while (!this.stopped && !this.isPublished()) {
       try {
         if (follower.ready) {
@@ -89,11 +98,32 @@
 
   private isPublished(): boolean {
     const own = this.options.replica.versions.get(this.options.node)?.record;
-    return own !== undefined && own.features.join() === FEATURES.join();
+    const isSame = own?.features.join() === FEATURES.join();
+    return isSame && own?.file?.hash === this.options.file?.hash;
+  }
+
+  /** Controllers whose features file is another one than the leader's, as far as they have told. */
+  withOtherFeatures(): string[] {
+    const { replica, node, others, file } = this.options;
+    const leader = replica.leader?.node;
+    if (leader === undefined) return [];
+    const hashOf = (of: string): string | undefined =>
+      of === node ? file?.hash : replica.versions.get(of)?.record.file?.hash;
+    return [node, ...others].filter((of) => hashOf(of) !== hashOf(leader)).sort();
+  }
+
+  private noteOtherFeatures(): void {
+    const differing = this.withOtherFeatures().join(', ');
+    if (differing === this.differing) return;
+    this.differing = differing;
+    const message = "features files: those of these controllers differ from the leader's";
+    if (differing !== '') this.options.log.info({ controllers: differing }, message);
+    else this.options.log.info({}, 'features files: all are the same');
   }
 
-  /** Called regularly: logs, once, that there is no way back to an older version. */
+  /** Called regularly: logs, once, that there is no way back to an older version, and what differs. */
   note(): void {
+    this.noteOtherFeatures();
     if (this.announced || !this.everyoneKnows('pipelines')) return;
     this.announced = true;
     const message = 'every controller knows pipelines: do not go back to an older version';
--- a/src/leader/capacity.ts
+++ b/src/leader/capacity.ts
@@ -6,7 +6,10 @@
 import type { Demand, Wanted } from '../cloud/plan.js';
 import type { MachineType } from '../jobs/types.js';
 import type { FreeCapacity } from '../scheduler/place.js';
+import type { Usages } from '../scheduler/quota.js';
 import type { ListedMachine } from '../wire/cloud.js';
+import { NO_SUBSYSTEMS, type ActiveSubsystems } from '../subsystems/active-subsystems.js';
+import type { StoredRent } from '../subsystems/subsystem.js';
 import type { Machine } from '../workers/machine.js';
 import { Consolidation } from './consolidation.js';
 import { RentPlanner, type PassRemains } from './rent-planner.js';
@@ -24,6 +27,7 @@
   /** A machine is gone for good. */
   forget: (m: Machine) => void;
   onTypes: (types: MachineType[]) => void;
+  subsystems?: ActiveSubsystems;
 }
 
 /** Keeps the fleet of a term as large as it should be: what to rent, what to give back. */
@@ -31,19 +35,29 @@
   readonly fleet: Fleet;
   demand: Demand[] = [];
   rooms: FreeCapacity[] = [];
+  /** What teams used after the latest pass; null: there was none. */
+  usages: Usages | null = null;
   private readonly warm: WarmReserve;
   private readonly rents: RentPlanner;
   private readonly returns: ReturnPlanner;
   private readonly consolidation: Consolidation;
+  private readonly subsystems: ActiveSubsystems;
 
   constructor(private readonly options: CapacityOptions) {
-    const { term, arrivals, scheduler } = options;
+    const { term, arrivals, scheduler, subsystems = NO_SUBSYSTEMS } = options;
+    this.subsystems = subsystems;
     this.fleet = this.makeFleet();
-    this.warm = new WarmReserve(term, arrivals);
+    this.warm = new WarmReserve(term, arrivals, subsystems);
     const weights = (): ReturnType<Scheduler['weights']> => scheduler().weights();
-    this.rents = new RentPlanner({ term, fleet: this.fleet, warm: this.warm, weights });
-    this.returns = new ReturnPlanner(term, this.warm);
-    this.consolidation = new Consolidation(term, this.warm, (rooms) => scheduler().vacate(rooms));
+    const { fleet, warm } = this;
+    this.rents = new RentPlanner({ term, fleet, warm, weights, subsystems });
+    this.returns = new ReturnPlanner(term, this.warm, subsystems);
+    this.consolidation = new Consolidation(
+      term,
+      this.warm,
+      (rooms) => scheduler().vacate(rooms),
+      (id) => subsystems.keeps(id),
+    );
   }
 
   private makeFleet(): Fleet {
@@ -83,9 +97,18 @@
     return this.warm.target(spot);
   }
 
+  /** Whether the cloud's latest list names a machine; null: there has been none yet. */
+  isListed(id: string): boolean | null {
+    return this.fleet.listedOnce ? this.returns.isListed(id) : null;
+  }
+
   /** Not even in the cloud's list any more. */
   unlisted(id: string): boolean {
-    return this.fleet.listedOnce && !this.returns.isListed(id);
+    return this.isListed(id) === false;
+  }
+
+  storedRents(): StoredRent[] {
+    return this.subsystems.rents();
   }
 
   wanted(): Wanted[] {
--- a/src/leader/consolidation.ts
+++ b/src/leader/consolidation.ts
@@ -26,6 +26,8 @@
     private readonly warm: WarmReserve,
     /** Empties a machine whose replicas fit elsewhere, if there is one. */
     private readonly vacate: (rooms: FreeCapacity[]) => void,
+    /** Whether a machine stays although nothing runs on it. */
+    private readonly keeps: (machine: string) => boolean,
   ) {}
 
   /** When there is a machine's worth of room too much, a machine is emptied to be given back. */
@@ -54,7 +56,8 @@
   /** An empty ordinary machine goes back first. */
   private hasEmpty(): boolean {
     for (const m of this.term.machines.values()) {
-      if (!m.spot && m.state === 'ready' && m.attempts.size === 0) return true;
+      if (m.spot || m.state !== 'ready' || m.attempts.size > 0) continue;
+      if (!this.keeps(m.id)) return true;
     }
     return false;
   }
--- a/src/leader/due-writes.ts
+++ b/src/leader/due-writes.ts
@@ -3,6 +3,7 @@
 import type { Clock } from '../clock.js';
 import type { LiveJob } from '../jobs/live.js';
 import type { Machine } from '../workers/machine.js';
+import type { ActiveSubsystems } from '../subsystems/active-subsystems.js';
 import type { RecordWrites, Write } from './record-writes.js';
 import type { Term } from './term.js';
 
@@ -10,12 +11,16 @@
 const ENDS = 0;
 const SOON = 4;
 export const LATER = 5;
+/** Records of subsystems go after all others. */
+const SUBSYSTEMS = 6;
 /** A record of done tasks is written at most once in so many seconds while it grows. */
 const PROGRESS_GAP_S = 1;
 
 export interface Due {
-  /** The lowest goes first; `LATER` can wait. */
+  /** The lowest goes first; what has `LATER` or more can wait. */
   urgency: number;
+  /** Puts and deletes that it takes; missing: one. */
+  ops?: number;
   /** Encodes the record as it is at this moment. */
   make(): Write;
 }
@@ -26,6 +31,7 @@
     private readonly term: Term,
     private readonly writes: RecordWrites,
     private readonly clock: Clock,
+    private readonly subsystems: ActiveSubsystems,
   ) {}
 
   /** What there is to write, in the order of urgency. */
@@ -43,6 +49,10 @@
       due.push({ urgency: LATER, make: () => writes.removal(id, revision) });
     }
     if (writes.typesDirty) due.push({ urgency: SOON, make: () => writes.types() });
+    for (const write of this.subsystems.dueWrites()) {
+      const ops = 1 + write.write.also.length;
+      due.push({ urgency: SUBSYSTEMS, ops, make: () => writes.owned(write) });
+    }
     return due.sort((a, b) => a.urgency - b.urgency);
   }
 
--- a/src/leader/leader.ts
+++ b/src/leader/leader.ts
@@ -6,6 +6,8 @@
 import type { JobFacts } from '../state/job-facts.js';
 import { scanMachineHint } from '../wire/report-scan.js';
 import { decodeReport, encodeOrders, type Report } from '../wire/workers.js';
+import { ActiveSubsystems } from '../subsystems/active-subsystems.js';
+import type { Subsystem, TermView } from '../subsystems/subsystem.js';
 import type { Machine } from '../workers/machine.js';
 import type { Costs } from '../costs.js';
 import { DirectCommands } from './direct.js';
@@ -14,6 +16,7 @@
 import { PASS_GAP_S, PassPacing } from './pass-pacing.js';
 import { dividePending } from './progress-layout.js';
 import { Scheduler } from './scheduler.js';
+import { SubsystemView } from './subsystem-view.js';
 import { TermStore } from './store.js';
 import { closeJobs, lostForGood } from './sweep.js';
 import { Term, type TermDeps } from './term.js';
@@ -28,6 +31,8 @@
   costs: Costs;
   /** What a pass may take of the processor; shared by the leaders of a controller. */
   overload?: Overload;
+  /** Those that this controller's features file switches on. */
+  subsystems?: readonly Subsystem[];
 }
 
 /** Acts for one term: answers reports, places, stores, commands and keeps the fleet. */
@@ -38,6 +43,7 @@
   private readonly capacity: CapacityManager;
   private readonly direct: DirectCommands;
   private readonly arrivals: Arrivals;
+  private readonly subsystems: ActiveSubsystems;
   private readonly costs: Costs;
   private timer: NodeJS.Timeout | null = null;
   private readonly pacing: PassPacing;
@@ -47,7 +53,7 @@
 
   constructor(
     private readonly deps: TermDeps,
-    { state, cloud, onLost, costs, overload = new Overload() }: LeaderServices,
+    { state, cloud, onLost, costs, overload = new Overload(), subsystems = [] }: LeaderServices,
   ) {
     this.costs = costs;
     this.term = new Term(deps);
@@ -59,6 +65,7 @@
     for (const j of deps.replica.jobs.values()) {
       if (j.readyAt !== null) this.arrivals.add(j.spec, j.readyMs);
     }
+    this.subsystems = new ActiveSubsystems(deps.log);
     this.capacity = new CapacityManager({
       term: this.term,
       cloud,
@@ -66,12 +73,14 @@
       arrivals: this.arrivals,
       forget: (m) => this.forget(m),
       onTypes: (types) => this.onTypes(types),
+      subsystems: this.subsystems,
     });
     this.scheduler = new Scheduler(
       this.term,
       this.arrivals,
       (type) => this.capacity.spotShort(type),
       (spot) => this.capacity.target(spot),
+      this.subsystems,
     );
     this.direct = new DirectCommands(this.term, () => this.schedule());
     this.store = new TermStore({
@@ -80,10 +89,17 @@
       clock: deps.clock,
       log: deps.log,
       onLost,
+      subsystems: this.subsystems,
     });
+    this.subsystems.begin(subsystems, (subsystem) => this.view(subsystem.name));
     if (deps.replica.types === null && this.term.types.size > 0) this.store.markTypes();
   }
 
+  private view(subsystem: string): TermView {
+    const { term, capacity, store } = this;
+    return new SubsystemView(subsystem, { term, capacity, nudgeStore: () => store.nudge() });
+  }
+
   start(): void {
     void this.store.run();
     void this.capacity.fleet.run();
@@ -96,6 +112,7 @@
     this.capacity.fleet.stop();
     if (this.timer !== null) clearTimeout(this.timer);
     this.direct.stop();
+    this.subsystems.stop();
   }
 
   onTypes(types: MachineType[]): void {
@@ -205,6 +222,7 @@
     if (this.deps.writing()) this.term.fenceUnanswered();
     dividePending(this.term);
     this.sweep();
+    this.subsystems.tick();
     this.term.requestPass();
   }
 
@@ -218,6 +236,7 @@
       const r = this.scheduler.pass();
       capacity.demand = r.demand;
       capacity.rooms = r.rooms;
+      capacity.usages = r.usages;
     }
     for (const m of term.machines.values()) if (m.holdsAny()) m.idleSince = began;
     if (term.dirtyMachines.size > 0 || this.anyDirty()) this.store.nudge();
@@ -256,7 +275,7 @@
 
   // Figures
 
-  figures(): Record<string, number> {
-    return figures(this.term, this.capacity);
+  figures(): Record<string, number | string> {
+    return { ...figures(this.term, this.capacity), ...this.subsystems.figures() };
   }
 }
--- a/src/leader/machine-eligibility.ts
+++ b/src/leader/machine-eligibility.ts
@@ -3,6 +3,7 @@
 import type { LiveJob } from '../jobs/live.js';
 import type { JobSpec } from '../jobs/types.js';
 import { freeShare, type FreeCapacity } from '../scheduler/place.js';
+import type { ActiveSubsystems } from '../subsystems/active-subsystems.js';
 import type { Machine } from '../workers/machine.js';
 import { ClaimSpace } from './claim-space.js';
 import { freeMachines, type FreeCapacityIndex } from './free-capacity.js';
@@ -40,6 +41,7 @@
   spotShort: (type: string) => boolean;
   /** Free capacity that is kept on spot or ordinary machines, in machines. */
   warm: (spot: boolean) => number;
+  subsystems: ActiveSubsystems;
 }
 
 /** Keeps reserved machines, records that are full and the warm capacity from jobs, pass by pass. */
@@ -76,12 +78,13 @@
 
   /** The machines a job may use, whatever is held for long work. */
   mayUse(job: LiveJob): MayUse {
-    const { reservations } = this.options;
+    const { reservations, subsystems } = this.options;
     const leavesWarm = this.leavesWarm(job);
     return (room) =>
       !reservations.isReservedFrom(job, room.id) &&
       this.claimSpace.has(job, room) &&
-      leavesWarm(room);
+      leavesWarm(room) &&
+      (!subsystems.any || subsystems.mayUse(job.spec, room));
   }
 
   /**
--- a/src/leader/record-writes.ts
+++ b/src/leader/record-writes.ts
@@ -3,6 +3,8 @@
 import type { Clock } from '../clock.js';
 import type { LiveJob } from '../jobs/live.js';
 import * as records from '../state/records.js';
+import type { NamedWrite } from '../subsystems/active-subsystems.js';
+import type { OwnedChange } from '../subsystems/subsystem.js';
 import type { Item, Op } from '../wire/state.js';
 import type { Machine } from '../workers/machine.js';
 import { machineRecord, machineRecordBytes } from './stored-machine.js';
@@ -27,15 +29,31 @@
   key: string;
   guard: number;
   op: Op;
+  /** Further changes of the same transaction, with their guards. */
+  also: readonly GuardedOp[];
   /** What it takes in a request, about. */
   bytes: number;
 }
 
+/** A change of one record, and the revision that was known of it. */
+export interface GuardedOp {
+  key: string;
+  guard: number;
+  op: Op;
+}
+
 const NOTHING = (): void => undefined;
 
-function makeWrite(key: string, guard: number, op: Op, outcomes: Outcomes): Write {
+const NONE: readonly GuardedOp[] = [];
+
+function bytesOf({ key, op }: GuardedOp): number {
   const valueBytes = 'put' in op ? JSON.stringify(op.value).length : 0;
-  return { key, guard, op, bytes: key.length * 2 + FRAME_BYTES + valueBytes, ...outcomes };
+  return key.length * 2 + FRAME_BYTES + valueBytes;
+}
+
+function makeWrite(key: string, guard: number, op: Op, outcomes: Outcomes, also = NONE): Write {
+  const bytes = [{ key, guard, op }, ...also].reduce((sum, each) => sum + bytesOf(each), 0);
+  return { key, guard, op, also, bytes, ...outcomes };
 }
 
 /** Makes the writes of a term's records. */
@@ -131,6 +149,25 @@
     );
   }
 
+  /** Records of a subsystem. */
+  owned({ subsystem, write }: NamedWrite): Write {
+    const prefix = records.subsystemPrefix(subsystem);
+    const guarded = ({ key, revision, value }: OwnedChange): GuardedOp => {
+      const whole = prefix + key;
+      const op: Op = value === null ? { remove: whole } : { put: whole, value };
+      return { key: whole, guard: revision, op };
+    };
+    const { key, guard, op } = guarded(write);
+    const outcomes: Outcomes = {
+      begin: NOTHING,
+      stored: (revision) => write.stored(revision),
+      failed: NOTHING,
+      reread: (item) =>
+        write.reread(item === null ? null : { value: item.value, revision: item.revision }),
+    };
+    return makeWrite(key, guard, op, outcomes, write.also.map(guarded));
+  }
+
   /** The machine types, for controllers that do not lead. */
   types(): Write {
     const value = records.encodeTypes([...this.term.types.values()]);
--- a/src/leader/rent-planner.ts
+++ b/src/leader/rent-planner.ts
@@ -6,6 +6,7 @@
 import type { LiveJob } from '../jobs/live.js';
 import type { FreeCapacity, Weights } from '../scheduler/place.js';
 import { RENT_MAX } from '../wire/cloud.js';
+import type { ActiveSubsystems } from '../subsystems/active-subsystems.js';
 import { holds } from '../workers/attempt.js';
 import type { Machine } from '../workers/machine.js';
 import { freeMachines } from './free-capacity.js';
@@ -40,6 +41,7 @@
   fleet: Fleet;
   warm: WarmReserve;
   weights: () => Weights;
+  subsystems: ActiveSubsystems;
 }
 
 /** Machines in each zone, with those on their way. */
@@ -51,7 +53,7 @@
 
   /** Machines to rent now; none while the term may not write or does not know its fleet. */
   wanted(remains: PassRemains): Wanted[] {
-    const { term, fleet, weights } = this.options;
+    const { term, fleet, weights, subsystems } = this.options;
     const { deps } = term;
     if (!deps.writing() || !fleet.listedOnce || term.types.size === 0) return [];
     const perZone = this.machinesPerZone();
@@ -68,6 +70,7 @@
       weights: weights(),
       // As many as the cloud's calls of a second can rent.
       most: Math.ceil(deps.settings.cloud.rps) * RENT_MAX,
+      ...(subsystems.any ? { may: (spec, room) => subsystems.mayUse(spec, room) } : {}),
     });
     for (const spot of [false, true]) {
       const spare = this.spareWanted(rooms, perZone, spot);
--- a/src/leader/return-planner.ts
+++ b/src/leader/return-planner.ts
@@ -2,6 +2,7 @@
 
 import type { MachineType } from '../jobs/types.js';
 import type { FreeCapacity } from '../scheduler/place.js';
+import { NO_SUBSYSTEMS, type ActiveSubsystems } from '../subsystems/active-subsystems.js';
 import { MIN_CHARGE_S, type ListedMachine } from '../wire/cloud.js';
 import type { Machine } from '../workers/machine.js';
 import { freeMachines } from './free-capacity.js';
@@ -36,6 +37,7 @@
   constructor(
     private readonly term: Term,
     private readonly warm: WarmReserve,
+    private readonly subsystems: ActiveSubsystems = NO_SUBSYSTEMS,
   ) {}
 
   /** Whether the cloud's latest list names a machine. */
@@ -127,6 +129,7 @@
     const { lease_s, report_s } = this.term.deps.settings.workers;
     if (m.faulty) return true;
     if (m.state === 'silent') return now - m.heardAt > lease_s * SILENT_LEASES;
+    if (this.subsystems.keeps(m.id)) return false;
     // What is given back early is paid for all the same.
     const age = Math.max(now - (m.firstHeardAt ?? now) + type.bootS, m.listedAgeS ?? 0);
     if (age <= MIN_CHARGE_S * CHARGED_SHARE) return false;
--- a/src/leader/scheduler.ts
+++ b/src/leader/scheduler.ts
@@ -6,7 +6,9 @@
 import type { JobSpec } from '../jobs/types.js';
 import { leavesSoon, Waits } from '../scheduler/objectives.js';
 import type { FreeCapacity, Weights } from '../scheduler/place.js';
+import type { Usages } from '../scheduler/quota.js';
 import { specOf } from '../state/job-facts.js';
+import { NO_SUBSYSTEMS, type ActiveSubsystems } from '../subsystems/active-subsystems.js';
 import { CHANGE_GAP_S } from '../wire/workers.js';
 import type { Machine } from '../workers/machine.js';
 import { Evictions } from './evictions.js';
@@ -40,6 +42,8 @@
   demand: Demand[];
   /** What is free after the pass. */
   rooms: FreeCapacity[];
+  /** What teams use after the pass. */
+  usages: Usages;
 }
 
 /** One pass of placing over a term: rank, place, make room, and say what is missing. */
@@ -59,6 +63,7 @@
     spotShort: (type: string) => boolean,
     /** Free capacity that is kept on spot or ordinary machines, in machines. */
     warm: (spot: boolean) => number,
+    private readonly subsystems: ActiveSubsystems = NO_SUBSYSTEMS,
   ) {
     this.waits = new Waits(term.deps.settings.objectives);
     this.queue = new Queue(term);
@@ -73,6 +78,7 @@
       leavesSoon: leaves,
       spotShort,
       warm,
+      subsystems,
     });
     this.placement = new JobPlacement(term, this.eligibility, this.waits);
   }
@@ -80,7 +86,10 @@
   weights(): Weights {
     const bootS = this.term.slowestBootS;
     const hot = this.arrivals.hot();
-    return { ordinaryS: bootS * ORDINARY_BOOTS, spreadS: bootS * SPREAD_BOOTS, hot };
+    const weights = { ordinaryS: bootS * ORDINARY_BOOTS, spreadS: bootS * SPREAD_BOOTS, hot };
+    const { subsystems } = this;
+    if (!subsystems.any) return weights;
+    return { ...weights, preferenceS: (spec, room) => subsystems.preferenceS(spec, room) };
   }
 
   pass(): PassResult {
@@ -91,7 +100,7 @@
     this.eligibility.beginPass(rooms);
     const weights = this.weights();
     const jobs = this.queue.ranked(now);
-    this.reservations.update(jobs, rooms, usages);
+    this.reservations.update(jobs, this.unkept(rooms), usages);
     const shares = longWorkShares(term, jobs, rooms, usages);
     const evictions = new Evictions(term, rooms, usages, this.waits);
     const unplaced = new UnplacedRequests();
@@ -101,7 +110,13 @@
     );
     const demand: Demand[] = [];
     placed = this.placeJobs(jobs, pass, placed, demand);
-    return { placed, demand, rooms };
+    return { placed, demand, rooms, usages };
+  }
+
+  /** A gang must not have machines emptied for it that a subsystem keeps. */
+  private unkept(rooms: FreeCapacity[]): FreeCapacity[] {
+    const { subsystems } = this;
+    return subsystems.any ? rooms.filter((room) => !subsystems.keeps(room.id)) : rooms;
   }
 
   /** Places jobs in their order. Returns the tasks placed in this pass, with those placed before. */
@@ -138,7 +153,8 @@
 
   /** Empties a machine whose replicas fit elsewhere, to be given back. */
   vacate(rooms: FreeCapacity[]): Machine | null {
-    return this.moves.vacate(rooms, (m) => isUsable(this.term, m), this.weights());
+    const mayGo = (m: Machine): boolean => isUsable(this.term, m) && !this.subsystems.keeps(m.id);
+    return this.moves.vacate(this.unkept(rooms), mayGo, this.weights());
   }
 
   private specOf(job: string): JobSpec | null {
--- a/src/leader/store.ts
+++ b/src/leader/store.ts
@@ -5,6 +5,7 @@
 import type { Log } from '../log.js';
 import { Refused, type StateClient } from '../state/client.js';
 import * as records from '../state/records.js';
+import type { ActiveSubsystems } from '../subsystems/active-subsystems.js';
 import type { Guard } from '../wire/state.js';
 import { DueWrites, LATER } from './due-writes.js';
 import { RecordWrites, type Write } from './record-writes.js';
@@ -14,6 +15,8 @@
 const TXN_BYTES = 60 * 1024;
 /** What a request takes beside its writes. */
 const FRAME_BYTES = 512;
+/** Of what may be written at once, what counts as all of it. */
+const NEARLY_ALL = 0.9;
 /** How long the writer waits when nothing is due, unless it is nudged. */
 const IDLE_S = 0.25;
 const COMMIT_TIMEOUT_S = 1.5;
@@ -28,6 +31,7 @@
   log: Log;
   /** The leader's key has changed: this term is over. */
   onLost: () => void;
+  subsystems: ActiveSubsystems;
 }
 
 /**
@@ -42,9 +46,9 @@
   private readonly due: DueWrites;
 
   constructor(private readonly options: TermStoreOptions) {
-    const { term, clock } = options;
+    const { term, clock, subsystems } = options;
     this.writes = new RecordWrites(term, clock);
-    this.due = new DueWrites(term, this.writes, clock);
+    this.due = new DueWrites(term, this.writes, clock, subsystems);
   }
 
   /**
@@ -88,8 +92,12 @@
     const mostLater = Math.min(most, Math.floor(writes.available - writes.capacity / 2));
     const batch: Write[] = [];
     let bytes = FRAME_BYTES;
+    let ops = 0;
     for (const d of due) {
-      if (batch.length >= (d.urgency === LATER ? mostLater : most)) break;
+      ops += d.ops ?? 1;
+      // A group that is larger than its share waits until all is there, rather than for ever.
+      const alone = batch.length === 0 && writes.available >= writes.capacity * NEARLY_ALL;
+      if (ops > (d.urgency >= LATER && !alone ? mostLater : most)) break;
       // Encoded only now: of what waits for its turn only the order is looked at.
       const w = d.make();
       if (bytes + w.bytes > TXN_BYTES) break;
@@ -98,7 +106,7 @@
       batch.push(w);
     }
     if (batch.length === 0) return false;
-    writes.force(batch.length);
+    writes.force(batch.reduce((sum, w) => sum + 1 + w.also.length, 0));
     await this.commit(batch);
     return true;
   }
@@ -106,11 +114,13 @@
   private async commit(batch: Write[]): Promise<void> {
     const { term, state, log, onLost } = this.options;
     const guards: Guard[] = [{ key: records.LEADER, revision: term.deps.token }];
-    for (const w of batch) guards.push({ key: w.key, revision: w.guard });
+    for (const w of batch) {
+      for (const { key, guard } of [w, ...w.also]) guards.push({ key, revision: guard });
+    }
     try {
       const r = await state.commit(
         guards,
-        batch.map((w) => w.op),
+        batch.flatMap((w) => [w.op, ...w.also.map(({ op }) => op)]),
         COMMIT_TIMEOUT_S,
       );
       if (this.stopped) return;
@@ -125,7 +135,8 @@
         return;
       }
       log.info({ failed: r.failed }, 'records differ from what was known');
-      await this.reread(batch.filter((w) => r.failed.includes(w.key)));
+      const differs = ({ key }: { key: string }): boolean => r.failed.includes(key);
+      await this.reread(batch.filter((w) => differs(w) || w.also.some(differs)));
     } catch (e) {
       if (this.stopped) return;
       for (const w of batch) w.failed();
@@ -145,7 +156,7 @@
     if (batch.length === 1) return;
     for (const w of batch) {
       if (this.stopped) return;
-      this.options.state.writes.force(1);
+      this.options.state.writes.force(1 + w.also.length);
       w.begin();
       await this.commit([w]);
     }
--- /dev/null
+++ b/src/leader/subsystem-view.ts
@@ -0,0 +1,98 @@
+/** A term as one of its subsystems sees it. */
+
+import type { JobSpec, MachineType } from '../jobs/types.js';
+import type { Log } from '../log.js';
+import type { Settings } from '../config/settings.js';
+import type { FreeCapacity } from '../scheduler/place.js';
+import { specOf } from '../state/job-facts.js';
+import type { MachineView, OwnedRecord, TeamUsage, TermView } from '../subsystems/subsystem.js';
+import type { CapacityManager } from './capacity.js';
+import type { Term } from './term.js';
+
+export interface SubsystemViewOptions {
+  term: Term;
+  capacity: CapacityManager;
+  nudgeStore: () => void;
+}
+
+export class SubsystemView implements TermView {
+  readonly settings: Settings;
+  readonly log: Log;
+  readonly token: number;
+  readonly uniquePrefix: string;
+
+  constructor(
+    private readonly subsystem: string,
+    private readonly options: SubsystemViewOptions,
+  ) {
+    const { deps } = options.term;
+    this.settings = deps.settings;
+    this.log = deps.log;
+    this.token = deps.token;
+    this.uniquePrefix = `${deps.incarnation}-${deps.token}-${subsystem}`;
+  }
+
+  now(): number {
+    return this.options.term.now;
+  }
+
+  wallMs(): number {
+    return this.options.term.deps.wallMs();
+  }
+
+  entitled(): boolean {
+    return this.options.term.deps.entitled();
+  }
+
+  writing(): boolean {
+    return this.options.term.deps.writing();
+  }
+
+  types(): ReadonlyMap<string, MachineType> {
+    return this.options.term.types;
+  }
+
+  machine(id: string): MachineView | undefined {
+    return this.options.term.machines.get(id);
+  }
+
+  isComing(id: string): boolean {
+    return this.options.capacity.fleet.coming.has(id);
+  }
+
+  isListed(id: string): boolean | null {
+    return this.options.capacity.isListed(id);
+  }
+
+  isShort(type: string, zone: string): boolean {
+    return this.options.capacity.fleet.short(type, zone, false);
+  }
+
+  spec(job: string): JobSpec | null {
+    const { term } = this.options;
+    const live = term.jobs.get(job);
+    if (live !== undefined) return live.spec;
+    const facts = term.deps.replica.jobs.get(job);
+    return facts === undefined ? null : specOf(facts);
+  }
+
+  rooms(): readonly FreeCapacity[] {
+    return this.options.capacity.rooms;
+  }
+
+  usage(team: string): TeamUsage {
+    return this.options.capacity.usages?.of(team) ?? { cores: 0, gpus: 0 };
+  }
+
+  records(): ReadonlyMap<string, OwnedRecord> {
+    return this.options.term.deps.replica.subsystems.of(this.subsystem);
+  }
+
+  nudgeStore(): void {
+    this.options.nudgeStore();
+  }
+
+  nudgeCloud(): void {
+    this.options.capacity.fleet.nudge();
+  }
+}
--- a/src/leader/warm-reserve.ts
+++ b/src/leader/warm-reserve.ts
@@ -1,6 +1,7 @@
 /** Free capacity that is kept for work to come. */
 
 import type { Arrivals } from '../cloud/arrivals.js';
+import { NO_SUBSYSTEMS, type ActiveSubsystems } from '../subsystems/active-subsystems.js';
 import type { Term } from './term.js';
 
 /** How much is kept free, by what arrives. */
@@ -8,10 +9,15 @@
   constructor(
     private readonly term: Term,
     private readonly arrivals: Arrivals,
+    private readonly subsystems: ActiveSubsystems = NO_SUBSYSTEMS,
   ) {}
 
-  /** On spot or ordinary machines, in machines. With nothing to do there is nothing to be warm for. */
+  /**
+   * On spot or ordinary machines, in machines. With nothing to do there is nothing to be warm for, but
+   * what subsystems keep: that is free, and not there for others.
+   */
   target(spot: boolean): number {
-    return this.term.jobs.size === 0 ? 0 : this.arrivals.target(spot);
+    const kept = spot ? 0 : this.subsystems.keptMachines();
+    return this.term.jobs.size === 0 ? kept : this.arrivals.target(spot) + kept;
   }
 }
--- a/src/scheduler/place.ts
+++ b/src/scheduler/place.ts
@@ -105,6 +105,8 @@
   /** Seconds that a wholly empty machine costs against a full one. */
   spreadS: number;
   hot?: HotImage[];
+  /** Seconds by which a task had better be placed there, for reasons outside of placing. */
+  preferenceS?: (spec: JobSpec, room: FreeCapacity) => number;
 }
 
 /** In seconds. What cannot be below `bound` is not reckoned to its end: the dear part comes last. */
@@ -113,7 +115,8 @@
     room.imageWaitS(spec.image, spec.imageGb) +
     (spec.spot && !room.spot ? w.ordinaryS : 0) +
     leftover(spec, room) * w.spreadS +
-    room.penaltyS;
+    room.penaltyS -
+    (w.preferenceS?.(spec, room) ?? 0);
   if (w.hot === undefined || own >= bound) return own;
   return own + opportunity(spec, room, w.hot);
 }
--- a/src/state/records.ts
+++ b/src/state/records.ts
@@ -13,6 +13,7 @@
  *   ps/n/<node>              a controller that is there, attached to a lease of its own
  *   ps/a/<node>              the latest leader that a controller has acknowledged by way of the store
  *   ps/t                     the machine types, for times when the cloud does not answer
+ *   ps/x/<subsystem>/...     what a subsystem keeps; its form is the subsystem's own
  *
  * Versions before pipelines ignore ps/d/ and ps/v/: a job that needs others can never be started by one
  * of them. docs/upgrade.md says of each record what older versions do with it.
@@ -30,6 +31,7 @@
 export const ACKS = 'ps/a/';
 export const LEADER = 'ps/l';
 export const TYPES = 'ps/t';
+export const SUBSYSTEMS = 'ps/x/';
 
 export const progressKey = (job: string, chunk: number): string => `${PROGRESS}${job}/${chunk}`;
 export const progressPartKey = (job: string, first: number): string =>
@@ -37,6 +39,8 @@
 export const nodeKey = (node: string): string => `${NODES}${node}`;
 export const versionKey = (node: string): string => `${VERSIONS}${node}`;
 export const ackKey = (node: string): string => `${ACKS}${node}`;
+/** Where the records of a subsystem are. */
+export const subsystemPrefix = (subsystem: string): string => `${SUBSYSTEMS}${subsystem}/`;
 export const machineKey = (id: string): string => `${MACHINES}${id}`;
 
 export { decodeMachine, encodeMachine, type Claim, type MachineRecord } from './machine-record.js';
@@ -129,14 +133,27 @@
   return { bits: o.b, attainedS: o.a ?? 0, ...doneMs, ...tasks };
 }
 
+/** The features file of a controller: which subsystems it switches on, and a hash of it. */
+export interface FeaturesFileRecord {
+  hash: string;
+  subsystems: string[];
+}
+
 export interface VersionRecord {
   features: string[];
+  /** Missing: no features file, or a version that knows none. */
+  file?: FeaturesFileRecord;
 }
 
-export const encodeVersion = (r: VersionRecord): unknown => ({ f: r.features });
+export const encodeVersion = ({ features, file }: VersionRecord): unknown => ({
+  f: features,
+  ...(file === undefined ? {} : { h: file.hash, s: file.subsystems }),
+});
 export function decodeVersion(value: unknown): VersionRecord {
-  const o = value as { f: string[] };
-  return { features: o.f.map(String) };
+  const o = value as { f: string[]; h?: unknown; s?: unknown };
+  const features = o.f.map(String);
+  if (typeof o.h !== 'string' || !Array.isArray(o.s)) return { features };
+  return { features, file: { hash: o.h, subsystems: o.s.map(String) } };
 }
 
 export interface LeaderRecord {
--- a/src/state/replica.ts
+++ b/src/state/replica.ts
@@ -6,6 +6,7 @@
 import { LeanJobs } from './lean-jobs.js';
 import * as records from './records.js';
 import { bitsOf, countDone, progressName } from './stored-progress.js';
+import { SubsystemRecords } from './subsystem-records.js';
 
 export interface Listener {
   /** A job may start from now on: it was accepted, or all jobs that it needs are done. */
@@ -36,6 +37,8 @@
   readonly acks = new Map<string, { ack: records.AckRecord; revision: number }>();
   /** What the version that a controller ran last could do, and the record's revision. */
   readonly versions = new Map<string, { record: records.VersionRecord; revision: number }>();
+  /** What subsystems keep, as it was written: also of those that are switched off here. */
+  readonly subsystems = new SubsystemRecords();
   /** The highest token that is known. */
   lastToken = 0;
   types: MachineType[] | null = null;
@@ -118,6 +121,7 @@
     const known = [...this.machines.keys()].map(records.machineKey);
     known.push(...[...this.present.keys()].map(records.nodeKey));
     if (this.leader !== null) known.push(records.LEADER);
+    known.push(...this.subsystems.keys());
     for (const key of known) if (!keys.has(key)) this.removed(key, revision + 1);
   }
 
@@ -139,6 +143,8 @@
         this.progress(key, value, revision);
       else if (key.startsWith(records.MACHINES)) {
         this.machine(key.slice(records.MACHINES.length), records.decodeMachine(value), revision);
+      } else if (key.startsWith(records.SUBSYSTEMS)) {
+        this.subsystems.put(key, value, revision);
       } else if (key.startsWith(records.NODES)) {
         const node = key.slice(records.NODES.length);
         if ((this.present.get(node) ?? -1) >= revision) return;
@@ -175,6 +181,8 @@
         this.leader = null;
         this.listener.onLeader?.();
       }
+    } else if (key.startsWith(records.SUBSYSTEMS)) {
+      this.subsystems.removed(key, revision);
     } else if (key.startsWith(records.NODES)) {
       const node = key.slice(records.NODES.length);
       if ((this.present.get(node) ?? Infinity) >= revision) return;
--- /dev/null
+++ b/src/state/subsystem-records.ts
@@ -0,0 +1,51 @@
+/** A copy of what subsystems keep in the store, by subsystem; the values are not looked into. */
+
+import * as records from './records.js';
+
+/** A value and the revision of its latest change. */
+export interface StoredValue {
+  value: unknown;
+  revision: number;
+}
+
+const NO_RECORDS: ReadonlyMap<string, StoredValue> = new Map();
+
+export class SubsystemRecords {
+  private readonly bySubsystem = new Map<string, Map<string, StoredValue>>();
+
+  /** The records of one subsystem by key, without its prefix. The map stays the same and changes. */
+  of(subsystem: string): ReadonlyMap<string, StoredValue> {
+    return this.bySubsystem.get(subsystem) ?? NO_RECORDS;
+  }
+
+  put(key: string, value: unknown, revision: number): void {
+    const { subsystem, rest } = split(key);
+    let own = this.bySubsystem.get(subsystem);
+    if (own === undefined) {
+      own = new Map();
+      this.bySubsystem.set(subsystem, own);
+    }
+    if ((own.get(rest)?.revision ?? -1) >= revision) return;
+    own.set(rest, { value, revision });
+  }
+
+  removed(key: string, revision: number): void {
+    const { subsystem, rest } = split(key);
+    const own = this.bySubsystem.get(subsystem);
+    const old = own?.get(rest);
+    if (own !== undefined && old !== undefined && old.revision < revision) own.delete(rest);
+  }
+
+  /** Whole keys of all records. */
+  keys(): string[] {
+    return [...this.bySubsystem].flatMap(([subsystem, own]) =>
+      [...own.keys()].map((rest) => records.subsystemPrefix(subsystem) + rest),
+    );
+  }
+}
+
+function split(key: string): { subsystem: string; rest: string } {
+  const name = key.slice(records.SUBSYSTEMS.length);
+  const slash = name.indexOf('/');
+  return { subsystem: name.slice(0, slash), rest: name.slice(slash + 1) };
+}
--- /dev/null
+++ b/src/subsystems/active-subsystems.ts
@@ -0,0 +1,100 @@
+/** The subsystems of a term as one: what the leader's parts ask. */
+
+import type { JobSpec } from '../jobs/types.js';
+import type { Log } from '../log.js';
+import type { FreeCapacity } from '../scheduler/place.js';
+import type { OwnedWrite, StoredRent, Subsystem, SubsystemTerm, TermView } from './subsystem.js';
+
+interface Active {
+  name: string;
+  term: SubsystemTerm;
+}
+
+/** A write and the subsystem whose record it is of. */
+export interface NamedWrite {
+  subsystem: string;
+  write: OwnedWrite;
+}
+
+/**
+ * Without subsystems every answer is the neutral one, at no cost. A subsystem that throws is logged and
+ * left out of this answer: it must not keep the leader from its work.
+ */
+export class ActiveSubsystems {
+  private readonly active: Active[] = [];
+
+  constructor(private readonly log: Log | null = null) {}
+
+  begin(subsystems: readonly Subsystem[], view: (subsystem: Subsystem) => TermView): void {
+    for (const subsystem of subsystems) {
+      const term = this.guarded(subsystem.name, null, () => subsystem.beginTerm(view(subsystem)));
+      if (term !== null) this.active.push({ name: subsystem.name, term });
+    }
+  }
+
+  get any(): boolean {
+    return this.active.length > 0;
+  }
+
+  tick(): void {
+    for (const { name, term } of this.active) this.guarded(name, undefined, () => term.tick());
+  }
+
+  rents(): StoredRent[] {
+    return this.active.flatMap(({ name, term }) => this.guarded(name, [], () => term.rents()));
+  }
+
+  keeps(machine: string): boolean {
+    return this.active.some(({ name, term }) =>
+      this.guarded(name, false, () => term.keeps(machine)),
+    );
+  }
+
+  keptMachines(): number {
+    let sum = 0;
+    for (const { name, term } of this.active) {
+      sum += this.guarded(name, 0, () => term.keptMachines());
+    }
+    return sum;
+  }
+
+  mayUse(spec: JobSpec, room: FreeCapacity): boolean {
+    return this.active.every(({ name, term }) =>
+      this.guarded(name, true, () => term.mayUse(spec, room)),
+    );
+  }
+
+  preferenceS(spec: JobSpec, room: FreeCapacity): number {
+    let sum = 0;
+    for (const { name, term } of this.active) {
+      sum += this.guarded(name, 0, () => term.preferenceS(spec, room));
+    }
+    return sum;
+  }
+
+  dueWrites(): NamedWrite[] {
+    return this.active.flatMap(({ name, term }) =>
+      this.guarded(name, [], () => term.dueWrites()).map((write) => ({ subsystem: name, write })),
+    );
+  }
+
+  figures(): Record<string, number | string> {
+    const all = this.active.map(({ name, term }) => this.guarded(name, {}, () => term.figures()));
+    return Object.assign({}, ...all) as Record<string, number | string>;
+  }
+
+  stop(): void {
+    for (const { name, term } of this.active) this.guarded(name, undefined, () => term.stop());
+  }
+
+  private guarded<T>(name: string, otherwise: T, ask: () => T): T {
+    try {
+      return ask();
+    } catch (e) {
+      this.log?.error({ subsystem: name, err: String(e), stack: (e as Error).stack }, 'subsystem');
+      return otherwise;
+    }
+  }
+}
+
+export const NO_SUBSYSTEMS = new ActiveSubsystems();
--- /dev/null
+++ b/src/subsystems/subsystem.ts
@@ -0,0 +1,141 @@
+/**
+ * What a subsystem and the leader know of each other: the only way by which a subsystem takes part in a
+ * term. A subsystem never commands a worker and never places a task. It owns records below a prefix of
+ * its own, asks for machines, keeps machines from being given back and from work that should not use
+ * them, and says where a task had better go.
+ */
+
+import type { Settings } from '../config/settings.js';
+import type { JobSpec, MachineType } from '../jobs/types.js';
+import type { Log } from '../log.js';
+import type { FreeCapacity } from '../scheduler/place.js';
+import type { RentRequest } from '../wire/cloud.js';
+import type { RentResult } from '../cloud/client.js';
+import type { Machine } from '../workers/machine.js';
+
+/** A record of a subsystem as the store holds it. */
+export interface OwnedRecord {
+  value: unknown;
+  /** Revision of its latest change. */
+  revision: number;
+}
+
+/** A put (value) or removal (null) of one record, guarded by the revision that is known of it. */
+export interface OwnedChange {
+  /** Below the subsystem's own prefix. */
+  key: string;
+  /** 0: there is none. */
+  revision: number;
+  value: unknown;
+}
+
+/** Changes of one transaction, guarded by the leader's key too, and what follows from its outcome. */
+export interface OwnedWrite extends OwnedChange {
+  /** Records that change in the same transaction, all or none. */
+  also: readonly OwnedChange[];
+  /** Carried out, with this revision. */
+  stored(revision: number): void;
+  /** Refused by a guard, or not answered: this is what the store holds under `key`. */
+  reread(record: OwnedRecord | null): void;
+}
+
+/** What a subsystem may see of a machine. */
+export type MachineView = Readonly<
+  Pick<
+    Machine,
+    | 'id'
+    | 'addr'
+    | 'type'
+    | 'zone'
+    | 'spot'
+    | 'state'
+    | 'faulty'
+    | 'takenAt'
+    | 'vacatedAt'
+    | 'heardAt'
+    | 'firstHeardAt'
+    | 'images'
+    | 'attempts'
+  >
+>;
+
+/** What a team's tasks use. */
+export interface TeamUsage {
+  cores: number;
+  gpus: number;
+}
+
+/** A term of leadership as its subsystems see it. */
+export interface TermView {
+  readonly settings: Settings;
+  readonly log: Log;
+  /** Token of the term: higher than that of every earlier one. */
+  readonly token: number;
+  /** Names that begin with it never recur. */
+  readonly uniquePrefix: string;
+  /** Seconds of the steady clock. */
+  now(): number;
+  /** Time of day in ms. */
+  wallMs(): number;
+  /** Whether the term may act at all: also in an outage that a majority confirms. */
+  entitled(): boolean;
+  /** Whether it may store and place. */
+  writing(): boolean;
+  types(): ReadonlyMap<string, MachineType>;
+  /** Undefined: nothing is known of it, or no longer. */
+  machine(id: string): MachineView | undefined;
+  /** Whether a rented machine is still expected to report. */
+  isComing(id: string): boolean;
+  /** Whether the cloud's latest list names it; null: there has been no list yet. */
+  isListed(id: string): boolean | null;
+  /** Whether the cloud has just had no ordinary machine of this type in this zone. */
+  isShort(type: string, zone: string): boolean;
+  spec(job: string): JobSpec | null;
+  /** What is free after the latest pass of placing. */
+  rooms(): readonly FreeCapacity[];
+  /** What a team's tasks used at the latest pass. */
+  usage(team: string): TeamUsage;
+  /** The subsystem's own records as they are in this controller's copy of the store, by key. */
+  records(): ReadonlyMap<string, OwnedRecord>;
+  /** There is something to store. */
+  nudgeStore(): void;
+  /** There is something to ask the cloud for. */
+  nudgeCloud(): void;
+}
+
+/** A request to the cloud under a name that is stored. It may be sent again by any later term. */
+export interface StoredRent {
+  request: RentRequest;
+  /** It is about to be sent. */
+  sending(): void;
+  answered(result: RentResult): void;
+}
+
+/** A subsystem's part in one term. All of it is asked often: nothing here may wait. */
+export interface SubsystemTerm {
+  /** Called about twice a report interval. */
+  tick(): void;
+  /** Requests to the cloud that are due. */
+  rents(): StoredRent[];
+  /** Whether a machine stays although nothing runs on it. */
+  keeps(machine: string): boolean;
+  /** Free capacity on ordinary machines that is spoken for, in machines. */
+  keptMachines(): number;
+  /** Whether a task may be placed there. */
+  mayUse(spec: JobSpec, room: FreeCapacity): boolean;
+  /** Seconds by which a task had better be placed there than on the same machine without a subsystem. */
+  preferenceS(spec: JobSpec, room: FreeCapacity): number;
+  /** What is to be stored, the most urgent first. It goes after all writes of the leader itself. */
+  dueWrites(): OwnedWrite[];
+  figures(): Record<string, number | string>;
+  stop(): void;
+}
+
+/** What a controller offers beside its term. */
+export interface Subsystem {
+  /** In keys of the store and in figures. */
+  readonly name: string;
+  beginTerm(term: TermView): SubsystemTerm;
+  /** For operators: what the records say, whoever leads. */
+  view(records: ReadonlyMap<string, OwnedRecord>, settings: Settings, wallMs: number): unknown;
+}
--- a/src/wire/users.ts
+++ b/src/wire/users.ts
@@ -113,6 +113,7 @@
   | { to: 'ready' }
   | { to: 'checkin' }
   | { to: 'metrics' }
+  | { to: 'subsystem'; name: string }
   | { to: 'wrong-method' }
   | { to: 'nowhere' };
 
@@ -126,6 +127,10 @@
   if (path === '/ready') return only(method === 'GET', { to: 'ready' });
   if (path === '/submissions') return only(method === 'POST', { to: 'submit' });
   if (path === '/metrics') return only(method === 'GET', { to: 'metrics' });
+  const subsystem = /^\/subsystems\/([a-z-]+)$/.exec(path)?.[1];
+  if (subsystem !== undefined) {
+    return only(method === 'GET', { to: 'subsystem', name: subsystem });
+  }
   const m = /^\/submissions\/([^/]+)(\/withdraw)?$/.exec(path);
   if (m !== null) {
     const id = m[1]!;
--- a/test/meeting-helpers.ts
+++ b/test/meeting-helpers.ts
@@ -12,6 +12,7 @@
 import { Leader } from '../src/leader/leader.js';
 import type { Scheduler } from '../src/leader/scheduler.js';
 import type { CapacityManager } from '../src/leader/capacity.js';
+import type { Subsystem } from '../src/subsystems/subsystem.js';
 import { Refused, Unanswered, type CommitResult, type StateClient } from '../src/state/client.js';
 import * as records from '../src/state/records.js';
 import { Replica } from '../src/state/replica.js';
@@ -283,8 +284,13 @@
   writing = true;
   zone = { keptUntil: -Infinity, provenAt: Infinity };
   returned: string[] = [];
+  /** By how much the time of day has jumped on the leader's machine. */
+  wallJumpMs = 0;
 
-  constructor(gpusMax = 100) {
+  constructor(
+    gpusMax = 100,
+    private readonly extras: { subsystems?: readonly Subsystem[]; cloud?: CloudClient } = {},
+  ) {
     this.settings.teams.set('t', { name: 't', cores: 0, coresMax: 0, gpus: 0, gpusMax });
     this.store.put(records.TYPES, [g8]);
     this.takeOver();
@@ -294,6 +300,11 @@
     return this.fleet.now;
   }
 
+  /** Time of day, in ms, as the leader's machine shows it. */
+  wallMs(): number {
+    return 1e9 + this.now * 1000 + this.wallJumpMs;
+  }
+
   get term(): Leader['term'] {
     return this.leader.term;
   }
@@ -313,7 +324,7 @@
       {
         settings: this.settings,
         clock: { now: () => this.now },
-        wallMs: () => 1e9 + this.now * 1000,
+        wallMs: () => this.wallMs(),
         log: silentLog(),
         replica,
         policy: DEFAULT_POLICY,
@@ -328,9 +339,10 @@
       },
       {
         state: this.store.client(),
-        cloud: { list: () => Promise.resolve([]) } as unknown as CloudClient,
+        cloud: this.extras.cloud ?? ({ list: () => Promise.resolve([]) } as unknown as CloudClient),
         onLost: () => undefined,
         costs: new Costs(() => this.now),
+        subsystems: this.extras.subsystems,
       },
     );
     const leader = this.leader;
