--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -14,7 +14,7 @@
   target: 'node20',
   format: 'iife',
   // Wanted by hardly any run, and loaded from node_modules then; `require` does that in a script.
-  external: ['commander', 'fengari'],
+  external: ['commander', 'croner', 'fengari'],
   supported: { 'dynamic-import': false },
   // src/launch.cts calls the whole file as a function.
   banner: { js: '(function (require, __filename, __dirname) {' },
--- a/src/controller/run.ts
+++ b/src/controller/run.ts
@@ -2,7 +2,9 @@
 import { makeLog } from '../log.js';
 import { readPolicy } from '../operator/load.js';
 import { limitHeapGrowth } from './heap.js';
-import { Controller } from './controller.js';
+import { steadyClock } from '../clock.js';
+import type { Features } from '../features/features-file.js';
+import { Controller, type ControllerOptions } from './controller.js';
 
 /** Between two looks at the heap's growth, in milliseconds. */
 const HEAP_REVIEW_MS = 500;
@@ -14,6 +16,7 @@
 export async function runController(
   settings: Settings,
   operatorScript: string | undefined,
+  features: Features | null,
   giveUp: (message: string) => never,
 ): Promise<void> {
   const { policy, wrong } = await readPolicy(operatorScript);
@@ -23,7 +26,7 @@
   process.on('uncaughtException', (e) => log.error({ err: String(e), stack: e.stack }, 'uncaught'));
   process.on('unhandledRejection', (e) => log.error({ err: String(e) }, 'unhandled rejection'));
   try {
-    await new Controller(settings, policy, log).start();
+    await new Controller(settings, policy, log, await controllerOptions(features)).start();
   } catch (e) {
     giveUp(`cannot listen: ${(e as Error).message}`);
   }
@@ -32,3 +35,10 @@
     if (reviewHeap()) clearInterval(timer);
   }, HEAP_REVIEW_MS);
 }
+
+/** Subsystems and their libraries are loaded only where a features file asks for them. */
+async function controllerOptions(features: Features | null): Promise<ControllerOptions> {
+  if (features === null) return {};
+  const { controllerFeatures } = await import('./features.js');
+  return { features: controllerFeatures(features, steadyClock) };
+}
--- /dev/null
+++ b/src/features/features-file.ts
@@ -0,0 +1,71 @@
+/** The features file: which subsystems a controller switches on, and how. */
+
+import { createHash } from 'node:crypto';
+import { readFileSync } from 'node:fs';
+import { parse } from 'smol-toml';
+import * as v from 'valibot';
+import type { Settings } from '../config/settings.js';
+import type { FeaturesFileRecord } from '../state/records.js';
+import { checkPools } from '../warm-pools/check.js';
+import { toConfig, warmPoolsSchema, type WarmPoolsConfig } from '../warm-pools/declaration.js';
+
+/** One table for each subsystem; a table that is missing leaves its subsystem off. */
+const schema = v.strictObject({
+  warm_pools: v.optional(warmPoolsSchema),
+});
+
+/** Hexadecimal digits of a file's hash that controllers tell one another. */
+const HASH_DIGITS = 16;
+
+export interface Features {
+  /** Tells the file, whatever its layout and comments: equal for equal contents. */
+  hash: string;
+  /** Null: off. */
+  warmPools: WarmPoolsConfig | null;
+}
+
+/** What is wrong with a features file: the key, and what was expected there. */
+export class FeaturesError extends Error {}
+
+/** Throws FeaturesError. `nowMs`: schedules are checked from this time of day on. */
+export function parseFeatures(text: string, settings: Settings, nowMs: number): Features {
+  let raw: unknown;
+  try {
+    raw = parse(text);
+  } catch (e) {
+    throw new FeaturesError(`not valid TOML: ${(e as Error).message.split('\n')[0]}`);
+  }
+  const result = v.safeParse(schema, raw);
+  if (!result.success) {
+    const issue = result.issues[0];
+    throw new FeaturesError(`${v.getDotPath(issue) ?? 'file'}: ${issue.message}`);
+  }
+  const table = result.output.warm_pools;
+  const warmPools = table === undefined ? null : toConfig(table);
+  if (warmPools !== null) {
+    const wrong = checkPools(warmPools, settings, nowMs);
+    if (wrong !== null) throw new FeaturesError(`warm_pools.${wrong.key}: ${wrong.problem}`);
+  }
+  return { hash: hashOf(result.output), warmPools };
+}
+
+/** Throws FeaturesError. */
+export function loadFeatures(file: string, settings: Settings, nowMs: number): Features {
+  let text: string;
+  try {
+    text = readFileSync(file, 'utf8');
+  } catch (e) {
+    throw new FeaturesError(`cannot be read: ${(e as NodeJS.ErrnoException).code ?? String(e)}`);
+  }
+  return parseFeatures(text, settings, nowMs);
+}
+
+/** What other controllers are told of a file. */
+export function featuresRecord({ hash, warmPools }: Features): FeaturesFileRecord {
+  return { hash, subsystems: warmPools === null ? [] : ['warm-pools'] };
+}
+
+function hashOf(contents: unknown): string {
+  const text = JSON.stringify(contents);
+  return createHash('sha256').update(text).digest('hex').slice(0, HASH_DIGITS);
+}
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,26 +1,38 @@
 #!/usr/bin/env node
-import { loadSettings, SettingsError } from './config/settings.js';
+import { loadSettings, SettingsError, type Settings } from './config/settings.js';
+import type { Features } from './features/features-file.js';
 
 export const VERSION = '0.1.0';
 
 interface Args {
   config?: string;
+  features?: string;
   operatorScript?: string;
   check?: boolean;
   status?: string;
   profile?: string;
 }
 
+/** `--config FILE`, with or without `--features FILE` before it; null: any other call. */
+function usualCall(argv: string[]): Args | null {
+  const names = argv.filter((_, i) => i % 2 === 0).join(' ');
+  const values = argv.filter((_, i) => i % 2 === 1);
+  if (argv.length % 2 !== 0 || values.some((value) => value.startsWith('-'))) return null;
+  if (names === '--config') return { config: values[0]! };
+  if (names === '--features --config') return { features: values[0]!, config: values[1]! };
+  return null;
+}
+
 /** The usual call is understood without loading the library for the others. */
 async function readArgs(argv: string[]): Promise<Args> {
-  if (argv.length === 2 && argv[0] === '--config' && !argv[1]!.startsWith('-')) {
-    return { config: argv[1] };
-  }
+  const usual = usualCall(argv);
+  if (usual !== null) return usual;
   const { Command } = await import('commander');
   const program = new Command('pewtershelf')
     .description('A scheduler for fleets that serve language models')
     .version(VERSION)
     .option('--config <file>', "the platform's settings (TOML)")
+    .option('--features <file>', 'which subsystems are switched on (TOML)')
     .option('--operator-script <file>', "operators' own settings (Lua)")
     .option('--check', 'check the settings and exit')
     .option('--status <addr>', 'print the figures of a running controller and exit')
@@ -42,6 +54,21 @@
   process.exit(2);
 }
 
+/** Null: no features file was given. */
+async function readFeatures(
+  file: string | undefined,
+  settings: Settings,
+): Promise<Features | null> {
+  if (file === undefined) return null;
+  const { FeaturesError, loadFeatures } = await import('./features/features-file.js');
+  try {
+    return loadFeatures(file, settings, Date.now());
+  } catch (e) {
+    if (e instanceof FeaturesError) give(`features ${file}: ${e.message}`);
+    throw e;
+  }
+}
+
 async function main(): Promise<void> {
   const args = await readArgs(process.argv.slice(2));
   if (args.status !== undefined) {
@@ -58,11 +85,13 @@
     throw e;
   }
   const { operatorScript } = args;
+  const features = await readFeatures(args.features, settings);
   if (args.check === true) {
     const { readPolicy } = await import('./operator/load.js');
     const { wrong } = await readPolicy(operatorScript);
     if (wrong !== null) give(wrong);
-    process.stdout.write('settings are valid\n');
+    const what = features === null ? 'settings are valid' : 'settings and features are valid';
+    process.stdout.write(`${what}\n`);
     return;
   }
   if (args.profile !== undefined) {
@@ -72,7 +101,7 @@
     void profileFor(Number(times[1]), Number(times[2]), (text) => process.stderr.write(text));
   }
   const { runController } = await import('./controller/run.js');
-  await runController(settings, operatorScript, give);
+  await runController(settings, operatorScript, features, give);
 }
 
 void main();
--- /dev/null
+++ b/src/warm-pools/alarms.ts
@@ -0,0 +1,58 @@
+/** What operators should know of pools. */
+
+import type { Log } from '../log.js';
+
+export type AlarmKind =
+  /** No machine type of the cloud fits the pool. */
+  | 'unknown_type'
+  /** The cloud has no machine for the pool at present. */
+  | 'no_capacity'
+  /** A burst has begun with fewer warm slots than declared. */
+  | 'late'
+  /** The budget of the period is spent. */
+  | 'budget_exhausted'
+  /** The team's limit leaves no room for all slots. */
+  | 'over_team_limit'
+  /** So many slots of a burst were lost that no more are prepared. */
+  | 'too_many_losses'
+  /** The machine's clock shows another time than the one that counts. */
+  | 'clock_jump';
+
+interface Alarm {
+  kind: AlarmKind;
+  pool: string;
+  detail: string;
+}
+
+/** Alarms that hold now. Each is logged when it begins and when it ends. */
+export class Alarms {
+  private current = new Map<string, Alarm>();
+  private next = new Map<string, Alarm>();
+
+  constructor(private readonly log: Log) {}
+
+  /** Within a round: what holds. What is not raised again in the next round has ended. */
+  raise(kind: AlarmKind, pool: string, detail: string): void {
+    this.next.set(`${kind}:${pool}`, { kind, pool, detail });
+  }
+
+  endRound(): void {
+    for (const [key, alarm] of this.next) {
+      if (!this.current.has(key)) this.log.info({ ...alarm }, 'warm pools: alarm');
+    }
+    for (const [key, { kind, pool }] of this.current) {
+      if (!this.next.has(key)) this.log.info({ kind, pool }, 'warm pools: alarm over');
+    }
+    this.current = this.next;
+    this.next = new Map();
+  }
+
+  has(kind: AlarmKind, pool: string): boolean {
+    return this.current.has(`${kind}:${pool}`);
+  }
+
+  /** For figures: `late:tutor (2 of 8 warm); …`; empty when there is none. */
+  describe(): string {
+    return [...this.current].map(([key, { detail }]) => `${key} (${detail})`).join('; ');
+  }
+}
--- /dev/null
+++ b/src/warm-pools/bill.ts
@@ -0,0 +1,284 @@
+/** What idle warm time cost, by pool and day of the burst. */
+
+import * as v from 'valibot';
+import type { OwnedChange, OwnedRecord, OwnedWrite } from '../subsystems/subsystem.js';
+import type { PoolDeclaration } from './declaration.js';
+import type { Slot } from './slot.js';
+import { slotKey } from './slot.js';
+import type { SlotEntry, SlotTable } from './slot-table.js';
+
+export const BILL_PREFIX = 'bill/';
+const MS_PER_DAY = 86_400_000;
+const MS_PER_HOUR = 3_600_000;
+
+/** Sums over slots. */
+export interface BillTotals {
+  slots: number;
+  used: number;
+  lost: number;
+  /** Seconds of whole machines: a slot that takes half of one counts half. */
+  machineS: number;
+  money: number;
+  /** By how many machine-seconds the sum may be wrong. */
+  uncertainS: number;
+}
+
+export interface BillDay extends BillTotals {
+  pool: string;
+  team: string;
+  /** Day of the burst's beginning, UTC: 2026-12-02. */
+  day: string;
+}
+
+interface StoredDay extends BillDay {
+  /** All bursts up to this one, in ms, are over and in the bill. */
+  throughMs: number;
+  /** Counts the changes: tells whether one that was not answered was carried out. */
+  merges: number;
+}
+
+const number = v.pipe(v.number(), v.finite());
+const record = v.object({
+  n: v.tuple([number, number, number]),
+  s: number,
+  m: number,
+  u: number,
+  b: number,
+  c: number,
+});
+
+export const dayOf = (ms: number): string => new Date(ms).toISOString().slice(0, 10);
+
+const NOTHING: BillTotals = { slots: 0, used: 0, lost: 0, machineS: 0, money: 0, uncertainS: 0 };
+
+export function addTotals(a: BillTotals, b: BillTotals): BillTotals {
+  return {
+    slots: a.slots + b.slots,
+    used: a.used + b.used,
+    lost: a.lost + b.lost,
+    machineS: a.machineS + b.machineS,
+    money: a.money + b.money,
+    uncertainS: a.uncertainS + b.uncertainS,
+  };
+}
+
+/** What a slot has cost up to a moment, or in all when it has ended. */
+export function slotTotals(slot: Slot, nowMs: number): BillTotals {
+  const { held, share, pricePerHour, state } = slot;
+  if (held === null) return { ...NOTHING, slots: 1 };
+  const heldMs = Math.max(0, (held.toMs ?? nowMs) - held.fromMs);
+  return {
+    slots: 1,
+    used: state === 'used' ? 1 : 0,
+    lost: state === 'lost' ? 1 : 0,
+    machineS: (heldMs / 1000) * share,
+    money: (heldMs / MS_PER_HOUR) * share * pricePerHour,
+    uncertainS: (held.uncertainMs / 1000) * share,
+  };
+}
+
+const dayKey = ({ pool, team, burstMs }: Pick<Slot, 'pool' | 'team' | 'burstMs'>): string =>
+  `${BILL_PREFIX}${pool}/${dayOf(burstMs)}/${encodeURIComponent(team)}`;
+
+function encodeDay(d: StoredDay): unknown {
+  return {
+    n: [d.slots, d.used, d.lost],
+    s: d.machineS,
+    m: d.money,
+    u: d.uncertainS,
+    b: d.throughMs,
+    c: d.merges,
+  };
+}
+
+/** Null: not a day of the bill. */
+function decodeDay(key: string, value: unknown): StoredDay | null {
+  const [, pool, day, team] = /^bill\/([^/]+)\/([^/]+)\/([^/]+)$/.exec(key) ?? [];
+  const result = v.safeParse(record, value);
+  if (pool === undefined || day === undefined || team === undefined) return null;
+  if (!result.success) return null;
+  const { n, s, m, u, b, c } = result.output;
+  const [slots, used, lost] = n;
+  const totals = { slots, used, lost, machineS: s, money: m, uncertainS: u };
+  return { pool, day, team: decodeURIComponent(team), ...totals, throughMs: b, merges: c };
+}
+
+/** The days of the bill that are in a set of records. */
+export function billDays(records: ReadonlyMap<string, OwnedRecord>): BillDay[] {
+  const days: BillDay[] = [];
+  for (const [key, { value }] of records) {
+    const day = key.startsWith(BILL_PREFIX) ? decodeDay(key, value) : null;
+    if (day !== null) days.push(day);
+  }
+  return days;
+}
+
+/** Money by pool and day. */
+export type MoneyByDay = Map<string, Map<string, number>>;
+
+interface DayEntry {
+  day: StoredDay;
+  revision: number;
+}
+
+/**
+ * The bill of a term. A slot's time stands in its own record until its burst is over; then it goes into
+ * the day of its pool, in the transaction that removes the slot's record: it is in one of the two at any
+ * moment, whoever leads, and never in both.
+ */
+export class Bill {
+  private readonly days = new Map<string, DayEntry>();
+
+  constructor(
+    /** Slots that go into the bill with one commit, at most. */
+    private readonly slotsPerMerge: number,
+    private readonly keepDays: number,
+  ) {}
+
+  reconcile(records: ReadonlyMap<string, OwnedRecord>): void {
+    for (const [key, { value, revision }] of records) {
+      if (!key.startsWith(BILL_PREFIX)) continue;
+      const known = this.days.get(key);
+      if (known !== undefined && known.revision >= revision) continue;
+      const day = decodeDay(key, value);
+      if (day !== null) this.days.set(key, { day, revision });
+    }
+  }
+
+  /** The latest burst of a pool that is over and billed, in ms: none up to it is prepared again. */
+  throughMs(pool: string): number {
+    let through = -Infinity;
+    for (const { day } of this.days.values()) {
+      if (day.pool === pool) through = Math.max(through, day.throughMs);
+    }
+    return through;
+  }
+
+  /** Money that each pool has spent on each day, slots that are not in the bill yet included. */
+  moneyByDay(slots: Iterable<SlotEntry>, nowMs: number): MoneyByDay {
+    const money: MoneyByDay = new Map();
+    for (const { day } of this.days.values()) addMoney(money, day.pool, day.day, day.money);
+    for (const { current } of slots) {
+      const { money: spent } = slotTotals(current, nowMs);
+      if (spent > 0) addMoney(money, current.pool, dayOf(current.burstMs), spent);
+    }
+    return money;
+  }
+
+  /** Slots of bursts that are over go into the bill; days that are too old go. */
+  dueWrites(
+    table: SlotTable,
+    isOver: (pool: string, burstMs: number) => boolean,
+    nowMs: number,
+  ): OwnedWrite[] {
+    const byDay = new Map<string, SlotEntry[]>();
+    const openBursts = new Set<string>();
+    for (const entry of table.values()) {
+      const { pool, burstMs } = entry.current;
+      if (!table.isSettled(entry)) openBursts.add(`${pool}/${burstMs}`);
+      else if (isOver(pool, burstMs)) push(byDay, dayKey(entry.current), entry);
+    }
+    const due: OwnedWrite[] = [];
+    for (const [key, entries] of byDay) {
+      const closed = entries.filter(({ current: { pool, burstMs } }) => {
+        return !openBursts.has(`${pool}/${burstMs}`);
+      });
+      if (closed.length > 0) due.push(this.merge(key, closed.slice(0, this.slotsPerMerge), table));
+    }
+    return [...due, ...this.expired(nowMs)];
+  }
+
+  private merge(key: string, entries: SlotEntry[], table: SlotTable): OwnedWrite {
+    const known = this.days.get(key);
+    const day = merged(
+      known?.day ?? null,
+      entries.map(({ current }) => current),
+    );
+    const removals: OwnedChange[] = entries.map(({ current, revision }) => {
+      return { key: slotKey(current), revision, value: null };
+    });
+    const done = (revision: number): void => {
+      this.days.set(key, { day, revision });
+      for (const { id } of entries) table.removed(id);
+    };
+    return {
+      key,
+      revision: known?.revision ?? 0,
+      value: encodeDay(day),
+      also: removals,
+      stored: done,
+      reread: (stored) => this.reread(key, day, stored, done),
+    };
+  }
+
+  private reread(
+    key: string,
+    sent: StoredDay,
+    stored: OwnedRecord | null,
+    done: (revision: number) => void,
+  ): void {
+    const found = stored === null ? null : decodeDay(key, stored.value);
+    if (stored === null || found === null) {
+      this.days.delete(key);
+      return;
+    }
+    // Only this term writes it: a count that is ours says that the whole transaction was carried out.
+    if (found.merges === sent.merges && found.throughMs === sent.throughMs) done(stored.revision);
+    else this.days.set(key, { day: found, revision: stored.revision });
+  }
+
+  private expired(nowMs: number): OwnedWrite[] {
+    const oldest = dayOf(nowMs - this.keepDays * MS_PER_DAY);
+    const old = [...this.days].filter(([, { day }]) => day.day < oldest);
+    return old.map(([key, { revision }]) => ({
+      key,
+      revision,
+      value: null,
+      also: [],
+      stored: () => void this.days.delete(key),
+      reread: (stored) => {
+        if (stored === null) this.days.delete(key);
+      },
+    }));
+  }
+}
+
+function addMoney(sums: MoneyByDay, pool: string, day: string, money: number): void {
+  let days = sums.get(pool);
+  if (days === undefined) {
+    days = new Map();
+    sums.set(pool, days);
+  }
+  days.set(day, (days.get(day) ?? 0) + money);
+}
+
+const DAY_LENGTH = '2026-12-02'.length;
+const MONTH_LENGTH = '2026-12'.length;
+
+/** What a pool has spent in the period of its budget that a burst is in. */
+export function spentInPeriod(money: MoneyByDay, pool: PoolDeclaration, burstMs: number): number {
+  const length = pool.budgetPeriod === 'month' ? MONTH_LENGTH : DAY_LENGTH;
+  const period = dayOf(burstMs).slice(0, length);
+  let sum = 0;
+  for (const [day, spent] of money.get(pool.name) ?? []) if (day.startsWith(period)) sum += spent;
+  return sum;
+}
+
+function merged(known: StoredDay | null, slots: Slot[]): StoredDay {
+  const { pool, team, burstMs } = slots[0]!;
+  const empty = { pool, team, day: dayOf(burstMs), ...NOTHING, throughMs: 0, merges: 0 };
+  const base: StoredDay = known ?? empty;
+  let totals: BillTotals = base;
+  let throughMs = base.throughMs;
+  for (const slot of slots) {
+    totals = addTotals(totals, slotTotals(slot, slot.held?.toMs ?? 0));
+    throughMs = Math.max(throughMs, slot.burstMs);
+  }
+  return { ...base, ...totals, throughMs, merges: base.merges + 1 };
+}
+
+function push<K, T>(map: Map<K, T[]>, key: K, value: T): void {
+  const list = map.get(key);
+  if (list === undefined) map.set(key, [value]);
+  else list.push(value);
+}
--- /dev/null
+++ b/src/warm-pools/check.ts
@@ -0,0 +1,75 @@
+/** Whether declared pools are possible at all, as far as the settings tell. */
+
+import type { Settings } from '../config/settings.js';
+import { within } from '../jobs/types.js';
+import { BurstSchedule, ScheduleError } from './burst-schedule.js';
+import type { PoolDeclaration, WarmPoolsConfig } from './declaration.js';
+
+/** What is wrong with a pool, and where: the key within the table. */
+export interface PoolProblem {
+  key: string;
+  problem: string;
+}
+
+/**
+ * The first thing that makes a pool impossible; null: none was found. Machine types are known by the
+ * cloud alone: one that it does not have is an alarm later (`unknown_type`).
+ */
+export function checkPools(
+  config: WarmPoolsConfig,
+  settings: Pick<Settings, 'teams' | 'zones'>,
+  nowMs: number,
+): PoolProblem | null {
+  const names = new Set<string>();
+  for (const [index, pool] of config.pools.entries()) {
+    const at = (key: string, problem: string): PoolProblem => ({
+      key: `pools.${index}.${key}`,
+      problem: `pool ${pool.name}: ${problem}`,
+    });
+    if (names.has(pool.name)) return at('name', 'another pool has this name');
+    names.add(pool.name);
+    const problem = checkTeam(pool, settings) ?? checkPlace(pool, settings);
+    if (problem !== null) return at(problem.key, problem.problem);
+    try {
+      new BurstSchedule(pool.schedule, pool.timeZone).check(nowMs, pool.holdS);
+    } catch (e) {
+      if (e instanceof ScheduleError) return at('schedule', e.message);
+      throw e;
+    }
+  }
+  return null;
+}
+
+function checkTeam(
+  { team: name, slots, shape }: PoolDeclaration,
+  { teams }: Pick<Settings, 'teams'>,
+): PoolProblem | null {
+  const team = teams.get(name);
+  if (team === undefined) {
+    const known = [...teams.keys()].join(', ');
+    return { key: 'team', problem: `unknown team ${name}, expected one of: ${known}` };
+  }
+  const cores = shape.cores * slots;
+  const gpus = shape.gpus * slots;
+  if (!within(cores, team.coresMax) || !within(gpus, team.gpusMax)) {
+    const limit = `${team.coresMax} cores, ${team.gpusMax} GPUs (0: none)`;
+    return {
+      key: 'slots',
+      problem: `${cores} cores and ${gpus} GPUs are over the limit of ${name}: ${limit}`,
+    };
+  }
+  return null;
+}
+
+function checkPlace(
+  { shape, zones }: PoolDeclaration,
+  settings: Pick<Settings, 'zones'>,
+): PoolProblem | null {
+  if (shape.cores <= 0 && shape.gpus <= 0) {
+    return { key: 'cores', problem: 'expected cores or GPUs above 0' };
+  }
+  const unknown = zones?.find((zone) => !settings.zones.includes(zone));
+  if (unknown === undefined) return null;
+  const known = settings.zones.join(', ');
+  return { key: 'zones', problem: `unknown zone ${unknown}, expected some of: ${known}` };
+}
--- /dev/null
+++ b/src/warm-pools/declaration.ts
@@ -0,0 +1,145 @@
+/** What operators declare of warm pools: the table `warm_pools` of the features file. */
+
+import * as v from 'valibot';
+
+const positive = v.pipe(v.number(), v.finite(), v.gtValue(0, 'expected a number above 0'));
+const amount = v.pipe(v.number(), v.finite(), v.minValue(0, 'expected a number, 0 or more'));
+const count = v.pipe(v.number(), v.integer('expected a whole number'), v.minValue(1));
+const word = v.pipe(v.string(), v.minLength(1), v.maxLength(200));
+/** Part of keys in the store. */
+const poolName = v.pipe(
+  v.string(),
+  v.regex(/^[a-z0-9][a-z0-9-]{0,59}$/, 'expected up to 60 small letters, digits and hyphens'),
+);
+
+const pool = v.strictObject({
+  name: poolName,
+  image: word,
+  image_gb: positive,
+  cores: amount,
+  gpus: amount,
+  mem_gb: amount,
+  types: v.optional(v.pipe(v.array(word), v.minLength(1)), undefined),
+  zones: v.optional(v.pipe(v.array(word), v.minLength(1)), undefined),
+  slots: count,
+  schedule: word,
+  time_zone: word,
+  hold_s: positive,
+  ahead_s: v.optional(amount, 0),
+  team: word,
+  precedence: v.optional(v.pipe(v.number(), v.integer()), 0),
+  refills: v.optional(v.pipe(v.number(), v.integer(), v.minValue(0)), 0),
+  budget: v.optional(positive, undefined),
+  budget_period: v.optional(v.picklist(['day', 'month']), 'day'),
+  on_exhausted: v.optional(v.picklist(['release', 'keep', 'alarm']), 'release'),
+  lend: v.optional(v.boolean(), false),
+});
+
+export const warmPoolsSchema = v.pipe(
+  v.strictObject({
+    loader: v.optional(v.picklist(['worker-cache', 'model-server']), 'worker-cache'),
+    model_server_port: v.optional(v.pipe(count, v.maxValue(65535)), undefined),
+    keep_bill_days: v.optional(count, 400),
+    pools: v.optional(v.array(pool), []),
+  }),
+  v.check(
+    (table) => table.loader !== 'model-server' || table.model_server_port !== undefined,
+    'model_server_port: expected a port, since loader is "model-server"',
+  ),
+);
+
+type Table = v.InferOutput<typeof warmPoolsSchema>;
+
+/** What one replica takes of its machine. */
+export interface ReplicaShape {
+  cores: number;
+  gpus: number;
+  memGb: number;
+}
+
+/** What becomes of a pool whose budget for a period is spent. */
+export type ExhaustionPolicy =
+  /** Its idle machines are given up and no more are kept in this period. */
+  | 'release'
+  /** Those that are warm stay until their burst is over; none is added. */
+  | 'keep'
+  /** Nothing but the alarm. */
+  | 'alarm';
+
+export interface PoolDeclaration {
+  name: string;
+  image: string;
+  imageGb: number;
+  shape: ReplicaShape;
+  /** Allowed machine types and zones; null: any. */
+  types: readonly string[] | null;
+  zones: readonly string[] | null;
+  /** Replicas for which there is a warm place when a burst begins. */
+  slots: number;
+  /** When bursts begin: a cron expression, in this time zone. */
+  schedule: string;
+  timeZone: string;
+  /** Seconds for which slots stay after the beginning of a burst. */
+  holdS: number;
+  /** Slots are prepared so many seconds ahead at least. */
+  aheadS: number;
+  /** The team that pays for idle time. */
+  team: string;
+  /** The higher one goes first. */
+  precedence: number;
+  /** Slots that may be added in a burst for those that were used. */
+  refills: number;
+  /** Money for idle time in a period; null: no bound. */
+  budget: number | null;
+  budgetPeriod: 'day' | 'month';
+  onExhausted: ExhaustionPolicy;
+  /** Whether short best-effort work may use a slot until shortly before the burst. */
+  lend: boolean;
+}
+
+export interface WarmPoolsConfig {
+  loader: 'worker-cache' | 'model-server';
+  /** Port of the model server on each machine; null: there is none. */
+  modelServerPort: number | null;
+  /** Days for which the bill is kept in the store. */
+  keepBillDays: number;
+  pools: readonly PoolDeclaration[];
+}
+
+export function toConfig(table: Table): WarmPoolsConfig {
+  return {
+    loader: table.loader,
+    modelServerPort: table.model_server_port ?? null,
+    keepBillDays: table.keep_bill_days,
+    pools: table.pools.map((p) => ({
+      name: p.name,
+      image: p.image,
+      imageGb: p.image_gb,
+      shape: { cores: p.cores, gpus: p.gpus, memGb: p.mem_gb },
+      types: p.types ?? null,
+      zones: p.zones ?? null,
+      slots: p.slots,
+      schedule: p.schedule,
+      timeZone: p.time_zone,
+      holdS: p.hold_s,
+      aheadS: p.ahead_s,
+      team: p.team,
+      precedence: p.precedence,
+      refills: p.refills,
+      budget: p.budget ?? null,
+      budgetPeriod: p.budget_period,
+      onExhausted: p.on_exhausted,
+      lend: p.lend,
+    })),
+  };
+}
+
+/** The order in which pools get what there is: precedence, then the earlier burst, then the name. */
+export function comparePools(
+  a: { pool: PoolDeclaration; burstMs: number },
+  b: { pool: PoolDeclaration; burstMs: number },
+): number {
+  if (a.pool.precedence !== b.pool.precedence) return b.pool.precedence - a.pool.precedence;
+  if (a.burstMs !== b.burstMs) return a.burstMs - b.burstMs;
+  return a.pool.name < b.pool.name ? -1 : a.pool.name > b.pool.name ? 1 : 0;
+}
--- /dev/null
+++ b/src/warm-pools/lead-times.ts
@@ -0,0 +1,130 @@
+/** How long machines take to boot and models to load: measured, and kept in the store. */
+
+import * as v from 'valibot';
+import type { MachineType } from '../jobs/types.js';
+import type { OwnedRecord, OwnedWrite } from '../subsystems/subsystem.js';
+
+/** Samples kept of each kind, the latest ones. */
+const SAMPLES = 24;
+/** Fewer than this are mixed with what the protocol leads to expect. */
+const FEW_SAMPLES = 6;
+/** The share of cases that a lead time covers. */
+const COVERED = 0.9;
+/** What the protocol leads to expect of slow cases: boots, and fetches by the nominal rate. */
+const SLOW_BOOT = 1.6;
+const SLOW_FETCH = 1.35;
+/** Images of which samples are kept, for each type and zone. */
+const IMAGES_MOST = 32;
+
+export const LEAD_PREFIX = 'lead/';
+
+interface Samples {
+  /** Seconds from the request to the first report. */
+  boots: number[];
+  /** Seconds from then until the model was there, by image; the latest used last. */
+  loads: Map<string, number[]>;
+  revision: number;
+  unstored: boolean;
+}
+
+const list = v.array(v.pipe(v.number(), v.finite(), v.minValue(0)));
+const record = v.object({ b: list, l: v.array(v.tuple([v.string(), list])) });
+
+/** The value that so large a share of the samples does not exceed. */
+export function quantile(samples: readonly number[], share: number): number {
+  const sorted = [...samples].sort((a, b) => a - b);
+  return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? 0;
+}
+
+/** What covers most cases; few samples do not outweigh what is expected of the slow ones. */
+function covering(samples: readonly number[], expectedS: number): number {
+  if (samples.length === 0) return expectedS;
+  const measured = quantile(samples, COVERED);
+  if (samples.length >= FEW_SAMPLES) return measured;
+  return Math.max(measured, expectedS);
+}
+
+/** Measured times by machine type and zone. */
+export class LeadTimes {
+  private readonly byPlace = new Map<string, Samples>();
+
+  /** Takes in what earlier terms have stored. */
+  reconcile(records: ReadonlyMap<string, OwnedRecord>): void {
+    for (const [key, { value, revision }] of records) {
+      if (!key.startsWith(LEAD_PREFIX)) continue;
+      const known = this.byPlace.get(key);
+      if (known !== undefined && known.revision >= revision) continue;
+      const result = v.safeParse(record, value);
+      if (!result.success) continue;
+      const { b, l } = result.output;
+      this.byPlace.set(key, { boots: b, loads: new Map(l), revision, unstored: false });
+    }
+  }
+
+  noteBoot(type: string, zone: string, seconds: number): void {
+    const samples = this.samples(type, zone);
+    remember(samples.boots, seconds);
+    samples.unstored = true;
+  }
+
+  noteLoad(type: string, zone: string, image: string, seconds: number): void {
+    const samples = this.samples(type, zone);
+    const loads = samples.loads.get(image) ?? [];
+    remember(loads, seconds);
+    samples.loads.delete(image);
+    samples.loads.set(image, loads);
+    for (const oldest of samples.loads.keys()) {
+      if (samples.loads.size <= IMAGES_MOST) break;
+      samples.loads.delete(oldest);
+    }
+    samples.unstored = true;
+  }
+
+  /** Seconds from a request until most machines of this kind hold the image. */
+  leadS(type: MachineType, zone: string, image: string, imageGb: number): number {
+    const samples = this.byPlace.get(placeKey(type.name, zone));
+    const expectedBootS = type.bootS * SLOW_BOOT;
+    const expectedLoadS = (imageGb / Math.max(type.fetchGbPerS, 1e-9)) * SLOW_FETCH;
+    return (
+      covering(samples?.boots ?? [], expectedBootS) +
+      covering(samples?.loads.get(image) ?? [], expectedLoadS)
+    );
+  }
+
+  dueWrites(): OwnedWrite[] {
+    const due: OwnedWrite[] = [];
+    for (const [key, samples] of this.byPlace) {
+      if (!samples.unstored) continue;
+      due.push({
+        key,
+        revision: samples.revision,
+        value: { b: [...samples.boots], l: [...samples.loads] },
+        also: [],
+        stored: (revision) => {
+          samples.revision = revision;
+          samples.unstored = false;
+        },
+        // Measurements are worth no second look: the next one brings them up to date.
+        reread: (stored) => void (samples.revision = stored?.revision ?? 0),
+      });
+    }
+    return due;
+  }
+
+  private samples(type: string, zone: string): Samples {
+    const key = placeKey(type, zone);
+    let samples = this.byPlace.get(key);
+    if (samples === undefined) {
+      samples = { boots: [], loads: new Map(), revision: 0, unstored: false };
+      this.byPlace.set(key, samples);
+    }
+    return samples;
+  }
+}
+
+const placeKey = (type: string, zone: string): string => `${LEAD_PREFIX}${type}/${zone}`;
+
+function remember(samples: number[], seconds: number): void {
+  samples.push(Math.round(seconds * 1000) / 1000);
+  if (samples.length > SAMPLES) samples.shift();
+}
--- /dev/null
+++ b/src/warm-pools/machine-choice.ts
@@ -0,0 +1,106 @@
+/** Which machines a pool's slots may have, and which they had better. */
+
+import { fits, type MachineType } from '../jobs/types.js';
+import type { FreeCapacity } from '../scheduler/place.js';
+import { freeShare } from '../scheduler/place.js';
+import type { PoolDeclaration, ReplicaShape } from './declaration.js';
+
+/** What is free on a machine is worth so much less than an image that is there. */
+const IMAGE_FIRST = 1;
+
+export interface AllowedType {
+  type: MachineType;
+  zones: string[];
+}
+
+/** Machine types that a pool allows and on which a slot fits, with the zones where it may be. */
+export function allowedTypes(
+  pool: Pick<PoolDeclaration, 'types' | 'zones' | 'shape'>,
+  types: ReadonlyMap<string, MachineType>,
+): AllowedType[] {
+  const allowed: AllowedType[] = [];
+  for (const type of types.values()) {
+    if (pool.types !== null && !pool.types.includes(type.name)) continue;
+    if (!fits(pool.shape, type)) continue;
+    const zones = type.zones.filter((zone) => pool.zones === null || pool.zones.includes(zone));
+    if (zones.length > 0) allowed.push({ type, zones });
+  }
+  return allowed;
+}
+
+/** Slots of this shape that fit on one empty machine. */
+export function slotsPerMachine(shape: ReplicaShape, type: MachineType): number {
+  const by = (whole: number, part: number): number => (part > 0 ? whole / part : Infinity);
+  const most = Math.min(
+    by(type.cores, shape.cores),
+    by(type.gpus, shape.gpus),
+    by(type.memGb, shape.memGb),
+  );
+  return Math.max(1, Math.floor(most + 1e-6));
+}
+
+/** The share of a machine that a slot takes: of its scarcer resource. */
+export const slotShare = (shape: ReplicaShape, type: MachineType): number =>
+  1 - freeShare({ ...remaining(shape, type), whole: type });
+
+function remaining(shape: ReplicaShape, type: MachineType): ReplicaShape {
+  return {
+    cores: type.cores - shape.cores,
+    gpus: type.gpus - shape.gpus,
+    memGb: type.memGb - shape.memGb,
+  };
+}
+
+/** A kind of machine that is to be rented. */
+export interface RentPlace {
+  type: MachineType;
+  zone: string;
+}
+
+/**
+ * The cheapest place for a slot that the cloud may have at present; zones with fewer of the pool's slots
+ * go first. Null: none.
+ */
+export function cheapestPlace(
+  pool: PoolDeclaration,
+  types: ReadonlyMap<string, MachineType>,
+  isShort: (type: string, zone: string) => boolean,
+  slotsInZone: ReadonlyMap<string, number>,
+): RentPlace | null {
+  const places: (RentPlace & { cost: number; slots: number })[] = [];
+  for (const { type, zones } of allowedTypes(pool, types)) {
+    const cost = type.price / slotsPerMachine(pool.shape, type);
+    for (const zone of zones) {
+      if (isShort(type.name, zone)) continue;
+      places.push({ type, zone, cost, slots: slotsInZone.get(zone) ?? 0 });
+    }
+  }
+  places.sort((a, b) => a.cost - b.cost || a.slots - b.slots || (a.zone < b.zone ? -1 : 1));
+  return places[0] ?? null;
+}
+
+/** The best of the machines that are there already: with the image, then the fullest. Null: none. */
+export function bestRoom(
+  pool: PoolDeclaration,
+  rooms: readonly FreeCapacity[],
+  mayHave: (room: FreeCapacity) => boolean,
+): FreeCapacity | null {
+  let best: FreeCapacity | null = null;
+  let bestCost = Infinity;
+  for (const room of rooms) {
+    if (room.spot || !fits(pool.shape, room) || !isAllowed(pool, room) || !mayHave(room)) continue;
+    const hasImage = room.imageWaitS(pool.image, pool.imageGb) === 0;
+    const cost = freeShare(room) + (hasImage ? 0 : IMAGE_FIRST);
+    if (cost < bestCost) {
+      best = room;
+      bestCost = cost;
+    }
+  }
+  return best;
+}
+
+export const isAllowed = (
+  { types, zones }: Pick<PoolDeclaration, 'types' | 'zones'>,
+  at: { type: string; zone: string },
+): boolean =>
+  (types === null || types.includes(at.type)) && (zones === null || zones.includes(at.zone));
--- /dev/null
+++ b/src/warm-pools/model-server-loader.ts
@@ -0,0 +1,142 @@
+/** Models that are loaded by a model server on each machine. */
+
+import * as v from 'valibot';
+import type { Clock } from '../clock.js';
+import { endpoint } from '../config/endpoint.js';
+import { HttpClient } from '../http/client.js';
+import type { Log } from '../log.js';
+import type { MachineView } from '../subsystems/subsystem.js';
+import type { PoolDeclaration } from './declaration.js';
+import type { LoadState, ModelLoader } from './model-loader.js';
+
+/** Connections to one model server, and seconds for which it may think. */
+const CONNECTIONS = 1;
+/** Failures after which a machine is given up. */
+const FAILURES_MOST = 3;
+
+export interface ModelServerLoaderOptions {
+  /** Port of the model server on every machine. */
+  port: number;
+  /** Token of the term: model servers refuse loads and unloads with a lower one than they saw. */
+  token: number;
+  /** Seconds between two questions to one server while it loads; ten times as many once it is ready. */
+  askEveryS: number;
+  /** Seconds after which a question counts as unanswered. */
+  timeoutS: number;
+  clock: Clock;
+  log: Log;
+}
+
+interface Server {
+  client: HttpClient;
+  models: Map<string, Model>;
+}
+
+interface Model {
+  state: LoadState;
+  failures: number;
+  askedAt: number;
+  asking: boolean;
+}
+
+const answer = v.object({ state: v.picklist(['absent', 'loading', 'ready', 'failed']) });
+type ServerState = v.InferOutput<typeof answer>['state'];
+
+/** Once a model is there, it is asked for only so many times as seldom. */
+const READY_SELDOM = 10;
+
+/**
+ * Asks the model server of a machine to load a model, and again until it says that it is ready. Requests
+ * carry the term's token, so that those of a leader that was replaced are refused; one that arrives late
+ * within the term is put right by the next question.
+ */
+export class ModelServerLoader implements ModelLoader {
+  private readonly servers = new Map<string, Server>();
+
+  constructor(private readonly options: ModelServerLoaderOptions) {}
+
+  state(machine: MachineView, pool: PoolDeclaration): LoadState {
+    // Not heard by this term: it may hang, and what it held may be gone.
+    if (machine.state !== 'ready' || machine.addr === '') return 'loading';
+    const server = this.server(machine);
+    const model = modelOf(server, pool.image);
+    const { clock, askEveryS } = this.options;
+    const everyS = askEveryS * (model.state === 'ready' ? READY_SELDOM : 1);
+    if (!model.asking && clock.now() - model.askedAt >= everyS) {
+      void this.ask(server, machine.id, pool, model);
+    }
+    return model.state;
+  }
+
+  unload(machine: MachineView, image: string): void {
+    const server = this.servers.get(machine.id);
+    if (server === undefined || !server.models.delete(image)) return;
+    const body = JSON.stringify({ model: image, token: this.options.token });
+    server.client.request('POST', '/models/unload', body, this.options.timeoutS).catch((e) => {
+      // It stays loaded: that costs memory there, and nothing here rests on it.
+      this.options.log.debug({ machine: machine.id, image, err: String(e) }, 'unload unanswered');
+    });
+  }
+
+  forget(machine: string): void {
+    this.servers.get(machine)?.client.close();
+    this.servers.delete(machine);
+  }
+
+  stop(): void {
+    for (const id of [...this.servers.keys()]) this.forget(id);
+  }
+
+  private server(machine: MachineView): Server {
+    let server = this.servers.get(machine.id);
+    if (server === undefined) {
+      const { host } = endpoint(machine.addr);
+      const client = new HttpClient({ host, port: this.options.port }, CONNECTIONS);
+      server = { client, models: new Map() };
+      this.servers.set(machine.id, server);
+    }
+    return server;
+  }
+
+  /** A load that is repeated changes nothing, and its answer says how far it is. */
+  private async ask(
+    { client }: Server,
+    machine: string,
+    { image, imageGb }: PoolDeclaration,
+    model: Model,
+  ): Promise<void> {
+    const { clock, log, timeoutS, token } = this.options;
+    model.asking = true;
+    model.askedAt = clock.now();
+    try {
+      const body = JSON.stringify({ model: image, size_gb: imageGb, token });
+      const r = await client.request('POST', '/models/load', body, timeoutS);
+      if (r.status !== 200) throw new Error(`model server answered ${r.status}`);
+      take(model, v.parse(answer, JSON.parse(r.body.toString('utf8'))).state);
+    } catch (e) {
+      // Silence says nothing about a model that was ready: the machine's own reports decide.
+      log.debug({ machine, image, err: String(e) }, 'model server');
+    } finally {
+      model.asking = false;
+    }
+  }
+}
+
+function modelOf(server: Server, image: string): Model {
+  let model = server.models.get(image);
+  if (model === undefined) {
+    model = { state: 'loading', failures: 0, askedAt: -Infinity, asking: false };
+    server.models.set(image, model);
+  }
+  return model;
+}
+
+function take(model: Model, state: ServerState): void {
+  if (state === 'failed') {
+    model.failures++;
+    model.state = model.failures >= FAILURES_MOST ? 'failed' : 'loading';
+    return;
+  }
+  model.state = state === 'ready' ? 'ready' : 'loading';
+  if (state === 'ready') model.failures = 0;
+}
--- /dev/null
+++ b/src/warm-pools/slot-planner.ts
@@ -0,0 +1,376 @@
+/** How many slots each burst should have, and where: what is wanted becomes changes of slots. */
+
+import { within } from '../jobs/types.js';
+import type { TermView } from '../subsystems/subsystem.js';
+import { RENT_MAX } from '../wire/cloud.js';
+import type { Alarms } from './alarms.js';
+import { spentInPeriod, type MoneyByDay } from './bill.js';
+import { burstId, type Burst } from './bursts.js';
+import type { PoolDeclaration } from './declaration.js';
+import {
+  allowedTypes,
+  bestRoom,
+  cheapestPlace,
+  isAllowed,
+  slotShare,
+  slotsPerMachine,
+  type RentPlace,
+} from './machine-choice.js';
+import { isHeld, isOpen, plannedSlot, type Slot, type SlotPlace, type SlotRent } from './slot.js';
+import { shareOut, type SlotRents } from './slot-rents.js';
+import type { SlotRooms } from './slot-rooms.js';
+import type { SlotEntry, SlotTable } from './slot-table.js';
+import { modelTasks } from './slot-watch.js';
+
+/** Slots that are lost are made up for, so many times as many as a pool has at most. */
+const LOSSES_MOST = 2;
+/** In which order slots are given up: what costs nothing yet goes first. */
+const GIVEN_UP_FIRST: Partial<Record<Slot['state'], number>> = { planned: 0, loading: 1, warm: 2 };
+
+export interface SlotPlannerOptions {
+  view: TermView;
+  table: SlotTable;
+  rents: SlotRents;
+  rooms: SlotRooms;
+  alarms: Alarms;
+  pool: (name: string) => PoolDeclaration | undefined;
+  nowMs: () => number;
+}
+
+/** What teams may start beside all that they run and all slots that were counted before. */
+interface TeamRoom {
+  cores: number;
+  gpus: number;
+}
+
+/** Slots of a burst: those that are to be, and what became of the others. */
+interface BurstSlots {
+  open: SlotEntry[];
+  used: number;
+  lost: number;
+  nextIndex: number;
+}
+
+export class SlotPlanner {
+  private readonly beganMs: number;
+  private requests = 0;
+  /** Pools that gave up a slot for their team's limit add none before this time (steady, seconds). */
+  private readonly addFrom = new Map<string, number>();
+
+  constructor(private readonly options: SlotPlannerOptions) {
+    this.beganMs = options.nowMs();
+  }
+
+  /** One round. `bursts`: in the order in which they get what there is. */
+  plan(bursts: readonly Burst[], money: MoneyByDay): void {
+    const slots = this.slotsByBurst();
+    const teams = new Map<string, TeamRoom>();
+    for (const burst of bursts) {
+      const of = slots.get(burstId(burst.pool.name, burst.burstMs));
+      this.planBurst(burst, of ?? { open: [], used: 0, lost: 0, nextIndex: 0 }, teams, money);
+    }
+    this.releaseOthers(new Set(bursts.map((b) => burstId(b.pool.name, b.burstMs))));
+  }
+
+  private slotsByBurst(): Map<string, BurstSlots> {
+    const byBurst = new Map<string, BurstSlots>();
+    for (const entry of this.options.table.values()) {
+      const { pool, burstMs, index, state } = entry.current;
+      const id = burstId(pool, burstMs);
+      const of = byBurst.get(id) ?? { open: [], used: 0, lost: 0, nextIndex: 0 };
+      byBurst.set(id, of);
+      of.nextIndex = Math.max(of.nextIndex, index + 1);
+      if (state === 'lost') of.lost++;
+      else if (state === 'used' || this.options.rooms.isClaimed(entry.id)) of.used++;
+      else if (isOpen(entry.current)) of.open.push(entry);
+    }
+    return byBurst;
+  }
+
+  private planBurst(
+    burst: Burst,
+    of: BurstSlots,
+    teams: Map<string, TeamRoom>,
+    money: MoneyByDay,
+  ): void {
+    const { pool } = burst;
+    if (allowedTypes(pool, this.options.view.types()).length === 0) {
+      const wanted = pool.types?.join(', ') ?? 'any type';
+      this.options.alarms.raise('unknown_type', pool.name, `${wanted}: none fits`);
+    }
+    const wanted = Math.max(0, Math.min(pool.slots, pool.slots + pool.refills - of.used));
+    const affordable = this.affordable(burst, of, wanted, money);
+    const allowed = this.allowedByTeam(burst, affordable, teams);
+    if (of.open.length > allowed) {
+      const reason = allowed < affordable ? 'team limit' : affordable < wanted ? 'budget' : 'fewer';
+      this.giveUp(burst, of, of.open.length - allowed, reason);
+    } else this.add(burst, of, allowed);
+    this.findPlaces(burst, of);
+    this.noteLate(burst, of, wanted);
+  }
+
+  /** What the budget leaves of the slots that are wanted. */
+  private affordable(burst: Burst, of: BurstSlots, wanted: number, money: MoneyByDay): number {
+    const { pool, burstMs } = burst;
+    if (pool.budget === null) return wanted;
+    const spent = spentInPeriod(money, pool, burstMs);
+    if (spent < pool.budget) return wanted;
+    const detail = `${spent.toFixed(2)} of ${pool.budget} a ${pool.budgetPeriod}`;
+    this.options.alarms.raise('budget_exhausted', pool.name, detail);
+    if (pool.onExhausted === 'alarm') return wanted;
+    if (pool.onExhausted === 'release') return 0;
+    return Math.min(wanted, of.open.filter(({ current }) => isHeld(current)).length);
+  }
+
+  /** What the payer could start at once, the slots of pools that come before this one counted. */
+  private allowedByTeam({ pool }: Burst, wanted: number, teams: Map<string, TeamRoom>): number {
+    const { view, alarms } = this.options;
+    const left = teams.get(pool.team) ?? this.teamRoom(pool.team);
+    teams.set(pool.team, left);
+    const { cores, gpus } = pool.shape;
+    let allowed = 0;
+    while (allowed < wanted && left.cores >= cores - 1e-6 && left.gpus >= gpus - 1e-6) {
+      left.cores -= cores;
+      left.gpus -= gpus;
+      allowed++;
+    }
+    if (allowed < wanted && view.settings.teams.has(pool.team)) {
+      alarms.raise('over_team_limit', pool.name, `${allowed} of ${wanted} slots`);
+    }
+    return allowed;
+  }
+
+  private teamRoom(name: string): TeamRoom {
+    const { view } = this.options;
+    const team = view.settings.teams.get(name);
+    if (team === undefined) return { cores: 0, gpus: 0 };
+    const { cores, gpus } = view.usage(name);
+    const left = (most: number, used: number): number => {
+      if (most <= 0) return Infinity;
+      return within(used, most) ? most - used : 0;
+    };
+    return { cores: left(team.coresMax, cores), gpus: left(team.gpusMax, gpus) };
+  }
+
+  private add({ pool, burstMs, leadS }: Burst, of: BurstSlots, allowed: number): void {
+    const { view, table, alarms } = this.options;
+    if ((this.addFrom.get(pool.name) ?? -Infinity) > view.now()) return;
+    if (of.lost > pool.slots * LOSSES_MOST) {
+      alarms.raise('too_many_losses', pool.name, `${of.lost} lost`);
+      return;
+    }
+    for (let missing = allowed - of.open.length; missing > 0; missing--) {
+      const index = of.nextIndex++;
+      const sendFromMs = burstMs - leadS * 1000;
+      const { name, team } = pool;
+      const entry = table.add(plannedSlot({ pool: name, burstMs, index, team, sendFromMs }));
+      of.open.push(entry);
+    }
+  }
+
+  private giveUp(burst: Burst, of: BurstSlots, count: number, reason: string): void {
+    const rank = ({ current }: SlotEntry): number => GIVEN_UP_FIRST[current.state] ?? Infinity;
+    const inOrder = of.open.filter((entry) => this.mayRelease(entry));
+    inOrder.sort((a, b) => rank(a) - rank(b) || b.current.index - a.current.index);
+    for (const entry of inOrder.slice(0, count)) this.release(entry, reason);
+    of.open = of.open.filter(({ current }) => isOpen(current));
+    // Usage goes up and down: what is given up for it is not taken up again at once.
+    this.addFrom.set(burst.pool.name, this.options.view.now() + burst.leadS);
+  }
+
+  /** The outcome of a request that may have been sent is waited for: its machine must not be forgotten. */
+  private mayRelease({ current }: SlotEntry): boolean {
+    if (isHeld(current)) return true;
+    if (current.state !== 'planned') return false;
+    return !this.options.rents.mayHaveBeenSent(current, this.beganMs);
+  }
+
+  private release(entry: SlotEntry, reason: string): void {
+    const { table, nowMs } = this.options;
+    table.apply(entry, { kind: 'released', reason, atMs: nowMs() });
+  }
+
+  /** Slots of bursts that are over, and of pools that are not declared any more. */
+  private releaseOthers(current: ReadonlySet<string>): void {
+    for (const entry of this.options.table.values()) {
+      const { pool, burstMs } = entry.current;
+      if (!isOpen(entry.current) || current.has(burstId(pool, burstMs))) continue;
+      const reason = this.options.pool(pool) === undefined ? 'not declared' : 'burst over';
+      if (this.mayRelease(entry)) this.release(entry, reason);
+      else if (entry.current.state === 'planned') this.makeDue(entry);
+    }
+  }
+
+  private findPlaces(burst: Burst, of: BurstSlots): void {
+    const { nowMs } = this.options;
+    const planned = of.open.filter(({ current }) => current.state === 'planned');
+    if (planned.length === 0) return;
+    const isDue = nowMs() >= burst.burstMs - burst.leadS * 1000;
+    const toRent: SlotEntry[] = [];
+    for (const entry of planned) {
+      if (this.options.rents.mayHaveBeenSent(entry.current, this.beganMs)) this.makeDue(entry);
+      else if (!isDue) {
+        if (entry.current.rent === null) toRent.push(entry);
+      } else if (!this.adopt(burst, entry)) toRent.push(entry);
+    }
+    if (toRent.length > 0) this.nameRents(burst, of, toRent, isDue);
+  }
+
+  private makeDue(entry: SlotEntry): void {
+    this.options.table.apply(entry, { kind: 'rent-due' });
+  }
+
+  /** A machine that is there already is kept for the slot, if there is one. */
+  private adopt({ pool }: Burst, entry: SlotEntry): boolean {
+    const { view, rooms, table, nowMs } = this.options;
+    const room = bestRoom(
+      pool,
+      view.rooms(),
+      (r) => this.mayAdopt(r.id) && rooms.hasRoomFor(pool.shape, r),
+    );
+    if (room === null) return false;
+    const place = this.place(entry.current, room.id, room.type);
+    table.apply(entry, { kind: 'adopted', place, atMs: nowMs() });
+    return true;
+  }
+
+  private mayAdopt(machine: string): boolean {
+    const m = this.options.view.machine(machine);
+    if (m === undefined || m.state !== 'ready') return false;
+    return !m.faulty && m.takenAt === null && m.vacatedAt === null;
+  }
+
+  /** What a slot gets with a machine. Replicas that are there already are not those it is kept for. */
+  place(slot: Slot, machine: string, typeName: string): SlotPlace {
+    const { view, pool: poolOf } = this.options;
+    const pool = poolOf(slot.pool);
+    const type = view.types().get(typeName);
+    const m = view.machine(machine);
+    const isThere = pool !== undefined && m !== undefined;
+    return {
+      machine,
+      share: pool !== undefined && type !== undefined ? slotShare(pool.shape, type) : 1,
+      pricePerHour: type?.price ?? 0,
+      beside: isThere ? modelTasks(view, m, pool).map(({ name }) => name) : [],
+    };
+  }
+
+  /** Names the requests for slots that found no machine; they may be sent at once where they are due. */
+  private nameRents(burst: Burst, of: BurstSlots, entries: SlotEntry[], isDue: boolean): void {
+    const { table } = this.options;
+    const { pool } = burst;
+    const { found, left } = this.divide(pool, of, entries);
+    for (const { place, group } of found) {
+      const name = `${this.options.view.uniquePrefix}-${this.requests++}`;
+      const request = { name, type: place.type.name, zone: place.zone };
+      const perMachine = slotsPerMachine(pool.shape, place.type);
+      const rents: SlotRent[] = shareOut(group.length, perMachine, request);
+      for (const [i, entry] of group.entries()) {
+        table.apply(entry, { kind: 'rent-named', rent: rents[i]! });
+        if (isDue) this.makeDue(entry);
+      }
+    }
+    if (left.length === 0 || !isDue) return;
+    this.takeFromLesser(burst, left.length);
+  }
+
+  /** The slots by the kind of machine that is rented for them; each group is one request. */
+  private divide(
+    pool: PoolDeclaration,
+    of: BurstSlots,
+    entries: SlotEntry[],
+  ): { found: { place: RentPlace; group: SlotEntry[] }[]; left: SlotEntry[] } {
+    const { view } = this.options;
+    const inZone = this.slotsInZones(of);
+    const groups = new Map<string, { place: RentPlace; group: SlotEntry[] }>();
+    const isShort = (type: string, zone: string): boolean => view.isShort(type, zone);
+    let next = 0;
+    while (next < entries.length) {
+      const place = cheapestPlace(pool, view.types(), isShort, inZone);
+      if (place === null) break;
+      const some = entries.slice(next, next + slotsPerMachine(pool.shape, place.type));
+      next += some.length;
+      inZone.set(place.zone, (inZone.get(place.zone) ?? 0) + some.length);
+      const kind = `${place.type.name} ${place.zone}`;
+      let key = kind;
+      for (let i = 1; this.isFull(groups.get(key), pool); i++) key = `${kind} ${i}`;
+      const group = groups.get(key) ?? { place, group: [] };
+      groups.set(key, group);
+      group.group.push(...some);
+    }
+    return { found: [...groups.values()], left: entries.slice(next) };
+  }
+
+  private isFull(
+    group: { place: RentPlace; group: SlotEntry[] } | undefined,
+    pool: PoolDeclaration,
+  ): boolean {
+    if (group === undefined) return false;
+    return group.group.length >= RENT_MAX * slotsPerMachine(pool.shape, group.place.type);
+  }
+
+  private slotsInZones({ open }: BurstSlots): Map<string, number> {
+    const inZone = new Map<string, number>();
+    for (const { current } of open) {
+      const machine =
+        current.machine === null ? undefined : this.options.view.machine(current.machine);
+      const zone = machine?.zone ?? current.rent?.zone;
+      if (zone !== undefined) inZone.set(zone, (inZone.get(zone) ?? 0) + 1);
+    }
+    return inZone;
+  }
+
+  /**
+   * The cloud has nothing for slots that are due: a pool of lower precedence gives up its own. It cannot
+   * take them back, so nothing goes to and fro; the machine is found by `adopt` in the next round.
+   */
+  private takeFromLesser({ pool, burstMs }: Burst, count: number): void {
+    const { table, alarms, pool: poolOf } = this.options;
+    const lesser: { entry: SlotEntry; precedence: number }[] = [];
+    for (const entry of table.values()) {
+      const other = poolOf(entry.current.pool);
+      if (other === undefined || other.precedence >= pool.precedence) continue;
+      if (isHeld(entry.current) && this.wouldFit(pool, other, entry)) {
+        lesser.push({ entry, precedence: other.precedence });
+      }
+    }
+    lesser.sort(
+      (a, b) => a.precedence - b.precedence || b.entry.current.burstMs - a.entry.current.burstMs,
+    );
+    for (const { entry } of lesser.slice(0, count)) this.release(entry, `taken by ${pool.name}`);
+    const missing = count - lesser.length;
+    if (missing > 0) alarms.raise('no_capacity', pool.name, this.whenAgain(pool, burstMs, missing));
+  }
+
+  private wouldFit(pool: PoolDeclaration, other: PoolDeclaration, entry: SlotEntry): boolean {
+    const m = this.options.view.machine(entry.current.machine!);
+    if (m === undefined || m.state !== 'ready' || !isAllowed(pool, m)) return false;
+    const { cores, gpus, memGb } = pool.shape;
+    const { shape } = other;
+    return shape.cores >= cores - 1e-6 && shape.gpus >= gpus - 1e-6 && shape.memGb >= memGb - 1e-6;
+  }
+
+  /** Who holds what this pool would use, and until when. */
+  private whenAgain(pool: PoolDeclaration, burstMs: number, missing: number): string {
+    let soonestMs = Infinity;
+    let holder = '';
+    for (const { current } of this.options.table.values()) {
+      const other = this.options.pool(current.pool);
+      if (other === undefined || other === pool || !isHeld(current)) continue;
+      const endMs = current.burstMs + other.holdS * 1000;
+      if (endMs >= soonestMs) continue;
+      soonestMs = endMs;
+      holder = other.name;
+    }
+    const burst = new Date(burstMs).toISOString();
+    if (holder === '') return `${missing} for ${burst}; asked for again within a boot`;
+    return `${missing} for ${burst}; ${holder} gives its own up at ${new Date(soonestMs).toISOString()}`;
+  }
+
+  private noteLate({ pool, burstMs }: Burst, of: BurstSlots, wanted: number): void {
+    const { nowMs, alarms } = this.options;
+    if (nowMs() < burstMs) return;
+    const warm = of.open.filter(({ current }) => current.state === 'warm').length;
+    if (warm < wanted) alarms.raise('late', pool.name, `${warm} of ${wanted} warm`);
+  }
+}
--- /dev/null
+++ b/src/warm-pools/slot-rents.ts
@@ -0,0 +1,176 @@
+/** Requests to the cloud for slots: named in the store before they are sent. */
+
+import type { RentResult } from '../cloud/client.js';
+import type { StoredRent, TermView } from '../subsystems/subsystem.js';
+import { isOpen, type Slot, type SlotPlace, type SlotRent } from './slot.js';
+import type { SlotEntry, SlotTable } from './slot-table.js';
+
+/** Seconds before a request that was refused or not answered is sent again: at first, and at most. */
+const RETRY_S = 0.5;
+const RETRY_MOST_S = 8;
+
+interface Sending {
+  /** Time of day, in ms, of the first sending that may have been carried out. */
+  sinceMs: number;
+  sentMs: number;
+  retryAt: number;
+  retryS: number;
+  /** The machines, where the slots' records could not follow yet. */
+  machines: readonly string[] | null;
+}
+
+export interface SlotRentsOptions {
+  view: TermView;
+  table: SlotTable;
+  nowMs: () => number;
+  /** What the slot gets with a machine of this type. */
+  place: (slot: Slot, machine: string, type: string) => SlotPlace;
+}
+
+/**
+ * A request's name is in the records of its slots before it is sent, and is sent again, by whoever leads,
+ * until it is answered: the cloud rents nothing twice under one name. A slot never gets a new name while
+ * the outcome of the old one is open, so no answer that is lost loses a machine.
+ */
+export class SlotRents {
+  private readonly sendings = new Map<string, Sending>();
+
+  constructor(private readonly options: SlotRentsOptions) {}
+
+  /** Whether a request may have been sent, by this term or an earlier one. */
+  mayHaveBeenSent({ rent, sendFromMs }: Slot, termBeganMs: number): boolean {
+    if (rent === null) return false;
+    return this.sendings.has(rent.name) || termBeganMs >= sendFromMs;
+  }
+
+  /** Requests that are due. */
+  due(): StoredRent[] {
+    const { view, table } = this.options;
+    if (!view.entitled()) return [];
+    const byName = new Map<string, SlotEntry[]>();
+    for (const entry of table.values()) {
+      const name = this.dueName(entry);
+      if (name === null) continue;
+      const group = byName.get(name);
+      if (group === undefined) byName.set(name, [entry]);
+      else group.push(entry);
+    }
+    const due: StoredRent[] = [];
+    for (const [name, group] of byName) {
+      const known = this.sendings.get(name);
+      if (known?.machines != null) this.assign(name, known, known.machines);
+      else if ((known?.retryAt ?? -Infinity) <= view.now()) due.push(this.request(name, group));
+    }
+    return due;
+  }
+
+  /**
+   * Only what the store holds counts. While it is refused to all, and the majority says so, requests that
+   * were named before and whose time has come are sent too: that they may be is in the store.
+   */
+  private dueName({ stored, current }: SlotEntry): string | null {
+    if (stored === null || stored.rent === null || !isOpen(current)) return null;
+    const { view, nowMs } = this.options;
+    if (stored.state === 'renting') return current.state === 'renting' ? stored.rent.name : null;
+    if (stored.state !== 'planned' || view.writing()) return null;
+    return nowMs() >= stored.sendFromMs ? stored.rent.name : null;
+  }
+
+  private request(name: string, group: SlotEntry[]): StoredRent {
+    const { type, zone, count } = group[0]!.stored!.rent!;
+    return {
+      request: { name, type, zone, spot: false, count },
+      sending: () => this.sending(name, group),
+      answered: (result) => this.answered(name, result),
+    };
+  }
+
+  private sending(name: string, group: SlotEntry[]): void {
+    const { nowMs } = this.options;
+    const sentMs = nowMs();
+    const known = this.sendings.get(name);
+    if (known !== undefined) {
+      known.sentMs = sentMs;
+      known.sinceMs = Math.min(known.sinceMs, sentMs);
+      return;
+    }
+    // An earlier term may have sent it, from the moment on at which it was due.
+    const sinceMs = Math.min(sentMs, ...group.map(({ current }) => this.earliestMs(current)));
+    const first = { retryS: RETRY_S, retryAt: -Infinity, machines: null };
+    this.sendings.set(name, { sinceMs, sentMs, ...first });
+  }
+
+  private earliestMs({ rent, sendFromMs }: Slot): number {
+    const isOwn = rent?.name.startsWith(this.options.view.uniquePrefix) === true;
+    return isOwn ? Infinity : sendFromMs;
+  }
+
+  private answered(name: string, result: RentResult): void {
+    const sending = this.sendings.get(name);
+    if (sending === undefined) return;
+    switch (result.how) {
+      case 'rented':
+        this.assign(name, sending, result.ids);
+        break;
+      case 'none':
+        this.sendings.delete(name);
+        for (const entry of this.renting(name)) {
+          this.options.table.apply(entry, { kind: 'not-rented' });
+        }
+        break;
+      case 'refused':
+        // Certainly not carried out this time; by an earlier sending perhaps.
+        if (sending.sinceMs === sending.sentMs) sending.sinceMs = Infinity;
+        this.pause(sending);
+        break;
+      case 'unknown':
+        this.pause(sending);
+        break;
+    }
+    this.options.view.nudgeStore();
+  }
+
+  private pause(sending: Sending): void {
+    sending.retryAt = this.options.view.now() + sending.retryS;
+    sending.retryS = Math.min(RETRY_MOST_S, sending.retryS * 2);
+  }
+
+  private assign(name: string, sending: Sending, machines: readonly string[]): void {
+    const { table, place } = this.options;
+    sending.machines = machines;
+    const fromMs = Math.min(sending.sinceMs, sending.sentMs);
+    const uncertainMs = sending.sentMs - fromMs;
+    for (const entry of this.renting(name)) {
+      const { position, type } = entry.current.rent!;
+      const machine = machines[position];
+      if (machine === undefined) {
+        table.apply(entry, { kind: 'not-rented' });
+        continue;
+      }
+      const got = place(entry.current, machine, type);
+      table.apply(entry, { kind: 'rented', place: got, atMs: fromMs, uncertainMs });
+    }
+    // In an outage it is kept until the slots' records may follow.
+    if (this.options.view.writing()) this.sendings.delete(name);
+  }
+
+  private renting(name: string): SlotEntry[] {
+    return [...this.options.table.values()].filter(({ current }) => {
+      return current.state === 'renting' && current.rent?.name === name;
+    });
+  }
+}
+
+/** Divides the machines of a request among slots: as many on each as fit. */
+export function shareOut(
+  slots: number,
+  perMachine: number,
+  request: Omit<SlotRent, 'count' | 'position'>,
+): SlotRent[] {
+  const count = Math.ceil(slots / perMachine);
+  return Array.from({ length: slots }, (_, i) => ({
+    ...request,
+    count,
+    position: Math.floor(i / perMachine),
+  }));
+}
--- /dev/null
+++ b/src/warm-pools/slot-rooms.ts
@@ -0,0 +1,125 @@
+/** What slots keep of machines, and which tasks may use it. */
+
+import { fits, type JobSpec, type Size } from '../jobs/types.js';
+import { putBack, type FreeCapacity } from '../scheduler/place.js';
+import type { TermView } from '../subsystems/subsystem.js';
+import type { PoolDeclaration, ReplicaShape } from './declaration.js';
+import type { SlotEntry, SlotTable } from './slot-table.js';
+
+/** Estimates of run times are wrong by half and more: work is lent a slot for so many times its own. */
+const LENT_ESTIMATES = 2;
+/** What a warm place is worth to a replica against the same machine without one: a boot of its type. */
+const PREFERENCE_BOOTS = 1;
+const BEST_EFFORT = 3;
+
+/** Whether a replica of the job is what the pool is kept for. */
+export function isFor(pool: PoolDeclaration, spec: JobSpec): boolean {
+  return (
+    spec.image === pool.image && spec.kind === 'service' && spec.tasks > 0 && fits(spec, pool.shape)
+  );
+}
+
+/** A slot that is kept, and its pool. */
+interface KeptSlot {
+  entry: SlotEntry;
+  pool: PoolDeclaration;
+}
+
+export interface SlotRoomsOptions {
+  view: TermView;
+  table: SlotTable;
+  pool: (name: string) => PoolDeclaration | undefined;
+  /** Time of day in ms. */
+  nowMs: () => number;
+}
+
+/** The part of each machine that is kept for slots. */
+export class SlotRooms {
+  /** Slots on whose place a replica was claimed, though that is not stored yet. */
+  private claimed: ReadonlySet<string> = new Set();
+
+  constructor(private readonly options: SlotRoomsOptions) {}
+
+  /** What is known of claims, anew at every tick. */
+  noteClaimed(ids: ReadonlySet<string>): void {
+    this.claimed = ids;
+  }
+
+  isClaimed(id: string): boolean {
+    return this.claimed.has(id);
+  }
+
+  keeps(machine: string): boolean {
+    return this.options.table.held().has(machine);
+  }
+
+  /** What the slots on a machine take together, in whole machines' shares; of those that are there. */
+  keptMachines(): number {
+    const { view, table } = this.options;
+    let sum = 0;
+    for (const [machine, entries] of table.held()) {
+      const isThere = view.machine(machine)?.state === 'ready' || view.isComing(machine);
+      if (!isThere) continue;
+      for (const { id, current } of entries) if (!this.claimed.has(id)) sum += current.share;
+    }
+    return sum;
+  }
+
+  /** The slots that are kept on a machine. */
+  private kept(machine: string): KeptSlot[] {
+    const { table, pool: poolOf } = this.options;
+    const kept: KeptSlot[] = [];
+    for (const entry of table.held().get(machine) ?? []) {
+      const pool = poolOf(entry.current.pool);
+      if (pool !== undefined && !this.claimed.has(entry.id)) kept.push({ entry, pool });
+    }
+    return kept;
+  }
+
+  mayUse(spec: JobSpec, room: FreeCapacity): boolean {
+    const kept = this.kept(room.id);
+    if (kept.length === 0 || kept.some(({ pool }) => isFor(pool, spec))) return true;
+    if (this.pushesOut(spec, room.id, kept)) return false;
+    return leavesRoom(spec, room, kept) || this.mayBorrow(spec, room, kept);
+  }
+
+  /** A place that is warm for the replica, or about to be, saves it a boot. */
+  preferenceS(spec: JobSpec, room: FreeCapacity): number {
+    if (!this.kept(room.id).some(({ pool }) => isFor(pool, spec))) return 0;
+    return (this.options.view.types().get(room.type)?.bootS ?? 0) * PREFERENCE_BOOTS;
+  }
+
+  /** Whether a slot of this shape finds room there beside what is kept already. */
+  hasRoomFor(shape: ReplicaShape, room: FreeCapacity): boolean {
+    return leavesRoom(shape, room, this.kept(room.id));
+  }
+
+  /** The machine would drop an image that a slot is kept for. */
+  private pushesOut(spec: JobSpec, machine: string, kept: KeptSlot[]): boolean {
+    const { view } = this.options;
+    const m = view.machine(machine);
+    const type = view.types().get(m?.type ?? '');
+    if (m === undefined || type === undefined || m.images.has(spec.image)) return false;
+    if (!kept.some(({ pool }) => m.images.has(pool.image))) return false;
+    let cachedGb = 0;
+    for (const { gb } of m.images.values()) cachedGb += gb;
+    return cachedGb + spec.imageGb > type.cacheGb;
+  }
+
+  /** Short best-effort work may use a place until shortly before the burst, where operators say so. */
+  private mayBorrow(spec: JobSpec, room: FreeCapacity, kept: KeptSlot[]): boolean {
+    if (spec.priority !== BEST_EFFORT || spec.kind !== 'array') return false;
+    const fetchS = room.imageWaitS(spec.image, spec.imageGb);
+    const neededS = fetchS + spec.estimateS * LENT_ESTIMATES + spec.saveS;
+    const nowMs = this.options.nowMs();
+    return kept.every(({ pool, entry }) => {
+      return pool.lend && nowMs + neededS * 1000 < entry.current.burstMs;
+    });
+  }
+}
+
+function leavesRoom(shape: Size, room: Size, kept: KeptSlot[]): boolean {
+  const needed = { cores: shape.cores, gpus: shape.gpus, memGb: shape.memGb };
+  for (const { pool } of kept) putBack(pool.shape, needed);
+  return fits(needed, room);
+}
--- /dev/null
+++ b/src/warm-pools/slot-watch.ts
@@ -0,0 +1,230 @@
+/** What becomes of slots that have a machine: warm, used, or lost with it. */
+
+import { fits, type MachineType } from '../jobs/types.js';
+import { putBack, take } from '../scheduler/place.js';
+import type { MachineView, TermView } from '../subsystems/subsystem.js';
+import { holds } from '../workers/attempt.js';
+import type { PoolDeclaration } from './declaration.js';
+import type { LeadTimes } from './lead-times.js';
+import type { ModelLoader } from './model-loader.js';
+import { isHeld, type SlotEvent } from './slot.js';
+import { isFor } from './slot-rooms.js';
+import type { SlotEntry, SlotTable } from './slot-table.js';
+
+/** A machine that has not come after so many times its lead time never will, in time for the burst. */
+const NEVER_LEADS = 3;
+/** Machines that nothing is known of are judged after so many leases of a term, and of a slot's life. */
+const JUDGE_LEASES = 1;
+
+export interface SlotWatchOptions {
+  view: TermView;
+  table: SlotTable;
+  loader: ModelLoader;
+  leadTimes: LeadTimes;
+  pool: (name: string) => PoolDeclaration | undefined;
+  nowMs: () => number;
+}
+
+/** A task with a pool's model on a machine. */
+interface ModelTask {
+  /** `job/index#attempt` */
+  name: string;
+  /** Its claim is stored. */
+  isStored: boolean;
+}
+
+export class SlotWatch {
+  private readonly beganAt: number;
+  /** Boots that were measured already, by slot. */
+  private readonly measured = new Set<string>();
+
+  constructor(private readonly options: SlotWatchOptions) {
+    this.beganAt = options.view.now();
+  }
+
+  /** Looks at every slot that has a machine. Returns those on whose place a replica was claimed. */
+  look(): Set<string> {
+    const { table, view } = this.options;
+    const claimed = new Set<string>();
+    const used = this.usedTasks();
+    for (const [machine, entries] of [...table.held()]) {
+      const m = view.machine(machine);
+      for (const entry of [...entries]) this.lookForLoss(entry, m);
+      if (m === undefined) continue;
+      this.lookForUse(m, entries, used, claimed);
+      for (const entry of entries) {
+        if (isHeld(entry.current) && !claimed.has(entry.id)) this.lookForModel(entry, m);
+      }
+      this.lookForOthers(m, entries, claimed);
+    }
+    return claimed;
+  }
+
+  /** Tasks that slots were used by. */
+  private usedTasks(): Set<string> {
+    const used = new Set<string>();
+    for (const { current } of this.options.table.values()) {
+      if (current.task !== null) used.add(current.task);
+    }
+    return used;
+  }
+
+  private lookForLoss(entry: SlotEntry, m: MachineView | undefined): void {
+    const event = this.loss(entry, m);
+    if (event === null) return;
+    this.options.table.apply(entry, event);
+    if (m !== undefined) this.options.loader.forget(m.id);
+  }
+
+  /** What shows that a slot's machine is gone or of no use; null: nothing does. */
+  private loss(entry: SlotEntry, m: MachineView | undefined): SlotEvent | null {
+    if (m === undefined) return this.neverCame(entry);
+    const { view, nowMs } = this.options;
+    if (m.state === 'silent' || m.state === 'returning' || m.state === 'returned') {
+      const silentMs = Math.max(0, view.now() - m.heardAt) * 1000;
+      return { kind: 'lost', reason: m.state, atMs: nowMs() - silentMs, uncertainMs: silentMs };
+    }
+    if (m.faulty) return { kind: 'lost', reason: 'faulty', atMs: nowMs(), uncertainMs: 0 };
+    if (m.takenAt === null) return null;
+    return { kind: 'lost', reason: 'taken back', atMs: nowMs(), uncertainMs: 0 };
+  }
+
+  private neverCame({ current }: SlotEntry): SlotEvent | null {
+    const { view, nowMs } = this.options;
+    const { lease_s } = view.settings.workers;
+    const { fromMs } = current.held!;
+    const heldS = (nowMs() - fromMs) / 1000;
+    const judgeS = lease_s * JUDGE_LEASES + view.settings.cloud.list_lag_s * 2;
+    const isSettled = view.now() - this.beganAt > judgeS && heldS > judgeS;
+    const id = current.machine!;
+    if (isSettled && !view.isComing(id) && view.isListed(id) === false) {
+      // Charged until it was gone, which nobody saw.
+      return { kind: 'lost', reason: 'gone', atMs: fromMs, uncertainMs: heldS * 1000 };
+    }
+    if (heldS <= this.leadS(current.pool, current.rent) * NEVER_LEADS) return null;
+    return { kind: 'lost', reason: 'never came', atMs: nowMs(), uncertainMs: 0 };
+  }
+
+  private leadS(poolName: string, rent: { type: string; zone: string } | null): number {
+    const pool = this.options.pool(poolName);
+    const type = this.options.view.types().get(rent?.type ?? '');
+    if (pool === undefined || type === undefined || rent === null) return Infinity;
+    return this.options.leadTimes.leadS(type, rent.zone, pool.image, pool.imageGb);
+  }
+
+  /** A replica with the model that came after the slot uses it; the warm places go first. */
+  private lookForUse(
+    m: MachineView,
+    entries: readonly SlotEntry[],
+    used: Set<string>,
+    claimed: Set<string>,
+  ): void {
+    const open = entries.filter(({ current }) => isHeld(current));
+    open.sort((a, b) => rank(a) - rank(b));
+    for (const entry of open) {
+      const pool = this.options.pool(entry.current.pool);
+      if (pool === undefined) continue;
+      const task = this.modelTasks(m, pool).find(({ name }) => {
+        return !used.has(name) && !entry.current.beside.includes(name);
+      });
+      if (task === undefined) continue;
+      used.add(task.name);
+      claimed.add(entry.id);
+      if (!task.isStored) continue;
+      const { table, nowMs } = this.options;
+      table.apply(entry, { kind: 'used', task: task.name, atMs: nowMs() });
+    }
+  }
+
+  private modelTasks(m: MachineView, pool: PoolDeclaration): ModelTask[] {
+    return modelTasks(this.options.view, m, pool);
+  }
+
+  private lookForModel(entry: SlotEntry, m: MachineView): void {
+    const pool = this.options.pool(entry.current.pool);
+    if (pool === undefined) return;
+    const { loader, table, nowMs } = this.options;
+    const state = loader.state(m, pool);
+    if (state === 'failed') {
+      loader.forget(m.id);
+      table.apply(entry, { kind: 'lost', reason: 'not loaded', atMs: nowMs(), uncertainMs: 0 });
+      return;
+    }
+    this.measureBoot(entry, m);
+    if (state !== 'ready' || entry.current.state !== 'loading') return;
+    this.measureLoad(entry, m, pool);
+    table.apply(entry, { kind: 'loaded', atMs: nowMs() });
+  }
+
+  private measureBoot({ id, current }: SlotEntry, m: MachineView): void {
+    if (current.rent === null || m.firstHeardAt === null || this.measured.has(id)) return;
+    this.measured.add(id);
+    // Heard first by this term, which began before: otherwise the boot was over already.
+    const { leadTimes, nowMs, view } = this.options;
+    const sinceHeardS = view.now() - m.firstHeardAt;
+    const bootS = (nowMs() - current.held!.fromMs) / 1000 - sinceHeardS;
+    const isOwn = current.rent.name.startsWith(view.uniquePrefix);
+    if (isOwn && bootS > 0) leadTimes.noteBoot(m.type, m.zone, bootS);
+  }
+
+  private measureLoad({ current }: SlotEntry, m: MachineView, pool: PoolDeclaration): void {
+    if (m.firstHeardAt === null || current.rent === null) return;
+    const loadS = this.options.view.now() - m.firstHeardAt;
+    this.options.leadTimes.noteLoad(m.type, m.zone, pool.image, Math.max(0, loadS));
+  }
+
+  /** Work that came before the slot was known here has taken its place: the slot is looked for anew. */
+  private lookForOthers(
+    m: MachineView,
+    entries: readonly SlotEntry[],
+    claimed: ReadonlySet<string>,
+  ): void {
+    const { view, table, nowMs } = this.options;
+    const type = view.types().get(m.type);
+    if (type === undefined) return;
+    const free = freeOn(view, m, type);
+    for (const entry of entries) {
+      const pool = this.options.pool(entry.current.pool);
+      if (pool === undefined || !isHeld(entry.current) || claimed.has(entry.id)) continue;
+      const isLent = pool.lend && nowMs() < entry.current.burstMs;
+      if (fits(pool.shape, free) || isLent) take(pool.shape, free);
+      else table.apply(entry, { kind: 'lost', reason: 'in use', atMs: nowMs(), uncertainMs: 0 });
+    }
+  }
+}
+
+const rank = ({ current }: SlotEntry): number => (current.state === 'warm' ? 0 : 1);
+
+/** Tasks with a pool's model that a machine holds. */
+export function modelTasks(view: TermView, m: MachineView, pool: PoolDeclaration): ModelTask[] {
+  const tasks: ModelTask[] = [];
+  for (const a of m.attempts.values()) {
+    if (!holds(a) || a.stop !== null) continue;
+    const spec = view.spec(a.job);
+    if (spec === null || !isFor(pool, spec)) continue;
+    tasks.push({ name: `${a.job}/${a.index}#${a.number}`, isStored: a.state !== 'claiming' });
+  }
+  return tasks;
+}
+
+/** What is free of a machine of this type by the attempts that may be on it. */
+function freeOn(
+  view: TermView,
+  m: MachineView,
+  type: MachineType,
+): {
+  cores: number;
+  gpus: number;
+  memGb: number;
+} {
+  const used = { cores: 0, gpus: 0, memGb: 0 };
+  for (const a of m.attempts.values()) {
+    const spec = holds(a) ? view.spec(a.job) : null;
+    if (spec !== null) putBack(spec, used);
+  }
+  return {
+    cores: type.cores - used.cores,
+    gpus: type.gpus - used.gpus,
+    memGb: type.memGb - used.memGb,
+  };
+}
--- /dev/null
+++ b/src/warm-pools/slot.ts
@@ -0,0 +1,266 @@
+/** A warm slot: a place for one replica that is kept ready for a burst. Its record and its states. */
+
+import * as v from 'valibot';
+
+/**
+ *   planned   wanted for a burst; the request that is to rent its machine may be named already
+ *   renting   that request may have been sent to the cloud
+ *   loading   it has a machine, which boots or loads the model
+ *   warm      a replica that is placed there begins at once
+ *   used      a replica was placed there
+ *   released  given up
+ *   lost      its machine is gone, or was of no use
+ *
+ * The last three are final. Idle time is paid for from `loading` on until then.
+ */
+export type SlotState = 'planned' | 'renting' | 'loading' | 'warm' | 'used' | 'released' | 'lost';
+
+export const SLOT_STATES: readonly SlotState[] = [
+  'planned',
+  'renting',
+  'loading',
+  'warm',
+  'used',
+  'released',
+  'lost',
+];
+
+/** A count of 0 for each state. */
+export const noSlots = (): Record<SlotState, number> =>
+  Object.fromEntries(SLOT_STATES.map((state) => [state, 0])) as Record<SlotState, number>;
+
+const ALLOWED: Record<SlotState, readonly SlotState[]> = {
+  planned: ['planned', 'renting', 'loading', 'released'],
+  renting: ['planned', 'loading'],
+  loading: ['warm', 'used', 'released', 'lost'],
+  warm: ['used', 'released', 'lost'],
+  used: [],
+  released: [],
+  lost: [],
+};
+
+/** The request to the cloud from whose machines a slot gets one. */
+export interface SlotRent {
+  /** Name of the request: sent again, by whoever leads, it gives the same machines. */
+  name: string;
+  type: string;
+  zone: string;
+  /** Machines that are asked for. */
+  count: number;
+  /** Which of them is the slot's, from 0. */
+  position: number;
+}
+
+/** A time for which idle machine time is paid, in ms of the time of day. */
+export interface HeldInterval {
+  fromMs: number;
+  /** Null: it goes on. */
+  toMs: number | null;
+  /** By how much its length may be wrong. */
+  uncertainMs: number;
+}
+
+export interface Slot {
+  pool: string;
+  burstMs: number;
+  /** Counts the slots of a burst. */
+  index: number;
+  /** The team that pays. */
+  team: string;
+  state: SlotState;
+  rent: SlotRent | null;
+  /** From when on the request may be sent, in ms of the time of day. */
+  sendFromMs: number;
+  machine: string | null;
+  /** Share of the machine that the slot takes, and what the whole machine costs an hour. */
+  share: number;
+  pricePerHour: number;
+  held: HeldInterval | null;
+  warmAtMs: number | null;
+  /** Tasks with the model that were on the machine before the slot was. */
+  beside: readonly string[];
+  /** The task that uses it, as `job/index#attempt`. */
+  task: string | null;
+  /** Why it was released or lost. */
+  reason: string | null;
+}
+
+/** What a slot gets when it gets a machine. */
+export interface SlotPlace {
+  machine: string;
+  share: number;
+  pricePerHour: number;
+  beside: readonly string[];
+}
+
+export type SlotEvent =
+  /** The request that is to rent its machine gets a name. */
+  | { kind: 'rent-named'; rent: SlotRent }
+  | { kind: 'rent-due' }
+  /** The cloud had none for it. */
+  | { kind: 'not-rented' }
+  /** `uncertainMs`: by how much later than `atMs` the machine may have been rented. */
+  | { kind: 'rented'; place: SlotPlace; atMs: number; uncertainMs: number }
+  /** A machine that is there already is kept for it. */
+  | { kind: 'adopted'; place: SlotPlace; atMs: number }
+  | { kind: 'loaded'; atMs: number }
+  | { kind: 'used'; task: string; atMs: number }
+  | { kind: 'released'; reason: string; atMs: number }
+  /** `atMs`: the last evidence of the machine; it may have been there for `uncertainMs` more. */
+  | { kind: 'lost'; reason: string; atMs: number; uncertainMs: number };
+
+/** An event that a slot in this state cannot meet. */
+export class SlotTransitionError extends Error {}
+
+/** The one function by which a slot changes. Throws SlotTransitionError. */
+export function advanceSlot(slot: Slot, event: SlotEvent): Slot {
+  switch (event.kind) {
+    case 'rent-named':
+      return { ...moved(slot, 'planned'), rent: event.rent };
+    case 'rent-due':
+      if (slot.rent === null) throw new SlotTransitionError(`${slotId(slot)}: no request is named`);
+      return moved(slot, 'renting');
+    case 'not-rented':
+      return { ...moved(slot, 'planned'), rent: null };
+    case 'rented':
+      if (slot.state !== 'renting') throw new SlotTransitionError(`${slotId(slot)}: not renting`);
+      return placed(slot, event.place, event.atMs, event.uncertainMs);
+    case 'adopted':
+      if (slot.state !== 'planned') throw new SlotTransitionError(`${slotId(slot)}: not planned`);
+      return { ...placed(slot, event.place, event.atMs, 0), rent: null };
+    case 'loaded':
+      return { ...moved(slot, 'warm'), warmAtMs: event.atMs };
+    case 'used':
+      return { ...ended(slot, 'used', event.atMs, 0), task: event.task };
+    case 'released':
+      return { ...ended(slot, 'released', event.atMs, 0), reason: event.reason };
+    case 'lost':
+      return { ...ended(slot, 'lost', event.atMs, event.uncertainMs), reason: event.reason };
+  }
+}
+
+function moved(slot: Slot, state: SlotState): Slot {
+  if (!ALLOWED[slot.state].includes(state)) {
+    throw new SlotTransitionError(`${slotId(slot)}: from ${slot.state} to ${state}`);
+  }
+  return { ...slot, state };
+}
+
+function placed(slot: Slot, place: SlotPlace, fromMs: number, uncertainMs: number): Slot {
+  return { ...moved(slot, 'loading'), ...place, held: { fromMs, toMs: null, uncertainMs } };
+}
+
+/** The interval ends with the slot. A clock that went back must not make it shorter than nothing. */
+function ended(slot: Slot, state: SlotState, atMs: number, uncertainMs: number): Slot {
+  const next = moved(slot, state);
+  if (slot.held === null) return next;
+  const { fromMs } = slot.held;
+  const held = {
+    fromMs,
+    toMs: Math.max(fromMs, atMs),
+    uncertainMs: slot.held.uncertainMs + uncertainMs + Math.max(0, fromMs - atMs),
+  };
+  return { ...next, held };
+}
+
+/** Whether a slot still is to be, or is, a warm place. */
+export const isOpen = ({ state }: Slot): boolean =>
+  state === 'planned' || state === 'renting' || state === 'loading' || state === 'warm';
+
+/** Whether it has a machine that is kept for it. */
+export const isHeld = ({ state }: Slot): boolean => state === 'loading' || state === 'warm';
+
+export const slotId = ({
+  pool,
+  burstMs,
+  index,
+}: Pick<Slot, 'pool' | 'burstMs' | 'index'>): string => `${pool}/${burstMs}/${index}`;
+
+export const SLOT_PREFIX = 'slot/';
+export const slotKey = (slot: Pick<Slot, 'pool' | 'burstMs' | 'index'>): string =>
+  SLOT_PREFIX + slotId(slot);
+
+// The record
+
+const text = v.string();
+const number = v.pipe(v.number(), v.finite());
+const record = v.object({
+  p: text,
+  b: number,
+  i: number,
+  t: text,
+  s: v.picklist(SLOT_STATES),
+  r: v.optional(v.nullable(v.tuple([text, text, text, number, number])), null),
+  f: number,
+  m: v.optional(v.nullable(text), null),
+  h: v.optional(number, 0),
+  c: v.optional(number, 0),
+  l: v.optional(v.nullable(v.tuple([number, v.nullable(number), number])), null),
+  w: v.optional(v.nullable(number), null),
+  o: v.optional(v.array(text), []),
+  k: v.optional(v.nullable(text), null),
+  y: v.optional(v.nullable(text), null),
+});
+
+export function encodeSlot(slot: Slot): unknown {
+  const { rent, held } = slot;
+  return {
+    p: slot.pool,
+    b: slot.burstMs,
+    i: slot.index,
+    t: slot.team,
+    s: slot.state,
+    r: rent === null ? null : [rent.name, rent.type, rent.zone, rent.count, rent.position],
+    f: slot.sendFromMs,
+    m: slot.machine,
+    h: slot.share,
+    c: slot.pricePerHour,
+    l: held === null ? null : [held.fromMs, held.toMs, held.uncertainMs],
+    w: slot.warmAtMs,
+    o: slot.beside,
+    k: slot.task,
+    y: slot.reason,
+  };
+}
+
+/** Null: a record of another form, which is left alone. */
+export function decodeSlot(value: unknown): Slot | null {
+  const result = v.safeParse(record, value);
+  if (!result.success) return null;
+  const { p, b, i, t, s, r, f, m, h, c, l, w, o, k, y } = result.output;
+  return {
+    pool: p,
+    burstMs: b,
+    index: i,
+    team: t,
+    state: s,
+    rent: r === null ? null : { name: r[0], type: r[1], zone: r[2], count: r[3], position: r[4] },
+    sendFromMs: f,
+    machine: m,
+    share: h,
+    pricePerHour: c,
+    held: l === null ? null : { fromMs: l[0], toMs: l[1], uncertainMs: l[2] },
+    warmAtMs: w,
+    beside: o,
+    task: k,
+    reason: y,
+  };
+}
+
+export function plannedSlot(
+  of: Pick<Slot, 'pool' | 'burstMs' | 'index' | 'team' | 'sendFromMs'>,
+): Slot {
+  return {
+    ...of,
+    state: 'planned',
+    rent: null,
+    machine: null,
+    share: 0,
+    pricePerHour: 0,
+    held: null,
+    warmAtMs: null,
+    beside: [],
+    task: null,
+    reason: null,
+  };
+}
--- /dev/null
+++ b/src/warm-pools/view.ts
@@ -0,0 +1,93 @@
+/** What operators are shown: a function of the records alone, the same on every controller. */
+
+import type { OwnedRecord } from '../subsystems/subsystem.js';
+import { addTotals, billDays, dayOf, slotTotals, type BillDay } from './bill.js';
+import { BurstSchedule } from './burst-schedule.js';
+import type { PoolDeclaration } from './declaration.js';
+import { decodeSlot, noSlots, SLOT_PREFIX, type Slot, type SlotState } from './slot.js';
+
+export interface PoolStatus {
+  pool: string;
+  team: string;
+  image: string;
+  /** Declared; null: the pool is not declared any more. */
+  slots: number | null;
+  /** Beginning of the next burst, ISO 8601; null: there is none. */
+  nextBurst: string | null;
+  states: Record<SlotState, number>;
+}
+
+/** A day of a pool's bill, with what is not settled yet. */
+export interface BillRow extends BillDay {
+  /** Slots whose time still runs. */
+  open: number;
+}
+
+export interface PoolsView {
+  pools: PoolStatus[];
+  bill: BillRow[];
+}
+
+export function poolsView(
+  records: ReadonlyMap<string, OwnedRecord>,
+  pools: readonly PoolDeclaration[],
+  wallMs: number,
+): PoolsView {
+  const slots = slotsOf(records);
+  return { pools: statuses(slots, pools, wallMs), bill: billRows(records, slots, wallMs) };
+}
+
+function slotsOf(records: ReadonlyMap<string, OwnedRecord>): Slot[] {
+  const slots: Slot[] = [];
+  for (const [key, { value }] of records) {
+    const slot = key.startsWith(SLOT_PREFIX) ? decodeSlot(value) : null;
+    if (slot !== null) slots.push(slot);
+  }
+  return slots;
+}
+
+function statuses(
+  slots: readonly Slot[],
+  pools: readonly PoolDeclaration[],
+  wallMs: number,
+): PoolStatus[] {
+  const byName = new Map<string, PoolStatus>();
+  for (const { name, team, image, slots: count, schedule, timeZone } of pools) {
+    const nextMs = new BurstSchedule(schedule, timeZone).nextAfter(wallMs);
+    const nextBurst = nextMs === null ? null : new Date(nextMs).toISOString();
+    byName.set(name, { pool: name, team, image, slots: count, nextBurst, states: noSlots() });
+  }
+  for (const { pool, team, state } of slots) {
+    const undeclared = { pool, team, image: '', slots: null, nextBurst: null };
+    const status = byName.get(pool) ?? { ...undeclared, states: noSlots() };
+    byName.set(pool, status);
+    status.states[state]++;
+  }
+  return [...byName.values()];
+}
+
+function billRows(
+  records: ReadonlyMap<string, OwnedRecord>,
+  slots: readonly Slot[],
+  wallMs: number,
+): BillRow[] {
+  const rows = new Map<string, BillRow>();
+  const key = ({ pool, day, team }: { pool: string; day: string; team: string }): string =>
+    `${day} ${pool} ${team}`;
+  for (const { pool, team, day, ...totals } of billDays(records)) {
+    const { slots: count, used, lost, machineS, money, uncertainS } = totals;
+    const row = { pool, team, day, slots: count, used, lost, machineS, money, uncertainS, open: 0 };
+    rows.set(key(row), row);
+  }
+  for (const slot of slots) {
+    const { pool, team, burstMs, held } = slot;
+    const at = { pool, team, day: dayOf(burstMs) };
+    const totals = slotTotals(slot, wallMs);
+    const known = rows.get(key(at));
+    const sum = known === undefined ? totals : addTotals(known, totals);
+    const open = (known?.open ?? 0) + (held !== null && held.toMs === null ? 1 : 0);
+    rows.set(key(at), { ...at, ...sum, open });
+  }
+  const inOrder = (a: BillRow, b: BillRow): number => (key(a) < key(b) ? -1 : 1);
+  return [...rows.values()].sort(inOrder);
+}
--- /dev/null
+++ b/src/warm-pools/warm-pools-term.ts
@@ -0,0 +1,182 @@
+/** Warm pools in one term of leadership. */
+
+import type { JobSpec } from '../jobs/types.js';
+import type { FreeCapacity } from '../scheduler/place.js';
+import type { OwnedWrite, StoredRent, SubsystemTerm, TermView } from '../subsystems/subsystem.js';
+import { Alarms } from './alarms.js';
+import { Bill } from './bill.js';
+import { BurstClock } from './burst-clock.js';
+import { burstId, Bursts } from './bursts.js';
+import type { PoolDeclaration, WarmPoolsConfig } from './declaration.js';
+import { LeadTimes } from './lead-times.js';
+import type { ModelLoader } from './model-loader.js';
+import { noSlots } from './slot.js';
+import { SlotPlanner } from './slot-planner.js';
+import { SlotRents } from './slot-rents.js';
+import { SlotRooms } from './slot-rooms.js';
+import { SlotTable } from './slot-table.js';
+import { SlotWatch } from './slot-watch.js';
+
+/** A jump of the machine's clock is believed after so many leases. */
+const JUMP_LEASES = 6;
+/** Slots that go into the bill with one commit: a share of what may be written in a second, at most. */
+const MERGE_SHARE = 0.12;
+/** Measured times are stored once in so many leases. */
+const LEAD_LEASES = 3;
+
+export class WarmPoolsTerm implements SubsystemTerm {
+  private readonly pools: ReadonlyMap<string, PoolDeclaration>;
+  private readonly clock: BurstClock;
+  private readonly table = new SlotTable();
+  private readonly leadTimes = new LeadTimes();
+  private readonly bill: Bill;
+  private readonly bursts: Bursts;
+  private readonly alarms: Alarms;
+  private readonly rooms: SlotRooms;
+  private readonly slotRents: SlotRents;
+  private readonly planner: SlotPlanner;
+  private readonly watch: SlotWatch;
+  private leadStoredAt: number;
+  /** Models on machines that slots were kept on at the latest round, as `machine image`. */
+  private loaded = new Map<string, { machine: string; image: string }>();
+
+  constructor(
+    private readonly view: TermView,
+    config: WarmPoolsConfig,
+    private readonly loader: ModelLoader,
+  ) {
+    const { settings } = view;
+    this.pools = new Map(config.pools.map((pool) => [pool.name, pool]));
+    this.clock = new BurstClock({
+      now: () => view.now(),
+      wallMs: () => view.wallMs(),
+      skewMs: settings.skewMs,
+      settleS: settings.workers.lease_s * JUMP_LEASES,
+    });
+    this.bill = new Bill(mergeSize(settings.state), config.keepBillDays);
+    this.alarms = new Alarms(view.log);
+    this.bursts = new Bursts(config.pools, view, this.leadTimes, (p) => this.bill.throughMs(p));
+    const shared = {
+      view,
+      table: this.table,
+      pool: (name: string) => this.pools.get(name),
+      nowMs: () => this.clock.nowMs(),
+    };
+    this.rooms = new SlotRooms(shared);
+    this.slotRents = new SlotRents({
+      ...shared,
+      place: (slot, machine, type) => this.planner.place(slot, machine, type),
+    });
+    const { alarms, rooms, slotRents: rents, leadTimes } = this;
+    this.planner = new SlotPlanner({ ...shared, rents, rooms, alarms });
+    this.watch = new SlotWatch({ ...shared, loader, leadTimes });
+    this.leadStoredAt = view.now();
+    this.reconcile();
+  }
+
+  private reconcile(): void {
+    const records = this.view.records();
+    this.table.reconcile(records);
+    this.bill.reconcile(records);
+    this.leadTimes.reconcile(records);
+  }
+
+  /** Nothing new is decided while nothing can be stored. */
+  tick(): void {
+    const nowMs = this.clock.nowMs();
+    if (!this.view.writing()) return;
+    this.reconcile();
+    this.rooms.noteClaimed(this.watch.look());
+    const money = this.bill.moneyByDay(this.table.values(), nowMs);
+    this.planner.plan(this.bursts.at(nowMs), money);
+    this.unloadWhatIsOver();
+    if (this.clock.doubted) this.alarms.raise('clock_jump', 'all', 'the time of day jumped');
+    this.alarms.endRound();
+    this.view.nudgeStore();
+    this.view.nudgeCloud();
+  }
+
+  /** Models that no slot and no replica on their machine wants any more. */
+  private unloadWhatIsOver(): void {
+    const wanted = new Map<string, { machine: string; image: string }>();
+    for (const [machine, entries] of this.table.held()) {
+      for (const { current } of entries) {
+        const pool = this.pools.get(current.pool);
+        if (pool === undefined) continue;
+        wanted.set(`${machine} ${pool.image}`, { machine, image: pool.image });
+      }
+    }
+    for (const [key, { machine, image }] of this.loaded) {
+      if (wanted.has(key)) continue;
+      const m = this.view.machine(machine);
+      if (m === undefined) this.loader.forget(machine);
+      else if (!this.isUsed(m.attempts.values(), image)) this.loader.unload(m, image);
+    }
+    this.loaded = wanted;
+  }
+
+  private isUsed(attempts: Iterable<{ job: string }>, image: string): boolean {
+    for (const { job } of attempts) if (this.view.spec(job)?.image === image) return true;
+    return false;
+  }
+
+  rents(): StoredRent[] {
+    return this.slotRents.due();
+  }
+
+  keeps(machine: string): boolean {
+    return this.rooms.keeps(machine);
+  }
+
+  keptMachines(): number {
+    return this.rooms.keptMachines();
+  }
+
+  mayUse(spec: JobSpec, room: FreeCapacity): boolean {
+    return this.rooms.mayUse(spec, room);
+  }
+
+  preferenceS(spec: JobSpec, room: FreeCapacity): number {
+    return this.rooms.preferenceS(spec, room);
+  }
+
+  dueWrites(): OwnedWrite[] {
+    const slots = this.table.dueWrites();
+    if (slots.length > 0) return slots;
+    const nowMs = this.clock.nowMs();
+    const open = new Set(this.bursts.at(nowMs).map((b) => burstId(b.pool.name, b.burstMs)));
+    const isOver = (pool: string, burstMs: number): boolean => {
+      return burstMs < nowMs && !open.has(burstId(pool, burstMs));
+    };
+    const bill = this.bill.dueWrites(this.table, isOver, nowMs);
+    return bill.length > 0 ? bill : this.dueLeadTimes();
+  }
+
+  private dueLeadTimes(): OwnedWrite[] {
+    const { settings } = this.view;
+    const now = this.view.now();
+    if (now - this.leadStoredAt < settings.workers.lease_s * LEAD_LEASES) return [];
+    const due = this.leadTimes.dueWrites();
+    if (due.length > 0) this.leadStoredAt = now;
+    return due;
+  }
+
+  figures(): Record<string, number | string> {
+    const states = noSlots();
+    for (const { current } of this.table.values()) states[current.state]++;
+    const figures: Record<string, number | string> = {};
+    for (const [state, count] of Object.entries(states)) figures[`warm_slots_${state}`] = count;
+    figures.warm_machines_kept = this.rooms.keptMachines();
+    figures.warm_pools_alarms = this.alarms.describe();
+    figures.warm_pools_clock_jumps = this.clock.jumps;
+    return figures;
+  }
+
+  stop(): void {
+    this.loader.stop();
+  }
+}
+
+function mergeSize(state: { txn_ops: number; write_rps: number }): number {
+  return Math.max(1, Math.min(state.txn_ops - 1, Math.floor(state.write_rps * MERGE_SHARE)));
+}
--- /dev/null
+++ b/src/warm-pools/warm-pools.ts
@@ -0,0 +1,47 @@
+/** Warm pools as a subsystem of the controller. */
+
+import type { Clock } from '../clock.js';
+import type { Settings } from '../config/settings.js';
+import type { OwnedRecord, Subsystem, SubsystemTerm, TermView } from '../subsystems/subsystem.js';
+import type { WarmPoolsConfig } from './declaration.js';
+import { WorkerCacheLoader, type ModelLoader } from './model-loader.js';
+import { ModelServerLoader } from './model-server-loader.js';
+import { poolsView, type PoolsView } from './view.js';
+import { WarmPoolsTerm } from './warm-pools-term.js';
+
+export const WARM_POOLS = 'warm-pools';
+
+/** A model server is asked once in so many report intervals, and may think for as many leases. */
+const ASK_REPORTS = 1;
+const ASK_TIMEOUT_LEASES = 0.25;
+
+export class WarmPools implements Subsystem {
+  readonly name = WARM_POOLS;
+
+  constructor(
+    private readonly config: WarmPoolsConfig,
+    private readonly clock: Clock,
+  ) {}
+
+  beginTerm(view: TermView): SubsystemTerm {
+    return new WarmPoolsTerm(view, this.config, this.loader(view));
+  }
+
+  private loader(view: TermView): ModelLoader {
+    const { loader, modelServerPort } = this.config;
+    if (loader === 'worker-cache' || modelServerPort === null) return new WorkerCacheLoader();
+    const { report_s, lease_s } = view.settings.workers;
+    return new ModelServerLoader({
+      port: modelServerPort,
+      token: view.token,
+      askEveryS: report_s * ASK_REPORTS,
+      timeoutS: lease_s * ASK_TIMEOUT_LEASES,
+      clock: this.clock,
+      log: view.log,
+    });
+  }
+
+  view(records: ReadonlyMap<string, OwnedRecord>, _settings: Settings, wallMs: number): PoolsView {
+    return poolsView(records, this.config.pools, wallMs);
+  }
+}
--- /dev/null
+++ b/test/pool-helpers.ts
@@ -0,0 +1,219 @@
+/**
+ * Fixtures of the tests of warm pools: a cloud in memory, and a leader with pools over it, the store and
+ * the workers of the meeting tests. Time moves by hand, and nothing opens a socket.
+ */
+import type { CloudClient, RentResult } from '../src/cloud/client.js';
+import type { Fleet as CloudFleet } from '../src/cloud/fleet.js';
+import { parseFeatures } from '../src/features/features-file.js';
+import type { MachineType } from '../src/jobs/types.js';
+import type { ListedMachine, RentRequest } from '../src/wire/cloud.js';
+import { decodeSlot, SLOT_PREFIX, type Slot } from '../src/warm-pools/slot.js';
+import { poolsView, type BillRow } from '../src/warm-pools/view.js';
+import { WARM_POOLS, WarmPools } from '../src/warm-pools/warm-pools.js';
+import { g8, settings } from './helpers.js';
+import { World, type Worker } from './meeting-helpers.js';
+import * as records from '../src/state/records.js';
+
+/** Seconds of the tests' clock at which the declared burst begins: 13:47:00 on 12 January 1970, UTC. */
+export const BURST_AT = 20;
+export const HOLD_S = 20;
+/** Seconds from a rent to the worker's first report. */
+const BOOT_S = 1;
+
+export type CloudMode = 'serve' | 'trouble' | 'no capacity' | 'lose answers';
+
+interface Rented {
+  request: RentRequest;
+  rentedAt: number;
+  returnedAt: number | null;
+}
+
+/** A cloud by the protocol: a request's name gives the same machines for ever. */
+export class MemoryCloud {
+  mode: CloudMode = 'serve';
+  /** Machines that it has yet to give. */
+  left = Infinity;
+  bootS = BOOT_S;
+  calls = 0;
+  readonly machines = new Map<string, Rented>();
+  private readonly hires = new Map<string, string[]>();
+  private counter = 0;
+  world!: PoolWorld;
+
+  client(): CloudClient {
+    return this as unknown as CloudClient;
+  }
+
+  types(): Promise<MachineType[]> {
+    return this.mode === 'trouble' ? Promise.reject(new Error('503')) : Promise.resolve([g8]);
+  }
+
+  list(): Promise<ListedMachine[]> {
+    if (this.mode === 'trouble') return Promise.reject(new Error('503'));
+    const { now } = this.world;
+    const listed: ListedMachine[] = [];
+    for (const [id, { request, rentedAt, returnedAt }] of this.machines) {
+      if (returnedAt !== null) continue;
+      const state = this.world.fleet.workers.has(id) ? 'running' : 'booting';
+      const { type, zone, spot } = request;
+      listed.push({ id, addr: '127.0.0.1:1', type, zone, spot, state, ageS: now - rentedAt });
+    }
+    return Promise.resolve(listed);
+  }
+
+  rent(request: RentRequest): Promise<RentResult> {
+    this.calls++;
+    if (this.mode === 'trouble') return Promise.resolve({ how: 'refused', status: 503 });
+    if (this.mode === 'no capacity') return Promise.resolve({ how: 'none' });
+    const ids = this.hires.get(request.name) ?? this.boot(request);
+    if (this.mode === 'lose answers') return Promise.resolve({ how: 'unknown' });
+    return Promise.resolve(ids.length === 0 ? { how: 'none' } : { how: 'rented', ids });
+  }
+
+  private boot(request: RentRequest): string[] {
+    const count = Math.min(request.count, this.left);
+    this.left -= count;
+    const ids = Array.from(
+      { length: count },
+      () => `host-${String(++this.counter).padStart(6, '0')}`,
+    );
+    for (const id of ids) {
+      this.machines.set(id, { request, rentedAt: this.world.now, returnedAt: null });
+    }
+    if (ids.length > 0) this.hires.set(request.name, ids);
+    return ids;
+  }
+
+  giveBack(ids: string[]): Promise<boolean> {
+    if (this.mode === 'trouble') return Promise.resolve(false);
+    for (const id of ids) {
+      const machine = this.machines.get(id);
+      if (machine !== undefined) machine.returnedAt ??= this.world.now;
+      this.world.fleet.workers.delete(id);
+    }
+    return Promise.resolve(true);
+  }
+
+  /** Machines whose boot is over begin to report. */
+  bootUp(): void {
+    for (const [id, { request, rentedAt, returnedAt }] of this.machines) {
+      if (returnedAt !== null || this.world.fleet.workers.has(id) || this.dead.has(id)) continue;
+      if (this.world.now - rentedAt >= this.bootS) this.world.fleet.add(id, request.zone);
+    }
+  }
+
+  private readonly dead = new Set<string>();
+
+  /** The machine is gone from one moment to the next, and from the list. */
+  kill(id: string): void {
+    this.dead.add(id);
+    this.world.fleet.workers.delete(id);
+    this.machines.get(id)!.returnedAt = this.world.now;
+  }
+
+  /** Machines that are rented now. */
+  get rented(): string[] {
+    return [...this.machines].filter(([, m]) => m.returnedAt === null).map(([id]) => id);
+  }
+}
+
+/** A pool of two slots of half a machine each, with a burst at `BURST_AT`. */
+export const poolText = (over: Record<string, string | number | boolean> = {}): string => {
+  const fields = {
+    name: 'tutor', image: 'tutor-1', image_gb: 1, cores: 4, gpus: 4, mem_gb: 8, slots: 2,
+    schedule: '0 47 13 * * *', time_zone: 'UTC', hold_s: HOLD_S, team: 't', ...over,
+  }; // prettier-ignore
+  const lines = Object.entries(fields).map(([key, value]) => `${key} = ${JSON.stringify(value)}`);
+  return `[[warm_pools.pools]]\n${lines.join('\n')}\n`;
+};
+
+export const warmPools = (text: string, clock = { now: () => 0 }): WarmPools =>
+  new WarmPools(parseFeatures(text, settings(), 0).warmPools!, clock);
+
+interface FleetParts {
+  round(): Promise<void>;
+}
+
+/** A world whose leader has pools. A successor may have others: `pools` is looked at by each. */
+export class PoolWorld extends World {
+  readonly cloud: MemoryCloud;
+  private readonly list: WarmPools[];
+
+  constructor(text = poolText(), gpusMax = 100) {
+    const cloud = new MemoryCloud();
+    const list = [warmPools(text)];
+    super(gpusMax, { subsystems: list, cloud: cloud.client() });
+    this.cloud = cloud;
+    this.list = list;
+    cloud.world = this;
+  }
+
+  /** Leaders from now on have this features file; null: none. */
+  declare(text: string | null): void {
+    this.list.splice(0, this.list.length, ...(text === null ? [] : [warmPools(text)]));
+  }
+
+  private get cloudFleet(): CloudFleet {
+    return this.parts.capacity.fleet;
+  }
+
+  async cloudRound(): Promise<void> {
+    await (this.cloudFleet as unknown as FleetParts).round().catch(() => undefined);
+  }
+
+  /** As `run`, with the cloud's part. */
+  override async run(seconds: number): Promise<void> {
+    const { report_s } = this.settings.workers;
+    for (let left = seconds; left > 1e-9; left -= report_s) {
+      await super.run(report_s);
+      await this.cloudRound();
+      this.cloud.bootUp();
+      await this.flush();
+    }
+  }
+
+  runUntil(at: number): Promise<void> {
+    return this.run(at - this.now);
+  }
+
+  /** The slots in the store. */
+  slots(): Slot[] {
+    const prefix = records.subsystemPrefix(WARM_POOLS) + SLOT_PREFIX;
+    return this.store
+      .keys()
+      .filter((key) => key.startsWith(prefix))
+      .map((key) => decodeSlot(this.store.value(key))!);
+  }
+
+  states(pool = 'tutor'): string {
+    const states = this.slots().filter((slot) => slot.pool === pool);
+    return states
+      .map(({ state }) => state)
+      .sort()
+      .join(' ');
+  }
+
+  bill(): BillRow[] {
+    return poolsView(this.replica.subsystems.of(WARM_POOLS), [], this.wallMs()).bill;
+  }
+
+  alarms(): string {
+    return String(this.leader.figures().warm_pools_alarms);
+  }
+
+  worker(id: string): Worker {
+    return this.fleet.workers.get(id)!;
+  }
+
+  /** A replica of the pool's model. */
+  replicaJob(id: string, image = 'tutor-1', over = {}): void {
+    this.job({ id, kind: 'service', priority: 0, image, cores: 4, gpus: 4, memGb: 8, ...over });
+  }
+
+  /** Machines on which tasks of a job run. */
+  hosts(id: string): string[] {
+    return [...this.fleet.workers.values()]
+      .filter((w) => w.running(id).length > 0)
+      .map((w) => w.id);
+  }
+}
