--- a/src/features/features-file.ts
+++ b/src/features/features-file.ts
@@ -38,7 +38,8 @@
   const result = v.safeParse(schema, raw);
   if (!result.success) {
     const issue = result.issues[0];
-    throw new FeaturesError(`${v.getDotPath(issue) ?? 'file'}: ${issue.message}`);
+    const problem = issue.expected === 'never' ? 'unknown key' : issue.message;
+    throw new FeaturesError(`${v.getDotPath(issue) ?? 'file'}: ${problem}`);
   }
   const table = result.output.warm_pools;
   const warmPools = table === undefined ? null : toConfig(table);
--- a/src/warm-pools/burst-schedule.ts
+++ b/src/warm-pools/burst-schedule.ts
@@ -14,9 +14,13 @@
  */
 export class BurstSchedule {
   private readonly cron: Cron;
-  /** The burst that follows the one at `cachedAfterMs`: asked for at every tick. */
-  private cachedAfterMs = NaN;
-  private cachedNextMs: number | null = null;
+  /**
+   * Bursts after `knownFromMs`, the next ones without a gap, in ms: reckoning one takes long, and they are
+   * asked for all the time.
+   */
+  private known: number[] = [];
+  private knownFromMs = Infinity;
+  private isEnd = false;
 
   constructor(expression: string, timeZone: string) {
     try {
@@ -30,22 +34,32 @@
 
   /** The first burst after a moment, in ms; null: there is none. */
   nextAfter(ms: number): number | null {
-    const known = this.cachedNextMs;
-    if (ms >= this.cachedAfterMs && (known === null || ms < known)) return known;
-    this.cachedNextMs = this.cron.nextRun(new Date(ms))?.getTime() ?? null;
-    this.cachedAfterMs = ms;
-    return this.cachedNextMs;
+    if (ms < this.knownFromMs) {
+      this.known = [];
+      this.knownFromMs = ms;
+      this.isEnd = false;
+    }
+    while (this.known.length > 0 && this.known[0]! <= ms) this.forgetFirst();
+    if (this.known.length === 0) this.reckonNext(ms);
+    return this.known[0] ?? null;
   }
 
   /** Bursts after one moment, up to and with another, in ms. */
   between(afterMs: number, untilMs: number): number[] {
-    const bursts: number[] = [];
-    let next = this.nextAfter(afterMs);
-    while (next !== null && next <= untilMs) {
-      bursts.push(next);
-      next = this.cron.nextRun(new Date(next))?.getTime() ?? null;
-    }
-    return bursts;
+    this.nextAfter(afterMs);
+    while (!this.isEnd && this.known.at(-1)! <= untilMs) this.reckonNext(this.known.at(-1)!);
+    return this.known.filter((ms) => ms <= untilMs);
+  }
+
+  private forgetFirst(): void {
+    this.knownFromMs = this.known.shift()!;
+  }
+
+  private reckonNext(afterMs: number): void {
+    if (this.isEnd) return;
+    const next = this.cron.nextRun(new Date(afterMs))?.getTime() ?? null;
+    if (next === null) this.isEnd = true;
+    else this.known.push(next);
   }
 
   /** Throws ScheduleError where a burst would begin before the one before it is over. */
--- a/src/warm-pools/slot.ts
+++ b/src/warm-pools/slot.ts
@@ -29,16 +29,6 @@
 export const noSlots = (): Record<SlotState, number> =>
   Object.fromEntries(SLOT_STATES.map((state) => [state, 0])) as Record<SlotState, number>;
 
-const ALLOWED: Record<SlotState, readonly SlotState[]> = {
-  planned: ['planned', 'renting', 'loading', 'released'],
-  renting: ['planned', 'loading'],
-  loading: ['warm', 'used', 'released', 'lost'],
-  warm: ['used', 'released', 'lost'],
-  used: [],
-  released: [],
-  lost: [],
-};
-
 /** The request to the cloud from whose machines a slot gets one. */
 export interface SlotRent {
   /** Name of the request: sent again, by whoever leads, it gives the same machines. */
@@ -112,24 +102,39 @@
 /** An event that a slot in this state cannot meet. */
 export class SlotTransitionError extends Error {}
 
+/** The states in which a slot can meet an event. */
+const MET_IN: Record<SlotEvent['kind'], readonly SlotState[]> = {
+  'rent-named': ['planned'],
+  'rent-due': ['planned'],
+  // A request has no other name while its outcome is open.
+  'not-rented': ['renting'],
+  rented: ['renting'],
+  adopted: ['planned'],
+  loaded: ['loading'],
+  used: ['loading', 'warm'],
+  released: ['planned', 'loading', 'warm'],
+  lost: ['loading', 'warm'],
+};
+
 /** The one function by which a slot changes. Throws SlotTransitionError. */
 export function advanceSlot(slot: Slot, event: SlotEvent): Slot {
+  if (!MET_IN[event.kind].includes(slot.state)) {
+    throw new SlotTransitionError(`${slotId(slot)}: ${event.kind} while ${slot.state}`);
+  }
   switch (event.kind) {
     case 'rent-named':
-      return { ...moved(slot, 'planned'), rent: event.rent };
+      return { ...slot, rent: event.rent };
     case 'rent-due':
       if (slot.rent === null) throw new SlotTransitionError(`${slotId(slot)}: no request is named`);
-      return moved(slot, 'renting');
+      return { ...slot, state: 'renting' };
     case 'not-rented':
-      return { ...moved(slot, 'planned'), rent: null };
+      return { ...slot, state: 'planned', rent: null };
     case 'rented':
-      if (slot.state !== 'renting') throw new SlotTransitionError(`${slotId(slot)}: not renting`);
       return placed(slot, event.place, event.atMs, event.uncertainMs);
     case 'adopted':
-      if (slot.state !== 'planned') throw new SlotTransitionError(`${slotId(slot)}: not planned`);
       return { ...placed(slot, event.place, event.atMs, 0), rent: null };
     case 'loaded':
-      return { ...moved(slot, 'warm'), warmAtMs: event.atMs };
+      return { ...slot, state: 'warm', warmAtMs: event.atMs };
     case 'used':
       return { ...ended(slot, 'used', event.atMs, 0), task: event.task };
     case 'released':
@@ -139,28 +144,20 @@
   }
 }
 
-function moved(slot: Slot, state: SlotState): Slot {
-  if (!ALLOWED[slot.state].includes(state)) {
-    throw new SlotTransitionError(`${slotId(slot)}: from ${slot.state} to ${state}`);
-  }
-  return { ...slot, state };
-}
-
 function placed(slot: Slot, place: SlotPlace, fromMs: number, uncertainMs: number): Slot {
-  return { ...moved(slot, 'loading'), ...place, held: { fromMs, toMs: null, uncertainMs } };
+  return { ...slot, state: 'loading', ...place, held: { fromMs, toMs: null, uncertainMs } };
 }
 
 /** The interval ends with the slot. A clock that went back must not make it shorter than nothing. */
 function ended(slot: Slot, state: SlotState, atMs: number, uncertainMs: number): Slot {
-  const next = moved(slot, state);
-  if (slot.held === null) return next;
+  if (slot.held === null) return { ...slot, state };
   const { fromMs } = slot.held;
   const held = {
     fromMs,
     toMs: Math.max(fromMs, atMs),
     uncertainMs: slot.held.uncertainMs + uncertainMs + Math.max(0, fromMs - atMs),
   };
-  return { ...next, held };
+  return { ...slot, state, held };
 }
 
 /** Whether a slot still is to be, or is, a warm place. */
--- /dev/null
+++ b/test/features.test.ts
@@ -0,0 +1,233 @@
+/** The features file: what is wrong is named, and what is off decides nothing. */
+import assert from 'node:assert/strict';
+import { spawnSync } from 'node:child_process';
+import { mkdtempSync, readFileSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { test } from 'node:test';
+import { FeaturesError, featuresRecord, parseFeatures } from '../src/features/features-file.js';
+import { Versions } from '../src/controller/versions.js';
+import { silentLog } from '../src/log.js';
+import { FEATURES } from '../src/peers/messages.js';
+import { ActiveSubsystems } from '../src/subsystems/active-subsystems.js';
+import type { Subsystem } from '../src/subsystems/subsystem.js';
+import * as records from '../src/state/records.js';
+import { Replica } from '../src/state/replica.js';
+import { settings, settingsText, spec } from './helpers.js';
+import { World } from './meeting-helpers.js';
+import { poolText, warmPools } from './pool-helpers.js';
+import { parseSettings } from '../src/config/settings.js';
+
+const MAIN = new URL('../src/main.js', import.meta.url).pathname;
+const LAUNCH = 'target/launch.cjs';
+
+test('what is wrong with a features file is named: key, and what was expected', () => {
+  const limited = poolText({ slots: 4 });
+  const cases: [string, string, RegExp][] = [
+    ['not TOML', '[[[', /not valid TOML/],
+    ['an unknown table', '[warm_pool]', /warm_pool: unknown key/],
+    ['an unknown key', `${poolText()}colour = 1`, /pools\.0\.colour: unknown key/],
+    ['no slots', poolText({ slots: 0 }), /warm_pools\.pools\.0\.slots/],
+    ['a word for a number', poolText({ hold_s: 'x' }), /pools\.0\.hold_s.*number/],
+    ['a name that is no key', poolText({ name: 'a/b' }), /pools\.0\.name: expected/],
+    ['an unknown loader', '[warm_pools]\nloader = "x"', /warm_pools\.loader/],
+    ['no port of the model servers', '[warm_pools]\nloader = "model-server"', /model_server_port/],
+    ['an unknown team', poolText({ team: 'x' }), /pools\.0\.team: .*unknown team x, expected one of: t/],
+    ['an unknown zone', `${poolText()}zones = ["x"]`, /zones: .*expected some of: z1, z2/],
+    ['over the limit of the team', limited, /pools\.0\.slots: .*16 GPUs are over the limit of t/],
+    ['the same name twice', poolText() + poolText(), /pools\.1\.name: .*another pool/],
+    ['nothing that a slot takes', poolText({ cores: 0, gpus: 0 }), /cores: .*above 0/],
+    ['not a schedule', poolText({ schedule: 'x y' }), /pools\.0\.schedule/],
+    ['an unknown time zone', poolText({ time_zone: 'Karachi' }), /schedule: .*Karachi/],
+    ['a schedule that never fires', poolText({ schedule: '0 0 30 2 *' }), /never fires/],
+    ['bursts that overlap', poolText({ schedule: '0 * * * *', hold_s: 7200 }), /expected more than hold_s/],
+    ['an unknown policy', poolText({ on_exhausted: 'stop' }), /on_exhausted/],
+  ]; // prettier-ignore
+  for (const [name, text, says] of cases) {
+    assert.throws(
+      () => parseFeatures(text, settings(), 0),
+      (e) => e instanceof FeaturesError && says.test(e.message) && !e.message.includes('\n'),
+      name,
+    );
+  }
+});
+
+test('the hash tells contents, not layout; a missing table is off', () => {
+  const hash = (text: string): string => parseFeatures(text, settings(), 0).hash;
+  assert.equal(hash(poolText()), hash(`# a comment\n\n${poolText()}`));
+  assert.notEqual(hash(poolText()), hash(poolText({ slots: 1 })));
+  const off = parseFeatures('', settings(), 0);
+  assert.equal(off.warmPools, null);
+  assert.deepEqual(featuresRecord(off).subsystems, []);
+});
+
+test('the program checks the file, and tells in one line what keeps it from starting', () => {
+  const dir = mkdtempSync(join(tmpdir(), 'shelf-'));
+  const file = (name: string, text: string): string => {
+    writeFileSync(join(dir, name), text);
+    return join(dir, name);
+  };
+  const config = file('settings.toml', settingsText());
+  const good = file('good.toml', poolText());
+  const bad = file('bad.toml', poolText({ team: 'x' }));
+  const run = (program: string, ...args: string[]): { status: number | null; says: string } => {
+    const { status, stdout, stderr } = spawnSync(process.execPath, [program, ...args]);
+    return { status, says: `${stdout}${stderr}` };
+  };
+  for (const program of [MAIN, LAUNCH]) {
+    assert.deepEqual(run(program, '--features', good, '--config', config, '--check'), {
+      status: 0,
+      says: 'settings and features are valid\n',
+    });
+    for (const more of [[], ['--check']]) {
+      const { status, says } = run(program, '--features', bad, '--config', config, ...more);
+      assert.equal(status, 2);
+      assert.match(says, /^pewtershelf: features .*bad\.toml: warm_pools\.pools\.0\.team: .*\n$/);
+    }
+    const none = run(program, '--features', join(dir, 'none.toml'), '--config', config);
+    assert.match(none.says, /cannot be read: ENOENT/);
+  }
+});
+
+test('the features file of the project fits the settings file of the project', () => {
+  const platform = parseSettings(readFileSync('deploy/example.toml', 'utf8'));
+  const { warmPools } = parseFeatures(readFileSync('deploy/features.toml', 'utf8'), platform, 0);
+  assert.ok(warmPools!.pools.length > 0);
+});
+
+/** A day of work, and all that was stored and started in it. */
+async function decisions(world: World): Promise<unknown> {
+  for (const id of ['m1', 'm2', 'm3']) world.fleet.add(id, id === 'm3' ? 'z2' : 'z1');
+  await world.run(2);
+  world.job({ id: 'wk-1', kind: 'service', priority: 0, tasks: 3, gpus: 4, image: 'tutor-1' });
+  world.job({ id: 'wk-2', tasks: 9, gpus: 1, priority: 3, image: 'marker' });
+  await world.run(4);
+  world.job({ id: 'wk-3', kind: 'gang', tasks: 2, gpus: 4, priority: 1 });
+  await world.run(4);
+  world.cancel('wk-1');
+  world.takeOver();
+  await world.run(6);
+  const { store, fleet } = world;
+  const stored = store
+    .keys()
+    .sort()
+    .map((key) => [key, store.revision(key), store.value(key)]);
+  return { stored, starts: [...fleet.starts], wanted: world.parts.capacity.wanted() };
+}
+
+test('without a features file, without a table and without pools the same is decided', async () => {
+  const without = await decisions(new World());
+  assert.deepEqual(await decisions(new World(100, { subsystems: [] })), without);
+  assert.deepEqual(
+    await decisions(new World(100, { subsystems: [warmPools('[warm_pools]')] })),
+    without,
+  );
+  // Its burst is far away.
+  const later = poolText({ schedule: '0 0 1 1 *' });
+  assert.deepEqual(await decisions(new World(100, { subsystems: [warmPools(later)] })), without);
+});
+
+test('a subsystem that throws is left out of the answer, and the others are asked', () => {
+  const failing: Subsystem = {
+    name: 'failing',
+    view: () => null,
+    beginTerm: () =>
+      new Proxy({}, { get: () => () => assert.fail('broken') }) as ReturnType<
+        Subsystem['beginTerm']
+      >,
+  };
+  const broken: Subsystem = { ...failing, name: 'broken', beginTerm: () => assert.fail('broken') };
+  const working: Subsystem = {
+    name: 'working',
+    view: () => null,
+    beginTerm: () => ({
+      tick: () => undefined,
+      rents: () => [],
+      keeps: (machine) => machine === 'm1',
+      keptMachines: () => 2,
+      mayUse: () => false,
+      preferenceS: () => 3,
+      dueWrites: () => [],
+      figures: () => ({ works: 1 }),
+      stop: () => undefined,
+    }),
+  };
+  const active = new ActiveSubsystems(silentLog());
+  active.begin([failing, broken, working], () => null!);
+  active.tick();
+  active.stop();
+  const room = null!;
+  assert.deepEqual(
+    [active.keeps('m1'), active.keeps('m2'), active.keptMachines(), active.rents().length],
+    [true, false, 2, 0],
+  );
+  assert.deepEqual([active.mayUse(spec(), room), active.preferenceS(spec(), room)], [false, 3]);
+  assert.deepEqual(active.figures(), { works: 1 });
+  const none = new ActiveSubsystems(silentLog());
+  assert.deepEqual([none.any, none.keptMachines(), none.mayUse(spec(), room)], [false, 0, true]);
+});
+
+test('controllers tell their features files; a difference from the leader is known', () => {
+  const replica = new Replica(8192);
+  let revision = 0;
+  const put = (key: string, value: unknown): void => {
+    revision++;
+    replica.advance(revision, [
+      { kind: 'put', key, value: JSON.parse(JSON.stringify(value)), revision },
+    ]);
+  };
+  const tell = (node: string, hash?: string): void => {
+    const file = hash === undefined ? {} : { file: { hash, subsystems: ['warm-pools'] } };
+    put(records.versionKey(node), records.encodeVersion({ features: [...FEATURES], ...file }));
+  };
+  const versions = new Versions({
+    ...{ node: 'a', others: ['b', 'c'], leaseS: 2, replica, state: null!, follower: null! },
+    ...{ peers: () => null!, fitness: null!, clock: { now: () => 0 }, log: silentLog() },
+    file: { hash: 'one', subsystems: [] },
+  });
+  assert.deepEqual(versions.withOtherFeatures(), [], 'nobody leads');
+  put(records.LEADER, records.encodeLeader({ node: 'b', incarnation: 'x' }));
+  tell('b', 'one');
+  assert.deepEqual(versions.withOtherFeatures(), ['c'], 'one that has told of no file');
+  tell('c', 'one');
+  assert.deepEqual(versions.withOtherFeatures(), []);
+  tell('b', 'two');
+  assert.deepEqual(versions.withOtherFeatures(), ['a', 'c'], 'the leader counts');
+  tell('c');
+  assert.deepEqual(versions.withOtherFeatures(), ['a', 'c']);
+});
+
+test('a version record without a file is written as before, and one with a file is read by others', () => {
+  const old = { f: ['pipelines'] };
+  assert.deepEqual(records.encodeVersion(records.decodeVersion(old)), old);
+  const now = records.encodeVersion({
+    features: ['pipelines'],
+    file: { hash: 'h', subsystems: ['x'] },
+  });
+  assert.deepEqual(now, { f: ['pipelines'], h: 'h', s: ['x'] });
+  assert.deepEqual(records.decodeVersion({ ...old, h: 7, s: [] }), { features: ['pipelines'] });
+});
+
+test('records of subsystems are kept as they are, by stream and by listing, and removed', () => {
+  const key = `${records.subsystemPrefix('later')}a/b`;
+  const item = { key, value: { any: ['thing'] }, revision: 3 };
+  const streamed = new Replica(8192);
+  streamed.advance(3, [{ kind: 'put', ...item }]);
+  const listed = new Replica(8192);
+  listed.item(item);
+  for (const replica of [streamed, listed]) {
+    assert.deepEqual(
+      [...replica.subsystems.of('later')],
+      [['a/b', { value: item.value, revision: 3 }]],
+    );
+    assert.equal(replica.subsystems.of('other').size, 0);
+    replica.advance(4, [{ kind: 'removed', key, revision: 2 }]);
+    assert.equal(replica.subsystems.of('later').size, 1, 'a removal that is older');
+  }
+  streamed.advance(5, [{ kind: 'removed', key, revision: 5 }]);
+  listed.retain(new Set(), 5);
+  for (const replica of [streamed, listed]) {
+    assert.equal(replica.subsystems.of('later').size, 0);
+    assert.equal(replica.garbage, 0);
+  }
+});
--- a/test/pool-helpers.ts
+++ b/test/pool-helpers.ts
@@ -111,6 +111,11 @@
     this.machines.get(id)!.returnedAt = this.world.now;
   }
 
+  /** Those of them that were rented by the requests of slots. */
+  get rentedForPools(): string[] {
+    return this.rented.filter((id) => this.machines.get(id)!.request.name.includes(WARM_POOLS));
+  }
+
   /** Machines that are rented now. */
   get rented(): string[] {
     return [...this.machines].filter(([, m]) => m.returnedAt === null).map(([id]) => id);
@@ -127,8 +132,11 @@
   return `[[warm_pools.pools]]\n${lines.join('\n')}\n`;
 };
 
-export const warmPools = (text: string, clock = { now: () => 0 }): WarmPools =>
-  new WarmPools(parseFeatures(text, settings(), 0).warmPools!, clock);
+/** Declared without a limit of the team, so that what a term makes of one is looked at alone. */
+export function warmPools(text: string, clock = { now: () => 0 }): WarmPools {
+  const teams = new Map([['t', { name: 't', cores: 0, coresMax: 0, gpus: 0, gpusMax: 0 }]]);
+  return new WarmPools(parseFeatures(text, { ...settings(), teams }, 0).warmPools!, clock);
+}
 
 interface FleetParts {
   round(): Promise<void>;
--- /dev/null
+++ b/test/warm-slots.test.ts
@@ -0,0 +1,407 @@
+/** The parts of warm pools by themselves: states, records, schedules, clocks, lead times, the bill. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { Bill, billDays, slotTotals } from '../src/warm-pools/bill.js';
+import { BurstClock } from '../src/warm-pools/burst-clock.js';
+import { BurstSchedule, ScheduleError } from '../src/warm-pools/burst-schedule.js';
+import { LeadTimes, quantile } from '../src/warm-pools/lead-times.js';
+import {
+  bestRoom,
+  cheapestPlace,
+  slotShare,
+  slotsPerMachine,
+} from '../src/warm-pools/machine-choice.js';
+import {
+  advanceSlot,
+  decodeSlot,
+  encodeSlot,
+  plannedSlot,
+  SLOT_STATES,
+  slotKey,
+  SlotTransitionError,
+  type Slot,
+  type SlotEvent,
+  type SlotState,
+} from '../src/warm-pools/slot.js';
+import { shareOut } from '../src/warm-pools/slot-rents.js';
+import { SlotTable } from '../src/warm-pools/slot-table.js';
+import type { OwnedRecord, OwnedWrite } from '../src/subsystems/subsystem.js';
+import { comingCapacity } from '../src/cloud/plan.js';
+import type { MachineType } from '../src/jobs/types.js';
+import { g8 } from './helpers.js';
+
+const BURST_MS = Date.parse('2026-12-02T03:00:00Z');
+const planned = (index = 0): Slot =>
+  plannedSlot({ pool: 'tutor', burstMs: BURST_MS, index, team: 't', sendFromMs: BURST_MS - 9000 });
+const RENT = { name: 'r', type: 'g8', zone: 'z1', count: 1, position: 0 };
+const PLACE = { machine: 'm', share: 0.5, pricePerHour: 10, beside: ['wk-1/0#3'] };
+
+const EVENTS: SlotEvent[] = [
+  { kind: 'rent-named', rent: RENT },
+  { kind: 'rent-due' },
+  { kind: 'not-rented' },
+  { kind: 'rented', place: PLACE, atMs: 1000, uncertainMs: 5 },
+  { kind: 'adopted', place: PLACE, atMs: 1000 },
+  { kind: 'loaded', atMs: 2000 },
+  { kind: 'used', task: 'wk-2/0#1', atMs: 3000 },
+  { kind: 'released', reason: 'x', atMs: 3000 },
+  { kind: 'lost', reason: 'x', atMs: 3000, uncertainMs: 7 },
+];
+
+function slotIn(state: SlotState): Slot {
+  const named = advanceSlot(planned(), EVENTS[0]!);
+  const renting = advanceSlot(named, EVENTS[1]!);
+  const loading = advanceSlot(renting, EVENTS[3]!);
+  const states: Record<SlotState, () => Slot> = {
+    planned: () => named,
+    renting: () => renting,
+    loading: () => loading,
+    warm: () => advanceSlot(loading, EVENTS[5]!),
+    used: () => advanceSlot(loading, EVENTS[6]!),
+    released: () => advanceSlot(loading, EVENTS[7]!),
+    lost: () => advanceSlot(loading, EVENTS[8]!),
+  };
+  return states[state]();
+}
+
+test('every state meets the events that it may, and no other', () => {
+  const table: Record<SlotState, Partial<Record<SlotEvent['kind'], SlotState>>> = {
+    planned: { 'rent-named': 'planned', 'rent-due': 'renting', adopted: 'loading', released: 'released' },
+    renting: { 'not-rented': 'planned', rented: 'loading' },
+    loading: { loaded: 'warm', used: 'used', released: 'released', lost: 'lost' },
+    warm: { used: 'used', released: 'released', lost: 'lost' },
+    used: {},
+    released: {},
+    lost: {},
+  }; // prettier-ignore
+  for (const state of SLOT_STATES) {
+    for (const event of EVENTS) {
+      const to = table[state][event.kind];
+      const name = `${state}, ${event.kind}`;
+      if (to === undefined) {
+        assert.throws(() => advanceSlot(slotIn(state), event), SlotTransitionError, name);
+        continue;
+      }
+      const next = advanceSlot(slotIn(state), event);
+      assert.equal(next.state, to, name);
+      assert.deepEqual(decodeSlot(JSON.parse(JSON.stringify(encodeSlot(next)))), next, name);
+    }
+  }
+  assert.throws(() => advanceSlot(planned(), EVENTS[1]!), SlotTransitionError, 'no name');
+  assert.equal(decodeSlot({ p: 'x' }), null);
+});
+
+test('time is paid for from the machine on to the end, and a clock that goes back shortens nothing', () => {
+  const rows: [string, Slot, number, number][] = [
+    ['planned', slotIn('planned'), 0, 0],
+    ['renting', slotIn('renting'), 0, 0],
+    ['loading', slotIn('loading'), 4.5, 0.005],
+    ['used', slotIn('used'), 1, 0.005],
+    ['lost', slotIn('lost'), 1, 0.012],
+    ['ended before it began', advanceSlot(slotIn('loading'), { kind: 'released', reason: '', atMs: 400 }), 0, 0.605],
+  ]; // prettier-ignore
+  for (const [name, slot, machineS, uncertainS] of rows) {
+    const totals = slotTotals(slot, 10_000);
+    assert.equal(totals.machineS, machineS, name);
+    assert.equal(totals.money, (machineS / 3600) * 10, name);
+    assert.ok(Math.abs(totals.uncertainS - uncertainS * 0.5) < 1e-9, name);
+  }
+});
+
+test('schedules: time zones, hours that are skipped and hours that come twice', () => {
+  const rows: [string, string, string, string, string[]][] = [
+    ['an hour ahead of UTC by five', '0 8 * * *', 'Asia/Karachi', '2026-12-02T00:00Z', ['2026-12-02T03:00Z', '2026-12-03T03:00Z']],
+    ['no Sundays', '0 8 * * 1-6', 'Asia/Karachi', '2026-12-05T04:00Z', ['2026-12-07T03:00Z', '2026-12-08T03:00Z']],
+    ['the hour is skipped: right after it', '30 2 * * *', 'Europe/Berlin', '2026-03-28T12:00Z', ['2026-03-29T01:30Z', '2026-03-30T00:30Z']],
+    ['the hour comes twice: once', '30 2 * * *', 'Europe/Berlin', '2026-10-24T12:00Z', ['2026-10-25T00:30Z', '2026-10-26T01:30Z']],
+    ['before and after the change', '0 8 * * *', 'Europe/Berlin', '2026-10-24T12:00Z', ['2026-10-25T07:00Z', '2026-10-26T07:00Z']],
+  ]; // prettier-ignore
+  for (const [name, expression, zone, from, want] of rows) {
+    const schedule = new BurstSchedule(expression, zone);
+    const fromMs = Date.parse(from);
+    const [first, second] = want.map((text) => Date.parse(text)) as [number, number];
+    assert.equal(schedule.nextAfter(fromMs), first, name);
+    assert.deepEqual(schedule.between(fromMs, second), [first, second], name);
+    assert.equal(schedule.nextAfter(first), second, `${name}: after the first`);
+    assert.equal(schedule.nextAfter(fromMs), first, `${name}: asked for an earlier time again`);
+    assert.deepEqual(schedule.between(fromMs, first - 1), [], name);
+  }
+  const once = new BurstSchedule('2026-12-02T08:00:00', 'Asia/Karachi');
+  assert.deepEqual(once.between(Date.parse('2026-12-01'), Infinity), [
+    Date.parse('2026-12-02T03:00Z'),
+  ]);
+  assert.equal(once.nextAfter(Date.parse('2026-12-03')), null);
+  assert.throws(() => once.check(Date.parse('2026-12-03'), 1), ScheduleError);
+});
+
+test('the time of day by which bursts are kept', () => {
+  let now = 0;
+  let jumpMs = 0;
+  const rate = 1.0004;
+  const make = (): BurstClock => {
+    now = jumpMs = 0;
+    return new BurstClock({
+      ...{ now: () => now, wallMs: () => 1e12 + now * 1000 * rate + jumpMs },
+      ...{ skewMs: 100, settleS: 60 },
+    });
+  };
+  const offMs = (clock: BurstClock): number => Math.abs(clock.nowMs() - (1e12 + now * 1000 * rate));
+  const run = (clock: BurstClock, seconds: number): void => {
+    for (let i = 0; i < seconds; i++) {
+      now++;
+      clock.nowMs();
+    }
+  };
+  const steady = make();
+  run(steady, 100_000);
+  assert.ok(offMs(steady) < 250, 'a steady clock that drifts is followed for days');
+  const moment = make();
+  run(moment, 10);
+  jumpMs = 3_600_000;
+  run(moment, 30);
+  assert.ok(offMs(moment) < 250 && moment.doubted, 'a jump for a moment is not');
+  jumpMs = 0;
+  run(moment, 1);
+  assert.ok(!moment.doubted && moment.jumps === 0);
+  for (const by of [3_600_000, -3_600_000]) {
+    const lasting = make();
+    run(lasting, 10);
+    jumpMs = by;
+    run(lasting, 70);
+    assert.ok(Math.abs(offMs(lasting) - 3_600_000) < 250, 'one that lasts is');
+    assert.equal(lasting.jumps, 1);
+  }
+});
+
+test('lead times: measured ones count, few of them beside what is expected', () => {
+  const rows: [string, number[], number][] = [
+    ['none: slow boots and fetches are expected', [], 1.6 + 2 * 1.35],
+    ['few and fast', [0.2, 0.2], 1.6 + 2 * 1.35],
+    ['few and slow', [9, 2], 9 + 2 * 1.35],
+    ['many: what covers most of them', [...Array<number>(19).fill(0.4), 7], 0.4 + 2 * 1.35],
+    ['old ones are forgotten', [...Array<number>(40).fill(9), ...Array<number>(24).fill(0.5)], 0.5 + 2 * 1.35],
+  ]; // prettier-ignore
+  for (const [name, boots, leadS] of rows) {
+    const times = new LeadTimes();
+    for (const boot of boots) times.noteBoot('g8', 'z1', boot);
+    assert.ok(Math.abs(times.leadS(g8, 'z1', 'i', 2) - leadS) < 1e-9, name);
+    assert.equal(times.leadS(g8, 'z2', 'i', 2), 1.6 + 2 * 1.35, `${name}: another zone`);
+    // A new leader has them from the store.
+    const next = new LeadTimes();
+    next.reconcile(
+      new Map(times.dueWrites().map(({ key, value }) => [key, { value, revision: 1 }])),
+    );
+    assert.equal(next.leadS(g8, 'z1', 'i', 2), times.leadS(g8, 'z1', 'i', 2), name);
+    assert.deepEqual(next.dueWrites(), [], name);
+  }
+  const loads = new LeadTimes();
+  for (let i = 0; i < 40; i++) loads.noteLoad('g8', 'z1', `image-${i}`, 5);
+  const { l } = loads.dueWrites()[0]!.value as { l: unknown[] };
+  assert.equal(l.length, 32, 'the record stays small');
+  assert.equal(quantile([], 0.9), 0);
+});
+
+test('machines: shares, places and those that are there', () => {
+  const shape = { cores: 4, gpus: 4, memGb: 8 };
+  const types: [MachineType, number, number][] = [
+    [g8, 2, 0.5],
+    [{ ...g8, gpus: 4 }, 1, 1],
+    [{ ...g8, cores: 100, gpus: 100, memGb: 33 }, 4, 0.04],
+  ];
+  for (const [type, count, share] of types) {
+    assert.equal(slotsPerMachine(shape, type), count);
+    assert.ok(Math.abs(slotShare(shape, type) - share) < 1e-9);
+  }
+  const small = { ...g8, name: 'g4', gpus: 4, cores: 4, price: 4 };
+  const known = new Map([g8, small].map((type) => [type.name, type]));
+  const pool = { types: null, zones: null, shape } as unknown as Parameters<
+    typeof cheapestPlace
+  >[0];
+  const place = (over: object, short: string[] = [], inZone: [string, number][] = []): string => {
+    const isShort = (type: string, zone: string): boolean => short.includes(`${type} ${zone}`);
+    const found = cheapestPlace({ ...pool, ...over }, known, isShort, new Map(inZone));
+    return found === null ? 'none' : `${found.type.name} ${found.zone}`;
+  };
+  const rows: [string, string, string][] = [
+    ['the cheapest for a slot', place({}), 'g4 z1'],
+    ['where fewer are', place({}, [], [['z1', 2], ['z2', 1]]), 'g4 z2'],
+    ['allowed types', place({ types: ['g8'] }), 'g8 z1'],
+    ['allowed zones', place({ zones: ['z2'] }), 'g4 z2'],
+    ['what the cloud has', place({}, ['g4 z1', 'g4 z2']), 'g8 z1'],
+    ['nothing', place({}, ['g4 z1', 'g4 z2', 'g8 z1', 'g8 z2']), 'none'],
+    ['nothing that fits', place({ shape: { ...shape, gpus: 9 } }), 'none'],
+  ]; // prettier-ignore
+  for (const [name, got, want] of rows) assert.equal(got, want, name);
+  const room = (id: string, over: object = {}): ReturnType<typeof comingCapacity> => ({
+    ...comingCapacity(id, g8, 'z1', false),
+    ...over,
+  });
+  const rooms = [
+    room('spot', { spot: true, gpus: 4 }),
+    room('empty'),
+    room('fuller', { gpus: 4 }),
+    room('full', { gpus: 3 }),
+    room('barred', { gpus: 4 }),
+  ];
+  const best = (more: typeof rooms): string | undefined =>
+    bestRoom(pool, [...rooms, ...more], ({ id }) => id !== 'barred')?.id;
+  assert.equal(best([]), 'fuller');
+  assert.equal(best([room('cached', { imageWaitS: () => 0 })]), 'cached');
+});
+
+test('slots share the machines of a request', () => {
+  const rents = shareOut(5, 2, { name: 'r', type: 'g8', zone: 'z1' });
+  assert.deepEqual(
+    rents.map(({ position }) => position),
+    [0, 0, 1, 1, 2],
+  );
+  assert.ok(rents.every(({ count }) => count === 3));
+});
+
+/** A store that may carry a write out without an answer, or not at all. */
+class Records {
+  revision = 0;
+  readonly all = new Map<string, OwnedRecord>();
+
+  carryOut(write: OwnedWrite): number | null {
+    const changes = [write, ...write.also];
+    const fits = changes.every((c) => (this.all.get(c.key)?.revision ?? 0) === c.revision);
+    if (!fits) return null;
+    this.revision++;
+    for (const { key, value } of changes) {
+      if (value === null) this.all.delete(key);
+      else this.all.set(key, { value: JSON.parse(JSON.stringify(value)), revision: this.revision });
+    }
+    return this.revision;
+  }
+
+  /** The fate of one write. */
+  commit(write: OwnedWrite, fate: 'served' | 'answer lost' | 'refused'): void {
+    const revision = fate === 'refused' ? null : this.carryOut(write);
+    if (fate === 'refused') return;
+    if (revision !== null && fate === 'served') write.stored(revision);
+    else write.reread(this.all.get(write.key) ?? null);
+  }
+}
+
+test('whatever becomes of commits and leaders, every second is in the bill once', () => {
+  const fate = fc.constantFrom('served', 'answer lost', 'refused', 'new leader' as const);
+  const ends = fc.array(fc.integer({ min: 1, max: 1000 }), { minLength: 1, maxLength: 12 });
+  fc.assert(
+    fc.property(
+      ends,
+      fc.array(fate, { maxLength: 60 }),
+      fc.integer({ min: 1, max: 5 }),
+      (seconds, fates, size) => {
+        const store = new Records();
+        let expected = 0;
+        for (const [index, s] of seconds.entries()) {
+          const loading = advanceSlot(planned(index), {
+            kind: 'adopted',
+            place: PLACE,
+            atMs: BURST_MS,
+          });
+          const atMs = BURST_MS + s * 1000;
+          const ended = advanceSlot(loading, { kind: 'released', reason: '', atMs });
+          store.carryOut({
+            key: slotKey(ended),
+            revision: 0,
+            value: encodeSlot(ended),
+            also: [],
+          } as unknown as OwnedWrite);
+          expected += s * PLACE.share;
+        }
+        const leader = (): { table: SlotTable; bill: Bill } => {
+          const table = new SlotTable();
+          const bill = new Bill(size, 400);
+          table.reconcile(store.all);
+          bill.reconcile(store.all);
+          return { table, bill };
+        };
+        const inAll = (): number => {
+          let sum = billDays(store.all).reduce((s, day) => s + day.machineS, 0);
+          for (const { value } of store.all.values()) {
+            const slot = decodeSlot(value);
+            if (slot !== null) sum += slotTotals(slot, 0).machineS;
+          }
+          return sum;
+        };
+        let now = leader();
+        const due = (): OwnedWrite[] => now.bill.dueWrites(now.table, () => true, BURST_MS);
+        for (const how of fates) {
+          if (how === 'new leader') now = leader();
+          else for (const write of due().slice(0, 1)) store.commit(write, how as 'served');
+          assert.ok(Math.abs(inAll() - expected) < 1e-6);
+        }
+        now = leader();
+        for (let i = 0; i < 20; i++) for (const write of due()) store.commit(write, 'served');
+        assert.ok(Math.abs(inAll() - expected) < 1e-6);
+        assert.deepEqual([...store.all.keys()], [`bill/tutor/2026-12-02/t`]);
+        assert.equal(now.bill.throughMs('tutor'), BURST_MS);
+      },
+    ),
+  );
+});
+
+test('a burst goes into the bill only when all of it is over, and old days go', () => {
+  const store = new Records();
+  const open = advanceSlot(planned(0), { kind: 'adopted', place: PLACE, atMs: BURST_MS });
+  const ended = advanceSlot(
+    { ...open, index: 1 },
+    { kind: 'released', reason: '', atMs: BURST_MS },
+  );
+  for (const slot of [open, ended]) {
+    store.carryOut({
+      key: slotKey(slot),
+      revision: 0,
+      value: encodeSlot(slot),
+      also: [],
+    } as unknown as OwnedWrite);
+  }
+  const table = new SlotTable();
+  table.reconcile(store.all);
+  const bill = new Bill(4, 30);
+  assert.deepEqual(
+    bill.dueWrites(table, () => true, BURST_MS),
+    [],
+  );
+  table.apply(table.get(`tutor/${BURST_MS}/0`)!, { kind: 'released', reason: '', atMs: BURST_MS });
+  assert.deepEqual(
+    bill.dueWrites(table, () => true, BURST_MS),
+    [],
+    'its end is not stored yet',
+  );
+  for (const write of table.dueWrites()) store.commit(write, 'served');
+  for (const write of bill.dueWrites(table, () => true, BURST_MS)) store.commit(write, 'served');
+  assert.equal(store.all.size, 1);
+  const later = BURST_MS + 31 * 86_400_000;
+  assert.deepEqual(
+    bill.dueWrites(table, () => true, later - 2 * 86_400_000),
+    [],
+  );
+  for (const write of bill.dueWrites(table, () => true, later)) store.commit(write, 'served');
+  assert.equal(store.all.size, 0);
+});
+
+test('changes that come while one is on its way go out with the next; what the store has counts', () => {
+  const store = new Records();
+  const table = new SlotTable();
+  const entry = table.add(planned());
+  assert.equal(table.add(planned()), entry, 'added once');
+  const [first] = table.dueWrites();
+  table.apply(entry, { kind: 'rent-named', rent: RENT });
+  store.commit(first!, 'served');
+  assert.equal(entry.stored!.rent, null);
+  const [second] = table.dueWrites();
+  store.commit(second!, 'answer lost');
+  assert.deepEqual(entry.stored!.rent, RENT, 'read back');
+  assert.deepEqual(table.dueWrites(), []);
+  // Another leader's change, which a commit of this one meets.
+  table.apply(entry, { kind: 'rent-due' });
+  const other = advanceSlot(entry.stored!, { kind: 'released', reason: 'x', atMs: 0 });
+  store.carryOut({ ...second!, revision: store.revision, value: encodeSlot(other) });
+  store.commit(table.dueWrites()[0]!, 'served');
+  assert.equal(table.get(entry.id)!.current.state, 'released');
+  assert.deepEqual(table.dueWrites(), []);
+});
