--- a/scripts/mixed-versions.ts
+++ b/scripts/mixed-versions.ts
@@ -1,21 +1,9 @@
 import assert from 'node:assert/strict';
-import { spawn, type ChildProcess } from 'node:child_process';
-import { createWriteStream, mkdirSync, writeFileSync } from 'node:fs';
-import { join, resolve } from 'node:path';
+import { resolve } from 'node:path';
 import { Command } from 'commander';
-import {
-  freePort,
-  GANG_PEER_S,
-  settingsText,
-  TEAMS_GPUS_MAX,
-  until,
-  wait,
-  type Ports,
-} from '../test/helpers.js';
-import { Cloud, MACHINE_GPUS } from '../test/standins/cloud.js';
-import { RuleChecker } from '../test/standins/rules.js';
-import { StateService } from '../test/standins/state.js';
-import { submission, Users } from '../test/standins/users.js';
+import { until, wait } from '../test/helpers.js';
+import { ProcessCluster } from '../test/standins/process-cluster.js';
+import { submission } from '../test/standins/users.js';
 import { positive } from './options.js';
 import { buildProduction } from './production-build.js';
 
@@ -39,81 +27,29 @@
 const refOf = (round: number, pipeline: number, stage: number): string =>
   `wk-${String(round * 1000 + pipeline * 10 + stage).padStart(6, '0')}`;
 
-class Rollout {
-  readonly state = new StateService();
-  readonly rules = new RuleChecker({
-    cancelS: CANCEL_S,
-    teams: new Map([['t', TEAMS_GPUS_MAX]]),
-    machineGpus: MACHINE_GPUS,
-  });
-  readonly cloud = new Cloud(this.rules, { leaseS: LEASE_S, gangPeerS: GANG_PEER_S });
-  private readonly ports: Ports[] = [];
-  readonly users = new Users(this.ports, this.rules);
-  private readonly processes = new Map<number, ChildProcess>();
-
+class Rollout extends ProcessCluster {
   constructor(
     private readonly builds: { old: string; now: string },
-    private readonly round: number,
-  ) {}
-
-  async listen(): Promise<void> {
-    await this.state.listen();
-    await this.cloud.listen();
-    for (let i = 0; i < CONTROLLERS; i++) {
-      this.ports.push({ bind: await freePort(), peer: await freePort() });
-    }
-    this.cloud.around.controllers = this.ports.map((p) => p.bind);
-  }
-
-  start(index: number, version: 'old' | 'now'): void {
-    const zones = this.ports.map(() => 'z1');
-    const { port: cloud } = this.cloud;
-    const { port: state } = this.state;
-    const text = settingsText(
-      index,
-      this.ports,
-      cloud,
-      state,
-      LEASE_S,
-      zones,
-      CANCEL_S,
-      NEXT_LIMITS,
-    );
-    mkdirSync(LOGS, { recursive: true });
-    const file = join(LOGS, `${this.round}-${index}.toml`);
-    writeFileSync(file, text);
-    const program = join(this.builds[version], 'target/launch.cjs');
-    const child = spawn(process.execPath, [program, '--config', resolve(file)], {
-      stdio: ['ignore', 'inherit', 'pipe'],
+    round: number,
+  ) {
+    super({
+      controllers: CONTROLLERS,
+      leaseS: LEASE_S,
+      cancelS: CANCEL_S,
+      nextLimits: NEXT_LIMITS,
+      directory: LOGS,
+      label: String(round),
     });
-    const log = createWriteStream(join(LOGS, `${this.round}-${index}.log`), { flags: 'a' });
-    child.stderr.pipe(log);
-    this.processes.set(index, child);
-  }
-
-  /** Without a signal that it could handle. */
-  async end(index: number): Promise<void> {
-    const child = this.processes.get(index);
-    if (child === undefined || child.exitCode !== null) return;
-    const gone = new Promise((done) => child.once('exit', done));
-    child.kill('SIGKILL');
-    await gone;
   }
 
-  async serves(index: number): Promise<void> {
-    const url = `http://127.0.0.1:${this.ports[index]!.bind}/ready`;
-    const isReady = (): Promise<boolean> =>
-      fetch(url).then(
-        (r) => r.ok,
-        () => false,
-      );
-    await until(`controller ${index} is ready`, isReady);
+  startVersion(index: number, version: 'old' | 'now'): void {
+    this.start(index, this.builds[version]);
   }
 
   async replace(index: number, version: 'old' | 'now'): Promise<void> {
     await this.end(index);
     await wait(LEASE_S * 200);
-    this.start(index, version);
+    this.startVersion(index, version);
     await this.serves(index);
   }
 
@@ -123,13 +59,6 @@
       running.filter((t) => t.piece.startsWith(`${ref}/`) && t.temper === 'running').length >= tasks
     );
   }
-
-  async close(): Promise<void> {
-    for (const index of this.processes.keys()) await this.end(index);
-    this.cloud.close();
-    this.state.close();
-    this.rules.close();
-  }
 }
 
 async function playRound(builds: { old: string; now: string }, round: number): Promise<void> {
@@ -140,7 +69,7 @@
   const nodes = [...Array(CONTROLLERS).keys()];
   try {
     await rollout.listen();
-    for (const index of nodes) rollout.start(index, 'old');
+    for (const index of nodes) rollout.startVersion(index, 'old');
     for (const index of nodes) await rollout.serves(index);
     await users.submit(0, service, { form: 'daemon', pieces: 2 });
     await users.submit(1, array, { pieces: 4 }, LEASE_S * 4);
--- /dev/null
+++ b/scripts/warm-pools.ts
@@ -0,0 +1,200 @@
+/**
+ * A scheduled burst with and without a warm pool by turns: three controllers as real processes on loopback
+ * against the stand-ins of the tests, each machine with a model server. Tells the times until replicas
+ * answer, and the bill beside what the stand-ins' own logs say.
+ *
+ *     npm run warm-pools -- --pairs 10
+ */
+import { Command } from 'commander';
+import { freePort, until, wait } from '../test/helpers.js';
+import { ProcessCluster } from '../test/standins/process-cluster.js';
+import type { Worker } from '../test/standins/worker.js';
+import { quantile } from '../src/warm-pools/lead-times.js';
+import type { BillRow } from '../src/warm-pools/view.js';
+import { positive } from './options.js';
+
+const LEASE_S = 3;
+const BOOT_MS = 2000;
+const LOAD_MS = 1500;
+const REPLICAS = 3;
+const SLOT_SHARE = 0.5;
+/** Seconds from the start of the controllers to the burst. */
+const BURST_AFTER_S = 14;
+const EARLY_S = 2;
+const MODEL = 'tutor';
+const REF = 'wk-000001';
+const SAMPLE_MS = 5;
+
+const CONDITIONS = ['nothing wrong', 'leader killed', 'outage', 'early burst'] as const;
+type Condition = (typeof CONDITIONS)[number];
+
+interface Outcome {
+  /** Milliseconds from the submission until each replica answers. */
+  answersMs: number[];
+  /** Machine-seconds by the bill and by the stand-ins; null: without a pool, or not comparable. */
+  bill: { billedS: number; reckonedS: number; uncertainS: number } | null;
+  violations: string[];
+}
+
+const features = (burstMs: number, port: number): string => `
+[warm_pools]
+loader = "model-server"
+model_server_port = ${port}
+[[warm_pools.pools]]
+name = "tutor"
+image = "${MODEL}"
+image_gb = 1.0
+cores = 4.0
+gpus = 4.0
+mem_gb = 8.0
+slots = ${REPLICAS}
+schedule = "${new Date(burstMs).toISOString().slice(0, 19)}"
+time_zone = "UTC"
+hold_s = 60
+ahead_s = 7.0
+team = "t"
+`;
+
+const answering = (workers: Worker[]): number =>
+  workers.reduce((sum, w) => {
+    const model = w.modelServer?.models.get(MODEL);
+    return sum + (model?.state === 'ready' ? model.users : 0);
+  }, 0);
+
+class Run {
+  private readonly cluster: ProcessCluster;
+  private burstMs = 0;
+
+  constructor(
+    private readonly condition: Condition,
+    private readonly pooled: boolean,
+    private readonly number: number,
+  ) {
+    this.cluster = new ProcessCluster({
+      controllers: 3,
+      leaseS: LEASE_S,
+      cancelS: LEASE_S * 3,
+      directory: 'target/warm-pools',
+      label: String(number),
+    });
+  }
+
+  async play(): Promise<Outcome> {
+    const { cluster } = this;
+    try {
+      await this.start();
+      await this.trouble();
+      const submitMs = this.burstMs - (this.condition === 'early burst' ? EARLY_S * 1000 : 0);
+      await wait(submitMs - Date.now());
+      const answersMs = await this.burst();
+      const bill = this.pooled ? await this.compareBill() : null;
+      return { answersMs, bill, violations: [...cluster.rules.violations] };
+    } finally {
+      await cluster.close();
+    }
+  }
+
+  private async start(): Promise<void> {
+    const { cluster, number } = this;
+    await cluster.listen();
+    const port = await freePort();
+    const hostOf = (id: string): string => `127.2.${number % 250}.${Number(id.split('-')[1])}`;
+    cluster.cloud.around.modelServers = { port, loadMs: () => LOAD_MS, hostOf };
+    cluster.cloud.bootMs = BOOT_MS;
+    this.burstMs = Math.ceil(Date.now() / 1000 + BURST_AFTER_S) * 1000;
+    const file = this.pooled ? features(this.burstMs, port) : '';
+    for (const index of cluster.indexes) cluster.start(index, undefined, file);
+    for (const index of cluster.indexes) await cluster.serves(index);
+  }
+
+  /** Four seconds ahead of the burst: machines boot or load where there is a pool. */
+  private async trouble(): Promise<void> {
+    const { cluster, condition } = this;
+    await wait(this.burstMs - 4500 - Date.now());
+    if (condition === 'leader killed') await cluster.end(await cluster.newLeader());
+    if (condition !== 'outage') return;
+    cluster.state.down = true;
+    await wait(this.burstMs - 200 - Date.now());
+    cluster.state.down = false;
+  }
+
+  private async burst(): Promise<number[]> {
+    const { cluster } = this;
+    const workers = (): Worker[] => [...cluster.rules.workers.values()];
+    const began = Date.now();
+    const shape = { form: 'daemon', rank: 'critical', pieces: REPLICAS, mould: MODEL };
+    const at = await cluster.newLeader();
+    const submitted = cluster.users.submit(at, REF, { ...shape, cores: 4, gpus: 4, mem_gb: 8 });
+    const answersMs: number[] = [];
+    while (answersMs.length < REPLICAS && Date.now() - began < 30_000) {
+      while (answersMs.length < answering(workers())) answersMs.push(Date.now() - began);
+      await wait(SAMPLE_MS);
+    }
+    await submitted;
+    return answersMs;
+  }
+
+  /** Null: a replica was not placed on a machine that was rented for the pool. */
+  private async compareBill(): Promise<Outcome['bill']> {
+    const { cluster } = this;
+    const pooled = cluster.cloud.rentals.filter(({ hire }) => hire.includes('warm-pools'));
+    const rentedAt = new Map(pooled.flatMap(({ ids, at }) => ids.map((id) => [id, at] as const)));
+    const starts = cluster.rules.startLog.filter(({ piece }) => piece.startsWith(`${REF}/`));
+    if (starts.some(({ machine }) => !rentedAt.has(machine))) return null;
+    let reckonedS = 0;
+    for (const { machine, at } of starts) {
+      reckonedS += ((at - rentedAt.get(machine)!) / 1000) * SLOT_SHARE;
+    }
+    let row: BillRow | undefined;
+    await until('all slots are used', async () => {
+      const index = await cluster.newLeader();
+      const view = await cluster.ask(index, '/subsystems/warm-pools');
+      row = (view?.bill as BillRow[] | undefined)?.[0];
+      return row?.used === REPLICAS;
+    });
+    return { billedS: row!.machineS, reckonedS, uncertainS: row!.uncertainS };
+  }
+}
+
+const seconds = (ms: number): string => (ms / 1000).toFixed(2);
+
+function report(condition: Condition, outcomes: { pooled: Outcome[]; without: Outcome[] }): void {
+  for (const [name, list] of Object.entries(outcomes)) {
+    const all = list.flatMap(({ answersMs }) => answersMs);
+    const [median, p95, p99] = [0.5, 0.95, 0.99].map((share) => seconds(quantile(all, share)));
+    const missing = list.length * REPLICAS - all.length;
+    const bills = list.flatMap(({ bill }) => (bill === null ? [] : [bill]));
+    const off = bills.map(({ billedS, reckonedS }) => Math.abs(billedS - reckonedS));
+    const said = bills.map(({ uncertainS }) => uncertainS);
+    const broken = list.flatMap(({ violations }) => violations);
+    process.stdout.write(
+      `${condition.padEnd(14)} ${name.padEnd(8)} runs ${list.length}, first answers: median ${median} s, ` +
+        `95th ${p95} s, 99th ${p99} s, none ${missing}; bill off by at most ${Math.max(0, ...off).toFixed(2)} ` +
+        `machine s in ${bills.length} runs (said: ${Math.max(0, ...said).toFixed(2)}), rules broken ${broken.length}\n`,
+    );
+  }
+}
+
+const program = new Command('warm-pools')
+  .option('--pairs <n>', 'runs with and without a pool, by turns', positive, 10)
+  .option('--at-once <n>', 'pairs that are played side by side', positive, 1)
+  .option('--condition <name>', 'only this one')
+  .parse();
+const options = program.opts<{ pairs: number; atOnce: number; condition?: string }>();
+let runs = 0;
+for (const condition of CONDITIONS) {
+  if (options.condition !== undefined && options.condition !== condition) continue;
+  const outcomes = { pooled: [] as Outcome[], without: [] as Outcome[] };
+  for (let pair = 0; pair < options.pairs; pair += options.atOnce) {
+    const batch = Array.from(
+      { length: Math.min(options.atOnce, options.pairs - pair) },
+      async () => {
+        outcomes.pooled.push(await new Run(condition, true, runs++).play());
+        outcomes.without.push(await new Run(condition, false, runs++).play());
+      },
+    );
+    await Promise.all(batch);
+  }
+  report(condition, outcomes);
+}
+process.exit(0);
--- a/src/main.ts
+++ b/src/main.ts
@@ -69,7 +69,27 @@
   }
 }
 
+/** `warm-pools status|bill --at HOST:PORT [--json]` */
+async function runWarmPools(argv: string[]): Promise<void> {
+  const { Command, Argument } = await import('commander');
+  const { CommandError, warmPoolsCommand } = await import('./warm-pools/command.js');
+  const program = new Command('pewtershelf warm-pools')
+    .description('What a running controller says of warm pools')
+    .addArgument(new Argument('<what>', 'what to print').choices(['status', 'bill']))
+    .requiredOption('--at <addr>', "a controller's address for users, HOST:PORT")
+    .option('--json', 'as JSON', false);
+  program.parse(argv, { from: 'user' });
+  const what = program.args[0] as 'status' | 'bill';
+  try {
+    process.stdout.write(await warmPoolsCommand(what, program.opts()));
+  } catch (e) {
+    if (e instanceof CommandError) give(`warm-pools: ${e.message}`);
+    throw e;
+  }
+}
+
 async function main(): Promise<void> {
+  if (process.argv[2] === 'warm-pools') return runWarmPools(process.argv.slice(3));
   const args = await readArgs(process.argv.slice(2));
   if (args.status !== undefined) {
     const { showStatus } = await import('./controller/status.js');
--- /dev/null
+++ b/test/cluster-warm-pools.test.ts
@@ -0,0 +1,198 @@
+/** Warm pools with whole controllers against stand-ins on loopback, each machine with a model server. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { mkdtempSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { freePort, until, wait } from './helpers.js';
+import { Cluster } from './standins/cluster.js';
+import { ProcessCluster } from './standins/process-cluster.js';
+import type { Cloud } from './standins/cloud.js';
+import type { Worker } from './standins/worker.js';
+
+const MODEL = 'tutor';
+const LEASE_S = 2;
+const LOAD_MS = 700;
+const HOLD_S = 20;
+const SLOTS = 2;
+
+/** The features file of a pool with a burst at a moment, to the second. */
+const features = (burstMs: number, port: number): string => `
+[warm_pools]
+loader = "model-server"
+model_server_port = ${port}
+[[warm_pools.pools]]
+name = "tutor"
+image = "${MODEL}"
+image_gb = 1.0
+cores = 4.0
+gpus = 4.0
+mem_gb = 8.0
+slots = ${SLOTS}
+schedule = "${new Date(burstMs).toISOString().slice(0, 19)}"
+time_zone = "UTC"
+hold_s = ${HOLD_S}
+ahead_s = 4.0
+team = "t"
+`;
+
+const burstIn = (seconds: number): number => Math.ceil(Date.now() / 1000 + seconds) * 1000;
+
+/** Blocks of loopback addresses: machines of clusters that run side by side share no address. */
+let blocks = 0;
+
+/** Every machine gets an address of its own: their model servers all have the same port. */
+function giveModelServers(cloud: Cloud, port: number): void {
+  const block = blocks++;
+  const hostOf = (id: string): string => `127.1.${block}.${Number(id.split('-')[1])}`;
+  cloud.around.modelServers = { port, loadMs: () => LOAD_MS, hostOf };
+}
+
+const REPLICAS = {
+  ...{
+    form: 'daemon',
+    rank: 'critical',
+    pieces: SLOTS,
+    mould: MODEL,
+    cores: 4,
+    gpus: 4,
+    mem_gb: 8,
+  },
+};
+
+const withModel = (workers: Worker[]): Worker[] =>
+  workers.filter((w) => w.modelServer!.models.get(MODEL)?.state === 'ready');
+
+/** Replicas that answer now. */
+const answering = (workers: Worker[]): number =>
+  withModel(workers).reduce((sum, w) => sum + w.modelServer!.models.get(MODEL)!.users, 0);
+
+interface Row {
+  name: string;
+  trouble(cluster: Cluster): Promise<void>;
+}
+
+const ROWS: Row[] = [
+  { name: 'nothing', trouble: () => Promise.resolve() },
+  {
+    name: 'the leader ends while the model loads',
+    async trouble(cluster) {
+      await until('a machine', () => cluster.workers.length > 0);
+      cluster.stopController(cluster.leader());
+    },
+  },
+  {
+    name: 'the leader ends before anything is rented',
+    trouble: async (cluster) => void (await cluster.endLeader()),
+  },
+  {
+    name: 'the leader is refused alone, and comes back',
+    async trouble(cluster) {
+      await until('a machine', () => cluster.workers.length > 0);
+      const old = cluster.leader();
+      cluster.access[old]!.refuses = true;
+      await cluster.newLeader(old);
+      cluster.access[old]!.refuses = false;
+    },
+  },
+  {
+    name: 'an outage of the state service while the model loads',
+    async trouble(cluster) {
+      await until('a machine', () => cluster.workers.length > 0);
+      cluster.state.down = true;
+      await wait(1500);
+      cluster.state.down = false;
+    },
+  },
+  {
+    name: 'answers of the state service are lost',
+    trouble(cluster) {
+      cluster.state.disturb('ps/x/', { how: 'answer_lost' }, 4);
+      return Promise.resolve();
+    },
+  },
+];
+
+test('whatever happens in the lead time, one machine is rented and replicas answer at once', async () => {
+  const failures: string[] = [];
+  const play = async (row: Row): Promise<void> => {
+    const port = await freePort();
+    const burstMs = burstIn(11);
+    const cluster = await Cluster.start({ leaseS: LEASE_S, features: features(burstMs, port) });
+    try {
+      giveModelServers(cluster.cloud, port);
+      cluster.cloud.bootMs = 300;
+      await cluster.newLeader();
+      await row.trouble(cluster);
+      await until('warm', () => withModel(cluster.workers).length === 1);
+      await until('a leader', () => cluster.leader() >= 0);
+      await until('warm as the leader knows', () => {
+        return cluster.controllers[cluster.leader()]?.leader?.figures().warm_slots_warm === SLOTS;
+      });
+      assert.ok(Date.now() < burstMs + 1000, 'in time');
+      assert.equal(cluster.cloud.counted, 1, 'rented once');
+      await wait(burstMs - Date.now());
+      const at = cluster.leader() < 0 ? 0 : cluster.leader();
+      await cluster.users.submit(at, 'wk-000001', REPLICAS);
+      const began = Date.now();
+      await until('both answer', () => answering(cluster.workers) === SLOTS);
+      assert.ok(Date.now() - began < LOAD_MS, `answered after ${Date.now() - began} ms`);
+      const loads = cluster.workers.filter((w) => w.modelServer!.asked.length > 0);
+      assert.equal(loads.length, 1);
+    } finally {
+      cluster.close();
+    }
+  };
+  for (let i = 0; i < ROWS.length; i += 3) {
+    const batch = ROWS.slice(i, i + 3).map((row) =>
+      play(row).catch((e: unknown) => void failures.push(`${row.name}: ${String(e)}`)),
+    );
+    await Promise.all(batch);
+  }
+  assert.deepEqual(failures, []);
+});
+
+test('real processes: a leader is frozen while the model loads, and wakes after its successor began', async () => {
+  const cluster = new ProcessCluster({
+    ...{ controllers: 3, leaseS: LEASE_S, cancelS: LEASE_S * 3, label: 'frozen' },
+    directory: mkdtempSync(join(tmpdir(), 'shelf-')),
+  });
+  try {
+    await cluster.listen();
+    const port = await freePort();
+    giveModelServers(cluster.cloud, port);
+    cluster.cloud.bootMs = 300;
+    const burstMs = burstIn(14);
+    const file = features(burstMs, port);
+    for (const index of cluster.indexes) cluster.start(index, undefined, file);
+    for (const index of cluster.indexes) await cluster.serves(index);
+    const workers = (): Worker[] => [...cluster.rules.workers.values()];
+    await until('a machine', () => workers().length > 0);
+    const frozen = await cluster.newLeader();
+    cluster.freeze(frozen);
+    const next = await cluster.newLeader(frozen);
+    await until('warm', async () => {
+      return (await cluster.ask(next, '/metrics'))?.warm_slots_warm === SLOTS;
+    });
+    cluster.thaw(frozen);
+    await until('it follows', async () => {
+      return (await cluster.ask(frozen, '/metrics'))?.role === 'following';
+    });
+    await wait(LEASE_S * 500);
+    assert.equal(cluster.cloud.counted, 1, 'rented once');
+    const [machine] = workers();
+    assert.equal(machine!.modelServer!.models.get(MODEL)!.state, 'ready', 'nothing was unloaded');
+    await cluster.users.submit(next, 'wk-000001', REPLICAS);
+    await until('both answer', () => answering(workers()) === SLOTS);
+    const views = await Promise.all(
+      cluster.indexes.map((index) => cluster.ask(index, '/subsystems/warm-pools')),
+    );
+    for (const view of views) {
+      const [pool] = view!.pools as { pool: string; slots: number }[];
+      assert.deepEqual([pool!.pool, pool!.slots], ['tutor', SLOTS], 'every controller shows it');
+    }
+    assert.deepEqual(cluster.rules.violations, []);
+  } finally {
+    await cluster.close();
+  }
+});
--- /dev/null
+++ b/test/model-server.test.ts
@@ -0,0 +1,85 @@
+/** Models that are loaded by model servers: the loader against the stand-in. */
+import assert from 'node:assert/strict';
+import { test, type TestContext } from 'node:test';
+import { steadyClock } from '../src/clock.js';
+import { silentLog } from '../src/log.js';
+import type { MachineView } from '../src/subsystems/subsystem.js';
+import type { PoolDeclaration } from '../src/warm-pools/declaration.js';
+import { ModelServerLoader } from '../src/warm-pools/model-server-loader.js';
+import { freePort, until, wait } from './helpers.js';
+import { ModelServer } from './standins/model-server.js';
+
+const LOAD_MS = 100;
+const POOL = { image: 'tutor', imageGb: 1 } as PoolDeclaration;
+const machine = (state = 'ready'): MachineView =>
+  ({ id: 'm1', addr: '127.0.0.1:1', state }) as unknown as MachineView;
+
+/** A model server, and loaders of several terms for it. */
+async function setUp(t: TestContext): Promise<{
+  server: ModelServer;
+  loader: (token: number) => ModelServerLoader;
+}> {
+  const port = await freePort();
+  const server = new ModelServer({ host: '127.0.0.1', port, loadMs: () => LOAD_MS });
+  await server.start();
+  t.after(() => server.close());
+  const loader = (token: number): ModelServerLoader => {
+    const made = new ModelServerLoader({
+      ...{ port, token, askEveryS: 0.02, timeoutS: 0.2, clock: steadyClock, log: silentLog() },
+    });
+    t.after(() => made.stop());
+    return made;
+  };
+  return { server, loader };
+}
+
+test('a model is asked for until it is there, and again when the server has lost it', async (t) => {
+  const { server, loader } = await setUp(t);
+  const own = loader(5);
+  assert.equal(own.state(machine('fencing'), POOL), 'loading');
+  await wait(30);
+  assert.deepEqual(server.asked, [], 'a machine that this term has not heard is not asked');
+  const state = (): string => own.state(machine(), POOL);
+  assert.equal(state(), 'loading');
+  await until('ready', () => state() === 'ready');
+  assert.ok(server.asked.every((what) => what === 'load tutor 5'));
+  server.models.clear();
+  await until('noticed', () => state() === 'loading');
+  await until('ready again', () => state() === 'ready');
+  own.unload(machine(), 'tutor');
+  await until('unloaded', () => !server.models.has('tutor'));
+});
+
+test('a leader that was replaced loads and unloads nothing', async (t) => {
+  const { server, loader } = await setUp(t);
+  const old = loader(5);
+  const next = loader(6);
+  await until('ready', () => old.state(machine(), POOL) === 'ready');
+  await until('heard', () => {
+    next.state(machine(), POOL);
+    return server.asked.includes('load tutor 6');
+  });
+  old.unload(machine(), 'tutor');
+  await until('refused', () => server.refused > 0);
+  assert.ok(server.models.has('tutor'));
+});
+
+test('a model that never loads is given up, one that is in use is not unloaded, silence changes nothing', async (t) => {
+  const { server, loader } = await setUp(t);
+  server.broken = true;
+  const own = loader(5);
+  const state = (): string => own.state(machine(), POOL);
+  await until('given up', () => state() === 'failed');
+  assert.ok(server.asked.length >= 3);
+  server.broken = false;
+  own.forget('m1');
+  await until('loaded after all', () => state() === 'ready');
+  server.use('tutor');
+  own.unload(machine(), 'tutor');
+  await until('asked to', () => server.asked.includes('unload tutor 5'));
+  assert.ok(server.models.has('tutor'));
+  await until('known again', () => state() === 'ready');
+  server.close();
+  await wait(300);
+  assert.equal(state(), 'ready', 'its reports say whether the machine is there');
+});
--- a/test/standins/cloud.ts
+++ b/test/standins/cloud.ts
@@ -14,8 +14,13 @@
 export class Cloud extends HttpStandIn {
   readonly around: Surroundings;
   bootMs = 200;
+  /** What was rented when, in ms, by the name of its request. */
+  readonly rentals: { hire: string; ids: string[]; at: number }[] = [];
+  /** When each machine was rented, in ms. */
+  private readonly rentedAt = new Map<string, number>();
   private readonly hires = new Map<string, string[]>();
-  private counter = 0;
+  /** Machines that were ever rented. */
+  counted = 0;
 
   constructor(
     private readonly rules: RuleChecker,
@@ -40,22 +45,25 @@
     if (known !== undefined) return [200, { benches: known }];
     const benches = Array.from({ length: body.number as number }, () => this.boot(body));
     this.hires.set(hire, benches);
+    this.rentals.push({ hire, ids: benches, at: Date.now() });
     return [200, { benches }];
   }
 
   private boot({ casting, yard, loaner }: Json): string {
-    const id = `host-${String(++this.counter).padStart(6, '0')}`;
+    const id = `host-${String(++this.counted).padStart(6, '0')}`;
     const place = { type: casting as string, zone: yard as string, spot: loaner as boolean };
     const worker = new Worker(this.around, id, place);
     this.rules.workers.set(id, worker);
+    this.rentedAt.set(id, Date.now());
     setTimeout(() => void worker.start(), this.bootMs);
     return id;
   }
 
   private list(): Answer {
+    const now = Date.now();
     const benches = [...this.rules.workers.values()].map(({ id, port, type, zone, spot }) => ({
       ref: id, addr: `127.0.0.1:${port}`, casting: type, yard: zone, loaner: spot,
-      temper: 'running', age_s: 90,
+      temper: 'running', age_s: (now - this.rentedAt.get(id)!) / 1000,
     })); // prettier-ignore
     return [200, { benches, more: false }];
   }
--- a/test/standins/cluster.ts
+++ b/test/standins/cluster.ts
@@ -1,8 +1,11 @@
 import assert from 'node:assert/strict';
-import { parseSettings } from '../../src/config/settings.js';
+import { parseSettings, type Settings } from '../../src/config/settings.js';
 import { silentLog } from '../../src/log.js';
 import { DEFAULT_POLICY } from '../../src/operator/policy.js';
-import { Controller } from '../../src/controller/controller.js';
+import { Controller, type ControllerOptions } from '../../src/controller/controller.js';
+import { controllerFeatures } from '../../src/controller/features.js';
+import { parseFeatures } from '../../src/features/features-file.js';
+import { steadyClock } from '../../src/clock.js';
 import {
   freePort,
   GANG_PEER_S,
@@ -25,9 +28,11 @@
   zones: string[];
   /** Limits of the state service that its settings announce, TOML. */
   nextLimits: string;
+  /** The features file of each controller; empty: it has none. */
+  features: string;
 }
 
-const DEFAULTS = { leaseS: 2, zones: ['z1', 'z1', 'z1'], nextLimits: '' };
+const DEFAULTS = { leaseS: 2, zones: ['z1', 'z1', 'z1'], nextLimits: '', features: '' };
 /** Where a test gives no `cancelS`: in leases. */
 const CANCEL_LEASES = 3;
 
@@ -106,11 +111,19 @@
     const text = settingsText(
       index, seen, this.cloud.port, stateGate, leaseS, zones, cancelS, nextLimits,
     ); // prettier-ignore
-    const controller = new Controller(parseSettings(text), DEFAULT_POLICY, silentLog());
+    const settings = parseSettings(text);
+    const controller = new Controller(settings, DEFAULT_POLICY, silentLog(), this.extras(settings));
     await controller.start();
     this.controllers[index] = controller;
   }
 
+  private extras(settings: Settings): ControllerOptions {
+    const { features } = this.options;
+    if (features === '') return {};
+    const parsed = parseFeatures(features, settings, Date.now());
+    return { features: controllerFeatures(parsed, steadyClock) };
+  }
+
   stopController(index: number): void {
     this.controllers[index]?.stop();
     this.controllers[index] = null;
--- a/test/standins/http.ts
+++ b/test/standins/http.ts
@@ -36,8 +36,12 @@
     response.end(JSON.stringify(answer[1]));
   }
 
-  async listen(): Promise<void> {
-    await new Promise<void>((resolve) => this.server.listen(0, '127.0.0.1', resolve));
+  /** Rejects when the port is taken. 0: any free one. */
+  async listen(port = 0, host = '127.0.0.1'): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, resolve);
+    });
     this.port = (this.server.address() as AddressInfo).port;
   }
 
--- a/test/standins/rules.ts
+++ b/test/standins/rules.ts
@@ -64,6 +64,8 @@
   readonly workers = new Map<string, Worker>();
   /** Starts of each task. */
   readonly starts = new Map<string, number>();
+  /** All starts, when and where; times in ms. */
+  readonly startLog: { piece: string; machine: string; at: number }[] = [];
   private readonly timer = setInterval(() => this.watchCancelled(), WATCH_MS);
 
   constructor(private readonly limits: Limits) {}
@@ -98,6 +100,7 @@
   started(worker: Worker, task: Task, heldUp: boolean): void {
     const { piece } = task;
     this.starts.set(piece, (this.starts.get(piece) ?? 0) + 1);
+    this.startLog.push({ piece, machine: worker.id, at: Date.now() });
     const others = [...this.occupying()].filter((o) => o.worker !== worker);
     if (others.some((o) => o.task.piece === piece)) this.broken('ran_twice', piece);
     const job = this.jobs.get(nameOf(piece))!;
--- a/test/standins/worker.ts
+++ b/test/standins/worker.ts
@@ -1,4 +1,5 @@
 import { wait } from '../helpers.js';
+import { ModelServer } from './model-server.js';
 import { HttpStandIn, type Answer, type Json } from './http.js';
 import type { RuleChecker } from './rules.js';
 
@@ -33,6 +34,16 @@
   controllers: number[];
   /** Controllers that new machines cannot reach. */
   unreachable: number[];
+  /** Each machine has a model server and an address of its own; missing: none has. */
+  modelServers?: ModelServers;
+}
+
+export interface ModelServers {
+  /** The port of all of them, and how long a model takes to load. */
+  port: number;
+  loadMs: () => number;
+  /** The loopback address of a machine. */
+  hostOf: (id: string) => string;
 }
 
 /** In leases. */
@@ -59,6 +70,9 @@
   private shift = 1;
   private tally = 0;
   private hallmark = 0;
+  /** Only where machines have them. */
+  readonly modelServer: ModelServer | null;
+  private readonly host: string;
   private ended = false;
   private target = 0;
   private renewed = Date.now();
@@ -71,6 +85,11 @@
   ) {
     super((_method, url, body) => this.answer(url.pathname, body));
     this.unreachable = new Set(around.unreachable);
+    const { modelServers } = around;
+    this.host = modelServers?.hostOf(id) ?? '127.0.0.1';
+    const { host } = this;
+    this.modelServer =
+      modelServers === undefined ? null : new ModelServer({ ...modelServers, host });
   }
 
   /** The highest token that it was given. */
@@ -92,7 +111,8 @@
 
   async start(): Promise<void> {
     if (this.ended) return;
-    await this.listen();
+    await this.listen(0, this.host);
+    await this.modelServer?.start();
     this.renewed = Date.now();
     this.leaseTimer = setInterval(() => this.checkLease(), LEASE_CHECK_MS);
     void this.run();
@@ -157,7 +177,7 @@
       piece, pour, temper, cause,
     })); // prettier-ignore
     return {
-      bench: id, addr: `127.0.0.1:${port}`, casting: type, yard: zone, loaner: spot, shift,
+      bench: id, addr: `${this.host}:${port}`, casting: type, yard: zone, loaner: spot, shift,
       tally: ++this.tally, hallmark, recall_s: null, pieces,
     }; // prettier-ignore
   }
@@ -241,6 +261,7 @@
     const { submission, runS } = rules.jobs.get(jobOf(task))!;
     if (submission.form === 'group') task.temper = 'gathering';
     rules.started(this, task, heldUp);
+    this.modelServer?.use(String(submission.mould));
     if (submission.form === 'group') this.gather(jobOf(task), pour);
     else if (submission.form === 'batch') this.runFor(task, runS);
   }
@@ -289,6 +310,7 @@
     task.temper = 'ended';
     task.cause = cause;
     const job = this.around.rules.jobs.get(jobOf(task));
+    if (ran && job !== undefined) this.modelServer?.leave(String(job.submission.mould));
     if (job?.submission.form === 'group' && ran && cause !== 'done') this.leaveGang(task);
   }
 
@@ -307,6 +329,7 @@
     for (const task of this.tasks) this.exit(task, 'halted');
     this.tasks = [];
     this.around.rules.workers.delete(this.id);
+    this.modelServer?.close();
     this.close();
   }
 }
