--- a/src/leader/scheduler.ts
+++ b/src/leader/scheduler.ts
@@ -113,7 +113,7 @@
     return { placed, demand, rooms, usages };
   }
 
-  /** A gang must not have machines emptied for it that a subsystem keeps. */
+  /** What a subsystem keeps is not emptied for a gang, nor to be given back, nor filled with what moves. */
   private unkept(rooms: FreeCapacity[]): FreeCapacity[] {
     const { subsystems } = this;
     return subsystems.any ? rooms.filter((room) => !subsystems.keeps(room.id)) : rooms;
@@ -153,8 +153,7 @@
 
   /** Empties a machine whose replicas fit elsewhere, to be given back. */
   vacate(rooms: FreeCapacity[]): Machine | null {
-    const mayGo = (m: Machine): boolean => isUsable(this.term, m) && !this.subsystems.keeps(m.id);
-    return this.moves.vacate(this.unkept(rooms), mayGo, this.weights());
+    return this.moves.vacate(this.unkept(rooms), (m) => isUsable(this.term, m), this.weights());
   }
 
   private specOf(job: string): JobSpec | null {
--- a/test/cluster-warm-pools.test.ts
+++ b/test/cluster-warm-pools.test.ts
@@ -1,9 +1,11 @@
 /** Warm pools with whole controllers against stand-ins on loopback, each machine with a model server. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { execFile } from 'node:child_process';
 import { mkdtempSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import { promisify } from 'node:util';
 import { freePort, until, wait } from './helpers.js';
 import { Cluster } from './standins/cluster.js';
 import { ProcessCluster } from './standins/process-cluster.js';
@@ -67,6 +69,44 @@
 const answering = (workers: Worker[]): number =>
   withModel(workers).reduce((sum, w) => sum + w.modelServer!.models.get(MODEL)!.users, 0);
 
+const MAIN = new URL('../src/main.js', import.meta.url).pathname;
+
+/** What the program prints, and its exit status. */
+async function run(...args: string[]): Promise<{ status: number; out: string }> {
+  try {
+    const { stdout } = await promisify(execFile)(process.execPath, args);
+    return { status: 0, out: stdout };
+  } catch (e) {
+    const { code, stderr } = e as { code: number; stderr: string };
+    return { status: code, out: stderr };
+  }
+}
+
+async function showsOperators(at: string): Promise<void> {
+  for (const program of [MAIN, 'target/launch.cjs']) {
+    const status = await run(program, 'warm-pools', 'status', '--at', at);
+    assert.match(status.out, /^pool +team +slots +next burst .*\ntutor +t +2 +\S+( +\d+){7}\n$/);
+    const bill = await run(program, 'warm-pools', 'bill', '--at', at);
+    assert.match(bill.out, /^day +pool .*\n\d{4}-\d\d-\d\d +tutor +t +2 .*\n$/);
+  }
+  const json = await run(MAIN, 'warm-pools', 'bill', '--at', at, '--json');
+  assert.equal((JSON.parse(json.out) as { pool: string }[])[0]!.pool, 'tutor');
+  const wrong: [string[], RegExp][] = [
+    [['status', '--at', 'x'], /^pewtershelf: warm-pools: x: must be HOST:PORT\n$/],
+    [
+      ['status', '--at', '127.0.0.1:1'],
+      /^pewtershelf: warm-pools: 127\.0\.0\.1:1: .*ECONNREFUSED.*\n$/,
+    ],
+    [['status'], /required option '--at <addr>'/],
+    [['list', '--at', at], /Allowed choices are status, bill/],
+  ];
+  for (const [args, says] of wrong) {
+    const { status, out } = await run(MAIN, 'warm-pools', ...args);
+    assert.ok(status > 0);
+    assert.match(out, says);
+  }
+}
+
 interface Row {
   name: string;
   trouble(cluster: Cluster): Promise<void>;
@@ -191,6 +231,7 @@
       const [pool] = view!.pools as { pool: string; slots: number }[];
       assert.deepEqual([pool!.pool, pool!.slots], ['tutor', SLOTS], 'every controller shows it');
     }
+    await showsOperators(`127.0.0.1:${cluster.ports[next]!.bind}`);
     assert.deepEqual(cluster.rules.violations, []);
   } finally {
     await cluster.close();
--- a/test/pass-helpers.ts
+++ b/test/pass-helpers.ts
@@ -3,6 +3,7 @@
 import { silentLog } from '../src/log.js';
 import { DEFAULT_POLICY } from '../src/operator/policy.js';
 import { Scheduler } from '../src/leader/scheduler.js';
+import { NO_SUBSYSTEMS } from '../src/subsystems/active-subsystems.js';
 import { Term } from '../src/leader/term.js';
 import { CapacityManager } from '../src/leader/capacity.js';
 import * as records from '../src/state/records.js';
@@ -24,7 +25,7 @@
   /** Until when a zone's zone keeper may be keeping it. */
   keptUntil = -Infinity;
 
-  constructor(gpusMax = 100, withinS = 0) {
+  constructor(gpusMax = 100, withinS = 0, subsystems = NO_SUBSYSTEMS) {
     this.replica.types = [g8];
     const s = settings();
     s.teams.set('t', { name: 't', cores: 0, coresMax: 0, gpus: 0, gpusMax });
@@ -55,6 +56,7 @@
       arrivals,
       () => true,
       () => 0,
+      subsystems,
     );
     this.capacity = new CapacityManager({
       term: this.term,
@@ -63,6 +65,7 @@
       arrivals,
       forget: () => undefined,
       onTypes: () => undefined,
+      subsystems,
     });
     this.capacity.fleet.listedOnce = true;
   }
--- a/test/warm-pools.test.ts
+++ b/test/warm-pools.test.ts
@@ -279,6 +279,18 @@
         assert.ok(totals(w).uncertainS > 0, 'when it was rented is not known to the successor');
       },
     },
+    {
+      name: 'the pool is removed after it: what was rented is not forgotten, and paid for',
+      async play(w) {
+        await outage(w, 14, BURST_AT + 1);
+        over(w);
+        w.declare(poolText({ name: 'other', image: 'x', schedule: '0 0 1 1 *' }));
+        w.takeOver();
+        await w.run(5);
+        assert.equal(w.cloud.machines.size, 1);
+        assert.ok(totals(w).machineS > 0 && totals(w).open === 0);
+      },
+    },
     {
       name: 'nothing was named: nothing is rented on no evidence, and it is late',
       async play(w) {
@@ -639,9 +651,13 @@
       name: 'an idle machine with a slot stays longer than any other would',
       pools: poolText({ hold_s: 200 }),
       async play(w) {
+        await w.runUntil(BURST_AT);
+        // One too many: that is the one that goes.
+        w.fleet.add('host-900000');
         await w.runUntil(BURST_AT + 150);
         assert.equal(w.states(), 'warm warm');
         assert.equal(w.cloud.machines.size, 1);
+        assert.deepEqual([...w.fleet.workers.keys()], w.cloud.rented);
       },
     },
     {
