Warm pools: a machine that boots several times as long as nominal is not given up at once

Cause: measured with a leader killed, replicas waited for their model: machines had been given up for slots after three lead times, which is 1.5 s where the nominal boot is 0.3 s and the real one 2 s, and others were rented in their place until no more were (`too_many_losses`).

Change: two leases beyond that, as where the fleet gives up a machine that never comes. The stand-in tells a nominal boot that fits the boots of the measurement.

--- a/scripts/warm-pools.ts
+++ b/scripts/warm-pools.ts
@@ -101,6 +101,7 @@
     const hostOf = (id: string): string => `127.2.${number % 250}.${Number(id.split('-')[1])}`;
     cluster.cloud.around.modelServers = { port, loadMs: () => LOAD_MS, hostOf };
     cluster.cloud.bootMs = BOOT_MS;
+    cluster.cloud.nominalBootS = BOOT_MS / 1000;
     this.burstMs = Math.ceil(Date.now() / 1000 + BURST_AFTER_S) * 1000;
     const file = this.pooled ? features(this.burstMs, port) : '';
     for (const index of cluster.indexes) cluster.start(index, undefined, file);
--- a/src/warm-pools/slot-watch.ts
+++ b/src/warm-pools/slot-watch.ts
@@ -11,8 +11,13 @@
 import { modelTasks, type Claims, type ModelTask } from './slot-rooms.js';
 import type { SlotEntry, SlotTable } from './slot-table.js';
 
-/** A machine that has not come after so many times its lead time never will, in time for the burst. */
+/**
+ * A machine that has not come after so many times its lead time and so many leases, for its reports, never
+ * will. Some boots take several times as long as nominal ones: with the lead time alone, machines that were
+ * about to come were given up and others rented in their place.
+ */
 const NEVER_LEADS = 3;
+const NEVER_LEASES = 2;
 /** Machines that nothing is known of are judged after so many leases of a term, and of a slot's life. */
 const JUDGE_LEASES = 1;
 /** From placing a replica to its start, which may wait for a report: at most so many intervals. */
@@ -97,7 +102,8 @@
       // Charged until it was gone, which nobody saw.
       return { kind: 'lost', reason: 'gone', atMs: fromMs, uncertainMs: heldS * 1000 };
     }
-    if (heldS <= this.leadS(current.pool, current.rent) * NEVER_LEADS) return null;
+    const leadS = this.leadS(current.pool, current.rent);
+    if (heldS <= leadS * NEVER_LEADS + lease_s * NEVER_LEASES) return null;
     return { kind: 'lost', reason: 'never came', atMs: nowMs(), uncertainMs: 0 };
   }
 
