Controller: requests over HTTP in a module of their own; pools' last survivors among guards tested

Change: controller/http-requests; one features file for tests and measurement; a test for each of the two; whether a term may send a request is asked by the fleet alone.

--- a/scripts/warm-pools.ts
+++ b/scripts/warm-pools.ts
@@ -7,6 +7,7 @@
  */
 import { Command } from 'commander';
 import { freePort, wait } from '../test/helpers.js';
+import { burstFeatures } from '../test/pool-features.js';
 import { ProcessCluster } from '../test/standins/process-cluster.js';
 import type { Worker } from '../test/standins/worker.js';
 import { quantile } from '../src/warm-pools/lead-times.js';
@@ -36,24 +37,8 @@
   violations: string[];
 }
 
-const features = (burstMs: number, port: number): string => `
-[warm_pools]
-loader = "model-server"
-model_server_port = ${port}
-[[warm_pools.pools]]
-name = "tutor"
-image = "${MODEL}"
-image_gb = 1.0
-cores = 4.0
-gpus = 4.0
-mem_gb = 8.0
-slots = ${REPLICAS}
-schedule = "${new Date(burstMs).toISOString().slice(0, 19)}"
-time_zone = "UTC"
-hold_s = 60
-ahead_s = 7.0
-team = "t"
-`;
+const features = (burstMs: number, port: number): string =>
+  burstFeatures({ image: MODEL, port, slots: REPLICAS, burstMs, holdS: 60, aheadS: 7 });
 
 const answering = (workers: Worker[]): number =>
   workers.reduce((sum, w) => {
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -5,7 +5,6 @@
 import { ZoneLeaseKeeper, ZoneLeaseWatch, zoneLeaseKeepers } from '../leadership/zone-lease.js';
 import { steadyClock, type Clock } from '../clock.js';
 import type { Settings } from '../config/settings.js';
-import type { Message } from '../http/parser.js';
 import { HttpServer, type Reply } from '../http/server.js';
 import type { Log } from '../log.js';
 import type { Policy } from '../operator/policy.js';
@@ -15,10 +14,9 @@
 import { Follower } from '../state/follow.js';
 import { RequestWriter } from '../state/request-writer.js';
 import { Replica } from '../state/replica.js';
-import { route } from '../wire/users.js';
 import { LeaderAcknowledgements } from '../leadership/leader-acknowledgements.js';
 import { Costs } from '../costs.js';
-import { RequestForwarder, type UserRequest } from '../api/request-forwarder.js';
+import { RequestForwarder } from '../api/request-forwarder.js';
 import { CancellationNotices } from '../cancellation/notices.js';
 import { CancellationConfirmation } from '../cancellation/confirmation.js';
 import { Leader } from '../leader/leader.js';
@@ -28,11 +26,11 @@
 import { Reports } from '../heartbeat/reports.js';
 import { RequestQueue } from '../admission/request-queue.js';
 import { Users } from '../api/users.js';
+import { BUSY, HttpRequests } from './http-requests.js';
 import { LoadLog } from './load-log.js';
 import { MachineTypes } from './machine-types.js';
 import { pipelineFigures } from './pipeline-figures.js';
 import { PeerAnswers } from './peer-answers.js';
-import { CLASS_OF, RELAY_PATIENCE_S, REPORT_PATIENCE_S } from './request-classes.js';
 import { Versions } from './versions.js';
 
 /** Jobs that are over stay whole in memory for so many leases after their acceptance. */
@@ -48,7 +46,6 @@
 const COST_TICKS = 40;
 /** The load is logged once a report interval. */
 const LOAD_TICKS = 2;
-const BUSY: Reply = { status: 503, retryAfter: 1 };
 /** What is known of the confirmation of cancellations is kept for so many leases. */
 const CONFIRMED_LEASES = 20;
 
@@ -309,8 +306,18 @@
       cancellationNotices: this.cancellationNotices,
       knownCancelled: (ids) => this.knownCancelled(ids),
     });
+    const http = new HttpRequests({
+      clock: this.clock,
+      costs: this.costs,
+      requests: this.requests,
+      reports: this.reports,
+      forwarder: this.forwarder,
+      leads: () => this.leader !== null,
+      figures: () => this.figures(),
+      subsystemView: (name) => this.subsystemView(name),
+    });
     this.server = new HttpServer(
-      (m) => this.handle(m),
+      (message) => http.handle(message),
       { sockets: Math.floor(settings.limits.sockets * SERVER_SOCKETS), readS: 5, idleS: 120 },
       () => this.clock.now(),
       (e) => log.error({ err: String(e), stack: (e as Error).stack }, 'request failed'),
@@ -440,45 +447,6 @@
 
   // Requests
 
-  private handle(m: Message): Reply | Promise<Reply> {
-    const to = route(m.method, m.target);
-    switch (to.to) {
-      case 'checkin':
-        return this.report(m.body);
-      case 'submit':
-        return this.user({ to: 'submit', body: m.body });
-      case 'poll':
-      case 'cancel':
-        return this.user(to);
-      case 'ready':
-        return this.forwarder.ready()
-          ? { status: 200, body: '{}' }
-          : { status: 503, retryAfter: 1 };
-      case 'metrics':
-        return { status: 200, body: JSON.stringify(this.figures()) };
-      case 'subsystem':
-        return this.subsystemView(to.name);
-      case 'wrong-method':
-        return { status: 405, body: '{}' };
-      case 'nowhere':
-        return { status: 404, body: '{}' };
-    }
-  }
-
-  private report(body: Buffer): Reply | Promise<Reply> {
-    const arrivedAt = this.clock.now();
-    const work = (): Reply | Promise<Reply> =>
-      this.costs.time('report', () => this.reports.checkin(body, arrivedAt));
-    const patienceS = this.leader === null ? RELAY_PATIENCE_S : REPORT_PATIENCE_S;
-    return this.requests.run('report', work, BUSY, patienceS);
-  }
-
-  private user(request: UserRequest): Reply | Promise<Reply> {
-    const serve = (): Promise<Reply> => this.forwarder.serve(request);
-    const work = request.to === 'submit' ? () => this.costs.time('submission', serve) : serve;
-    return this.requests.run(CLASS_OF[request.to], work, BUSY);
-  }
-
   /** What a subsystem's records say, for operators; the same on every controller. */
   private subsystemView(name: string): Reply {
     const subsystem = this.subsystems.find((s) => s.name === name);
--- a/src/leader/subsystem-view.ts
+++ b/src/leader/subsystem-view.ts
@@ -40,10 +40,6 @@
     return this.options.term.deps.wallMs();
   }
 
-  entitled(): boolean {
-    return this.options.term.deps.entitled();
-  }
-
   writing(): boolean {
     return this.options.term.deps.writing();
   }
--- a/src/subsystems/subsystem.ts
+++ b/src/subsystems/subsystem.ts
@@ -77,8 +77,6 @@
   now(): number;
   /** Time of day in ms. */
   wallMs(): number;
-  /** Whether the term may act at all: also in an outage that a majority confirms. */
-  entitled(): boolean;
   /** Whether it may store and place. */
   writing(): boolean;
   types(): ReadonlyMap<string, MachineType>;
--- a/src/warm-pools/slot-rents.ts
+++ b/src/warm-pools/slot-rents.ts
@@ -51,10 +51,9 @@
     }
   }
 
-  /** Requests that are due. */
+  /** Requests that are due; the fleet asks before each whether the term is entitled to send it. */
   due(): StoredRent[] {
     const { view, table } = this.options;
-    if (!view.entitled()) return [];
     const byName = new Map<string, SlotEntry[]>();
     for (const entry of table.values()) {
       const name = this.dueName(entry);
--- a/test/cluster-warm-pools.test.ts
+++ b/test/cluster-warm-pools.test.ts
@@ -7,6 +7,7 @@
 import { join } from 'node:path';
 import { promisify } from 'node:util';
 import { freePort, until, wait } from './helpers.js';
+import { burstFeatures } from './pool-features.js';
 import { Cluster } from './standins/cluster.js';
 import { ProcessCluster } from './standins/process-cluster.js';
 import type { Cloud } from './standins/cloud.js';
@@ -18,25 +19,8 @@
 const HOLD_S = 20;
 const SLOTS = 2;
 
-/** The features file of a pool with a burst at a moment, to the second. */
-const features = (burstMs: number, port: number): string => `
-[warm_pools]
-loader = "model-server"
-model_server_port = ${port}
-[[warm_pools.pools]]
-name = "tutor"
-image = "${MODEL}"
-image_gb = 1.0
-cores = 4.0
-gpus = 4.0
-mem_gb = 8.0
-slots = ${SLOTS}
-schedule = "${new Date(burstMs).toISOString().slice(0, 19)}"
-time_zone = "UTC"
-hold_s = ${HOLD_S}
-ahead_s = 4.0
-team = "t"
-`;
+const features = (burstMs: number, port: number): string =>
+  burstFeatures({ image: MODEL, port, slots: SLOTS, burstMs, holdS: HOLD_S, aheadS: 4 });
 
 const burstIn = (seconds: number): number => Math.ceil(Date.now() / 1000 + seconds) * 1000;
 
--- a/test/warm-pools.test.ts
+++ b/test/warm-pools.test.ts
@@ -572,6 +572,10 @@
       async play(w) {
         await w.runUntil(BURST_AT);
         w.replicaJob('wk-1');
+        // Claimed, and not stored yet.
+        w.pass();
+        w.leader.tick();
+        assert.equal(w.leader.figures().warm_slots_released, 0);
         await w.run(3);
         assert.equal(w.states(), 'used warm');
       },
@@ -643,6 +647,16 @@
         assert.equal(w.states(), 'used used used');
       },
     },
+    {
+      name: 'a place that was taken in the same pass draws no other replica beside it',
+      pools: poolText({ cores: 5, gpus: 5 }),
+      async play(w) {
+        await w.runUntil(BURST_AT);
+        w.replicaJob('wk-1', 'tutor-1', { tasks: 2, cores: 3, gpus: 3 });
+        await w.run(2);
+        assert.equal(w.states(), 'used used');
+      },
+    },
     {
       name: 'a replica that was there before the slot does not use it',
       pools: poolText({ slots: 1 }),
