--- a/scripts/warm-pools.ts
+++ b/scripts/warm-pools.ts
@@ -10,7 +10,7 @@
 import { burstFeatures } from '../test/pool-features.js';
 import { ProcessCluster } from '../test/standins/process-cluster.js';
 import type { Worker } from '../test/standins/worker.js';
-import { quantile } from '../src/warm-pools/lead-times.js';
+import { quantile } from '../src/subsystems/samples.js';
 import type { BillRow } from '../src/warm-pools/view.js';
 import { positive } from './options.js';
 
--- a/src/controller/features.ts
+++ b/src/controller/features.ts
@@ -1,12 +1,15 @@
 /** The subsystems that a features file switches on, made. */
 
 import type { Clock } from '../clock.js';
+import type { Subsystem } from '../subsystems/subsystem.js';
 import type { ControllerFeatures } from './controller.js';
+import { Lending } from '../lending/lending.js';
 import { WarmPools } from '../warm-pools/warm-pools.js';
 import { featuresRecord, type Features } from '../features/features-file.js';
 
 export function controllerFeatures(features: Features, clock: Clock): ControllerFeatures {
-  const subsystems = [];
+  const subsystems: Subsystem[] = [];
   if (features.warmPools !== null) subsystems.push(new WarmPools(features.warmPools, clock));
+  if (features.lending !== null) subsystems.push(new Lending(features.lending));
   return { file: featuresRecord(features), subsystems };
 }
--- a/src/features/features-file.ts
+++ b/src/features/features-file.ts
@@ -6,12 +6,14 @@
 import * as v from 'valibot';
 import type { Settings } from '../config/settings.js';
 import type { FeaturesFileRecord } from '../state/records.js';
+import { lendingSchema, toLendingConfig, type LendingConfig } from '../lending/declaration.js';
 import { checkPools } from '../warm-pools/check.js';
 import { toConfig, warmPoolsSchema, type WarmPoolsConfig } from '../warm-pools/declaration.js';
 
 /** One table for each subsystem; a table that is missing leaves its subsystem off. */
 const schema = v.strictObject({
   warm_pools: v.optional(warmPoolsSchema),
+  lending: v.optional(lendingSchema),
 });
 
 /** Hexadecimal digits of a file's hash that controllers tell one another. */
@@ -22,6 +24,8 @@
   hash: string;
   /** Null: off. */
   warmPools: WarmPoolsConfig | null;
+  /** Null: off. */
+  lending: LendingConfig | null;
 }
 
 /** What is wrong with a features file: the key, and what was expected there. */
@@ -41,13 +45,17 @@
     const problem = issue.expected === 'never' ? 'unknown key' : issue.message;
     throw new FeaturesError(`${v.getDotPath(issue) ?? 'file'}: ${problem}`);
   }
-  const table = result.output.warm_pools;
+  const { warm_pools: table, lending } = result.output;
   const warmPools = table === undefined ? null : toConfig(table);
   if (warmPools !== null) {
     const wrong = checkPools(warmPools, settings, nowMs);
     if (wrong !== null) throw new FeaturesError(`warm_pools.${wrong.key}: ${wrong.problem}`);
   }
-  return { hash: hashOf(result.output), warmPools };
+  return {
+    hash: hashOf(result.output),
+    warmPools,
+    lending: lending === undefined ? null : toLendingConfig(lending),
+  };
 }
 
 /** Throws FeaturesError. */
@@ -62,8 +70,11 @@
 }
 
 /** What other controllers are told of a file. */
-export function featuresRecord({ hash, warmPools }: Features): FeaturesFileRecord {
-  return { hash, subsystems: warmPools === null ? [] : ['warm-pools'] };
+export function featuresRecord({ hash, warmPools, lending }: Features): FeaturesFileRecord {
+  const subsystems = [];
+  if (warmPools !== null) subsystems.push('warm-pools');
+  if (lending !== null) subsystems.push('lending');
+  return { hash, subsystems };
 }
 
 function hashOf(contents: unknown): string {
--- a/src/leader/due-writes.ts
+++ b/src/leader/due-writes.ts
@@ -11,7 +11,7 @@
 const ENDS = 0;
 const SOON = 4;
 export const LATER = 5;
-/** Records of subsystems go after all others. */
+/** Records of subsystems go after all others, but for those that somebody waits for. */
 const SUBSYSTEMS = 6;
 /** A record of done tasks is written at most once in so many seconds while it grows. */
 const PROGRESS_GAP_S = 1;
@@ -51,7 +51,8 @@
     if (writes.typesDirty) due.push({ urgency: SOON, make: () => writes.types() });
     for (const write of this.subsystems.dueWrites()) {
       const ops = 1 + write.write.also.length;
-      due.push({ urgency: SUBSYSTEMS, ops, make: () => writes.owned(write) });
+      const urgency = write.write.urgent === true ? ENDS : SUBSYSTEMS;
+      due.push({ urgency, ops, make: () => writes.owned(write) });
     }
     return due.sort((a, b) => a.urgency - b.urgency);
   }
--- a/src/leader/evictions.ts
+++ b/src/leader/evictions.ts
@@ -1,104 +1,51 @@
 import type { LiveJob } from '../jobs/live.js';
-import { fits, type Size } from '../jobs/types.js';
+import { fits } from '../jobs/types.js';
 import { allowed, putBack, take, zoneAllowed, type FreeCapacity } from '../scheduler/place.js';
 import { haste, type Haste, type Waits } from '../scheduler/objectives.js';
-import { cheapestEviction, type Occupied, type Victim } from '../scheduler/preempt.js';
+import { cheapestEviction, type Occupied } from '../scheduler/preempt.js';
 import type { Usages } from '../scheduler/quota.js';
+import { NO_SUBSYSTEMS, type ActiveSubsystems } from '../subsystems/active-subsystems.js';
 import { CHANGE_GAP_S } from '../wire/workers.js';
-import { holds, type Attempt } from '../workers/attempt.js';
+import { holds } from '../workers/attempt.js';
+import { evictionSlot, type EvictionSlot, type HeldVictim } from './eviction-slots.js';
 import type { Term } from './term.js';
 
-interface Held extends Victim {
-  job: LiveJob;
-  attempt: Attempt;
-  /** Seconds it takes to save, and seconds of work that are lost without. */
-  saveS: number;
-  unsavedS: number;
-}
-
-interface Slot {
-  room: FreeCapacity;
-  /** What is being stopped there. Together with what is free: room that is there or on its way. */
-  freeing: Size;
-  /** Seconds until that is gone. */
-  freeingS: number;
-  victims: Held[];
-  /** The least important priority among the victims; -1: there are none. */
-  least: number;
-}
-
 interface Open extends Occupied {
-  slot: Slot;
+  slot: EvictionSlot;
   waitS: number;
   /** How its victims are stopped. */
   how: Haste;
-  victims: Held[];
+  victims: HeldVictim[];
 }
 
 /** Sets work of one priority apart from that of the next, whatever it loses. */
 const TIER = 1e6;
 /** A start that is late for its class counts as so many seconds, whatever its wait. */
 const LATE_S = 1e3;
+/** What the greatest harm that subsystems see counts for: less than a late start. */
+const HARM_S = LATE_S * 0.5;
 /** What commands and starts take: they are sent straight, and shown by a report of the change. */
 export const COMMAND_S = CHANGE_GAP_S * 0.6;
 
 /** Making room within one pass, by the protocol's rules on preemption. */
 export class Evictions {
-  private slots: Slot[] | null = null;
+  private slots: EvictionSlot[] | null = null;
 
   constructor(
     private readonly term: Term,
     private readonly rooms: FreeCapacity[],
     private readonly usages: Usages,
     private readonly waits: Waits,
+    private readonly subsystems: ActiveSubsystems = NO_SUBSYSTEMS,
   ) {}
 
-  private slot(room: FreeCapacity): Slot {
-    const now = this.term.now;
-    const m = this.term.machines.get(room.id)!;
-    const o: Slot = {
-      room,
-      freeing: { cores: 0, gpus: 0, memGb: 0 },
-      freeingS: 0,
-      victims: [],
-      least: -1,
-    };
-    for (const a of m.attempts.values()) {
-      if (!holds(a)) continue;
-      const job = this.term.jobs.get(a.job);
-      if (job === undefined) continue;
-      const s = job.spec;
-      if (a.stop !== null) {
-        putBack(s, o.freeing);
-        o.freeingS = Math.max(o.freeingS, a.stop.at + a.stop.graceS - now);
-        continue;
-      }
-      if (a.state === 'claiming' || a.state === 'claimed' || a.state === 'sent') continue;
-      const ran = a.startedAt === null ? 0 : now - a.startedAt;
-      const saves = s.checkpointS > 0;
-      o.least = Math.max(o.least, s.priority);
-      o.victims.push({
-        id: `${a.job}/${a.index}#${a.number}`,
-        group: job.gang ? a.job : `${a.job}/${a.index}`,
-        lossS: 0,
-        saveS: saves ? s.saveS : 0,
-        unsavedS: saves ? ran % s.checkpointS : ran,
-        cores: s.cores,
-        gpus: s.gpus,
-        memGb: s.memGb,
-        job,
-        attempt: a,
-      });
-    }
-    return o;
-  }
-
   /** What stopping a task costs. Lesser work first; within it what loses least. */
-  private priced(v: Held, how: Haste): Held {
+  private priced(borrower: LiveJob, v: HeldVictim, how: Haste): HeldVictim {
     const { job } = v;
     const saves = job.spec.checkpointS > 0 && how !== 'swift';
     const lossS = (saves ? v.saveS : v.unsavedS) * (job.gang ? job.spec.tasks : 1);
-    return { ...v, lossS: lossS + (3 - job.spec.priority) * TIER };
+    const harmS = this.subsystems.evictionHarm(borrower, v, how !== 'swift') * HARM_S;
+    return { ...v, lossS: lossS + harmS + (3 - job.spec.priority) * TIER };
   }
 
   private mayEvict(job: LiveJob, victim: LiveJob): boolean {
@@ -129,7 +76,7 @@
     /** Only where the tasks start in time. */
     inTime = false,
   ): number {
-    this.slots ??= this.rooms.map((r) => this.slot(r));
+    this.slots ??= this.rooms.map((room) => evictionSlot(this.term, room, this.subsystems));
     const spec = job.spec;
     const from = spec.priority - (job.guaranteed ? 1 : 0);
     const ageS = this.term.now - job.readySince;
@@ -146,7 +93,7 @@
       const saveS = may.reduce((most, v) => Math.max(most, v.saveS), 0);
       const how = haste(leftS, saveS, imageS + slot.freeingS);
       if (inTime && how === 'late') continue;
-      const victims = may.map((v) => this.priced(v, how));
+      const victims = may.map((v) => this.priced(job, v, how));
       const waitS = imageS + (how === 'late' ? LATE_S : 0);
       const cores = room.cores + freeing.cores;
       const gpus = room.gpus + freeing.gpus;
@@ -154,7 +101,7 @@
       if (victims.length === 0 && !fits(spec, { cores, gpus, memGb })) continue;
       open.push({ id, type, zone, spot, cores, gpus, memGb, slot, victims, waitS, how });
     }
-    const chosen: { o: Open; victims: Held[] }[] = [];
+    const chosen: { o: Open; victims: HeldVictim[] }[] = [];
     const got: Open[] = [];
     while (got.length < tasks) {
       // Room that is being made already comes first.
@@ -167,7 +114,7 @@
         const e = cheapestEviction(spec, open, zones);
         if (e === null) break;
         o = open.find((x) => x.id === e.machine)!;
-        const victims = e.victims as Held[];
+        const victims = e.victims as HeldVictim[];
         chosen.push({ o, victims });
         for (const v of victims) {
           putBack(v, o);
@@ -191,11 +138,10 @@
     // A gang gains nothing from room for some of its tasks.
     if (job.gang && got.length < tasks) return tasks;
     for (const { o, victims } of chosen) {
-      for (const v of victims) {
-        if (o.how === 'swift') this.term.stopTaskNow(v.job, v.attempt);
-        else this.term.stopTask(v.job, v.attempt);
-        putBack(v, o.slot.freeing);
-      }
+      const saves = o.how !== 'swift';
+      const carryOut = (): boolean => this.carryOut(job, victims, saves);
+      this.subsystems.evict({ machine: o.id, borrower: job, victims, saves, carryOut });
+      for (const v of victims) putBack(v, o.slot.freeing);
       const gone = new Set(victims.map((v) => v.id));
       o.slot.victims = o.slot.victims.filter((v) => !gone.has(v.id));
     }
@@ -204,4 +150,16 @@
     for (const o of got) take(spec, o.slot.room);
     return tasks - got.length;
   }
+
+  /** Stops what is still there, unless the job that wanted the room is over. */
+  private carryOut(borrower: LiveJob, victims: readonly HeldVictim[], saves: boolean): boolean {
+    if (borrower.phase !== 'open') return false;
+    for (const { job, attempt } of victims) {
+      // Stopping one task of a gang stops all that it runs by now: not for a task that is gone.
+      if (!holds(attempt) || attempt.stop !== null) continue;
+      if (saves) this.term.stopTask(job, attempt);
+      else this.term.stopTaskNow(job, attempt);
+    }
+    return true;
+  }
 }
--- a/src/leader/leader.ts
+++ b/src/leader/leader.ts
@@ -96,8 +96,13 @@
   }
 
   private view(subsystem: string): TermView {
-    const { term, capacity, store } = this;
-    return new SubsystemView(subsystem, { term, capacity, nudgeStore: () => store.nudge() });
+    const { term, capacity, store, scheduler } = this;
+    return new SubsystemView(subsystem, {
+      term,
+      capacity,
+      nudgeStore: () => store.nudge(),
+      moveReplica: (attempt) => scheduler.moveReplica(attempt, capacity.rooms),
+    });
   }
 
   start(): void {
@@ -221,8 +226,9 @@
     this.capacity.consolidate();
     if (this.deps.writing()) this.term.fenceUnanswered();
     dividePending(this.term);
-    this.sweep();
+    // Before the sweep: what has just ended can still be looked at.
     this.subsystems.tick();
+    this.sweep();
     this.term.requestPass();
   }
 
--- a/src/leader/moves.ts
+++ b/src/leader/moves.ts
@@ -1,21 +1,31 @@
 import type { JobSpec } from '../jobs/types.js';
 import { fits } from '../jobs/types.js';
-import { take, zoneAllowed, type FreeCapacity, type Weights } from '../scheduler/place.js';
+import { bestFit, take, zoneAllowed, type FreeCapacity, type Weights } from '../scheduler/place.js';
 import type { Usages } from '../scheduler/quota.js';
 import { chooseVacated, type Candidate } from '../scheduler/vacate.js';
 import { splitTask } from '../wire/workers.js';
 import type { LiveJob } from '../jobs/live.js';
+import type { Attempt } from '../workers/attempt.js';
 import type { Machine } from '../workers/machine.js';
 import type { Term } from './term.js';
 
 /** Of a class's replicas, the share that may move within `MOVE_LEASES` leases. */
 const MOVE_SHARE = 0.12;
 const MOVE_LEASES = 3;
+/** One that is asked for by itself may move also where the share is less than a whole replica. */
+const MOVES_LEAST = 1;
 /** Replicas that ran for so many leases are steady enough to be moved. */
 const STEADY_LEASES = 4;
 /** For how many report intervals a place is kept for a replica on its way. */
 const BOOKED_REPORTS = 2;
 
+/** Where a replica may be moved to. */
+export interface MoveSearch {
+  rooms: FreeCapacity[];
+  may: (spec: JobSpec, room: FreeCapacity) => boolean;
+  weights: Weights;
+}
+
 /** Emptying machines: which replicas move, and the places that are kept for them. */
 export class Moves {
   private readonly bookings = new Map<string, { to: string; until: number }>();
@@ -96,7 +106,51 @@
    */
   vacate(rooms: FreeCapacity[], usable: (m: Machine) => boolean, weights: Weights): Machine | null {
     const now = this.term.now;
-    const { lease_s, report_s } = this.term.deps.settings.workers;
+    const mayMove = this.moveBound();
+    const chosen = chooseVacated(this.candidates(rooms, usable, now), rooms, mayMove, weights);
+    if (chosen === null) return null;
+    const m = this.term.machines.get(chosen.candidate.room.id)!;
+    m.vacatedAt = now;
+    m.held().forEach((attempt, i) => this.move(attempt, chosen.to[i]!));
+    this.term.deps.log.info({ machine: m.id, replicas: chosen.to.length }, 'emptied');
+    return m;
+  }
+  /**
+   * Moves one replica to a free place that has its image; false: there is none now, or too many of its
+   * class have moved. It is stopped before it starts there: a task must not be on two machines.
+   */
+  moveReplica(attempt: Attempt, { rooms, may, weights }: MoveSearch): boolean {
+    const job = this.term.jobs.get(attempt.job);
+    if (job === undefined || job.spec.kind !== 'service' || attempt.stop !== null) return false;
+    const { spec } = job;
+    const others = [...job.holding()].filter((a) => a !== attempt && a.stop === null);
+    // The others answer meanwhile.
+    if (!others.some((a) => a.state === 'running')) return false;
+    if (!this.moveBound(MOVES_LEAST)([{ spec }])) return false;
+    const zones = this.zonesOf(job);
+    const here = this.term.machines.get(attempt.machine)?.zone;
+    if (here !== undefined) zones.set(here, (zones.get(here) ?? 1) - 1);
+    const free = rooms.filter((r) => r.id !== attempt.machine && r.hasImage(spec.image));
+    const room = bestFit(spec, free, { zones, may: (r) => may(spec, r) }, weights);
+    if (room === null) return false;
+    this.move(attempt, room.id);
+    return true;
+  }
+
+  /** Its place is kept for it: whoever else came first would cost it a fetch. */
+  private move(attempt: Attempt, to: string): void {
+    const { now } = this.term;
+    const job = this.term.jobs.get(attempt.job)!;
+    this.recent.push({ at: now, class: job.spec.class });
+    const until = now + this.term.deps.settings.workers.report_s * BOOKED_REPORTS;
+    this.bookings.set(`${attempt.job}/${attempt.index}`, { to, until });
+    this.term.stop(attempt, 0);
+  }
+
+  /** Whether so many more replicas may move: of a class, a small share within some leases. */
+  private moveBound(least = 0): (list: { spec: JobSpec }[]) => boolean {
+    const { now } = this.term;
+    const { lease_s } = this.term.deps.settings.workers;
     while (this.recent.length > 0 && now - this.recent[0]!.at > lease_s * MOVE_LEASES) {
       this.recent.shift();
     }
@@ -105,29 +159,13 @@
       const n = replicas.get(j.spec.class) ?? 0;
       if (j.spec.kind === 'service') replicas.set(j.spec.class, n + j.holdingCount);
     }
-    const mayMove = (list: { spec: JobSpec }[]): boolean => {
+    return (list) => {
       const counts = new Map<string, number>();
       for (const r of list) counts.set(r.spec.class, (counts.get(r.spec.class) ?? 0) + 1);
       return [...counts].every(([c, n]) => {
         const moved = this.recent.filter((x) => x.class === c).length;
-        return moved + n <= (replicas.get(c) ?? 0) * MOVE_SHARE;
+        return moved + n <= Math.max(least, (replicas.get(c) ?? 0) * MOVE_SHARE);
       });
     };
-    const chosen = chooseVacated(this.candidates(rooms, usable, now), rooms, mayMove, weights);
-    if (chosen === null) return null;
-    const m = this.term.machines.get(chosen.candidate.room.id)!;
-    m.vacatedAt = now;
-    m.held().forEach((a, i) => {
-      const job = this.term.jobs.get(a.job)!;
-      this.recent.push({ at: now, class: job.spec.class });
-      // Its place is kept for it: whoever else came first would cost it a fetch.
-      this.bookings.set(`${a.job}/${a.index}`, {
-        to: chosen.to[i]!,
-        until: now + report_s * BOOKED_REPORTS,
-      });
-      this.term.stop(a, 0);
-    });
-    this.term.deps.log.info({ machine: m.id, replicas: chosen.to.length }, 'emptied');
-    return m;
   }
 }
--- a/src/leader/scheduler.ts
+++ b/src/leader/scheduler.ts
@@ -10,6 +10,7 @@
 import { specOf } from '../state/job-facts.js';
 import { NO_SUBSYSTEMS, type ActiveSubsystems } from '../subsystems/active-subsystems.js';
 import { CHANGE_GAP_S } from '../wire/workers.js';
+import type { Attempt } from '../workers/attempt.js';
 import type { Machine } from '../workers/machine.js';
 import { Evictions } from './evictions.js';
 import { FreeCapacityIndex } from './free-capacity.js';
@@ -102,7 +103,7 @@
     const jobs = this.queue.ranked(now);
     this.reservations.update(jobs, this.unkept(rooms), usages);
     const shares = longWorkShares(term, jobs, rooms, usages);
-    const evictions = new Evictions(term, rooms, usages, this.waits);
+    const evictions = new Evictions(term, rooms, usages, this.waits, this.subsystems);
     const unplaced = new UnplacedRequests();
     const pass = { now, rooms, usages, weights, longWorkShares: shares, evictions, unplaced };
     let placed = this.moves.placeBooked(rooms, usages, now, (job, index, room) =>
@@ -156,6 +157,14 @@
     return this.moves.vacate(this.unkept(rooms), (m) => isUsable(this.term, m), this.weights());
   }
 
+  /** Moves one replica to a free place that has its image. */
+  moveReplica(attempt: Attempt, rooms: FreeCapacity[]): boolean {
+    const { subsystems } = this;
+    const may = (spec: JobSpec, room: FreeCapacity): boolean =>
+      !subsystems.any || subsystems.mayUse(spec, room);
+    return this.moves.moveReplica(attempt, { rooms, may, weights: this.weights() });
+  }
+
   private specOf(job: string): JobSpec | null {
     const live = this.term.jobs.get(job);
     if (live !== undefined) return live.spec;
--- a/src/leader/subsystem-view.ts
+++ b/src/leader/subsystem-view.ts
@@ -4,8 +4,17 @@
 import type { Log } from '../log.js';
 import type { Settings } from '../config/settings.js';
 import type { FreeCapacity } from '../scheduler/place.js';
+import { Outlooks } from '../pipelines/outlook.js';
 import { specOf } from '../state/job-facts.js';
-import type { MachineView, OwnedRecord, TeamUsage, TermView } from '../subsystems/subsystem.js';
+import type {
+  AttemptView,
+  LiveJobView,
+  MachineView,
+  OwnedRecord,
+  TeamUsage,
+  TermView,
+} from '../subsystems/subsystem.js';
+import { holds, type Attempt } from '../workers/attempt.js';
 import type { CapacityManager } from './capacity.js';
 import type { Term } from './term.js';
 
@@ -13,6 +22,7 @@
   term: Term;
   capacity: CapacityManager;
   nudgeStore: () => void;
+  moveReplica: (attempt: Attempt) => boolean;
 }
 
 export class SubsystemView implements TermView {
@@ -20,6 +30,7 @@
   readonly log: Log;
   readonly token: number;
   readonly uniquePrefix: string;
+  private readonly outlooks: Outlooks;
 
   constructor(
     private readonly subsystem: string,
@@ -29,6 +40,7 @@
     this.settings = deps.settings;
     this.log = deps.log;
     this.token = deps.token;
+    this.outlooks = new Outlooks(deps.replica.dependencies);
     this.uniquePrefix = `${deps.incarnation}-${deps.token}-${subsystem}`;
   }
 
@@ -72,6 +84,34 @@
     return facts === undefined ? null : specOf(facts);
   }
 
+  job(id: string): LiveJobView | undefined {
+    return this.options.term.jobs.get(id);
+  }
+
+  jobs(): Iterable<LiveJobView> {
+    return this.options.term.jobs.values();
+  }
+
+  latestEndMs(id: string): number {
+    const job = this.options.term.jobs.get(id);
+    return job === undefined ? Infinity : this.outlooks.of(job.facts).latestEndMs;
+  }
+
+  moveReplica(job: string, index: number, machine: string): boolean {
+    const attempts = this.options.term.jobs.get(job)?.live.get(index) ?? [];
+    const attempt = attempts.find((a) => a.machine === machine && holds(a));
+    return attempt !== undefined && this.options.moveReplica(attempt);
+  }
+
+  endStopped({ job, index, number }: AttemptView): void {
+    const { term } = this.options;
+    const live = term.jobs.get(job);
+    const attempt = live?.live.get(index)?.find((a) => a.number === number);
+    if (live === undefined || attempt === undefined) return;
+    if (attempt.stop === null && attempt.state !== 'saving') return;
+    term.stopTaskNow(live, attempt);
+  }
+
   rooms(): readonly FreeCapacity[] {
     return this.options.capacity.rooms;
   }
--- /dev/null
+++ b/src/lending/grants.ts
@@ -0,0 +1,210 @@
+/** Granting: the loan is stored before the lender is told to stop. */
+
+import type {
+  AttemptView,
+  Eviction,
+  EvictionRules,
+  EvictionVictim,
+  LiveJobView,
+  TermView,
+} from '../subsystems/subsystem.js';
+import { attemptKey } from '../workers/attempt.js';
+import type { LendingConfig } from './declaration.js';
+import type { EstimateErrors } from './estimate-errors.js';
+import { lenderWork } from './lender-work.js';
+import { loanId, type LentTask, type Loan } from './loan.js';
+import type { LoanEntry, LoanTable } from './loan-table.js';
+import { judge, type Judgement } from './safety.js';
+import type { WayBackTimes } from './way-back.js';
+
+/** Report intervals within which a grant has to be stored; then room is made without a promise. */
+const STORE_REPORTS = 1;
+
+/** An eviction whose loans are on their way into the store. */
+interface Pending {
+  eviction: Eviction;
+  loans: LoanEntry[];
+  /** Attempts that are about to be stopped, by key. */
+  attempts: ReadonlySet<string>;
+  since: number;
+}
+
+export interface GrantOptions {
+  view: TermView;
+  table: LoanTable;
+  config: LendingConfig;
+  errors: EstimateErrors;
+  wayBack: WayBackTimes;
+}
+
+export class Grants implements EvictionRules {
+  private pending: Pending[] = [];
+  /** Evictions of services by which room was made without any promise. */
+  withoutPromise = 0;
+
+  constructor(private readonly options: GrantOptions) {}
+
+  harm(borrower: LiveJobView, victim: EvictionVictim, saves: boolean): number {
+    if (!isLoan(borrower, victim)) return 0;
+    const judgement = this.judge(victim, saves);
+    return judgement.safe ? judgement.harm : 1;
+  }
+
+  private judge(victim: EvictionVictim, saves: boolean): Judgement {
+    const { table } = this.options;
+    const { job, attempt } = victim;
+    const open = table.openLoanOf(job.spec.id, attempt.index);
+    const own = table.get(nameOf(victim));
+    const lending = (own !== undefined && !isUntold(own)) || (open !== undefined && open !== own);
+    const known = { lending, lentAtMs: table.lentAtMs(job.spec.id) };
+    return judge(lenderWork(victim, saves, known, this.options));
+  }
+
+  isLeaving({ job, index, number, state }: AttemptView): boolean {
+    const key = attemptKey(job, index, number);
+    if (this.pending.some(({ attempts }) => attempts.has(key))) return true;
+    // Told by an earlier leader.
+    return state === 'saving' && this.options.table.openLoanOf(job, index) !== undefined;
+  }
+
+  /** Where not all victims may lend, the room is made at once and nothing is promised. */
+  takesOver(eviction: Eviction): boolean {
+    const { borrower, victims } = eviction;
+    if (!victims.every((victim) => isLoan(borrower, victim))) return false;
+    const loans = this.loansOf(eviction);
+    if (loans === null) {
+      this.withoutPromise++;
+      return false;
+    }
+    const entries = loans.map((loan) => this.request(loan));
+    const attempts = new Set(loans.flatMap(attemptKeys));
+    const since = this.options.view.now();
+    this.pending.push({ eviction, loans: entries, attempts, since });
+    this.carryOutStored();
+    this.options.view.nudgeStore();
+    return true;
+  }
+
+  /** One loan for each lender; null: one of them may not lend. */
+  private loansOf(eviction: Eviction): Loan[] | null {
+    const { view, table, config } = this.options;
+    const byName = new Map<string, Loan>();
+    for (const victim of eviction.victims) {
+      const judgement = this.judge(victim, eviction.saves);
+      if (!judgement.safe) return null;
+      const loan = makeLoan(victim, eviction, view.wallMs(), judgement.latestReturnS);
+      byName.set(loanId(loan), loan);
+    }
+    const loans = [...byName.values()];
+    const open = [...table.open()].length;
+    if (open + loans.length > config.maxOpen) return null;
+    return this.hasGpus(eviction.machine, loans) ? loans : null;
+  }
+
+  /** No GPU may be named by two open loans. */
+  private hasGpus(machine: string, loans: readonly Loan[]): boolean {
+    const { view, table } = this.options;
+    const whole = view.types().get(view.machine(machine)?.type ?? '')?.gpus ?? 0;
+    const fresh = loans.filter((loan) => table.get(loanId(loan)) === undefined);
+    const gpus = fresh.reduce((sum, loan) => sum + loan.gpus, table.lentGpus(machine));
+    return gpus <= whole + 1e-6;
+  }
+
+  /** A new loan, or the one that an earlier term stored and did not carry out. */
+  private request(loan: Loan): LoanEntry {
+    const { table } = this.options;
+    const known = table.get(loanId(loan));
+    if (known === undefined) return table.add(loan);
+    const { borrower, reason } = loan;
+    if (known.current.borrower !== borrower) {
+      table.apply(known, { kind: 'granted-again', borrower, reason });
+    }
+    return known;
+  }
+
+  /** Stops the lenders whose loans are all stored. */
+  carryOutStored(): void {
+    const { table } = this.options;
+    this.settle(({ loans }) => loans.every((loan) => table.isStored(loan)));
+  }
+
+  /**
+   * What could not be stored in time is carried out without a promise: critical work gets what it would
+   * without lending. A record that the store takes after all is a loan like any other.
+   */
+  giveUpLate(): void {
+    const { view } = this.options;
+    const mostS = view.settings.workers.report_s * STORE_REPORTS;
+    const late = this.settle(({ since }) => view.now() - since > mostS);
+    this.withoutPromise += late;
+  }
+
+  /** Carries out the evictions that are ready. Returns how many. */
+  private settle(isReady: (pending: Pending) => boolean): number {
+    const ready = this.pending.filter(isReady);
+    if (ready.length === 0) return 0;
+    this.pending = this.pending.filter((pending) => !ready.includes(pending));
+    for (const { eviction, loans } of ready) {
+      if (eviction.carryOut()) continue;
+      for (const loan of loans) this.withdraw(loan);
+    }
+    return ready.length;
+  }
+
+  private withdraw(loan: LoanEntry): void {
+    if (loan.current.state !== 'requested') return;
+    this.options.table.apply(loan, { kind: 'cancelled', reason: 'the borrower is over' });
+  }
+
+  /** Whether a loan is on its way into the store or about to be carried out. */
+  isPending(entry: LoanEntry): boolean {
+    return this.pending.some(({ loans }) => loans.includes(entry));
+  }
+}
+
+/** Serving borrows from finite work. Anything else that makes room does so without a loan. */
+const isLoan = (borrower: LiveJobView, { job }: EvictionVictim): boolean =>
+  borrower.spec.kind === 'service' && job.spec.kind !== 'service';
+
+/** A loan whose lender may not have been told, and runs. */
+const isUntold = ({ current: { state } }: LoanEntry): boolean =>
+  state === 'requested' || state === 'saving';
+
+/** A gang lends whole. */
+function lentTasks({ job, attempt }: EvictionVictim): LentTask[] {
+  const attempts = job.gang ? [...job.live.values()].flat() : [attempt];
+  const same = attempts.filter((a) => a.number === attempt.number);
+  return same
+    .map(({ index, number, machine }) => ({ index, attempt: number, machine }))
+    .sort((a, b) => a.index - b.index);
+}
+
+const nameOf = (victim: EvictionVictim): string =>
+  loanId({ lender: victim.job.spec.id, tasks: lentTasks(victim) });
+
+const attemptKeys = ({ lender, tasks }: Loan): string[] =>
+  tasks.map(({ index, attempt }) => attemptKey(lender, index, attempt));
+
+function makeLoan(
+  victim: EvictionVictim,
+  { machine, borrower }: Eviction,
+  nowMs: number,
+  latestReturnS: number,
+): Loan {
+  const { spec } = victim.job;
+  const tasks = lentTasks(victim);
+  const here = tasks.filter((task) => task.machine === machine).length;
+  return {
+    lender: spec.id,
+    tasks,
+    borrower: borrower.spec.id,
+    machine,
+    gpus: spec.gpus * here,
+    state: 'requested',
+    dueMs: latestReturnS === Infinity ? null : Math.round(nowMs + latestReturnS * 1000),
+    grantedMs: nowMs,
+    changedMs: nowMs,
+    used: false,
+    reason: `${borrower.spec.class} has no place`,
+  };
+}
--- /dev/null
+++ b/src/lending/lender-work.ts
@@ -0,0 +1,57 @@
+/** What is left to do of work that might lend, as the leader knows it. */
+
+import type { EvictionVictim, LiveJobView, TermView } from '../subsystems/subsystem.js';
+import { holds } from '../workers/attempt.js';
+import type { EstimateErrors } from './estimate-errors.js';
+import type { LenderWork } from './safety.js';
+import type { WayBackTimes } from './way-back.js';
+
+/** What becomes of a task's progress when it is stopped, in seconds of work that need not be repeated. */
+function savedS({ job, attempt }: EvictionVictim, now: number): number {
+  const { checkpointS } = job.spec;
+  if (checkpointS <= 0 || attempt.startedAt === null) return 0;
+  const ranS = now - attempt.startedAt;
+  return Math.floor(ranS / checkpointS) * checkpointS;
+}
+
+/** What is left of the whole job if it goes on with one task less than now. */
+function jobRemainingS(job: LiveJobView): number {
+  if (job.gang) return job.spec.estimateS;
+  return job.unfinishedPredictedS / Math.max(1, job.holdingCount - 1);
+}
+
+export interface LenderWorkContext {
+  view: TermView;
+  errors: EstimateErrors;
+  wayBack: WayBackTimes;
+}
+
+/** `lentAtMs`: when its job lent last, in ms of the time of day; null: never. */
+export function lenderWork(
+  victim: EvictionVictim,
+  borrowerWaits: boolean,
+  { lending, lentAtMs }: { lending: boolean; lentAtMs: number | null },
+  { view, errors, wayBack }: LenderWorkContext,
+): LenderWork {
+  const { job, attempt } = victim;
+  const { spec } = job;
+  const nowMs = view.wallMs();
+  const type = view.types().get(view.machine(attempt.machine)?.type ?? '');
+  return {
+    leftS: (view.latestEndMs(spec.id) - nowMs) / 1000,
+    ownRemainingS: Math.max(0, spec.estimateS - savedS(victim, view.now())),
+    jobRemainingS: jobRemainingS(job),
+    margin: errors.margin(spec.class),
+    saveS: spec.checkpointS > 0 ? spec.saveS : 0,
+    fetchS: spec.imageGb / Math.max(type?.fetchGbPerS ?? 1, 1e-9),
+    restartS: wayBack.commandS,
+    wayBackS: wayBack.seconds,
+    saves: spec.checkpointS > 0,
+    // What an earlier leader started may have run for long.
+    started: attempt.state !== 'fetching' && attempt.state !== 'waiting' && holds(attempt),
+    guaranteed: job.guaranteed,
+    lentAgoS: lentAtMs === null ? Infinity : (nowMs - lentAtMs) / 1000,
+    lending,
+    borrowerWaits,
+  };
+}
--- /dev/null
+++ b/src/lending/lending-term.ts
@@ -0,0 +1,112 @@
+/** Lending in one term of leadership. */
+
+import type { JobSpec } from '../jobs/types.js';
+import type { FreeCapacity } from '../scheduler/place.js';
+import type {
+  EvictionRules,
+  OwnedWrite,
+  StoredRent,
+  SubsystemTerm,
+  TermView,
+} from '../subsystems/subsystem.js';
+import type { LendingConfig } from './declaration.js';
+import { EstimateErrors } from './estimate-errors.js';
+import { Grants } from './grants.js';
+import { loanId, noLoans, type Loan } from './loan.js';
+import { LoanTable } from './loan-table.js';
+import { LoanWatch } from './loan-watch.js';
+import { ReturnHolds } from './return-holds.js';
+import { WayBackTimes } from './way-back.js';
+
+export class LendingTerm implements SubsystemTerm {
+  readonly evictions: EvictionRules;
+  private readonly table: LoanTable;
+  private readonly errors: EstimateErrors;
+  private readonly grants: Grants;
+  private readonly watch: LoanWatch;
+  private readonly holds: ReturnHolds;
+
+  constructor(
+    private readonly view: TermView,
+    private readonly config: LendingConfig,
+  ) {
+    this.errors = new EstimateErrors(config.leastMargin);
+    this.table = new LoanTable({
+      nowMs: () => view.wallMs(),
+      onStored: () => this.grants.carryOutStored(),
+      onChange: (loan) => this.log(loan),
+    });
+    const wayBack = new WayBackTimes(view);
+    const { table, errors } = this;
+    this.grants = new Grants({ view, table, config, errors, wayBack });
+    this.watch = new LoanWatch({ view, table, grants: this.grants, wayBack, config });
+    this.holds = new ReturnHolds(view, table, wayBack);
+    this.evictions = this.grants;
+    this.table.reconcile(view.records());
+    this.holds.update();
+  }
+
+  private log(loan: Loan): void {
+    const { lender, borrower, machine, gpus, state, dueMs, reason } = loan;
+    const due = dueMs === null ? null : new Date(dueMs).toISOString();
+    this.view.log.info(
+      { loan: loanId(loan), lender, borrower, machine, gpus, state, due, reason },
+      'loan',
+    );
+  }
+
+  /** Nothing is decided while nothing can be stored. */
+  tick(): void {
+    if (!this.view.writing()) {
+      this.watch.noteOutage();
+      return;
+    }
+    this.table.reconcile(this.view.records());
+    this.errors.look(this.view.jobs());
+    this.grants.carryOutStored();
+    this.grants.giveUpLate();
+    this.watch.look();
+    this.holds.update();
+    this.table.removeEnded(this.config.keepEndedS * 1000);
+  }
+
+  rents(): StoredRent[] {
+    return [];
+  }
+
+  keeps(machine: string): boolean {
+    return this.holds.keeps(machine);
+  }
+
+  keptMachines(): number {
+    return 0;
+  }
+
+  mayUse(spec: JobSpec, room: FreeCapacity): boolean {
+    return this.holds.mayUse(spec, room);
+  }
+
+  preferenceS(spec: JobSpec, room: FreeCapacity): number {
+    return this.holds.preferenceS(spec, room);
+  }
+
+  dueWrites(): OwnedWrite[] {
+    return this.table.dueWrites();
+  }
+
+  figures(): Record<string, number | string> {
+    const states = noLoans();
+    let openGpus = 0;
+    for (const { current } of this.table.values()) states[current.state]++;
+    for (const { current } of this.table.open()) openGpus += current.gpus;
+    const figures: Record<string, number | string> = {};
+    for (const [state, count] of Object.entries(states)) figures[`loans_${state}`] = count;
+    figures.loans_open_gpus = openGpus;
+    figures.loans_without_promise = this.grants.withoutPromise;
+    return figures;
+  }
+
+  stop(): void {
+    // It has no timers and no connections.
+  }
+}
--- /dev/null
+++ b/src/lending/loan-evidence.ts
@@ -0,0 +1,97 @@
+/** What the leader knows of the two sides of a loan at one moment. */
+
+import type { AttemptView, LiveJobView, TermView } from '../subsystems/subsystem.js';
+import { holds } from '../workers/attempt.js';
+import type { Loan } from './loan.js';
+
+/** Where the attempts are that were to stop. */
+export type LenderThere = 'running' | 'stopping' | 'gone' | 'unheard';
+
+/** Where the lender's tasks are otherwise. */
+export type LenderElsewhere = 'nowhere' | 'placed' | 'running';
+
+/** `wants`: it is not there, and a task of it has no place. */
+export type BorrowerPresence = 'there' | 'wants' | 'away';
+
+export interface LoanEvidence {
+  /** Null: its job is open and the tasks are not done. */
+  lenderOver: string | null;
+  lenderThere: LenderThere;
+  lenderElsewhere: LenderElsewhere;
+  borrower: BorrowerPresence;
+  machineGone: boolean;
+  /** Why the GPUs have to come back now; null: they need not. */
+  recall: string | null;
+  /** Why the promise is broken; null: it is not. */
+  broken: string | null;
+  /** Why an open grant is given up although its lender runs; null: it is not. */
+  notCarriedOut: string | null;
+}
+
+function lenderOver(loan: Loan, job: LiveJobView | undefined): string | null {
+  if (job === undefined) return 'the lender is over';
+  if (job.cancelled) return 'the lender was cancelled';
+  const done = job.phase !== 'open' || loan.tasks.every(({ index }) => job.done.has(index));
+  return done ? 'the lender is done' : null;
+}
+
+function lenderThere(attempts: readonly AttemptView[]): LenderThere {
+  if (attempts.length === 0) return 'gone';
+  if (attempts.some((a) => a.stop !== null || a.state === 'saving')) return 'stopping';
+  return attempts.some((a) => a.state === 'inherited') ? 'unheard' : 'running';
+}
+
+function lenderElsewhere(loan: Loan, attempts: readonly AttemptView[]): LenderElsewhere {
+  if (attempts.length < loan.tasks.length) return 'nowhere';
+  return attempts.every((a) => a.state === 'running') ? 'running' : 'placed';
+}
+
+/** Attempts of the lent tasks that may be somewhere: those that were to stop, and later ones. */
+function lenderAttempts(
+  loan: Loan,
+  job: LiveJobView | undefined,
+): { lent: AttemptView[]; later: AttemptView[] } {
+  const lent: AttemptView[] = [];
+  const later: AttemptView[] = [];
+  for (const { index, attempt } of loan.tasks) {
+    for (const a of job?.live.get(index) ?? []) {
+      if (holds(a)) (a.number === attempt ? lent : later).push(a);
+    }
+  }
+  return { lent, later };
+}
+
+/** The borrower's attempts on the machine of a loan. */
+export function borrowerAttempts(loan: Loan, view: TermView): AttemptView[] {
+  const job = view.job(loan.borrower);
+  const attempts = job === undefined ? [] : [...job.live.values()].flat();
+  return attempts.filter((a) => a.machine === loan.machine && holds(a));
+}
+
+function borrowerPresence(loan: Loan, view: TermView): BorrowerPresence {
+  if (borrowerAttempts(loan, view).length > 0) return 'there';
+  const job = view.job(loan.borrower);
+  if (job === undefined || job.phase !== 'open') return 'away';
+  return job.pendingCount > 0 ? 'wants' : 'away';
+}
+
+function machineGone(loan: Loan, view: TermView): boolean {
+  const machine = view.machine(loan.machine);
+  return machine === undefined || machine.state === 'returned';
+}
+
+/** What can be seen of a loan; what has to do with time is added by the caller. */
+export function seenOf(
+  loan: Loan,
+  view: TermView,
+): Omit<LoanEvidence, 'recall' | 'broken' | 'notCarriedOut'> {
+  const job = view.job(loan.lender);
+  const { lent, later } = lenderAttempts(loan, job);
+  return {
+    lenderOver: lenderOver(loan, job),
+    lenderThere: lenderThere(lent),
+    lenderElsewhere: lenderElsewhere(loan, later),
+    borrower: borrowerPresence(loan, view),
+    machineGone: machineGone(loan, view),
+  };
+}
--- /dev/null
+++ b/src/lending/loan-table.ts
@@ -0,0 +1,122 @@
+/** The loans of a term: what the store holds of them, and the changes on their way into it. */
+
+import type { OwnedRecord, OwnedWrite } from '../subsystems/subsystem.js';
+import { RecordTable, type RecordForm, type TableEntry } from '../subsystems/record-table.js';
+import {
+  advanceLoan,
+  decodeLoan,
+  encodeLoan,
+  holdsGpus,
+  isOpen,
+  LOAN_PREFIX,
+  loanId,
+  type Loan,
+  type LoanEvent,
+} from './loan.js';
+
+export type LoanEntry = TableEntry<Loan>;
+
+const LOAN_FORM: RecordForm<Loan> = {
+  prefix: LOAN_PREFIX,
+  idOf: loanId,
+  encode: encodeLoan,
+  decode: decodeLoan,
+};
+
+const isGrant = ({ current }: LoanEntry): boolean => current.state === 'requested';
+
+export interface LoanTableOptions {
+  /** Time of day in ms. */
+  nowMs: () => number;
+  /** The store holds a loan's latest change. */
+  onStored: (entry: LoanEntry) => void;
+  /** A loan has changed; for the log. */
+  onChange: (loan: Loan) => void;
+}
+
+/** Loans by name, and what is derived of all of them. */
+export class LoanTable {
+  private readonly table: RecordTable<Loan>;
+
+  constructor(private readonly options: LoanTableOptions) {
+    this.table = new RecordTable(LOAN_FORM, { isUrgent: isGrant, onStored: options.onStored });
+  }
+
+  reconcile(records: ReadonlyMap<string, OwnedRecord>): void {
+    this.table.reconcile(records);
+  }
+
+  get(id: string): LoanEntry | undefined {
+    return this.table.get(id);
+  }
+
+  values(): IterableIterator<LoanEntry> {
+    return this.table.values();
+  }
+
+  *open(): IterableIterator<LoanEntry> {
+    for (const entry of this.table.values()) if (isOpen(entry.current)) yield entry;
+  }
+
+  add(loan: Loan): LoanEntry {
+    const entry = this.table.add(loan);
+    this.options.onChange(loan);
+    return entry;
+  }
+
+  apply(entry: LoanEntry, event: LoanEvent): void {
+    const loan = advanceLoan(entry.current, event, this.options.nowMs());
+    this.table.change(entry, loan);
+    if (event.kind !== 'borrower-seen') this.options.onChange(loan);
+  }
+
+  isStored(entry: LoanEntry): boolean {
+    return this.table.isStored(entry);
+  }
+
+  /** GPUs of a machine that open loans name. */
+  lentGpus(machine: string): number {
+    let gpus = 0;
+    for (const { current } of this.table.values()) {
+      if (current.machine === machine && holdsGpus(current)) gpus += current.gpus;
+    }
+    return gpus;
+  }
+
+  /** The open loan of one of a job's tasks; of a gang, whichever task is asked for. */
+  openLoanOf(lender: string, index: number): LoanEntry | undefined {
+    for (const entry of this.open()) {
+      const { lender: of, tasks } = entry.current;
+      if (of === lender && tasks.some((task) => task.index === index)) return entry;
+    }
+    return undefined;
+  }
+
+  /** When a job lent last, in ms of the time of day; null: never, as far as is stored. */
+  lentAtMs(lender: string): number | null {
+    let latest: number | null = null;
+    for (const { current } of this.table.values()) {
+      if (current.lender !== lender || current.state === 'cancelled') continue;
+      latest = Math.max(latest ?? 0, current.grantedMs);
+    }
+    return latest;
+  }
+
+  /** Removes what has been over for so long. */
+  removeEnded(keepMs: number): void {
+    const nowMs = this.options.nowMs();
+    for (const entry of this.table.values()) {
+      const { current } = entry;
+      if (!isOpen(current) && nowMs - current.changedMs > keepMs) this.table.remove(entry);
+    }
+  }
+
+  /** Grants go with the leader's most urgent writes: the borrower waits for them. */
+  dueWrites(): OwnedWrite[] {
+    return this.table.dueWrites().map((write) => {
+      const entry = this.table.get(write.key.slice(LOAN_PREFIX.length));
+      const urgent = entry !== undefined && !this.table.isStored(entry) && isGrant(entry);
+      return urgent ? { ...write, urgent } : write;
+    });
+  }
+}
--- /dev/null
+++ b/src/lending/way-back.ts
@@ -0,0 +1,30 @@
+/** How long GPUs take to come back once they are recalled: measured, or what a boot takes. */
+
+import type { TermView } from '../subsystems/subsystem.js';
+import { covering, remember } from '../subsystems/samples.js';
+
+/** What the protocol leads to expect of slow boots, as a share of the nominal time. */
+const SLOW_BOOT = 1.6;
+/** Report intervals until a stop is told, carried out and heard of, and a start likewise. */
+const COMMAND_REPORTS = 4;
+
+export class WayBackTimes {
+  private readonly samples: number[] = [];
+
+  constructor(private readonly view: TermView) {}
+
+  note(seconds: number): void {
+    remember(this.samples, seconds);
+  }
+
+  /** Seconds that cover most recalls. */
+  get seconds(): number {
+    const bootS = Math.max(0, ...[...this.view.types().values()].map((type) => type.bootS));
+    return covering(this.samples, bootS * SLOW_BOOT + this.commandS);
+  }
+
+  /** Seconds from a place being there until the task was told to start and has shown itself. */
+  get commandS(): number {
+    return this.view.settings.workers.report_s * COMMAND_REPORTS;
+  }
+}
--- a/src/subsystems/active-subsystems.ts
+++ b/src/subsystems/active-subsystems.ts
@@ -3,7 +3,18 @@
 import type { JobSpec } from '../jobs/types.js';
 import type { Log } from '../log.js';
 import type { FreeCapacity } from '../scheduler/place.js';
-import type { OwnedWrite, StoredRent, Subsystem, SubsystemTerm, TermView } from './subsystem.js';
+import type {
+  AttemptView,
+  Eviction,
+  EvictionRules,
+  EvictionVictim,
+  LiveJobView,
+  OwnedWrite,
+  StoredRent,
+  Subsystem,
+  SubsystemTerm,
+  TermView,
+} from './subsystem.js';
 
 interface Active {
   name: string;
@@ -22,13 +33,18 @@
  */
 export class ActiveSubsystems {
   private readonly active: Active[] = [];
+  /** Those that have something to say of evictions. */
+  private readonly evictionRules: { name: string; rules: EvictionRules }[] = [];
 
   constructor(private readonly log: Log | null = null) {}
 
   begin(subsystems: readonly Subsystem[], view: (subsystem: Subsystem) => TermView): void {
     for (const subsystem of subsystems) {
       const term = this.guarded(subsystem.name, null, () => subsystem.beginTerm(view(subsystem)));
-      if (term !== null) this.active.push({ name: subsystem.name, term });
+      if (term === null) continue;
+      this.active.push({ name: subsystem.name, term });
+      const rules = this.guarded(subsystem.name, undefined, () => term.evictions);
+      if (rules !== undefined) this.evictionRules.push({ name: subsystem.name, rules });
     }
   }
 
@@ -72,6 +88,29 @@
     return sum;
   }
 
+  /** How much worse it is to stop a task than by its lost work, in shares of the most; 0 without rules. */
+  evictionHarm(borrower: LiveJobView, victim: EvictionVictim, saves: boolean): number {
+    let sum = 0;
+    for (const { name, rules } of this.evictionRules) {
+      sum += this.guarded(name, 0, () => rules.harm(borrower, victim, saves));
+    }
+    return sum;
+  }
+
+  isLeaving(attempt: AttemptView): boolean {
+    return this.evictionRules.some(({ name, rules }) =>
+      this.guarded(name, false, () => rules.isLeaving(attempt)),
+    );
+  }
+
+  /** Carries an eviction out, unless a subsystem does so itself. */
+  evict(eviction: Eviction): void {
+    const taken = this.evictionRules.some(({ name, rules }) =>
+      this.guarded(name, false, () => rules.takesOver(eviction)),
+    );
+    if (!taken) eviction.carryOut();
+  }
+
   dueWrites(): NamedWrite[] {
     return this.active.flatMap(({ name, term }) =>
       this.guarded(name, [], () => term.dueWrites()).map((write) => ({ subsystem: name, write })),
--- /dev/null
+++ b/src/subsystems/record-table.ts
@@ -0,0 +1,190 @@
+/** Records of a subsystem in a term: what the store holds of them, and the changes on their way into it. */
+
+import type { OwnedRecord, OwnedWrite } from './subsystem.js';
+
+/** Changes that are offered to the store at a time: no transaction takes more. */
+const WRITES_AT_ONCE = 64;
+
+/** How values of one kind are kept in the store. */
+export interface RecordForm<T> {
+  /** Keys of this kind begin with it; what follows it names the value and never changes. */
+  readonly prefix: string;
+  idOf(value: T): string;
+  encode(value: T): unknown;
+  /** Null: a record of another form, which is left alone. */
+  decode(stored: unknown): T | null;
+}
+
+export interface TableEntry<T> {
+  readonly id: string;
+  /** As the store holds it; null: not stored yet. What leaves the controller rests on this alone. */
+  stored: T | null;
+  /** Revision of its record; 0: there is none. */
+  revision: number;
+  /** As it is once all changes are stored. */
+  current: T;
+}
+
+export interface RecordTableOptions<T> {
+  /** Changes that go first, before all others. */
+  isUrgent: (entry: TableEntry<T>) => boolean;
+  /** Something in the table has changed. */
+  onChange?: () => void;
+  /** The store holds the entry's latest change. */
+  onStored?: (entry: TableEntry<T>) => void;
+}
+
+/**
+ * Every change is one guarded commit. Changes that come while one is on its way go out together with the
+ * next. A commit that was not answered is read back; a change that it shows not to be carried out is
+ * tried again on what the store holds.
+ */
+export class RecordTable<T> {
+  private readonly entries = new Map<string, TableEntry<T>>();
+  /** Ids with changes that are not stored, in the order in which they came. */
+  private readonly unstored = new Set<string>();
+  /** Ids whose records are to be removed. */
+  private readonly removing = new Set<string>();
+
+  constructor(
+    private readonly form: RecordForm<T>,
+    private readonly options: RecordTableOptions<T>,
+  ) {}
+
+  /** Takes in records that are newer than what is known: a commit of this term that was carried out late. */
+  reconcile(records: ReadonlyMap<string, OwnedRecord>): void {
+    const { prefix } = this.form;
+    for (const [key, { value, revision }] of records) {
+      if (!key.startsWith(prefix)) continue;
+      const id = key.slice(prefix.length);
+      const known = this.entries.get(id);
+      if (known !== undefined && known.revision >= revision) continue;
+      const decoded = this.form.decode(value);
+      if (decoded !== null && this.form.idOf(decoded) === id) this.adopt(decoded, revision);
+    }
+  }
+
+  private adopt(value: T, revision: number): void {
+    const id = this.form.idOf(value);
+    this.entries.set(id, { id, stored: value, revision, current: value });
+    this.unstored.delete(id);
+    this.options.onChange?.();
+  }
+
+  get size(): number {
+    return this.entries.size;
+  }
+
+  values(): IterableIterator<TableEntry<T>> {
+    return this.entries.values();
+  }
+
+  get(id: string): TableEntry<T> | undefined {
+    return this.entries.get(id);
+  }
+
+  /** A new value, or the entry that has its name already. */
+  add(value: T): TableEntry<T> {
+    const id = this.form.idOf(value);
+    const known = this.entries.get(id);
+    if (known !== undefined) return known;
+    const entry: TableEntry<T> = { id, stored: null, revision: 0, current: value };
+    this.entries.set(id, entry);
+    this.unstored.add(id);
+    this.options.onChange?.();
+    return entry;
+  }
+
+  /** Changes a value; the change is stored later. */
+  change(entry: TableEntry<T>, value: T): void {
+    entry.current = value;
+    this.unstored.add(entry.id);
+    this.options.onChange?.();
+  }
+
+  isStored(entry: TableEntry<T>): boolean {
+    return !this.unstored.has(entry.id);
+  }
+
+  /** Its record was removed. */
+  removed(id: string): void {
+    this.entries.delete(id);
+    this.unstored.delete(id);
+    this.removing.delete(id);
+    this.options.onChange?.();
+  }
+
+  /** Its record goes once its latest change is stored. */
+  remove(entry: TableEntry<T>): void {
+    this.removing.add(entry.id);
+  }
+
+  /** The next changes to store, urgent ones first, removals last. */
+  dueWrites(): OwnedWrite[] {
+    const urgent: TableEntry<T>[] = [];
+    const others: TableEntry<T>[] = [];
+    for (const id of this.unstored) {
+      const entry = this.entries.get(id)!;
+      (this.options.isUrgent(entry) ? urgent : others).push(entry);
+      if (urgent.length >= WRITES_AT_ONCE) break;
+    }
+    const puts = [...urgent, ...others].slice(0, WRITES_AT_ONCE).map((entry) => this.put(entry));
+    if (puts.length >= WRITES_AT_ONCE) return puts;
+    const removals = [...this.removing].flatMap((id) => this.removal(id));
+    return [...puts, ...removals.slice(0, WRITES_AT_ONCE - puts.length)];
+  }
+
+  private put(entry: TableEntry<T>): OwnedWrite {
+    const value = entry.current;
+    return {
+      key: this.form.prefix + entry.id,
+      revision: entry.revision,
+      value: this.form.encode(value),
+      also: [],
+      stored: (at) => this.stored(entry, value, at),
+      reread: (record) => this.reread(entry, value, record),
+    };
+  }
+
+  private removal(id: string): OwnedWrite[] {
+    const entry = this.entries.get(id);
+    if (entry === undefined || !this.isStored(entry)) return [];
+    return [
+      {
+        key: this.form.prefix + id,
+        revision: entry.revision,
+        value: null,
+        also: [],
+        stored: () => this.removed(id),
+        reread: (record) => {
+          if (record === null) this.removed(id);
+          else entry.revision = record.revision;
+        },
+      },
+    ];
+  }
+
+  private stored(entry: TableEntry<T>, value: T, revision: number): void {
+    entry.stored = value;
+    entry.revision = revision;
+    if (entry.current !== value) return;
+    this.unstored.delete(entry.id);
+    this.options.onStored?.(entry);
+  }
+
+  private reread(entry: TableEntry<T>, sent: T, record: OwnedRecord | null): void {
+    if (record === null) {
+      entry.revision = 0;
+      return;
+    }
+    // Nothing has changed: the same change is tried again.
+    if (record.revision === entry.revision) return;
+    const value = this.form.decode(record.value);
+    if (value === null) return;
+    if (JSON.stringify(this.form.encode(value)) === JSON.stringify(this.form.encode(sent))) {
+      this.stored(entry, sent, record.revision);
+      return;
+    }
+    this.adopt(value, record.revision);
+  }
+}
--- a/src/subsystems/subsystem.ts
+++ b/src/subsystems/subsystem.ts
@@ -6,11 +6,13 @@
  */
 
 import type { Settings } from '../config/settings.js';
+import type { LiveJob } from '../jobs/live.js';
 import type { JobSpec, MachineType } from '../jobs/types.js';
 import type { Log } from '../log.js';
 import type { FreeCapacity } from '../scheduler/place.js';
 import type { RentRequest } from '../wire/cloud.js';
 import type { RentResult } from '../cloud/client.js';
+import type { Attempt } from '../workers/attempt.js';
 import type { Machine } from '../workers/machine.js';
 
 /** A record of a subsystem as the store holds it. */
@@ -33,6 +35,8 @@
 export interface OwnedWrite extends OwnedChange {
   /** Records that change in the same transaction, all or none. */
   also: readonly OwnedChange[];
+  /** It goes with the leader's most urgent writes: somebody waits for it. */
+  urgent?: boolean;
   /** Carried out, with this revision. */
   stored(revision: number): void;
   /** Refused by a guard, or not answered: this is what the store holds under `key`. */
@@ -59,6 +63,55 @@
   >
 >;
 
+/** What a subsystem may see of an open job. */
+export type LiveJobView = Readonly<
+  Pick<
+    LiveJob,
+    | 'spec'
+    | 'phase'
+    | 'cancelled'
+    | 'guaranteed'
+    | 'gang'
+    | 'done'
+    | 'finished'
+    | 'live'
+    | 'attainedS'
+    | 'holdingCount'
+    | 'pendingCount'
+    | 'unfinishedPredictedS'
+  >
+>;
+
+export type AttemptView = Readonly<Attempt>;
+
+/** A task that is to be stopped so that another one gets its place. */
+export interface EvictionVictim {
+  job: LiveJobView;
+  attempt: AttemptView;
+}
+
+/** Room that the leader has decided to make on one machine. */
+export interface Eviction {
+  machine: string;
+  /** The job whose task gets it. */
+  borrower: LiveJobView;
+  victims: readonly EvictionVictim[];
+  /** Whether those that can save may do so first. */
+  saves: boolean;
+  /** Stops the victims that are still there, if the borrower still wants the room; false: it does not. */
+  carryOut(): boolean;
+}
+
+/** What a subsystem has to say of room that is made by stopping lesser work. */
+export interface EvictionRules {
+  /** How much worse than by its lost work it is to stop a task, from 0 to 1. It forbids nothing. */
+  harm(borrower: LiveJobView, victim: EvictionVictim, saves: boolean): number;
+  /** Whether it is about to be stopped by an eviction that this subsystem has taken over. */
+  isLeaving(attempt: AttemptView): boolean;
+  /** True: the subsystem calls `carryOut` itself, soon. */
+  takesOver(eviction: Eviction): boolean;
+}
+
 /** What a team's tasks use. */
 export interface TeamUsage {
   cores: number;
@@ -89,6 +142,15 @@
   /** Whether the cloud has just had no ordinary machine of this type in this zone. */
   isShort(type: string, zone: string): boolean;
   spec(job: string): JobSpec | null;
+  /** An open job; undefined: it is over, or not known. */
+  job(id: string): LiveJobView | undefined;
+  jobs(): Iterable<LiveJobView>;
+  /** Time of day in ms by which a job has to be done for all deadlines after it; Infinity: none. */
+  latestEndMs(job: string): number;
+  /** Moves a replica to a free place that has its image; false: there is none now, or too many move. */
+  moveReplica(job: string, index: number, machine: string): boolean;
+  /** Ends an attempt that was told to stop, or is saving, without waiting for it any longer. */
+  endStopped(attempt: AttemptView): void;
   /** What is free after the latest pass of placing. */
   rooms(): readonly FreeCapacity[];
   /** What a team's tasks used at the latest pass. */
@@ -126,6 +188,8 @@
   /** What is to be stored, the most urgent first. It goes after all writes of the leader itself. */
   dueWrites(): OwnedWrite[];
   figures(): Record<string, number | string>;
+  /** Missing: it has nothing to say of evictions. */
+  readonly evictions?: EvictionRules;
   stop(): void;
 }
 
--- a/src/warm-pools/lead-times.ts
+++ b/src/warm-pools/lead-times.ts
@@ -2,14 +2,9 @@
 
 import * as v from 'valibot';
 import type { MachineType } from '../jobs/types.js';
+import { covering, remember } from '../subsystems/samples.js';
 import type { OwnedRecord, OwnedWrite } from '../subsystems/subsystem.js';
 
-/** Samples kept of each kind, the latest ones. */
-const SAMPLES = 24;
-/** Fewer than this are mixed with what the protocol leads to expect. */
-const FEW_SAMPLES = 6;
-/** The share of cases that a lead time covers. */
-const COVERED = 0.9;
 /** What the protocol leads to expect of slow cases: boots, and fetches by the nominal rate. */
 const SLOW_BOOT = 1.6;
 const SLOW_FETCH = 1.35;
@@ -30,20 +25,6 @@
 const list = v.array(v.pipe(v.number(), v.finite(), v.minValue(0)));
 const record = v.object({ b: list, l: v.array(v.tuple([v.string(), list])) });
 
-/** The value that so large a share of the samples does not exceed. */
-export function quantile(samples: readonly number[], share: number): number {
-  const sorted = [...samples].sort((a, b) => a - b);
-  return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? 0;
-}
-
-/** What covers most cases; few samples do not outweigh what is expected of the slow ones. */
-function covering(samples: readonly number[], expectedS: number): number {
-  if (samples.length === 0) return expectedS;
-  const measured = quantile(samples, COVERED);
-  if (samples.length >= FEW_SAMPLES) return measured;
-  return Math.max(measured, expectedS);
-}
-
 /** Measured times by machine type and zone. */
 export class LeadTimes {
   private readonly byPlace = new Map<string, Samples>();
@@ -123,8 +104,3 @@
 }
 
 const placeKey = (type: string, zone: string): string => `${LEAD_PREFIX}${type}/${zone}`;
-
-function remember(samples: number[], seconds: number): void {
-  samples.push(Math.round(seconds * 1000) / 1000);
-  if (samples.length > SAMPLES) samples.shift();
-}
--- /dev/null
+++ b/test/lending-helpers.ts
@@ -0,0 +1,420 @@
+/**
+ * Fixtures of the tests of lending: workers whose finite tasks make progress, save it and go on from it; a
+ * leader with lending over them; and a checker over the workers' own histories. Time moves by hand.
+ */
+import assert from 'node:assert/strict';
+import type { JobSpec } from '../src/jobs/types.js';
+import { LENDING, Lending } from '../src/lending/lending.js';
+import { toLendingConfig } from '../src/lending/declaration.js';
+import { holdsGpus, isOpen, LOAN_PREFIX, decodeLoan, type Loan } from '../src/lending/loan.js';
+import type { Leader } from '../src/leader/leader.js';
+import type { Subsystem } from '../src/subsystems/subsystem.js';
+import * as records from '../src/state/records.js';
+import type { TaskReport } from '../src/wire/workers.js';
+import { settings } from './helpers.js';
+import { Fleet, Worker, World } from './meeting-helpers.js';
+
+export const MACHINE_GPUS = 8;
+const { lease_s: LEASE_S, report_s: REPORT_S } = settings().workers;
+
+/** What the stand-ins know of a job beyond what its owner says. */
+export interface Work {
+  spec: JobSpec;
+  /** Seconds that each task takes in truth; Infinity: a service. */
+  workS: number;
+  submittedAt: number;
+  /** When its last task was done; null: it is not. */
+  doneAt: number | null;
+  cancelled: boolean;
+}
+
+/** Progress of finite tasks, which outlives their machines where it was saved. */
+export class BatchFleet extends Fleet {
+  readonly work = new Map<string, Work>();
+  /** Seconds of work that are saved, by `job/index`. */
+  readonly savedS = new Map<string, number>();
+  readonly doneTasks = new Set<string>();
+  /** Seconds of work that were done more than once. */
+  repeatedS = 0;
+  /** Machines that were taken away for good, and when. */
+  readonly goneAt = new Map<string, number>();
+  /** How saving goes. */
+  saving: 'works' | 'never ends' | 'fails' = 'works';
+
+  protected override makeWorker(id: string, zone: string): Worker {
+    return new BatchWorker(id, this, zone);
+  }
+
+  /** The machine is gone from one moment to the next. */
+  kill(id: string): void {
+    (this.workers.get(id) as BatchWorker | undefined)?.loseAll();
+    this.workers.delete(id);
+    this.goneAt.set(id, this.now);
+  }
+
+  done(job: string, index: number): void {
+    const work = this.work.get(job)!;
+    this.doneTasks.add(`${job}/${index}`);
+    const { kind, tasks } = work.spec;
+    const over =
+      kind === 'gang' || [...Array(tasks).keys()].every((i) => this.doneTasks.has(`${job}/${i}`));
+    if (over) work.doneAt ??= this.now;
+  }
+}
+
+interface Run {
+  progressS: number;
+  /** When it will have saved; null: it is not saving. */
+  savedAt: number | null;
+}
+
+export class BatchWorker extends Worker {
+  private readonly runs = new Map<TaskReport, Run>();
+  private readonly batch: BatchFleet;
+
+  constructor(id: string, fleet: BatchFleet, zone: string) {
+    super(id, fleet, zone);
+    this.batch = fleet;
+  }
+
+  override tick(): void {
+    for (const task of this.tasks.values()) this.proceed(task);
+    const before = [...this.tasks.values()];
+    super.tick();
+    if (this.tasks.size > 0) return;
+    // Its lease has run out: what was not saved is lost.
+    for (const task of before) this.fallBack(task);
+  }
+
+  loseAll(): void {
+    for (const task of this.tasks.values()) this.fallBack(task);
+    this.tasks.clear();
+  }
+
+  private proceed(task: TaskReport): void {
+    const work = this.batch.work.get(task.job);
+    if (work === undefined || task.state === 'ended') return;
+    const run = this.runs.get(task) ?? { progressS: this.saved(task), savedAt: null };
+    this.runs.set(task, run);
+    if (task.state === 'running' && work.workS < Infinity) {
+      run.progressS += REPORT_S;
+      if (run.progressS < work.workS) return;
+      this.end(task, 'done');
+      this.batch.done(task.job, task.index);
+    } else if (run.savedAt !== null && this.fleet.now >= run.savedAt) this.finishSaving(task, run);
+  }
+
+  private finishSaving(task: TaskReport, run: Run): void {
+    if (this.batch.saving === 'fails') {
+      this.fallBack(task);
+    } else {
+      this.batch.savedS.set(`${task.job}/${task.index}`, run.progressS);
+      task.saved = true;
+    }
+    this.end(task, 'stopped');
+  }
+
+  private saved({ job, index }: TaskReport): number {
+    return this.batch.savedS.get(`${job}/${index}`) ?? 0;
+  }
+
+  /** To the last checkpoint, which is at a multiple of the interval. */
+  private fallBack(task: TaskReport): void {
+    const run = this.runs.get(task);
+    const work = this.batch.work.get(task.job);
+    if (run === undefined || work === undefined || work.workS === Infinity) return;
+    this.runs.delete(task);
+    if (task.state === 'ended') return;
+    const { checkpointS } = work.spec;
+    const kept = checkpointS > 0 ? Math.floor(run.progressS / checkpointS) * checkpointS : 0;
+    const savedS = Math.max(kept, this.saved(task));
+    this.batch.repeatedS += run.progressS - savedS;
+    this.batch.savedS.set(`${task.job}/${task.index}`, savedS);
+  }
+
+  protected override stop(task: TaskReport, graceS: number): void {
+    const work = this.batch.work.get(task.job);
+    if (task.state === 'ended') return;
+    const saves = work !== undefined && work.spec.checkpointS > 0 && graceS >= work.spec.saveS;
+    if (task.state === 'saving' && graceS > 0) return;
+    if (task.state === 'running' && saves) {
+      task.state = 'saving';
+      const run = this.runs.get(task) ?? { progressS: this.saved(task), savedAt: null };
+      run.savedAt =
+        this.batch.saving === 'never ends' ? Infinity : this.fleet.now + work.spec.saveS;
+      this.runs.set(task, run);
+      return;
+    }
+    this.fallBack(task);
+    this.end(task, 'stopped');
+  }
+}
+
+/** Two controllers after another share this store; `lending: false`: a version before, or switched off. */
+export interface LendingWorldOptions {
+  gpusMax?: number;
+  recallsAtOnce?: number;
+  lending?: boolean;
+  keepEndedS?: number;
+}
+
+/** A point between two steps of a loan. */
+export const POINTS = [
+  'stored, not told',
+  'told, not saved',
+  'saved, not lent',
+  'lent',
+  'recalled, not moved',
+  'moved, not settled',
+  'returned, not resumed',
+] as const;
+
+export type Point = (typeof POINTS)[number];
+
+export const LENDER = 'wk-000001';
+export const BORROWER = 'wk-000002';
+/** A service whose machine is free for the borrower's replica later. */
+export const OTHER = 'wk-000003';
+const LENT_ON = 'm1';
+/** Until there is a machine for the borrower's replica. */
+const EARLY_S = 20;
+
+interface LeaderParts {
+  pass(): void;
+  store: { flush(): Promise<boolean> };
+}
+
+export class LendingWorld extends World {
+  readonly batch: BatchFleet;
+  private readonly list: Subsystem[];
+  /** Loans as they were in the store at any time, by key. */
+  readonly seen = new Map<string, Loan>();
+  /** What the checker found wrong. */
+  readonly wrong: string[] = [];
+
+  constructor(options: LendingWorldOptions = {}) {
+    const { gpusMax = 100, recallsAtOnce = 4, lending = true, keepEndedS = 3600 } = options;
+    const list = lending ? [makeLending(recallsAtOnce, keepEndedS)] : [];
+    const fleet = new BatchFleet(LEASE_S);
+    super(gpusMax, { subsystems: list, fleet });
+    this.batch = fleet;
+    this.list = list;
+    const team = { name: 'b', cores: 0, coresMax: 0, gpus: 0, gpusMax };
+    this.settings.teams.set('b', team);
+  }
+
+  /** Leaders from now on are of a version before lending, or have it on again. */
+  switchLending(on: boolean): void {
+    this.list.splice(0, this.list.length, ...(on ? [makeLending(4, 3600)] : []));
+  }
+
+  /** A finite job; `workS`: what a task takes in truth. */
+  batchJob(workS: number, over: Partial<JobSpec> = {}): void {
+    this.submit(workS, {
+      ...{ team: 'b', class: 'batch', priority: 3, gpus: 8, cores: 8, estimateS: workS },
+      ...{ checkpointS: 1, saveS: 0.4, image: 'batch', ...over },
+    });
+  }
+
+  service(over: Partial<JobSpec> = {}): void {
+    this.submit(Infinity, {
+      ...{ kind: 'service', class: 'tutor', priority: 0, gpus: 8, cores: 8, image: 'tutor' },
+      ...over,
+    });
+  }
+
+  private submit(workS: number, over: Partial<JobSpec>): void {
+    this.job(over);
+    const spec = this.replica.jobs.get(over.id!)!.spec;
+    const submittedAt = this.now;
+    this.batch.work.set(spec.id, { spec, workS, submittedAt, doneAt: null, cancelled: false });
+  }
+
+  override cancel(id: string): void {
+    super.cancel(id);
+    this.batch.work.get(id)!.cancelled = true;
+  }
+
+  /** The loans in the store. */
+  loans(): Loan[] {
+    const prefix = records.subsystemPrefix(LENDING) + LOAN_PREFIX;
+    const keys = this.store.keys().filter((key) => key.startsWith(prefix));
+    return keys.map((key) => decodeLoan(this.store.value(key))!);
+  }
+
+  states(): string {
+    return this.loans().map(({ state }) => state).sort().join(' '); // prettier-ignore
+  }
+
+  taskStates(job: string): string[] {
+    return [...this.fleet.workers.values()].flatMap((w) =>
+      [...w.tasks.values()].filter((t) => t.job === job).map((t) => t.state),
+    );
+  }
+
+  hosts(job: string): string[] {
+    const on = [...this.fleet.workers.values()].filter((w) => w.running(job).length > 0);
+    return on.map((w) => w.id);
+  }
+
+  /** One report interval, with a look between each two of its steps. True: stopped by `is`. */
+  async step(is: () => boolean = () => false): Promise<boolean> {
+    this.fleet.now += REPORT_S;
+    for (const w of this.fleet.workers.values()) w.tick();
+    if (this.look(is)) return true;
+    for (const w of [...this.fleet.workers.values()]) {
+      this.checkin(w);
+      if (this.look(is)) return true;
+    }
+    this.pass();
+    if (this.look(is)) return true;
+    await this.flush();
+    if (this.look(is)) return true;
+    this.leader.tick();
+    return this.look(is);
+  }
+
+  override async run(seconds: number): Promise<void> {
+    for (let left = seconds; left > 1e-9; left -= REPORT_S) await this.step();
+  }
+
+  async runUntil(what: string, is: () => boolean, mostS = 60): Promise<void> {
+    const end = this.now + mostS;
+    while (!(await this.step(is))) {
+      assert.ok(this.now < end, `${what}: ${this.states()}; ${JSON.stringify(this.loans())}`);
+    }
+  }
+
+  private look(is: () => boolean): boolean {
+    this.check();
+    return is();
+  }
+
+  /** What has to hold at any moment, by the workers and the store alone. */
+  private check(): void {
+    for (const loan of this.loans())
+      this.seen.set(`${loan.lender}/${loan.tasks[0]!.attempt}`, loan);
+    const lent = new Map<string, number>();
+    for (const loan of this.loans().filter(holdsGpus)) {
+      lent.set(loan.machine, (lent.get(loan.machine) ?? 0) + loan.gpus);
+    }
+    for (const [machine, gpus] of lent) {
+      if (gpus > MACHINE_GPUS) this.note(`${machine}: ${gpus} GPUs are lent`);
+    }
+    const teams = new Map<string, number>();
+    for (const w of this.fleet.workers.values()) {
+      let used = 0;
+      for (const t of w.tasks.values()) {
+        const spec = this.batch.work.get(t.job)?.spec;
+        if (t.state === 'ended' || spec === undefined) continue;
+        used += spec.gpus;
+        teams.set(spec.team, (teams.get(spec.team) ?? 0) + spec.gpus);
+      }
+      if (used > MACHINE_GPUS) this.note(`${w.id}: ${used} GPUs are used`);
+    }
+    for (const [team, gpus] of teams) {
+      if (gpus > (this.settings.teams.get(team)?.gpusMax ?? 0)) this.note(`${team} uses ${gpus}`);
+    }
+  }
+
+  private note(what: string): void {
+    if (!this.wrong.includes(what)) this.wrong.push(what);
+  }
+
+  /** A leader that was replaced goes on where it was, for so many seconds, as one that was frozen. */
+  async wake(old: Leader, seconds: number): Promise<void> {
+    const parts = old as unknown as LeaderParts;
+    for (let left = seconds; left > 0; left -= REPORT_S) {
+      parts.pass();
+      for (let i = 0; i < 5; i++) await parts.store.flush();
+      old.tick();
+      for (const m of old.term.machines.values()) this.lateCommands(old, m.id);
+    }
+  }
+
+  private lateCommands(old: Leader, id: string): void {
+    const m = old.term.machines.get(id)!;
+    const commands = m.commands(this.now, (a) => old.term.mayStart(a), true);
+    this.fleet.workers.get(id)?.direct(m.token, m.session, commands);
+  }
+
+  /**
+   * A loan that has come to this point. The lender has a machine of its own, which serving borrows; later
+   * another service leaves a machine that the borrower's replica may use, and the lender may not.
+   */
+  async playTo(point: Point): Promise<void> {
+    this.fleet.add(LENT_ON);
+    this.fleet.add('m2', 'z2');
+    this.fleet.add('m3', 'z2');
+    await this.run(1);
+    this.service({ id: OTHER, zone: 'z2' });
+    this.batchJob(8, { id: LENDER, zone: 'z1', deadlineS: 60 });
+    await this.run(2);
+    this.service({ id: BORROWER, tasks: 2 });
+    await this.runUntil(point, () => this.isAt(point, 'before the recall'));
+    if (POINTS.indexOf(point) < POINTS.indexOf('recalled, not moved')) return;
+    this.cancel(OTHER);
+    await this.runUntil(point, () => this.isAt(point, 'to the end'), 80);
+  }
+
+  private isAt(point: Point, part: 'before the recall' | 'to the end'): boolean {
+    const [loan] = this.loans();
+    if (loan === undefined) return false;
+    const lender = this.taskStates(LENDER);
+    const there = this.hosts(BORROWER).includes(LENT_ON);
+    switch (point) {
+      case 'stored, not told':
+        return loan.state === 'requested' && lender.includes('running');
+      case 'told, not saved':
+        return lender.includes('saving');
+      case 'saved, not lent':
+        return (loan.state === 'requested' || loan.state === 'saving') && lender.includes('ended');
+      case 'recalled, not moved':
+        if (part === 'to the end') return loan.state === 'recalled' && there;
+        break;
+      case 'moved, not settled':
+        if (part === 'to the end') return loan.state === 'recalled' && !there;
+        break;
+      case 'returned, not resumed':
+        if (part === 'to the end') return loan.state === 'returned';
+        break;
+      default:
+    }
+    return loan.state === 'lent' && there;
+  }
+
+  /** All troubles are over: what was lent is closed, and the lender was done in time. */
+  async settle({ lateBy = 0, seconds = 80 } = {}): Promise<void> {
+    const other = this.batch.work.get(OTHER);
+    if (other?.cancelled === false) {
+      await this.run(EARLY_S);
+      this.cancel(OTHER);
+    }
+    await this.run(seconds);
+    this.checkRules();
+    const open = this.loans().filter(isOpen);
+    assert.deepEqual(open, [], 'every loan is closed');
+    for (const { spec, workS, submittedAt, doneAt, cancelled } of this.batch.work.values()) {
+      if (workS === Infinity || cancelled || spec.deadlineS === null) continue;
+      assert.ok(doneAt !== null, `${spec.id} is done: ${JSON.stringify(this.loans())}`);
+      const waived = this.loans().some((l) => l.lender === spec.id && l.state === 'waived');
+      const late = doneAt - submittedAt - spec.deadlineS;
+      assert.ok(late <= lateBy || waived, `${spec.id} is late by ${late} s`);
+    }
+  }
+
+  checkRules(): void {
+    assert.deepEqual(this.fleet.broken, []);
+    assert.deepEqual(this.wrong, []);
+  }
+}
+
+function makeLending(recallsAtOnce: number, keepEndedS: number): Lending {
+  const table = {
+    max_open: 500,
+    recalls_at_once: recallsAtOnce,
+    least_margin: 1,
+    keep_ended_s: keepEndedS,
+  };
+  return new Lending(toLendingConfig(table));
+}
--- a/test/meeting-helpers.ts
+++ b/test/meeting-helpers.ts
@@ -208,7 +208,7 @@
       const key = attemptKey(c.job, c.index, c.attempt);
       const task = this.tasks.get(key);
       if (c.op === 'forget' && task?.state === 'ended') this.tasks.delete(key);
-      if (c.op === 'stop' && task !== undefined) this.end(task, 'stopped');
+      if (c.op === 'stop' && task !== undefined) this.stop(task, c.graceS);
       if (c.op !== 'start' || task !== undefined) continue;
       this.fleet.started(this, c);
       const { job, index, attempt } = c;
@@ -216,6 +216,11 @@
     }
   }
 
+  /** Nothing is saved here. */
+  protected stop(task: TaskReport, _graceS: number): void {
+    this.end(task, 'stopped');
+  }
+
   end(task: TaskReport, cause: TaskReport['cause']): void {
     if (task.state === 'ended') return;
     task.state = 'ended';
@@ -239,11 +244,15 @@
   constructor(readonly leaseS: number) {}
 
   add(id: string, zone = 'z1'): Worker {
-    const worker = new Worker(id, this, zone);
+    const worker = this.makeWorker(id, zone);
     this.workers.set(id, worker);
     return worker;
   }
 
+  protected makeWorker(id: string, zone: string): Worker {
+    return new Worker(id, this, zone);
+  }
+
   started(on: Worker, c: Command): void {
     const name = `${c.job}/${c.index}`;
     this.starts.set(name, (this.starts.get(name) ?? 0) + 1);
@@ -272,11 +281,18 @@
   direct: { push(): void };
 }
 
+export interface WorldExtras {
+  subsystems?: readonly Subsystem[];
+  cloud?: CloudClient;
+  /** Workers that do more than the usual ones. */
+  fleet?: Fleet;
+}
+
 /** A leader over a store and a fleet. `takeOver` ends it, and another one begins. */
 export class World {
   readonly settings: Settings = settings();
   readonly store = new MemoryStore();
-  readonly fleet = new Fleet(this.settings.workers.lease_s);
+  readonly fleet: Fleet;
   leader!: Leader;
   parts!: LeaderParts;
   replica!: Replica;
@@ -289,8 +305,9 @@
 
   constructor(
     gpusMax = 100,
-    private readonly extras: { subsystems?: readonly Subsystem[]; cloud?: CloudClient } = {},
+    private readonly extras: WorldExtras = {},
   ) {
+    this.fleet = extras.fleet ?? new Fleet(this.settings.workers.lease_s);
     this.settings.teams.set('t', { name: 't', cores: 0, coresMax: 0, gpus: 0, gpusMax });
     this.store.put(records.TYPES, [g8]);
     this.takeOver();
--- a/test/warm-slots.test.ts
+++ b/test/warm-slots.test.ts
@@ -5,7 +5,8 @@
 import { Bill, billDays, slotTotals } from '../src/warm-pools/bill.js';
 import { BurstClock } from '../src/warm-pools/burst-clock.js';
 import { BurstSchedule, ScheduleError } from '../src/warm-pools/burst-schedule.js';
-import { LeadTimes, quantile } from '../src/warm-pools/lead-times.js';
+import { quantile } from '../src/subsystems/samples.js';
+import { LeadTimes } from '../src/warm-pools/lead-times.js';
 import {
   bestRoom,
   cheapestPlace,
