--- a/src/leader/leader.ts
+++ b/src/leader/leader.ts
@@ -101,7 +101,7 @@
       term,
       capacity,
       nudgeStore: () => store.nudge(),
-      moveReplica: (attempt) => scheduler.moveReplica(attempt, capacity.rooms),
+      moveReplica: (attempt, mayFetch) => scheduler.moveReplica(attempt, capacity.rooms, mayFetch),
     });
   }
 
--- a/src/leader/moves.ts
+++ b/src/leader/moves.ts
@@ -18,11 +18,15 @@
 const STEADY_LEASES = 4;
 /** For how many report intervals a place is kept for a replica on its way. */
 const BOOKED_REPORTS = 2;
+/** The same for one that is moved by itself: it must not come back to where it was asked to leave. */
+const BOOKED_ALONE_REPORTS = 6;
 
 /** Where a replica may be moved to. */
 export interface MoveSearch {
   rooms: FreeCapacity[];
   may: (spec: JobSpec, room: FreeCapacity) => boolean;
+  /** Whether its image may have to be fetched there. */
+  mayFetch: boolean;
   weights: Weights;
 }
 
@@ -116,10 +120,9 @@
     return m;
   }
   /**
-   * Moves one replica to a free place that has its image; false: there is none now, or too many of its
-   * class have moved. It is stopped before it starts there: a task must not be on two machines.
+   * Moves one replica to a free place; false: there is none now, or too many of its class have moved. It is stopped before it starts there: a task must not be on two machines.
    */
-  moveReplica(attempt: Attempt, { rooms, may, weights }: MoveSearch): boolean {
+  moveReplica(attempt: Attempt, { rooms, may, mayFetch, weights }: MoveSearch): boolean {
     const job = this.term.jobs.get(attempt.job);
     if (job === undefined || job.spec.kind !== 'service' || attempt.stop !== null) return false;
     const { spec } = job;
@@ -130,19 +133,21 @@
     const zones = this.zonesOf(job);
     const here = this.term.machines.get(attempt.machine)?.zone;
     if (here !== undefined) zones.set(here, (zones.get(here) ?? 1) - 1);
-    const free = rooms.filter((r) => r.id !== attempt.machine && r.hasImage(spec.image));
+    const free = rooms.filter(
+      (r) => r.id !== attempt.machine && (mayFetch || r.hasImage(spec.image)),
+    );
     const room = bestFit(spec, free, { zones, may: (r) => may(spec, r) }, weights);
     if (room === null) return false;
-    this.move(attempt, room.id);
+    this.move(attempt, room.id, BOOKED_ALONE_REPORTS);
     return true;
   }
 
   /** Its place is kept for it: whoever else came first would cost it a fetch. */
-  private move(attempt: Attempt, to: string): void {
+  private move(attempt: Attempt, to: string, bookedReports = BOOKED_REPORTS): void {
     const { now } = this.term;
     const job = this.term.jobs.get(attempt.job)!;
     this.recent.push({ at: now, class: job.spec.class });
-    const until = now + this.term.deps.settings.workers.report_s * BOOKED_REPORTS;
+    const until = now + this.term.deps.settings.workers.report_s * bookedReports;
     this.bookings.set(`${attempt.job}/${attempt.index}`, { to, until });
     this.term.stop(attempt, 0);
   }
--- a/src/leader/scheduler.ts
+++ b/src/leader/scheduler.ts
@@ -157,12 +157,12 @@
     return this.moves.vacate(this.unkept(rooms), (m) => isUsable(this.term, m), this.weights());
   }
 
-  /** Moves one replica to a free place that has its image. */
-  moveReplica(attempt: Attempt, rooms: FreeCapacity[]): boolean {
+  /** Moves one replica to a free place. */
+  moveReplica(attempt: Attempt, rooms: FreeCapacity[], mayFetch: boolean): boolean {
     const { subsystems } = this;
     const may = (spec: JobSpec, room: FreeCapacity): boolean =>
       !subsystems.any || subsystems.mayUse(spec, room);
-    return this.moves.moveReplica(attempt, { rooms, may, weights: this.weights() });
+    return this.moves.moveReplica(attempt, { rooms, may, mayFetch, weights: this.weights() });
   }
 
   private specOf(job: string): JobSpec | null {
--- a/src/leader/subsystem-view.ts
+++ b/src/leader/subsystem-view.ts
@@ -11,6 +11,7 @@
   LiveJobView,
   MachineView,
   OwnedRecord,
+  ReplicaMove,
   TeamUsage,
   TermView,
 } from '../subsystems/subsystem.js';
@@ -22,7 +23,7 @@
   term: Term;
   capacity: CapacityManager;
   nudgeStore: () => void;
-  moveReplica: (attempt: Attempt) => boolean;
+  moveReplica: (attempt: Attempt, mayFetch: boolean) => boolean;
 }
 
 export class SubsystemView implements TermView {
@@ -97,10 +98,10 @@
     return job === undefined ? Infinity : this.outlooks.of(job.facts).latestEndMs;
   }
 
-  moveReplica(job: string, index: number, machine: string): boolean {
+  moveReplica({ job, index, from, mayFetch }: ReplicaMove): boolean {
     const attempts = this.options.term.jobs.get(job)?.live.get(index) ?? [];
-    const attempt = attempts.find((a) => a.machine === machine && holds(a));
-    return attempt !== undefined && this.options.moveReplica(attempt);
+    const attempt = attempts.find((a) => a.machine === from && holds(a));
+    return attempt !== undefined && this.options.moveReplica(attempt, mayFetch);
   }
 
   endStopped({ job, index, number }: AttemptView): void {
--- a/src/lending/lender-work.ts
+++ b/src/lending/lender-work.ts
@@ -2,7 +2,9 @@
 
 import type { EvictionVictim, LiveJobView, TermView } from '../subsystems/subsystem.js';
 import { holds } from '../workers/attempt.js';
+import { within } from '../jobs/types.js';
 import type { EstimateErrors } from './estimate-errors.js';
+import type { Loan } from './loan.js';
 import type { LenderWork } from './safety.js';
 import type { WayBackTimes } from './way-back.js';
 
@@ -55,3 +57,14 @@
     borrowerWaits,
   };
 }
+
+/** Whether the lender's team may not use more at present, so that no place would help it. */
+export function isAtLimit({ lender }: Pick<Loan, 'lender'>, view: TermView): boolean {
+  const spec = view.spec(lender);
+  const team = spec === null ? undefined : view.settings.teams.get(spec.team);
+  if (spec === null || team === undefined) return false;
+  const used = view.usage(spec.team);
+  return (
+    !within(used.gpus + spec.gpus, team.gpusMax) || !within(used.cores + spec.cores, team.coresMax)
+  );
+}
--- a/src/lending/lending-term.ts
+++ b/src/lending/lending-term.ts
@@ -40,7 +40,7 @@
     const { table, errors } = this;
     this.grants = new Grants({ view, table, config, errors, wayBack });
     this.watch = new LoanWatch({ view, table, grants: this.grants, wayBack, config });
-    this.holds = new ReturnHolds(view, table, wayBack);
+    this.holds = new ReturnHolds(view, table);
     this.evictions = this.grants;
     this.table.reconcile(view.records());
     this.holds.update();
--- a/src/lending/loan-evidence.ts
+++ b/src/lending/loan-evidence.ts
@@ -24,6 +24,8 @@
   recall: string | null;
   /** Why the promise is broken; null: it is not. */
   broken: string | null;
+  /** By how many seconds the latest return is over; 0: it is not. */
+  lateS: number;
   /** Why an open grant is given up although its lender runs; null: it is not. */
   notCarriedOut: string | null;
 }
@@ -72,6 +74,8 @@
   if (borrowerAttempts(loan, view).length > 0) return 'there';
   const job = view.job(loan.borrower);
   if (job === undefined || job.phase !== 'open') return 'away';
+  // Its lease has run out. It may be back with the replica's place; till then nothing has come back.
+  if (view.machine(loan.machine)?.state === 'silent') return 'wants';
   return job.pendingCount > 0 ? 'wants' : 'away';
 }
 
@@ -84,7 +88,7 @@
 export function seenOf(
   loan: Loan,
   view: TermView,
-): Omit<LoanEvidence, 'recall' | 'broken' | 'notCarriedOut'> {
+): Omit<LoanEvidence, 'recall' | 'broken' | 'lateS' | 'notCarriedOut'> {
   const job = view.job(loan.lender);
   const { lent, later } = lenderAttempts(loan, job);
   return {
--- a/src/lending/loan-steps.ts
+++ b/src/lending/loan-steps.ts
@@ -15,7 +15,10 @@
     case 'recalled':
       return whileLent(loan, evidence);
     case 'returned':
-      if (evidence.lenderElsewhere === 'running') return { kind: 'resumed' };
+      if (evidence.lenderElsewhere === 'running') return resumed(evidence);
+      if (evidence.lenderElsewhere === 'nowhere' && evidence.borrower === 'there') {
+        return { kind: 'recalled', reason: 'the borrower came back' };
+      }
       return brokenPromise(evidence);
     default:
       return null;
@@ -33,10 +36,10 @@
 
 function whileLent(loan: Loan, evidence: LoanEvidence): LoanEvent | null {
   const { lenderElsewhere, borrower, machineGone, recall } = evidence;
-  if (lenderElsewhere === 'running') return { kind: 'resumed' };
-  if (lenderElsewhere === 'placed') return { kind: 'returned', reason: 'the lender has a place' };
+  if (lenderElsewhere === 'running') return resumed(evidence);
+  if (lenderElsewhere === 'placed') return returned('the lender has a place', evidence);
   if (machineGone) return { kind: 'lost', reason: 'the machine is gone' };
-  if (borrower === 'away') return { kind: 'returned', reason: 'the borrower has left' };
+  if (borrower === 'away') return returned('the borrower has left', evidence);
   const broken = brokenPromise(evidence);
   if (broken !== null) return broken;
   if (loan.state === 'lent' && recall !== null) return { kind: 'recalled', reason: recall };
@@ -44,6 +47,21 @@
   return null;
 }
 
+/** What comes late is told with it. */
+function late({ lateS }: LoanEvidence): string {
+  return lateS > 0 ? `, ${Math.ceil(lateS)} s late` : '';
+}
+
+const returned = (reason: string, evidence: LoanEvidence): LoanEvent => ({
+  kind: 'returned',
+  reason: reason + late(evidence),
+});
+
+const resumed = (evidence: LoanEvidence): LoanEvent => ({
+  kind: 'resumed',
+  reason: `the lender runs again${late(evidence)}`,
+});
+
 function brokenPromise({ broken, lenderElsewhere }: LoanEvidence): LoanEvent | null {
   if (broken === null || lenderElsewhere !== 'nowhere') return null;
   return { kind: 'waived', reason: broken };
--- a/src/lending/loan-watch.ts
+++ b/src/lending/loan-watch.ts
@@ -3,6 +3,7 @@
 import type { TermView } from '../subsystems/subsystem.js';
 import type { LendingConfig } from './declaration.js';
 import type { Grants } from './grants.js';
+import { isAtLimit } from './lender-work.js';
 import { isAway, type Loan } from './loan.js';
 import { borrowerAttempts, seenOf, type LoanEvidence } from './loan-evidence.js';
 import { nextEvent } from './loan-steps.js';
@@ -15,6 +16,10 @@
 /** Saving may take so much longer than its job says, and so many leases more. */
 const SAVE_FACTOR = 1.5;
 const SAVE_LEASES = 0.5;
+/** Replicas of a class move one after the other: so many leases more are given to find a way back. */
+const GRACE_LEASES = 4;
+/** Of the time for a recall, what passes before places without the image are taken. */
+const PRESSING_SHARE = 0.5;
 
 export interface LoanWatchOptions {
   view: TermView;
@@ -26,16 +31,17 @@
 
 export class LoanWatch {
   private readonly startedAt: number;
-  /** Time of day in ms of the latest moment at which nothing could be stored; null: there was none. */
-  private outageMs: number | null = null;
+  /** Time of day in ms since when this leader has been able to bring something back. */
+  private ableFromMs: number;
 
   constructor(private readonly options: LoanWatchOptions) {
     this.startedAt = options.view.now();
+    this.ableFromMs = options.view.wallMs();
   }
 
   /** Nothing can be stored: nothing is decided. */
   noteOutage(): void {
-    this.outageMs = this.options.view.wallMs();
+    this.ableFromMs = this.options.view.wallMs();
   }
 
   look(): void {
@@ -75,6 +81,7 @@
       ...seen,
       recall: this.recallReason(loan, isDue),
       broken: this.brokenReason(loan, seen),
+      lateS: loan.dueMs === null ? 0 : Math.max(0, this.options.view.wallMs() - loan.dueMs) / 1000,
       notCarriedOut: this.untoldReason(),
     };
   }
@@ -87,27 +94,22 @@
     return isDue ? 'the latest return comes near' : null;
   }
 
+  /**
+   * A promise is given up only after a leader could act for as long as a way back takes, and found none:
+   * what is late but possible still comes back. Given up at the due time, a lender that several leaders in
+   * a row had no time for, or an outage, was without its place for good.
+   */
   private brokenReason(loan: Loan, seen: Pick<LoanEvidence, 'borrower'>): string | null {
     const { view, wayBack } = this.options;
-    if (loan.dueMs === null || view.wallMs() <= loan.dueMs) return null;
-    if (this.isOverLimit(loan)) return "the lender's team is at its limit";
-    const began = loan.dueMs - wayBack.seconds * 1000;
-    if (this.outageMs !== null && this.outageMs >= began) return 'the state service was out';
+    if (loan.dueMs === null) return null;
+    const ableMs = Math.max(loan.dueMs, this.ableFromMs);
+    const graceS = wayBack.seconds + view.settings.workers.lease_s * GRACE_LEASES;
+    if (view.wallMs() <= ableMs + graceS * 1000) return null;
+    if (isAtLimit(loan, view)) return "the lender's team is at its limit";
     if (seen.borrower === 'away') return 'the lender has no place, though the borrower has left';
     return 'no free place for the lender or the borrower';
   }
 
-  private isOverLimit(loan: Loan): boolean {
-    const { view } = this.options;
-    const spec = view.spec(loan.lender);
-    const team = spec === null ? undefined : view.settings.teams.get(spec.team);
-    if (spec === null || team === undefined) return false;
-    const used = view.usage(spec.team);
-    const over = (more: number, now: number, most: number): boolean =>
-      most > 0 && now + more > most;
-    return over(spec.gpus, used.gpus, team.gpusMax) || over(spec.cores, used.cores, team.coresMax);
-  }
-
   private untoldReason(): string | null {
     const { view } = this.options;
     const runS = view.now() - this.startedAt;
@@ -140,11 +142,21 @@
   private bringBack(loan: Loan): void {
     const { view } = this.options;
     // What the borrower misses elsewhere it would take back here: it is the more important of the two.
-    if (this.isOverLimit(loan) || view.job(loan.borrower)?.pendingCount !== 0) return;
+    if (isAtLimit(loan, view) || view.job(loan.borrower)?.pendingCount !== 0) return;
     const attempts = borrowerAttempts(loan, view);
     if (attempts.some((a) => a.stop !== null)) return;
     for (const { index } of attempts) {
-      if (view.moveReplica(loan.borrower, index, loan.machine)) return;
+      const move = { job: loan.borrower, index, from: loan.machine, mayFetch: this.presses(loan) };
+      if (view.moveReplica(move)) return;
     }
   }
+
+  /**
+   * Half of the time for the recall is over: a place where the image has to be fetched will do too. A new
+   * leader often does not know what idle machines have cached.
+   */
+  private presses({ dueMs, changedMs }: Loan): boolean {
+    const untilMs = dueMs ?? changedMs + this.options.wayBack.seconds * 1000;
+    return this.options.view.wallMs() >= changedMs + (untilMs - changedMs) * PRESSING_SHARE;
+  }
 }
--- a/src/lending/loan.ts
+++ b/src/lending/loan.ts
@@ -65,7 +65,7 @@
   | { kind: 'borrower-seen' }
   | { kind: 'recalled'; reason: string }
   | { kind: 'returned'; reason: string }
-  | { kind: 'resumed' }
+  | { kind: 'resumed'; reason: string }
   | { kind: 'lost'; reason: string }
   | { kind: 'cancelled'; reason: string }
   | { kind: 'waived'; reason: string };
@@ -82,7 +82,8 @@
   told: ['requested'],
   vacated: ['requested', 'saving'],
   'borrower-seen': ['lent', 'recalled'],
-  recalled: ['lent'],
+  // A borrower without another place may come back to what it had left.
+  recalled: ['lent', 'returned'],
   returned: ['lent', 'recalled'],
   resumed: AWAY,
   lost: ['lent', 'recalled'],
@@ -105,8 +106,6 @@
       return { ...changed, state: 'lent' };
     case 'borrower-seen':
       return { ...loan, used: true };
-    case 'resumed':
-      return { ...changed, state: 'resumed', reason: 'the lender runs again' };
     default:
       return { ...changed, state: event.kind, reason: event.reason };
   }
--- a/src/lending/return-holds.ts
+++ b/src/lending/return-holds.ts
@@ -1,14 +1,17 @@
 /** Room that came back for a lender is not taken by work that is no more important. */
 
-import type { JobSpec } from '../jobs/types.js';
-import type { FreeCapacity } from '../scheduler/place.js';
+import { fits, type JobSpec } from '../jobs/types.js';
+import { allowed, type FreeCapacity } from '../scheduler/place.js';
 import type { TermView } from '../subsystems/subsystem.js';
 import type { Loan } from './loan.js';
+import { isAtLimit } from './lender-work.js';
+import { borrowerAttempts } from './loan-evidence.js';
 import type { LoanTable } from './loan-table.js';
-import type { WayBackTimes } from './way-back.js';
 
 /** What came back is kept for so long, so that a lender that may not start keeps nobody from it. */
 const HOLD_LEASES = 2;
+/** A borrower goes where it was asked to leave only if that saves it so many leases. */
+const AVOID_LEASES = 100;
 
 interface Hold {
   lender: string;
@@ -19,18 +22,21 @@
 
 export class ReturnHolds {
   private byMachine = new Map<string, Hold[]>();
+  /** Replicas that have to leave what was recalled. */
+  private recalledBorrowers: JobSpec[] = [];
 
   constructor(
     private readonly view: TermView,
     private readonly table: LoanTable,
-    private readonly wayBack: WayBackTimes,
   ) {}
 
   /** Looks again which loans hold room. */
   update(): void {
     this.byMachine = new Map();
+    this.recalledBorrowers = [];
     for (const { current } of this.table.open()) {
       const job = this.view.job(current.lender);
+      if (current.state === 'recalled') this.noteBorrower(current);
       if (job === undefined || !this.holds(current)) continue;
       const { lender, borrower, gpus } = current;
       const hold = { lender, borrower, priority: job.spec.priority, gpus };
@@ -38,17 +44,33 @@
     }
   }
 
-  private holds({ state, changedMs, lender, tasks }: Loan): boolean {
+  private noteBorrower(loan: Loan): void {
+    const spec = this.view.spec(loan.borrower);
+    const isThere = borrowerAttempts(loan, this.view).length > 0;
+    if (spec !== null && isThere) this.recalledBorrowers.push(spec);
+  }
+
+  private holds(loan: Loan): boolean {
+    const { state, changedMs, lender, tasks } = loan;
     if (state !== 'recalled' && state !== 'returned') return false;
     const live = this.view.job(lender)?.live;
-    // It has a place by now.
-    if (tasks.every(({ index }) => live?.has(index) === true)) return false;
+    const hasPlace = tasks.every(({ index }) => live?.has(index) === true);
+    if (hasPlace || isAtLimit(loan, this.view)) return false;
+    if (state === 'recalled') return true;
     const heldS = (this.view.wallMs() - changedMs) / 1000;
     return heldS <= this.view.settings.workers.lease_s * HOLD_LEASES;
   }
 
+  /** A place to which a borrower may have to be moved is not given back either. */
   keeps(machine: string): boolean {
-    return this.byMachine.has(machine);
+    return this.byMachine.has(machine) || this.isWayBack(machine);
+  }
+
+  private isWayBack(machine: string): boolean {
+    if (this.recalledBorrowers.length === 0) return false;
+    const room = this.view.rooms().find(({ id }) => id === machine);
+    if (room === undefined) return false;
+    return this.recalledBorrowers.some((spec) => allowed(spec, room) && fits(spec, room));
   }
 
   /**
@@ -57,7 +79,7 @@
    */
   preferenceS(spec: JobSpec, room: FreeCapacity): number {
     const isBorrowers = this.byMachine.get(room.id)?.some(({ borrower }) => borrower === spec.id);
-    return isBorrowers === true ? -this.wayBack.seconds : 0;
+    return isBorrowers === true ? -this.view.settings.workers.lease_s * AVOID_LEASES : 0;
   }
 
   /** More important work may always use it: a loan forbids nothing that preemption would allow. */
--- a/src/subsystems/subsystem.ts
+++ b/src/subsystems/subsystem.ts
@@ -102,6 +102,16 @@
   carryOut(): boolean;
 }
 
+/** A replica that had better be elsewhere. */
+export interface ReplicaMove {
+  job: string;
+  index: number;
+  /** Where it is. */
+  from: string;
+  /** Whether its image may have to be fetched there. */
+  mayFetch: boolean;
+}
+
 /** What a subsystem has to say of room that is made by stopping lesser work. */
 export interface EvictionRules {
   /** How much worse than by its lost work it is to stop a task, from 0 to 1. It forbids nothing. */
@@ -147,8 +157,8 @@
   jobs(): Iterable<LiveJobView>;
   /** Time of day in ms by which a job has to be done for all deadlines after it; Infinity: none. */
   latestEndMs(job: string): number;
-  /** Moves a replica to a free place that has its image; false: there is none now, or too many move. */
-  moveReplica(job: string, index: number, machine: string): boolean;
+  /** Moves a replica to a free place; false: there is none now, or too many move. */
+  moveReplica(move: ReplicaMove): boolean;
   /** Ends an attempt that was told to stop, or is saving, without waiting for it any longer. */
   endStopped(attempt: AttemptView): void;
   /** What is free after the latest pass of placing. */
