--- /dev/null
+++ b/src/lending/command.ts
@@ -0,0 +1,57 @@
+/** `pewtershelf loans`: what a running controller says of loans. */
+
+import * as v from 'valibot';
+import { fetchView, table, type ViewQuestion } from '../subsystems/view-command.js';
+import { LOAN_STATES } from './loan.js';
+import type { LoanRow, LoansView } from './view.js';
+
+const text = v.string();
+const number = v.number();
+const QUESTION: ViewQuestion<LoansView> = {
+  subsystem: 'lending',
+  title: 'lending is',
+  schema: v.object({
+    loans: v.array(
+      v.object({
+        loan: text,
+        lender: text,
+        tasks: number,
+        borrower: text,
+        machine: text,
+        gpus: number,
+        state: v.picklist(LOAN_STATES),
+        due: v.nullable(text),
+        granted: text,
+        changed: text,
+        reason: text,
+      }),
+    ),
+  }),
+};
+
+export function loansTable(loans: readonly LoanRow[]): string {
+  const head = ['loan', 'tasks', 'borrower', 'machine', 'gpus', 'state', 'due', 'changed'];
+  const rows = loans.map(
+    ({ loan, tasks, borrower, machine, gpus, state, due, changed, reason }) => [
+      ...[loan, tasks, borrower, machine, gpus, state, due ?? '-', changed, reason],
+    ],
+  );
+  return table([...head, 'reason'], rows);
+}
+
+export interface LoansCommandOptions {
+  /** A controller's address for users, HOST:PORT. */
+  at: string;
+  /** Only loans in which this job lends or borrows. */
+  job?: string;
+  json: boolean;
+}
+
+/** The command's output. Throws CommandError. */
+export async function loansCommand({ at, job, json }: LoansCommandOptions): Promise<string> {
+  const { loans } = await fetchView(at, QUESTION);
+  const shown = loans.filter(
+    ({ lender, borrower }) => job === undefined || lender === job || borrower === job,
+  );
+  return json ? `${JSON.stringify(shown, null, 1)}\n` : loansTable(shown);
+}
--- a/src/lending/grants.ts
+++ b/src/lending/grants.ts
@@ -12,7 +12,7 @@
 import type { LendingConfig } from './declaration.js';
 import type { EstimateErrors } from './estimate-errors.js';
 import { lenderWork } from './lender-work.js';
-import { loanId, type LentTask, type Loan } from './loan.js';
+import { loanBytes, loanId, type LentTask, type Loan } from './loan.js';
 import type { LoanEntry, LoanTable } from './loan-table.js';
 import { judge, type Judgement } from './safety.js';
 import type { WayBackTimes } from './way-back.js';
@@ -98,6 +98,8 @@
     const loans = [...byName.values()];
     const open = [...table.open()].length;
     if (open + loans.length > config.maxOpen) return null;
+    const mostBytes = view.settings.state.value_kb * 1024;
+    if (loans.some((loan) => loanBytes(loan) > mostBytes)) return null;
     return this.hasGpus(eviction.machine, loans) ? loans : null;
   }
 
@@ -135,8 +137,11 @@
   giveUpLate(): void {
     const { view } = this.options;
     const mostS = view.settings.workers.report_s * STORE_REPORTS;
-    const late = this.settle(({ since }) => view.now() - since > mostS);
-    this.withoutPromise += late;
+    const isLate = ({ since }: Pending): boolean => view.now() - since > mostS;
+    const loans = this.pending.filter(isLate).flatMap((pending) => pending.loans);
+    this.withoutPromise += this.settle(isLate);
+    // What the store will not take is not offered to it for ever.
+    for (const loan of loans) if (loan.stored === null) this.options.table.forget(loan);
   }
 
   /** Carries out the evictions that are ready. Returns how many. */
--- a/src/lending/loan-table.ts
+++ b/src/lending/loan-table.ts
@@ -70,6 +70,11 @@
     if (event.kind !== 'borrower-seen') this.options.onChange(loan);
   }
 
+  /** A loan that was never stored, as far as is known. If it is after all, `reconcile` finds it. */
+  forget(entry: LoanEntry): void {
+    this.table.removed(entry.id);
+  }
+
   isStored(entry: LoanEntry): boolean {
     return this.table.isStored(entry);
   }
--- a/src/lending/loan.ts
+++ b/src/lending/loan.ts
@@ -167,6 +167,10 @@
   };
 }
 
+/** The size of its record. */
+export const loanBytes = (loan: Loan): number =>
+  Buffer.byteLength(JSON.stringify(encodeLoan(loan)));
+
 /** Null: a record of another form, which is left alone. */
 export function decodeLoan(value: unknown): Loan | null {
   const result = v.safeParse(record, value);
--- a/src/main.ts
+++ b/src/main.ts
@@ -69,10 +69,35 @@
   }
 }
 
+/** Prints what a command makes of a controller's answer, or in one line what went wrong. */
+async function printAnswer(command: string, answer: () => Promise<string>): Promise<void> {
+  const { CommandError } = await import('./subsystems/view-command.js');
+  try {
+    process.stdout.write(await answer());
+  } catch (e) {
+    if (e instanceof CommandError) give(`${command}: ${e.message}`);
+    throw e;
+  }
+}
+
+/** `loans --at HOST:PORT [--job ID] [--json]` */
+async function runLoans(argv: string[]): Promise<void> {
+  const { Command } = await import('commander');
+  const { loansCommand } = await import('./lending/command.js');
+  const program = new Command('pewtershelf loans')
+    .description('What a running controller says of loans')
+    .requiredOption('--at <addr>', "a controller's address for users, HOST:PORT")
+    .option('--job <id>', 'only loans in which this job lends or borrows')
+    .option('--json', 'as JSON', false)
+    .allowExcessArguments(false);
+  program.parse(argv, { from: 'user' });
+  await printAnswer('loans', () => loansCommand(program.opts()));
+}
+
 /** `warm-pools status|bill --at HOST:PORT [--json]` */
 async function runWarmPools(argv: string[]): Promise<void> {
   const { Command, Argument } = await import('commander');
-  const { CommandError, warmPoolsCommand } = await import('./warm-pools/command.js');
+  const { warmPoolsCommand } = await import('./warm-pools/command.js');
   const program = new Command('pewtershelf warm-pools')
     .description('What a running controller says of warm pools')
     .addArgument(new Argument('<what>', 'what to print').choices(['status', 'bill']))
@@ -80,16 +105,13 @@
     .option('--json', 'as JSON', false);
   program.parse(argv, { from: 'user' });
   const what = program.args[0] as 'status' | 'bill';
-  try {
-    process.stdout.write(await warmPoolsCommand(what, program.opts()));
-  } catch (e) {
-    if (e instanceof CommandError) give(`warm-pools: ${e.message}`);
-    throw e;
-  }
+  await printAnswer('warm-pools', () => warmPoolsCommand(what, program.opts()));
 }
 
 async function main(): Promise<void> {
-  if (process.argv[2] === 'warm-pools') return runWarmPools(process.argv.slice(3));
+  const [, , command, ...rest] = process.argv;
+  if (command === 'warm-pools') return runWarmPools(rest);
+  if (command === 'loans') return runLoans(rest);
   const args = await readArgs(process.argv.slice(2));
   if (args.status !== undefined) {
     const { showStatus } = await import('./controller/status.js');
--- /dev/null
+++ b/src/subsystems/view-command.ts
@@ -0,0 +1,57 @@
+/** Commands of the program that print what a running controller says of a subsystem. */
+
+import * as v from 'valibot';
+import { endpoint } from '../config/endpoint.js';
+import { HttpClient } from '../http/client.js';
+
+const ANSWER_S = 5;
+const ADDRESS = /^[^\s:]+:\d{1,5}$/;
+
+/** What went wrong, in one line. */
+export class CommandError extends Error {}
+
+export interface ViewQuestion<T> {
+  /** In the path of the question. */
+  subsystem: string;
+  /** In messages: what is switched off. */
+  title: string;
+  schema: v.GenericSchema<unknown, T>;
+}
+
+/** Asks a controller. Any of them has the same answer. Throws CommandError. */
+export async function fetchView<T>(
+  address: string,
+  { subsystem, title, schema }: ViewQuestion<T>,
+): Promise<T> {
+  if (!ADDRESS.test(address)) throw new CommandError(`${address}: must be HOST:PORT`);
+  const client = new HttpClient(endpoint(address), 1);
+  try {
+    const r = await client.request('GET', `/subsystems/${subsystem}`, undefined, ANSWER_S);
+    if (r.status === 404) throw new CommandError(`${address}: ${title} switched off there`);
+    if (r.status !== 200) throw new CommandError(`${address}: answered ${r.status}`);
+    return v.parse(schema, JSON.parse(r.body.toString('utf8')));
+  } catch (e) {
+    if (e instanceof CommandError) throw e;
+    throw new CommandError(`${address}: ${(e as Error).message}`);
+  } finally {
+    client.close();
+  }
+}
+
+export type Cell = string | number;
+
+/** Columns as wide as their widest cell; numbers to the right. */
+export function table(head: readonly string[], rows: readonly (readonly Cell[])[]): string {
+  const widths = head.map((title, column) =>
+    Math.max(title.length, ...rows.map((row) => String(row[column]).length)),
+  );
+  const line = (cells: readonly Cell[]): string =>
+    cells
+      .map((cell, column) => {
+        const width = widths[column]!;
+        return typeof cell === 'number' ? String(cell).padStart(width) : cell.padEnd(width);
+      })
+      .join('  ')
+      .trimEnd();
+  return [head, ...rows].map((cells) => `${line(cells)}\n`).join('');
+}
--- a/src/warm-pools/command.ts
+++ b/src/warm-pools/command.ts
@@ -1,17 +1,10 @@
 /** `pewtershelf warm-pools status|bill`: what a running controller says of warm pools. */
 
 import * as v from 'valibot';
-import { endpoint } from '../config/endpoint.js';
-import { HttpClient } from '../http/client.js';
+import { fetchView, table, type ViewQuestion } from '../subsystems/view-command.js';
 import { SLOT_STATES } from './slot.js';
 import type { BillRow, PoolStatus, PoolsView } from './view.js';
 
-const ANSWER_S = 5;
-const ADDRESS = /^[^\s:]+:\d{1,5}$/;
-
-/** What went wrong, in one line. */
-export class CommandError extends Error {}
-
 const number = v.number();
 const view = v.object({
   pools: v.array(
@@ -40,40 +33,11 @@
   ),
 });
 
-/** Asks a controller. Any of them has the same answer. Throws CommandError. */
-export async function fetchView(address: string): Promise<PoolsView> {
-  if (!ADDRESS.test(address)) throw new CommandError(`${address}: must be HOST:PORT`);
-  const client = new HttpClient(endpoint(address), 1);
-  try {
-    const r = await client.request('GET', '/subsystems/warm-pools', undefined, ANSWER_S);
-    if (r.status === 404) throw new CommandError(`${address}: warm pools are switched off there`);
-    if (r.status !== 200) throw new CommandError(`${address}: answered ${r.status}`);
-    return v.parse(view, JSON.parse(r.body.toString('utf8')));
-  } catch (e) {
-    if (e instanceof CommandError) throw e;
-    throw new CommandError(`${address}: ${(e as Error).message}`);
-  } finally {
-    client.close();
-  }
-}
-
-type Cell = string | number;
-
-/** Columns as wide as their widest cell; numbers to the right. */
-export function table(head: readonly string[], rows: readonly (readonly Cell[])[]): string {
-  const widths = head.map((title, column) =>
-    Math.max(title.length, ...rows.map((row) => String(row[column]).length)),
-  );
-  const line = (cells: readonly Cell[]): string =>
-    cells
-      .map((cell, column) => {
-        const width = widths[column]!;
-        return typeof cell === 'number' ? String(cell).padStart(width) : cell.padEnd(width);
-      })
-      .join('  ')
-      .trimEnd();
-  return [head, ...rows].map((cells) => `${line(cells)}\n`).join('');
-}
+const QUESTION: ViewQuestion<PoolsView> = {
+  subsystem: 'warm-pools',
+  title: 'warm pools are',
+  schema: view,
+};
 
 export function statusTable(pools: readonly PoolStatus[]): string {
   const head = ['pool', 'team', 'slots', 'next burst', ...SLOT_STATES];
@@ -101,7 +65,7 @@
   what: 'status' | 'bill',
   { at, json }: { at: string; json: boolean },
 ): Promise<string> {
-  const { pools, bill } = await fetchView(at);
+  const { pools, bill } = await fetchView(at, QUESTION);
   if (json) return `${JSON.stringify(what === 'status' ? pools : bill, null, 1)}\n`;
   return what === 'status' ? statusTable(pools) : billTable(bill);
 }
--- /dev/null
+++ b/test/cluster-lending.test.ts
@@ -0,0 +1,60 @@
+/** Lending with real processes on loopback: a leader that is killed, or frozen and woken, in a spike. */
+import assert from 'node:assert/strict';
+import { execFile } from 'node:child_process';
+import { mkdtempSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { test } from 'node:test';
+import { promisify } from 'node:util';
+import { freePort } from './helpers.js';
+import { PATIENT, Scenario, SPIKE, type LeaderTrouble } from './lending-scenario.js';
+
+const MAIN = new URL('../src/main.js', import.meta.url).pathname;
+
+async function run(...args: string[]): Promise<{ status: number; out: string }> {
+  try {
+    const { stdout } = await promisify(execFile)(process.execPath, [MAIN, ...args]);
+    return { status: 0, out: stdout };
+  } catch (e) {
+    const { code, stderr } = e as { code: number; stderr: string };
+    return { status: code, out: stderr };
+  }
+}
+
+/** What operators see while the controllers run. */
+async function showsOperators(scenario: Scenario): Promise<void> {
+  const { cluster } = scenario;
+  const at = `127.0.0.1:${cluster.ports[await cluster.newLeader()]!.bind}`;
+  const shown = await run('loans', '--at', at);
+  assert.match(shown.out, /^loan +tasks +borrower +machine +gpus +state +due +changed +reason\n/);
+  assert.match(shown.out, new RegExp(`\n${PATIENT}/0/\\d+ +1 +${SPIKE} +host-000001 +2 +resumed`));
+  const none = await run('loans', '--at', at, '--job', 'wk-000009', '--json');
+  assert.deepEqual(JSON.parse(none.out), []);
+  const wrong: [string[], RegExp][] = [
+    [['--at', 'x'], /^pewtershelf: loans: x: must be HOST:PORT\n$/],
+    [['--at', `127.0.0.1:${await freePort()}`], /^pewtershelf: loans: .*ECONNREFUSED.*\n$/],
+    [[], /required option '--at <addr>'/],
+  ];
+  for (const [args, says] of wrong) {
+    const { status, out } = await run('loans', ...args);
+    assert.ok(status > 0);
+    assert.match(out, says);
+  }
+}
+
+for (const trouble of ['killed', 'frozen'] satisfies LeaderTrouble[]) {
+  test(`real processes: the leader is ${trouble} while GPUs are lent; both deadlines are met`, async () => {
+    const scenario = new Scenario({
+      ...{ lending: true, trouble, tightFirst: true, label: trouble },
+      directory: mkdtempSync(join(tmpdir(), 'shelf-')),
+    });
+    const outcome = await scenario.play(() => showsOperators(scenario));
+    assert.deepEqual(outcome.violations, []);
+    for (const { ref, doneS, dueS } of outcome.batch) {
+      assert.ok(doneS !== null && doneS <= dueS, `${ref} took ${doneS} s of ${dueS} s`);
+    }
+    const lenders = outcome.loans.map(({ lender, state }) => `${lender} ${state}`);
+    assert.deepEqual(lenders, [`${PATIENT} resumed`], 'the one that had time lent, and runs again');
+    assert.deepEqual(outcome.batch.map(({ starts }) => starts), [1, 2]); // prettier-ignore
+  });
+}
--- a/test/features.test.ts
+++ b/test/features.test.ts
@@ -41,6 +41,10 @@
     ['an unknown time zone', poolText({ time_zone: 'Karachi' }), /schedule: .*Karachi/],
     ['a schedule that never fires', poolText({ schedule: '0 0 30 2 *' }), /never fires/],
     ['bursts that overlap', poolText({ schedule: '0 * * * *', hold_s: 7200 }), /expected more than hold_s/],
+    ['no recalls', '[lending]\nrecalls_at_once = 0', /lending\.recalls_at_once/],
+    ['more loans than it is made for', '[lending]\nmax_open = 501', /lending\.max_open/],
+    ['a margin that lowers estimates', '[lending]\nleast_margin = 0.5', /lending\.least_margin/],
+    ['an unknown key of lending', '[lending]\ncolour = 1', /lending\.colour: unknown key/],
     ['an unknown policy', poolText({ on_exhausted: 'stop' }), /on_exhausted/],
   ]; // prettier-ignore
   for (const [name, text, says] of cases) {
@@ -58,6 +62,10 @@
   assert.notEqual(hash(poolText()), hash(poolText({ slots: 1 })));
   const off = parseFeatures('', settings(), 0);
   assert.equal(off.warmPools, null);
+  assert.equal(off.lending, null);
+  const lending = parseFeatures('[lending]', settings(), 0);
+  assert.equal(lending.lending!.recallsAtOnce, 4);
+  assert.deepEqual(featuresRecord(lending).subsystems, ['lending']);
   assert.deepEqual(featuresRecord(off).subsystems, []);
 });
 
@@ -91,8 +99,10 @@
 
 test('the features file of the project fits the settings file of the project', () => {
   const platform = parseSettings(readFileSync('deploy/example.toml', 'utf8'));
-  const { warmPools } = parseFeatures(readFileSync('deploy/features.toml', 'utf8'), platform, 0);
+  const file = readFileSync('deploy/features.toml', 'utf8');
+  const { warmPools, lending } = parseFeatures(file, platform, 0);
   assert.ok(warmPools!.pools.length > 0);
+  assert.ok(lending !== null);
 });
 
 /** A day of work, and all that was stored and started in it. */
--- a/test/lending-helpers.ts
+++ b/test/lending-helpers.ts
@@ -101,6 +101,8 @@
       if (run.progressS < work.workS) return;
       this.end(task, 'done');
       this.batch.done(task.job, task.index);
+    } else if (run.savedAt === Infinity && this.batch.saving !== 'never ends') {
+      run.savedAt = this.fleet.now + work.spec.saveS;
     } else if (run.savedAt !== null && this.fleet.now >= run.savedAt) this.finishSaving(task, run);
   }
 
@@ -155,6 +157,7 @@
   gpusMax?: number;
   recallsAtOnce?: number;
   lending?: boolean;
+  maxOpen?: number;
   keepEndedS?: number;
 }
 
@@ -194,8 +197,8 @@
   readonly wrong: string[] = [];
 
   constructor(options: LendingWorldOptions = {}) {
-    const { gpusMax = 100, recallsAtOnce = 4, lending = true, keepEndedS = 3600 } = options;
-    const list = lending ? [makeLending(recallsAtOnce, keepEndedS)] : [];
+    const { gpusMax = 100, lending = true } = options;
+    const list = lending ? [makeLending(options)] : [];
     const fleet = new BatchFleet(LEASE_S);
     super(gpusMax, { subsystems: list, fleet });
     this.batch = fleet;
@@ -206,7 +209,7 @@
 
   /** Leaders from now on are of a version before lending, or have it on again. */
   switchLending(on: boolean): void {
-    this.list.splice(0, this.list.length, ...(on ? [makeLending(4, 3600)] : []));
+    this.list.splice(0, this.list.length, ...(on ? [makeLending({})] : []));
   }
 
   /** A finite job; `workS`: what a task takes in truth. */
@@ -445,12 +448,8 @@
   }
 }
 
-function makeLending(recallsAtOnce: number, keepEndedS: number): Lending {
-  const table = {
-    max_open: 500,
-    recalls_at_once: recallsAtOnce,
-    least_margin: 1,
-    keep_ended_s: keepEndedS,
-  };
-  return new Lending(toLendingConfig(table));
+function makeLending(options: LendingWorldOptions): Lending {
+  const { recallsAtOnce = 4, maxOpen = 500, keepEndedS = 3600 } = options;
+  const limits = { max_open: maxOpen, recalls_at_once: recallsAtOnce };
+  return new Lending(toLendingConfig({ ...limits, least_margin: 1, keep_ended_s: keepEndedS }));
 }
--- /dev/null
+++ b/test/lending-random.test.ts
@@ -0,0 +1,174 @@
+/**
+ * Troubles, jobs and leaders in any order while services borrow from arrays and gangs. A fixed set of seeds;
+ * more with LENDING_RUNS and LENDING_SEED: `LENDING_RUNS=2000 node --test target/check/test/lending-random.test.js`.
+ */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { isOpen } from '../src/lending/loan.js';
+import type { Leader } from '../src/leader/leader.js';
+import { LendingWorld } from './lending-helpers.js';
+
+const RUNS = Number(process.env.LENDING_RUNS ?? 40);
+const SEED = Number(process.env.LENDING_SEED ?? 34);
+const MACHINES = ['m1', 'm2', 'm3'];
+
+/** What a run remembers besides its world. */
+interface Run {
+  world: LendingWorld;
+  jobs: number;
+  frozen: Leader | null;
+}
+
+type Event = (run: Run, number: number) => void | Promise<void>;
+
+const idOf = (number: number): string => `wk-${String(number).padStart(6, '0')}`;
+
+function pick(run: Run, number: number, kind: 'service' | 'finite'): string | null {
+  const open = [...run.world.batch.work.values()].filter(
+    ({ spec, cancelled, doneAt }) =>
+      (spec.kind === 'service') === (kind === 'service') && !cancelled && doneAt === null,
+  );
+  return open.length === 0 ? null : open[number % open.length]!.spec.id;
+}
+
+function calm({ world }: Run): void {
+  world.writing = true;
+  world.store.mode = 'serve';
+  world.store.deliver();
+  world.batch.saving = 'works';
+  for (const worker of world.fleet.workers.values()) {
+    worker.mute = false;
+    worker.deaf = false;
+  }
+}
+
+/** A new leader finds a store that serves it. */
+function takeOver(run: Run): void {
+  const { world } = run;
+  world.writing = true;
+  world.store.mode = 'serve';
+  run.frozen = world.leader;
+  world.takeOver();
+}
+
+const machine = ({ world }: Run, number: number) => {
+  const workers = [...world.fleet.workers.values()];
+  return workers[number % workers.length]!;
+};
+
+const EVENTS: Record<string, Event> = {
+  'an array comes': (run, number) => {
+    run.world.batchJob(3 + number, {
+      ...{ id: idOf(++run.jobs), tasks: 1 + (number % 3), gpus: 4, cores: 4 },
+      ...{ deadlineS: 60 + number * 10, priority: 3, checkpointS: number % 2 },
+    });
+  },
+  'a gang comes': (run, number) => {
+    const id = idOf(++run.jobs);
+    const shape = { kind: 'gang' as const, tasks: 2, gpus: 4, cores: 4, priority: 3 as const };
+    run.world.batchJob(4, { id, ...shape, deadlineS: 60 + number * 10 });
+  },
+  'a service comes': (run, number) => {
+    const size = number % 2 === 0 ? 8 : 4;
+    const tasks = 1 + (number % 3);
+    run.world.service({ id: idOf(++run.jobs), tasks, gpus: size, cores: size, priority: 0 });
+  },
+  'a service goes': (run, number) => cancelOne(run, number, 'service'),
+  'a finite job is cancelled': (run, number) => cancelOne(run, number, 'finite'),
+  'the leader ends': takeOver,
+  'the leader ends in the moment of a cancellation': (run, number) => {
+    const id = pick(run, number, number % 2 === 0 ? 'service' : 'finite');
+    run.world.writing = true;
+    run.world.store.mode = 'serve';
+    run.frozen = run.world.leader;
+    if (id !== null) run.world.cancelAndTakeOver(id);
+  },
+  'a frozen leader wakes': async (run) => {
+    if (run.frozen !== null) await run.world.wake(run.frozen, 0.4);
+    run.frozen = null;
+  },
+  'a version before lending leads': (run) => {
+    run.world.switchLending(false);
+    takeOver(run);
+  },
+  'lending is on again': (run) => {
+    run.world.switchLending(true);
+    takeOver(run);
+  },
+  'the store refuses': ({ world }) => {
+    world.writing = false;
+    world.store.mode = 'refuse';
+  },
+  'answers of the store are lost': ({ world }) => {
+    if (world.writing) world.store.mode = 'lose answers';
+  },
+  'commits are held back': ({ world }) => {
+    if (world.writing) world.store.mode = 'hold back';
+  },
+  'all is well': calm,
+  'a machine is mute': (run, number) => void (machine(run, number).mute = true),
+  'a machine is deaf': (run, number) => void (machine(run, number).deaf = true),
+  'a machine dies, another one comes': (run, number) => {
+    const { world } = run;
+    if (world.batch.goneAt.size >= 3) return;
+    world.batch.kill(machine(run, number).id);
+    world.fleet.add(`n${world.batch.goneAt.size}`);
+  },
+  'saving fails': ({ world }) => void (world.batch.saving = 'fails'),
+  'saving never ends': ({ world }) => void (world.batch.saving = 'never ends'),
+  'reports come again': (run, number) => {
+    run.world.leader.checkin(machine(run, number).report());
+  },
+};
+
+function cancelOne(run: Run, number: number, kind: 'service' | 'finite'): void {
+  const id = pick(run, number, kind);
+  if (id !== null && run.world.writing) run.world.cancel(id);
+}
+
+const event = fc.record({
+  what: fc.constantFrom(...Object.keys(EVENTS)),
+  afterS: fc.integer({ min: 0, max: 25 }).map((n) => n * 0.2),
+  number: fc.nat(9),
+});
+
+async function play(events: readonly { what: string; afterS: number; number: number }[]) {
+  const world = new LendingWorld({ gpusMax: 40, recallsAtOnce: 2 });
+  const run: Run = { world, jobs: 0, frozen: null };
+  for (const id of MACHINES) world.fleet.add(id);
+  await world.run(0.6);
+  EVENTS['an array comes']!(run, 5);
+  EVENTS['a gang comes']!(run, 5);
+  await world.run(1);
+  EVENTS['a service comes']!(run, 1);
+  for (const { what, afterS, number } of events) {
+    await EVENTS[what]!(run, number);
+    await world.run(afterS);
+    world.checkRules();
+  }
+  calm(run);
+  world.switchLending(true);
+  takeOver(run);
+  await world.run(1);
+  for (const { spec, cancelled } of [...world.batch.work.values()]) {
+    if (spec.kind === 'service' && !cancelled) world.cancel(spec.id);
+  }
+  await world.run(60);
+  world.checkRules();
+  assert.deepEqual(world.loans().filter(isOpen), [], 'every loan is closed');
+  for (const { spec, cancelled, doneAt } of world.batch.work.values()) {
+    if (spec.kind !== 'service' && !cancelled) assert.ok(doneAt !== null, `${spec.id} is done`);
+  }
+}
+
+test('troubles in any order: no rule is broken, every loan is closed, all finite work gets done', async () => {
+  const events = fc.array(event, { minLength: 6, maxLength: 24 });
+  const property = fc.asyncProperty(events, play);
+  await fc.assert(property, {
+    numRuns: RUNS,
+    seed: SEED,
+    interruptAfterTimeLimit: 200_000,
+    includeErrorInReport: true,
+  });
+});
--- a/test/lending.test.ts
+++ b/test/lending.test.ts
@@ -1,10 +1,492 @@
+/** Lending in its parts: tables of what is safe, when recalls begin, how a loan changes, what is promised. */
+import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { LendingWorld, POINTS } from './lending-helpers.js';
-for (const point of POINTS) {
-  test(point, async () => {
-    const w = new LendingWorld();
-    await w.playTo(point);
-    await w.settle();
-    console.log(point, w.states(), w.batch.work.get('wk-000001')!.doneAt, w.store.commits);
+import { EstimateErrors } from '../src/lending/estimate-errors.js';
+import type { LoanEvidence } from '../src/lending/loan-evidence.js';
+import { nextEvent } from '../src/lending/loan-steps.js';
+import {
+  advanceLoan,
+  decodeLoan,
+  encodeLoan,
+  isOpen,
+  LOAN_STATES,
+  LoanTransitionError,
+  type Loan,
+  type LoanEvent,
+  type LoanState,
+} from '../src/lending/loan.js';
+import { planRecalls } from '../src/lending/recall-plan.js';
+import { judge, latestReturnS, type LenderWork } from '../src/lending/safety.js';
+import { loansView } from '../src/lending/view.js';
+import { loansTable } from '../src/lending/command.js';
+import { Refused } from '../src/state/client.js';
+import type { LiveJobView } from '../src/subsystems/subsystem.js';
+import { settings, spec } from './helpers.js';
+import { BORROWER, LENDER, LendingWorld, MACHINE_GPUS } from './lending-helpers.js';
+
+const { lease_s: LEASE_S, report_s: REPORT_S } = settings().workers;
+
+const loanOf = (over: Partial<Loan> = {}): Loan => ({
+  ...{ lender: 'wk-1', tasks: [{ index: 3, attempt: 7, machine: 'm1' }], borrower: 'wk-2' },
+  ...{ machine: 'm1', gpus: 2, state: 'requested', dueMs: 90_000, grantedMs: 10_000 },
+  ...{ changedMs: 10_000, used: false, reason: 'r', ...over },
+});
+
+const workOf = (over: Partial<LenderWork> = {}): LenderWork => ({
+  ...{ leftS: 100, ownRemainingS: 20, jobRemainingS: 10, margin: 1.5, saveS: 2, fetchS: 3 },
+  ...{ restartS: 1, wayBackS: 5, saves: true, started: true, guaranteed: false },
+  ...{ lentAgoS: Infinity, lending: false, borrowerWaits: true, ...over },
+});
+
+test('the latest return leaves room for the work, the margin, saving, the fetch and the start', () => {
+  const cases: [Partial<LenderWork>, number][] = [
+    [{}, 100 - 20 * 1.5 - 2 - 3 - 1],
+    [{ jobRemainingS: 40 }, 100 - 40 * 1.5 - 6],
+    [{ margin: 1 }, 100 - 20 - 6],
+    [{ leftS: Infinity }, Infinity],
+    [{ leftS: 30 }, -6],
+  ];
+  for (const [over, expected] of cases) assert.equal(latestReturnS(workOf(over)), expected);
+});
+
+test('who may lend', () => {
+  const cases: [string, Partial<LenderWork>, string | null][] = [
+    ['there is time', {}, null],
+    ['nothing asks for it', { leftS: Infinity }, null],
+    ['no time', { leftS: 40 }, 'no slack'],
+    ['time, but not for the way back', { leftS: 42, wayBackS: 5 }, 'no slack'],
+    ['just enough', { leftS: 43, wayBackS: 5 }, null],
+    ['nothing is saved, and it runs', { saves: false }, 'no checkpoints'],
+    ['nothing is saved, but it has not begun', { saves: false, started: false }, null],
+    ['the borrower cannot wait for its saving', { borrowerWaits: false }, 'saving takes too long'],
+    ['nothing is to be saved yet', { borrowerWaits: false, started: false }, null],
+    ['its team would fall below its guarantee', { guaranteed: true }, 'guaranteed'],
+    ['it lends already', { lending: true }, 'lending already'],
+  ];
+  for (const [name, over, refusal] of cases) {
+    const judgement = judge(workOf(over));
+    assert.equal(judgement.safe ? null : judgement.refusal, refusal, name);
+  }
+});
+
+test('the least harm: more slack first, then whoever has not lent lately', () => {
+  const harm = (over: Partial<LenderWork>): number => {
+    const judgement = judge(workOf(over));
+    assert.ok(judgement.safe);
+    assert.ok(judgement.harm >= 0 && judgement.harm < 1, 'below that of one that may not lend');
+    return judgement.harm;
+  };
+  assert.ok(harm({ leftS: 1000 }) < harm({ leftS: 100 }));
+  assert.ok(harm({ leftS: Infinity }) < harm({ leftS: 1000 }));
+  assert.ok(harm({ lentAgoS: 1000 }) < harm({ lentAgoS: 10 }));
+  assert.ok(harm({ lentAgoS: Infinity }) < harm({ lentAgoS: 1000 }));
+  assert.ok(harm({ leftS: 200, lentAgoS: 1 }) < harm({ leftS: 44 }), 'slack counts for more');
+});
+
+test('recalls begin early enough for all to be over in time, so many at once', () => {
+  const due = (...list: (number | null)[]) => list.map((dueMs, i) => ({ id: `l${i}`, dueMs }));
+  const cases: [string, (number | null)[], number, Record<string, number>][] = [
+    ['one', [100], 2, { l0: 90 }],
+    ['none is asked for', [null, 100], 2, { l1: 90 }],
+    ['as many as may be at once', [100, 100], 2, { l0: 90, l1: 90 }],
+    [
+      'one more: the earliest has to be over before',
+      [100, 100, 100],
+      2,
+      { l0: 80, l1: 90, l2: 90 },
+    ],
+    ['all one after the other', [100, 100, 100], 1, { l0: 70, l1: 80, l2: 90 }],
+    ['in the order of their due times', [300, 100, 105], 1, { l1: 85, l2: 95, l0: 290 }],
+  ];
+  for (const [name, list, atOnce, begins] of cases) {
+    assert.deepEqual(Object.fromEntries(planRecalls(due(...list), 10, atOnce)), begins, name);
+  }
+});
+
+const EVENTS: LoanEvent[] = [
+  { kind: 'granted-again', borrower: 'wk-9', reason: 'r' },
+  { kind: 'told' },
+  { kind: 'vacated' },
+  { kind: 'borrower-seen' },
+  { kind: 'recalled', reason: 'r' },
+  { kind: 'returned', reason: 'r' },
+  { kind: 'resumed', reason: 'r' },
+  { kind: 'lost', reason: 'r' },
+  { kind: 'cancelled', reason: 'r' },
+  { kind: 'waived', reason: 'r' },
+];
+
+test('one function makes every change, and refuses all others', () => {
+  const next: Partial<Record<LoanState, string>> = {
+    requested: 'granted-again>requested told>saving vacated>lent cancelled>cancelled',
+    saving: 'granted-again>saving vacated>lent cancelled>cancelled',
+    lent: 'borrower-seen>lent recalled>recalled returned>returned resumed>resumed lost>lost cancelled>cancelled waived>waived',
+    recalled: 'borrower-seen>recalled returned>returned resumed>resumed lost>lost cancelled>cancelled waived>waived',
+    returned: 'recalled>recalled resumed>resumed cancelled>cancelled waived>waived',
+  }; // prettier-ignore
+  for (const state of LOAN_STATES) {
+    const made: string[] = [];
+    for (const event of EVENTS) {
+      try {
+        made.push(`${event.kind}>${advanceLoan(loanOf({ state }), event, 20_000).state}`);
+      } catch (e) {
+        assert.ok(e instanceof LoanTransitionError);
+      }
+    }
+    assert.equal(made.join(' '), next[state] ?? '', state);
+    assert.equal(made.length > 0, isOpen(loanOf({ state })), 'what is final stays');
+  }
+});
+
+const evidenceOf = (over: Partial<LoanEvidence> = {}): LoanEvidence => ({
+  ...{ lenderOver: null, lenderThere: 'gone', lenderElsewhere: 'nowhere', borrower: 'there' },
+  ...{ machineGone: false, recall: null, broken: null, lateS: 0, notCarriedOut: null, ...over },
+});
+
+test('what becomes of a loan, by what is known', () => {
+  const cases: [LoanState, Partial<LoanEvidence>, string | null][] = [
+    ['requested', { lenderThere: 'running' }, null],
+    ['requested', { lenderThere: 'running', notCarriedOut: 'x' }, 'cancelled x'],
+    ['requested', { lenderThere: 'unheard', notCarriedOut: 'x' }, null],
+    ['requested', { lenderThere: 'stopping', notCarriedOut: 'x' }, 'told'],
+    ['requested', {}, 'vacated'],
+    ['saving', { lenderThere: 'stopping' }, null],
+    ['saving', { lenderThere: 'running', notCarriedOut: 'x' }, 'cancelled x'],
+    ['saving', {}, 'vacated'],
+    ['saving', { lenderOver: 'x' }, 'cancelled x'],
+    ['lent', { borrower: 'wants' }, null],
+    ['lent', {}, 'borrower-seen'],
+    ['lent', { recall: 'x' }, 'recalled x'],
+    ['lent', { borrower: 'away', recall: 'x' }, 'returned the borrower has left'],
+    ['lent', { lenderElsewhere: 'placed', recall: 'x' }, 'returned the lender has a place'],
+    ['lent', { lenderElsewhere: 'running' }, 'resumed the lender runs again'],
+    ['lent', { machineGone: true }, 'lost the machine is gone'],
+    ['lent', { machineGone: true, lenderElsewhere: 'running' }, 'resumed the lender runs again'],
+    ['recalled', { recall: 'x' }, 'borrower-seen'],
+    ['recalled', { broken: 'x' }, 'waived x'],
+    ['recalled', { broken: 'x', lenderElsewhere: 'placed' }, 'returned the lender has a place'],
+    ['recalled', { borrower: 'away', lateS: 2.1 }, 'returned the borrower has left, 3 s late'],
+    ['returned', { borrower: 'away' }, null],
+    ['returned', { lenderElsewhere: 'placed', broken: 'x' }, null],
+    ['returned', { borrower: 'there' }, 'recalled the borrower came back'],
+    ['returned', { borrower: 'away', broken: 'x' }, 'waived x'],
+    [
+      'returned',
+      { lenderElsewhere: 'running', lateS: 1 },
+      'resumed the lender runs again, 1 s late',
+    ],
+    ['resumed', { lenderElsewhere: 'running' }, null],
+  ];
+  for (const [state, over, expected] of cases) {
+    const event = nextEvent(loanOf({ state }), evidenceOf(over));
+    const made = event === null ? null : Object.values(event).join(' ');
+    assert.equal(made, expected, `${state} ${JSON.stringify(over)}`);
+  }
+});
+
+test('a loan is read as it was written; another form is left alone', () => {
+  const gang = [0, 1].map((index) => ({ index, attempt: 7, machine: `m${index}` }));
+  for (const loan of [
+    loanOf(),
+    loanOf({ tasks: gang, dueMs: null, used: true, state: 'waived' }),
+  ]) {
+    assert.deepEqual(decodeLoan(JSON.parse(JSON.stringify(encodeLoan(loan)))), loan);
+  }
+  const record = encodeLoan(loanOf()) as object;
+  assert.deepEqual(decodeLoan({ ...record, later: 1 }), loanOf(), 'a field more');
+  for (const wrong of [null, {}, { ...record, s: 'new state' }, { ...record, t: [] }]) {
+    assert.equal(decodeLoan(wrong), null);
+  }
+});
+
+test('operators see open loans first, the earliest due first', () => {
+  const loans = [
+    loanOf({ lender: 'wk-4', state: 'resumed', changedMs: 50_000 }),
+    loanOf({ lender: 'wk-3', dueMs: null }),
+    loanOf({ lender: 'wk-2', dueMs: 200_000 }),
+    loanOf({ lender: 'wk-1', dueMs: 100_000 }),
+    loanOf({ lender: 'wk-5', state: 'waived', changedMs: 60_000, reason: 'no place' }),
+  ];
+  const records = new Map(
+    loans.map((loan, i) => [`loan/${i}`, { value: encodeLoan(loan), revision: 1 }]),
+  );
+  const view = loansView(records);
+  const lenders = view.loans.map(({ lender }) => lender);
+  assert.deepEqual(lenders, ['wk-1', 'wk-2', 'wk-3', 'wk-5', 'wk-4']);
+  const lines = loansTable(view.loans).split('\n');
+  assert.match(lines[1]!, /^wk-1\/3\/7 .*requested +1970-01-01T00:01:40\.000Z/);
+  assert.match(lines[4]!, /waived .* no place$/);
+});
+
+test('estimates are raised by what jobs of their class took, within bounds', () => {
+  const job = (id: string, attainedS: number): LiveJobView =>
+    ({
+      spec: spec({ id, class: 'marker', estimateS: 10, tasks: 2 }),
+      finished: true,
+      attainedS,
+    }) as LiveJobView;
+  const errors = new EstimateErrors(1.2);
+  assert.equal(errors.margin('marker'), 1.5, 'often wrong by half');
+  for (let i = 0; i < 6; i++) errors.look([job('wk-1', 26)]);
+  assert.equal(errors.margin('marker'), 1.5, 'one job is counted once');
+  for (let i = 0; i < 12; i++) errors.look([job(`wk-${i}`, 26)]);
+  assert.equal(errors.margin('marker'), 1.3);
+  assert.equal(errors.margin('other'), 1.5);
+  for (let i = 0; i < 30; i++) errors.look([job(`wk-${i}`, 20)]);
+  assert.equal(errors.margin('marker'), 1.2, 'not below what operators ask for');
+  for (let i = 0; i < 30; i++) errors.look([job(`wk-${i}`, 900)]);
+  assert.equal(errors.margin('marker'), 3);
+});
+
+// With a leader and workers
+
+interface Row {
+  name: string;
+  options?: ConstructorParameters<typeof LendingWorld>[0];
+  play(w: LendingWorld): Promise<void>;
+}
+
+/** One machine, which a batch job of one task has filled for two seconds. */
+async function filled(w: LendingWorld, over = {}, workS = 8): Promise<void> {
+  w.fleet.add('m1');
+  await w.run(1);
+  w.batchJob(workS, { id: LENDER, deadlineS: 80, ...over });
+  await w.run(2);
+}
+
+const serves = (w: LendingWorld) => () => w.taskStates(BORROWER).includes('running');
+
+const ROWS: Row[] = [
+  {
+    name: 'the loan is in the store before the lender is told',
+    async play(w) {
+      await filled(w);
+      w.service({ id: BORROWER });
+      await w.runUntil('it is told', () => w.taskStates(LENDER).includes('saving'));
+      assert.equal(w.states(), 'requested');
+    },
+  },
+  {
+    name: 'a loan that cannot be stored promises nothing, and serving gets its place all the same',
+    async play(w) {
+      await filled(w);
+      const put = w.store.commit.bind(w.store);
+      w.store.commit = (guards, ops) => {
+        const isLoan = ops.some((op) => 'put' in op && op.put.includes('/lending/'));
+        return isLoan ? Promise.reject(new Refused(400)) : put(guards, ops);
+      };
+      w.service({ id: BORROWER });
+      await w.runUntil('it is served', serves(w), REPORT_S * 20);
+      assert.deepEqual(w.loans(), []);
+      assert.ok(Number(w.leader.figures().loans_without_promise) > 0);
+    },
+  },
+  {
+    name: 'a lender without time lends only to ordinary preemption, without a promise',
+    async play(w) {
+      await filled(w, { deadlineS: 12 });
+      w.service({ id: BORROWER });
+      await w.runUntil('it is served', serves(w));
+      assert.deepEqual(w.loans(), []);
+      assert.equal(w.leader.figures().loans_without_promise, 1);
+    },
+  },
+  {
+    name: 'of two lenders the one with more slack is stopped',
+    async play(w) {
+      w.fleet.add('m1');
+      await w.run(1);
+      w.batchJob(30, { id: 'wk-000011', gpus: 4, cores: 4, deadlineS: 90 });
+      w.batchJob(30, { id: 'wk-000012', gpus: 4, cores: 4, deadlineS: 900 });
+      w.batchJob(30, { id: 'wk-000013', gpus: 4, cores: 4, deadlineS: 60 });
+      await w.run(2);
+      w.service({ id: BORROWER, gpus: 4, cores: 4 });
+      await w.runUntil('it is served', serves(w));
+      assert.deepEqual(w.loans().map(({ lender }) => lender), ['wk-000012']); // prettier-ignore
+    },
+  },
+  {
+    name: 'more important work is not stopped for the slack of lesser work',
+    async play(w) {
+      w.fleet.add('m1');
+      await w.run(1);
+      w.batchJob(30, { id: 'wk-000011', gpus: 4, cores: 4, deadlineS: 60, priority: 3 });
+      w.batchJob(30, { id: 'wk-000012', gpus: 4, cores: 4, deadlineS: 900, priority: 2 });
+      await w.run(2);
+      w.service({ id: BORROWER, gpus: 4, cores: 4 });
+      await w.runUntil('it is served', serves(w));
+      assert.ok(w.taskStates('wk-000012').includes('running'));
+    },
+  },
+  {
+    name: 'a gang lends whole',
+    async play(w) {
+      w.fleet.add('m1');
+      w.fleet.add('m2');
+      await w.run(1);
+      w.batchJob(30, { id: LENDER, kind: 'gang', tasks: 2, gpus: 8, deadlineS: 400 });
+      await w.run(2);
+      w.service({ id: BORROWER });
+      await w.runUntil('it is served', serves(w));
+      const [loan] = w.loans();
+      assert.deepEqual(loan!.tasks.map(({ index, machine }) => [index, machine]), [[0, 'm1'], [1, 'm2']]); // prettier-ignore
+      assert.equal(loan!.gpus, MACHINE_GPUS, 'only there they are lent');
+      assert.equal(w.fleet.running(LENDER), 0);
+      w.cancel(BORROWER);
+      await w.runUntil('it runs again', () => w.states() === 'resumed');
+      assert.equal(w.fleet.running(LENDER), 2);
+    },
+  },
+  {
+    name: 'work that saves nothing lends only before it starts',
+    async play(w) {
+      await filled(w, { checkpointS: 0, deadlineS: 400 });
+      w.service({ id: BORROWER });
+      await w.runUntil('it is served', serves(w));
+      assert.deepEqual(w.loans(), []);
+    },
+  },
+  {
+    name: 'only services borrow',
+    async play(w) {
+      await filled(w);
+      w.batchJob(2, { id: BORROWER, priority: 0, deadlineS: 100 });
+      await w.runUntil('it runs', serves(w));
+      assert.deepEqual(w.loans(), []);
+      await w.runUntil('all is done', () => w.batch.work.get(LENDER)!.doneAt !== null);
+    },
+  },
+  {
+    name: 'a team within its guarantee does not lend, and one that comes into it is given back at once',
+    async play(w) {
+      w.fleet.add('m1');
+      w.settings.teams.set('b', { name: 'b', cores: 0, coresMax: 0, gpus: 8, gpusMax: 100 });
+      await w.run(1);
+      w.batchJob(6, { id: 'wk-000011', gpus: 4, cores: 4, deadlineS: 400 });
+      w.batchJob(40, { id: 'wk-000012', gpus: 4, cores: 4, tasks: 2, deadlineS: 900 });
+      await w.run(2);
+      w.service({ id: BORROWER, gpus: 4, cores: 4 });
+      await w.runUntil('it is served', serves(w));
+      assert.deepEqual(w.loans().map(({ lender }) => lender), ['wk-000012']); // prettier-ignore
+      assert.ok(w.taskStates('wk-000011').includes('running'));
+      await w.runUntil(
+        'the first job is done',
+        () => w.batch.work.get('wk-000011')!.doneAt !== null,
+      );
+      // Its earlier job is over: all that is left of it fits into the guarantee.
+      await w.runUntil(
+        'it is back',
+        () => w.taskStates('wk-000012').filter((s) => s === 'running').length > 0,
+      );
+      await w.runUntil('it is settled', () => !w.loans().some(isOpen), LEASE_S * 20);
+    },
+  },
+  {
+    name: 'no more loans are open than may be',
+    options: { maxOpen: 1 },
+    async play(w) {
+      w.fleet.add('m1');
+      await w.run(1);
+      for (const id of ['wk-000011', 'wk-000012']) {
+        w.batchJob(30, { id, gpus: 4, cores: 4, deadlineS: 900 });
+      }
+      await w.run(2);
+      w.service({ id: BORROWER, tasks: 2, gpus: 4, cores: 4 });
+      await w.runUntil('both are served', () => w.fleet.running(BORROWER) === 2);
+      assert.equal(w.loans().length, 1);
+    },
+  },
+  {
+    name: 'all are due back at once while serving is at its peak',
+    options: { recallsAtOnce: 2 },
+    async play(w) {
+      const lenders = Array.from({ length: 4 }, (_, i) => `wk-00002${i}`);
+      for (let i = 0; i < 4; i++) w.fleet.add(`m${i}`);
+      await w.run(1);
+      for (const id of lenders) w.batchJob(10, { id, zone: 'z1', deadlineS: 100 });
+      await w.run(2);
+      w.service({ id: BORROWER, tasks: 4, image: 'tutor' });
+      await w.runUntil('all are served', () => w.fleet.running(BORROWER) === 4);
+      await w.runUntil('all is lent', () => w.states() === 'lent lent lent lent');
+      for (let i = 0; i < 4; i++) w.fleet.add(`n${i}`, 'z2');
+      let most = 0;
+      await w.runUntil('all run again', () => {
+        most = Math.max(most, w.loans().filter(({ state }) => state === 'recalled').length);
+        assert.ok(w.fleet.running(BORROWER) >= 3, 'one replica is away at a time');
+        return w.loans().every(({ state }) => state === 'resumed');
+      }, 100); // prettier-ignore
+      assert.ok(most <= 2, `${most} recalls at once`);
+      await w.settle();
+    },
+  },
+  {
+    name: 'a machine that comes in time settles the loan',
+    async play(w) {
+      await filled(w);
+      w.service({ id: BORROWER });
+      await w.runUntil('it is served', serves(w));
+      w.fleet.add('m2');
+      await w.runUntil('it is back', () => w.states() === 'resumed', LEASE_S * 2);
+      assert.deepEqual(w.hosts(LENDER), ['m2']);
+      assert.ok(serves(w)(), 'the borrower stays');
+    },
+  },
+  {
+    name: 'the only replica of a service is not moved: the promise is waived, and says why',
+    async play(w) {
+      await filled(w, { zone: 'z1' });
+      w.service({ id: BORROWER });
+      await w.runUntil('it is served', serves(w));
+      w.fleet.add('m2', 'z2');
+      await w.runUntil('it is given up', () => w.states() === 'waived', 120);
+      assert.match(w.loans()[0]!.reason, /no free place/);
+      assert.ok(serves(w)());
+    },
+  },
+  {
+    name: 'what is over goes after a while',
+    options: { keepEndedS: 10 },
+    async play(w) {
+      await filled(w);
+      w.service({ id: BORROWER });
+      await w.runUntil('it is served', serves(w));
+      w.cancel(BORROWER);
+      await w.runUntil('it is over', () => w.states() === 'resumed');
+      await w.run(8);
+      assert.equal(w.states(), 'resumed');
+      await w.run(4);
+      assert.equal(w.states(), '');
+    },
+  },
+];
+
+for (const { name, options, play } of ROWS) {
+  test(name, async () => {
+    const w = new LendingWorld(options);
+    await play(w);
+    w.checkRules();
   });
 }
+
+/** A day of work without a service that borrows, and all that was stored and started in it. */
+async function decisions(lending: boolean): Promise<unknown> {
+  const w = new LendingWorld({ lending });
+  for (const id of ['m1', 'm2']) w.fleet.add(id);
+  await w.run(1);
+  w.batchJob(6, { id: 'wk-000011', tasks: 3, gpus: 4, cores: 4, deadlineS: 60 });
+  w.batchJob(6, { id: 'wk-000012', kind: 'gang', tasks: 2, gpus: 4, cores: 4, priority: 2 });
+  await w.run(2);
+  // Makes room by preemption, as it did before.
+  w.batchJob(3, { id: 'wk-000013', gpus: 8, priority: 0 });
+  await w.run(4);
+  w.service({ id: BORROWER, gpus: 1, cores: 1, memGb: 1 });
+  w.takeOver();
+  await w.run(20);
+  const { store, fleet } = w;
+  const stored = store.keys().sort().map((key) => [key, store.revision(key), store.value(key)]); // prettier-ignore
+  return { stored, starts: [...fleet.starts], wanted: w.parts.capacity.wanted() };
+}
+
+test('without the table, and with it where nothing is borrowed, the same is decided', async () => {
+  assert.deepEqual(await decisions(true), await decisions(false));
+});
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -22,7 +22,15 @@
     const around = { rules: this.rules, times, gpus: 2, controllers: [], unreachable: [] };
     const worker = new Worker(around, id, { type: 'g8', zone: 'z1', spot: false, ...place });
     const piece = `wk-1/${index}`;
-    const task: Task = { piece, pour: 1, temper: 'running', cause: undefined, timer: undefined };
+    const task: Task = {
+      piece,
+      pour: 1,
+      temper: 'running',
+      cause: undefined,
+      timer: undefined,
+      runsSince: null,
+      saved: false,
+    };
     worker.tasks.push(task);
     this.rules.workers.set(id, worker);
     this.rules.started(worker, task, false);
--- a/test/standins/cloud.ts
+++ b/test/standins/cloud.ts
@@ -14,6 +14,8 @@
 export class Cloud extends HttpStandIn {
   readonly around: Surroundings;
   bootMs = 200;
+  /** Machines that it has in all. */
+  most = Infinity;
   /** The nominal boot that it tells, in seconds. */
   nominalBootS = MACHINE_TYPE.startup_s;
   /** What was rented when, in ms, by the name of its request. */
@@ -49,7 +51,9 @@
     const hire = body.hire as string;
     const known = this.hires.get(hire);
     if (known !== undefined) return [200, { benches: known }];
-    const benches = Array.from({ length: body.number as number }, () => this.boot(body));
+    const count = Math.min(body.number as number, this.most - this.counted);
+    if (count <= 0) return [503, { error: 'no capacity' }];
+    const benches = Array.from({ length: count }, () => this.boot(body));
     this.hires.set(hire, benches);
     this.rentals.push({ hire, ids: benches, at: Date.now() });
     return [200, { benches }];
--- a/test/standins/rules.ts
+++ b/test/standins/rules.ts
@@ -66,6 +66,8 @@
   readonly starts = new Map<string, number>();
   /** All starts, when and where; times in ms. */
   readonly startLog: { piece: string; machine: string; at: number }[] = [];
+  /** Seconds of work that tasks have saved. */
+  readonly savedS = new Map<string, number>();
   private readonly timer = setInterval(() => this.watchCancelled(), WATCH_MS);
 
   constructor(private readonly limits: Limits) {}
--- a/test/standins/worker.ts
+++ b/test/standins/worker.ts
@@ -6,9 +6,12 @@
 export interface Task {
   piece: string;
   pour: number;
-  temper: 'gathering' | 'running' | 'ended';
+  temper: 'gathering' | 'running' | 'flushing' | 'ended';
   cause: string | undefined;
   timer: NodeJS.Timeout | undefined;
+  /** When it began to run, in ms; null: it has not. */
+  runsSince: number | null;
+  saved: boolean;
 }
 
 /** Whether a task is on its machine. */
@@ -173,8 +176,8 @@
 
   private report(): Json {
     const { id, port, type, zone, spot, shift, hallmark } = this;
-    const pieces = this.tasks.map(({ piece, pour, temper, cause }) => ({
-      piece, pour, temper, cause,
+    const pieces = this.tasks.map(({ piece, pour, temper, cause, saved }) => ({
+      piece, pour, temper, cause, saved,
     })); // prettier-ignore
     return {
       bench: id, addr: `${this.host}:${port}`, casting: type, yard: zone, loaner: spot, shift,
@@ -236,12 +239,14 @@
   // Tasks
 
   private execute(orders: Json[], heldUp: boolean): void {
-    for (const { verb, piece, pour } of orders) {
+    for (const { verb, piece, pour, cooling_s } of orders) {
       const task = this.tasks.find((t) => t.piece === piece && t.pour === pour);
       if (verb === 'start' && task === undefined) {
         this.begin(piece as string, pour as number, heldUp);
       }
-      if (verb === 'kill' && task !== undefined && occupies(task)) this.exit(task, 'halted');
+      if (verb === 'kill' && task !== undefined && occupies(task)) {
+        this.kill(task, Number(cooling_s));
+      }
       if (verb === 'reap' && task?.temper === 'ended') {
         this.tasks.splice(this.tasks.indexOf(task), 1);
       }
@@ -251,7 +256,10 @@
   private begin(piece: string, pour: number, heldUp: boolean): void {
     const { rules } = this.around;
     const refusal = this.refusal(piece);
-    const task: Task = { piece, pour, temper: 'running', cause: undefined, timer: undefined };
+    const task: Task = {
+      ...{ piece, pour, temper: 'running', cause: undefined, timer: undefined },
+      ...{ runsSince: null, saved: false },
+    };
     this.tasks.push(task);
     if (refusal !== null) {
       task.temper = 'ended';
@@ -292,9 +300,34 @@
     );
   }
 
+  /** What was saved of it need not be run again. */
   private runFor(task: Task, runS: number): void {
+    const leftS = runS - (this.around.rules.savedS.get(task.piece) ?? 0);
     task.temper = 'running';
-    task.timer = setTimeout(() => void this.complete(task), runS * 1000);
+    task.runsSince = Date.now();
+    task.timer = setTimeout(() => void this.complete(task), leftS * 1000);
+  }
+
+  /** One that can save does so first, if it is given the time. */
+  private kill(task: Task, coolingS: number): void {
+    const { stamp_s, stamping_s } = this.around.rules.jobs.get(jobOf(task))!.submission;
+    const saveS = Number(stamping_s ?? 0);
+    if (task.temper === 'flushing' && coolingS > 0) return;
+    if (task.temper !== 'running' || !(Number(stamp_s) > 0) || coolingS < saveS) {
+      this.exit(task, 'halted');
+      return;
+    }
+    clearTimeout(task.timer);
+    task.temper = 'flushing';
+    const ranS = (Date.now() - (task.runsSince ?? Date.now())) / 1000;
+    task.timer = setTimeout(() => this.save(task, ranS), saveS * 1000);
+  }
+
+  private save(task: Task, ranS: number): void {
+    const { savedS } = this.around.rules;
+    savedS.set(task.piece, (savedS.get(task.piece) ?? 0) + ranS);
+    task.saved = true;
+    this.exit(task, 'halted');
   }
 
   private async complete(task: Task): Promise<void> {
@@ -306,7 +339,7 @@
 
   private exit(task: Task, cause: string): void {
     clearTimeout(task.timer);
-    const ran = task.temper === 'running';
+    const ran = task.temper === 'running' || task.temper === 'flushing';
     task.temper = 'ended';
     task.cause = cause;
     const job = this.around.rules.jobs.get(jobOf(task));
