Lending: recalls keep the gap between moves of a class; a lender is not stopped for nothing

A grant that waited for the store through an outage stopped its lender although the borrower had a place by then.

Change: TermView.moveGapS; the plan keeps that gap within a class. An eviction is not carried out once the borrower misses nothing. Loans are looked up by lender.

--- a/src/leader/evictions.ts
+++ b/src/leader/evictions.ts
@@ -151,9 +151,9 @@
     return tasks - got.length;
   }
 
-  /** Stops what is still there, unless the job that wanted the room is over. */
+  /** Stops what is still there, unless the job that wanted the room is over or has a place by now. */
   private carryOut(borrower: LiveJob, victims: readonly HeldVictim[], saves: boolean): boolean {
-    if (borrower.phase !== 'open') return false;
+    if (borrower.phase !== 'open' || borrower.pendingCount === 0) return false;
     for (const { job, attempt } of victims) {
       // Stopping one task of a gang stops all that it runs by now: not for a task that is gone.
       if (!holds(attempt) || attempt.stop !== null) continue;
--- a/src/leader/leader.ts
+++ b/src/leader/leader.ts
@@ -102,6 +102,7 @@
       capacity,
       nudgeStore: () => store.nudge(),
       moveReplica: (attempt, mayFetch) => scheduler.moveReplica(attempt, capacity.rooms, mayFetch),
+      moveGapS: (jobClass) => scheduler.moveGapS(jobClass),
     });
   }
 
--- a/src/leader/moves.ts
+++ b/src/leader/moves.ts
@@ -152,6 +152,22 @@
     this.term.stop(attempt, 0);
   }
 
+  private replicasByClass(): Map<string, number> {
+    const replicas = new Map<string, number>();
+    for (const j of this.term.jobs.values()) {
+      const n = replicas.get(j.spec.class) ?? 0;
+      if (j.spec.kind === 'service') replicas.set(j.spec.class, n + j.holdingCount);
+    }
+    return replicas;
+  }
+
+  /** Seconds between two replicas of a class that are moved one by one, at least. */
+  gapS(jobClass: string): number {
+    const spanS = this.term.deps.settings.workers.lease_s * MOVE_LEASES;
+    const share = (this.replicasByClass().get(jobClass) ?? 0) * MOVE_SHARE;
+    return spanS / Math.max(MOVES_LEAST, Math.floor(share));
+  }
+
   /** Whether so many more replicas may move: of a class, a small share within some leases. */
   private moveBound(least = 0): (list: { spec: JobSpec }[]) => boolean {
     const { now } = this.term;
@@ -159,11 +175,7 @@
     while (this.recent.length > 0 && now - this.recent[0]!.at > lease_s * MOVE_LEASES) {
       this.recent.shift();
     }
-    const replicas = new Map<string, number>();
-    for (const j of this.term.jobs.values()) {
-      const n = replicas.get(j.spec.class) ?? 0;
-      if (j.spec.kind === 'service') replicas.set(j.spec.class, n + j.holdingCount);
-    }
+    const replicas = this.replicasByClass();
     return (list) => {
       const counts = new Map<string, number>();
       for (const r of list) counts.set(r.spec.class, (counts.get(r.spec.class) ?? 0) + 1);
--- a/src/leader/scheduler.ts
+++ b/src/leader/scheduler.ts
@@ -165,6 +165,11 @@
     return this.moves.moveReplica(attempt, { rooms, may, mayFetch, weights: this.weights() });
   }
 
+  /** Seconds between two moves of replicas of a class, at least. */
+  moveGapS(jobClass: string): number {
+    return this.moves.gapS(jobClass);
+  }
+
   private specOf(job: string): JobSpec | null {
     const live = this.term.jobs.get(job);
     if (live !== undefined) return live.spec;
--- a/src/leader/subsystem-view.ts
+++ b/src/leader/subsystem-view.ts
@@ -24,6 +24,7 @@
   capacity: CapacityManager;
   nudgeStore: () => void;
   moveReplica: (attempt: Attempt, mayFetch: boolean) => boolean;
+  moveGapS: (jobClass: string) => number;
 }
 
 export class SubsystemView implements TermView {
@@ -104,6 +105,10 @@
     return attempt !== undefined && this.options.moveReplica(attempt, mayFetch);
   }
 
+  moveGapS(jobClass: string): number {
+    return this.options.moveGapS(jobClass);
+  }
+
   endStopped({ job, index, number }: AttemptView): void {
     const { term } = this.options;
     const live = term.jobs.get(job);
--- a/src/lending/grants.ts
+++ b/src/lending/grants.ts
@@ -158,7 +158,7 @@
 
   private withdraw(loan: LoanEntry): void {
     if (loan.current.state !== 'requested') return;
-    this.options.table.apply(loan, { kind: 'cancelled', reason: 'the borrower is over' });
+    this.options.table.apply(loan, { kind: 'cancelled', reason: 'the borrower needs it no more' });
   }
 
   /** Whether a loan is on its way into the store or about to be carried out. */
--- a/src/lending/loan-table.ts
+++ b/src/lending/loan-table.ts
@@ -23,6 +23,8 @@
   decode: decodeLoan,
 };
 
+const NO_LOANS: readonly LoanEntry[] = [];
+
 const isGrant = ({ current }: LoanEntry): boolean => current.state === 'requested';
 
 export interface LoanTableOptions {
@@ -37,9 +39,15 @@
 /** Loans by name, and what is derived of all of them. */
 export class LoanTable {
   private readonly table: RecordTable<Loan>;
+  /** Loans by lender; null: to be derived anew. Victims are weighed many times between two changes. */
+  private byLender: Map<string, LoanEntry[]> | null = null;
 
   constructor(private readonly options: LoanTableOptions) {
-    this.table = new RecordTable(LOAN_FORM, { isUrgent: isGrant, onStored: options.onStored });
+    this.table = new RecordTable(LOAN_FORM, {
+      isUrgent: isGrant,
+      onStored: options.onStored,
+      onChange: () => (this.byLender = null),
+    });
   }
 
   reconcile(records: ReadonlyMap<string, OwnedRecord>): void {
@@ -90,18 +98,28 @@
 
   /** The open loan of one of a job's tasks; of a gang, whichever task is asked for. */
   openLoanOf(lender: string, index: number): LoanEntry | undefined {
-    for (const entry of this.open()) {
-      const { lender: of, tasks } = entry.current;
-      if (of === lender && tasks.some((task) => task.index === index)) return entry;
+    return this.loansOf(lender).find(
+      ({ current }) => isOpen(current) && current.tasks.some((task) => task.index === index),
+    );
+  }
+
+  private loansOf(lender: string): readonly LoanEntry[] {
+    if (this.byLender === null) {
+      this.byLender = new Map();
+      for (const entry of this.table.values()) {
+        const of = this.byLender.get(entry.current.lender);
+        if (of === undefined) this.byLender.set(entry.current.lender, [entry]);
+        else of.push(entry);
+      }
     }
-    return undefined;
+    return this.byLender.get(lender) ?? NO_LOANS;
   }
 
   /** When a job lent last, in ms of the time of day; null: never, as far as is stored. */
   lentAtMs(lender: string): number | null {
     let latest: number | null = null;
-    for (const { current } of this.table.values()) {
-      if (current.lender !== lender || current.state === 'cancelled') continue;
+    for (const { current } of this.loansOf(lender)) {
+      if (current.state === 'cancelled') continue;
       latest = Math.max(latest ?? 0, current.grantedMs);
     }
     return latest;
--- a/src/lending/loan-watch.ts
+++ b/src/lending/loan-watch.ts
@@ -29,6 +29,16 @@
   config: LendingConfig;
 }
 
+/** The gap in ms between two moves of replicas of a class; each is looked up once. */
+function moveGaps(view: TermView): (jobClass: string) => number {
+  const known = new Map<string, number>();
+  return (jobClass) => {
+    const gapMs = known.get(jobClass) ?? view.moveGapS(jobClass) * 1000;
+    known.set(jobClass, gapMs);
+    return gapMs;
+  };
+}
+
 export class LoanWatch {
   private readonly startedAt: number;
   /** Time of day in ms since when this leader has been able to bring something back. */
@@ -47,8 +57,14 @@
   look(): void {
     const { table, view, config, wayBack } = this.options;
     const away = [...table.open()].filter(({ current }) => isAway(current));
-    const due = away.map(({ id, current }) => ({ id, dueMs: current.dueMs }));
-    const begins = planRecalls(due, wayBack.seconds * 1000, config.recallsAtOnce);
+    const due = away.map(({ id, current: { dueMs, borrower } }) => {
+      return { id, dueMs, group: view.spec(borrower)?.class ?? borrower };
+    });
+    const begins = planRecalls(due, {
+      wayBackMs: wayBack.seconds * 1000,
+      atOnce: config.recallsAtOnce,
+      gapMs: moveGaps(view),
+    });
     let underWay = away.filter(({ current }) => current.state === 'recalled').length;
     for (const entry of [...table.open()]) {
       const begin = begins.get(entry.id) ?? Infinity;
--- a/src/lending/recall-plan.ts
+++ b/src/lending/recall-plan.ts
@@ -4,24 +4,38 @@
   id: string;
   /** Time of day in ms by which the lender needs its place; null: no deadline asks for it. */
   dueMs: number | null;
+  /** Borrowers of one group are moved one after the other. */
+  group: string;
+}
+
+export interface RecallPace {
+  /** What one recall takes. */
+  wayBackMs: number;
+  /** Recalls under way at a time. */
+  atOnce: number;
+  /** Between the beginnings of two recalls of one group. */
+  gapMs: (group: string) => number;
 }
 
 /**
- * The moment in ms at which each recall has to begin, by loan. With `atOnce` recalls that take `wayBackMs`
- * each, and the earliest due first: each is over when it is due, and before the one `atOnce` places later
- * has to begin. Loans without a due time are left out.
+ * The moment in ms at which each recall has to begin, by loan, the earliest due first: each is over when it is
+ * due, and before the one `atOnce` places later has to begin; within a group they keep the gap. Loans without
+ * a due time are left out.
  */
 export function planRecalls(
   loans: readonly DueLoan[],
-  wayBackMs: number,
-  atOnce: number,
+  { wayBackMs, atOnce, gapMs }: RecallPace,
 ): Map<string, number> {
   const due = loans.filter((loan): loan is DueLoan & { dueMs: number } => loan.dueMs !== null);
   due.sort((a, b) => a.dueMs - b.dueMs || (a.id < b.id ? -1 : 1));
   const begins: number[] = [];
+  const firstOfGroup = new Map<string, number>();
   for (let i = due.length - 1; i >= 0; i--) {
+    const { dueMs, group } = due[i]!;
     const next = begins[i + atOnce] ?? Infinity;
-    begins[i] = Math.min(due[i]!.dueMs, next) - wayBackMs;
+    const nextOfGroup = firstOfGroup.get(group) ?? Infinity;
+    begins[i] = Math.min(Math.min(dueMs, next) - wayBackMs, nextOfGroup - gapMs(group));
+    firstOfGroup.set(group, begins[i]!);
   }
   return new Map(due.map(({ id }, i) => [id, begins[i]!]));
 }
--- a/src/subsystems/subsystem.ts
+++ b/src/subsystems/subsystem.ts
@@ -159,6 +159,8 @@
   latestEndMs(job: string): number;
   /** Moves a replica to a free place; false: there is none now, or too many move. */
   moveReplica(move: ReplicaMove): boolean;
+  /** Seconds between two moves of replicas of a class, at least. */
+  moveGapS(jobClass: string): number;
   /** Ends an attempt that was told to stop, or is saving, without waiting for it any longer. */
   endStopped(attempt: AttemptView): void;
   /** What is free after the latest pass of placing. */
--- a/test/lending.test.ts
+++ b/test/lending.test.ts
@@ -84,7 +84,8 @@
 });
 
 test('recalls begin early enough for all to be over in time, so many at once', () => {
-  const due = (...list: (number | null)[]) => list.map((dueMs, i) => ({ id: `l${i}`, dueMs }));
+  const due = (list: (number | null)[], group: (i: number) => string) =>
+    list.map((dueMs, i) => ({ id: `l${i}`, dueMs, group: group(i) }));
   const cases: [string, (number | null)[], number, Record<string, number>][] = [
     ['one', [100], 2, { l0: 90 }],
     ['none is asked for', [null, 100], 2, { l1: 90 }],
@@ -99,8 +100,17 @@
     ['in the order of their due times', [300, 100, 105], 1, { l1: 85, l2: 95, l0: 290 }],
   ];
   for (const [name, list, atOnce, begins] of cases) {
-    assert.deepEqual(Object.fromEntries(planRecalls(due(...list), 10, atOnce)), begins, name);
+    const pace = { wayBackMs: 10, atOnce, gapMs: () => 30 };
+    const plan = planRecalls(due(list, String), pace);
+    assert.deepEqual(Object.fromEntries(plan), begins, name);
   }
+  const pace = { wayBackMs: 10, atOnce: 4, gapMs: () => 30 };
+  const plan = planRecalls(due([100, 100, 100], () => 'tutor'), pace); // prettier-ignore
+  assert.deepEqual(
+    Object.fromEntries(plan),
+    { l0: 30, l1: 60, l2: 90 },
+    'one of a class at a time',
+  );
 });
 
 const EVENTS: LoanEvent[] = [
@@ -281,6 +291,20 @@
       assert.ok(Number(w.leader.figures().loans_without_promise) > 0);
     },
   },
+  {
+    name: 'a lender is not stopped for a borrower that has found a place meanwhile',
+    async play(w) {
+      await filled(w, { deadlineS: 200 }, 40);
+      w.service({ id: BORROWER });
+      w.pass();
+      w.fleet.add('m2');
+      await w.outage(LEASE_S);
+      await w.runUntil('it is served', serves(w));
+      await w.run(LEASE_S * 2);
+      assert.deepEqual([w.hosts(LENDER), w.hosts(BORROWER)], [['m1'], ['m2']]);
+      assert.ok(w.loans().every((loan) => !isOpen(loan)));
+    },
+  },
   {
     name: 'a lender without time lends only to ordinary preemption, without a promise',
     async play(w) {
