--- a/test/lending.test.ts
+++ b/test/lending.test.ts
@@ -420,6 +420,22 @@
       assert.equal(w.loans().length, 1);
     },
   },
+  {
+    name: 'a GPU is in one open loan only, also when others took it before the borrower could',
+    async play(w) {
+      await filled(w, { deadlineS: 400 });
+      w.service({ id: BORROWER });
+      await w.runUntil('it is told', () => w.taskStates(LENDER).includes('saving'));
+      const limited = { name: 't', cores: 0, coresMax: 0, gpus: 0 };
+      w.settings.teams.set('t', { ...limited, gpusMax: 4 });
+      w.batchJob(30, { id: 'wk-000012', priority: 2, deadlineS: 900 });
+      await w.runUntil('another job took it', () => w.fleet.running('wk-000012') === 1);
+      w.settings.teams.set('s', { ...limited, name: 's', gpusMax: 100 });
+      w.service({ id: 'wk-000013', team: 's' });
+      await w.runUntil('the other service is served', () => w.fleet.running('wk-000013') === 1);
+      assert.deepEqual(w.loans().map(({ lender, state }) => [lender, state]), [[LENDER, 'lent']]); // prettier-ignore
+    },
+  },
   {
     name: 'all are due back at once while serving is at its peak',
     options: { recallsAtOnce: 2 },
