--- a/test/lending.test.ts
+++ b/test/lending.test.ts
@@ -15,13 +15,17 @@
   type LoanEvent,
   type LoanState,
 } from '../src/lending/loan.js';
+import { Grants } from '../src/lending/grants.js';
+import { LoanTable } from '../src/lending/loan-table.js';
 import { planRecalls } from '../src/lending/recall-plan.js';
 import { judge, latestReturnS, type LenderWork } from '../src/lending/safety.js';
 import { loansView } from '../src/lending/view.js';
 import { loansTable } from '../src/lending/command.js';
 import { Refused } from '../src/state/client.js';
-import type { LiveJobView } from '../src/subsystems/subsystem.js';
-import { settings, spec } from './helpers.js';
+import { WayBackTimes } from '../src/lending/way-back.js';
+import { makeAttempt } from '../src/workers/attempt.js';
+import type { LiveJobView, TermView } from '../src/subsystems/subsystem.js';
+import { g8, settings, spec } from './helpers.js';
 import { BORROWER, LENDER, LendingWorld, MACHINE_GPUS } from './lending-helpers.js';
 
 const { lease_s: LEASE_S, report_s: REPORT_S } = settings().workers;
@@ -248,6 +252,45 @@
   assert.equal(errors.margin('marker'), 3);
 });
 
+test('a loan whose record is larger than a value of the store is not granted', () => {
+  for (const [valueKb, granted] of [
+    [8, true],
+    [0.1, false],
+  ] as const) {
+    const { state } = settings();
+    const view = {
+      settings: { ...settings(), state: { ...state, value_kb: valueKb } },
+      ...{
+        now: () => 0,
+        wallMs: () => 0,
+        latestEndMs: () => Infinity,
+        nudgeStore: () => undefined,
+      },
+      ...{ types: () => new Map([['g8', g8]]), machine: () => ({ type: 'g8' }) },
+    } as unknown as TermView;
+    const errors = new EstimateErrors(1);
+    const wayBack = new WayBackTimes(view);
+    const table = new LoanTable({
+      nowMs: () => 0,
+      onStored: () => undefined,
+      onChange: () => undefined,
+    });
+    const config = { maxOpen: 9, recallsAtOnce: 1, leastMargin: 1, keepEndedS: 1 };
+    const grants = new Grants({ view, table, config, errors, wayBack });
+    const lender = spec({ checkpointS: 1, saveS: 0.1 });
+    const attempt = makeAttempt(lender.id, 0, 5, 'm1', 'running', 0);
+    const job = { spec: lender, live: new Map(), gang: false, guaranteed: false, holdingCount: 1 };
+    const taken = grants.takesOver({
+      machine: 'm1',
+      borrower: { spec: spec({ id: 'wk-000002', kind: 'service' }) } as LiveJobView,
+      victims: [{ job: job as unknown as LiveJobView, attempt }],
+      ...{ saves: true, carryOut: () => true },
+    });
+    assert.equal(taken, granted);
+    assert.equal(grants.withoutPromise, granted ? 0 : 1);
+  }
+});
+
 // With a leader and workers
 
 interface Row {
