Lending: what was lent is back once it is free; one gang wanted twice in a pass

Cause, found by reading: two services that took both machines of a gang in one pass gave its loan the second borrower with the first one's machine. Where the borrower was placed elsewhere in the end and another service took the lent GPUs, the loan counted as returned.

Change: a grant under way stays as it is; what was lent is back once it is free on the machine, and a recall moves whatever replica is there.

Result: both have a test.

--- a/src/lending/grants.ts
+++ b/src/lending/grants.ts
@@ -112,13 +112,17 @@
     return gpus <= whole + 1e-6;
   }
 
-  /** A new loan, or the one that an earlier term stored and did not carry out. */
+  /**
+   * A new loan, or the one that an earlier term stored and did not carry out. One that is being granted stays
+   * as it is: both machines of a gang were once wanted in one pass, and its loan named the second borrower
+   * with the first one's machine.
+   */
   private request(loan: Loan): LoanEntry {
     const { table } = this.options;
     const known = table.get(loanId(loan));
     if (known === undefined) return table.add(loan);
     const { borrower, reason } = loan;
-    if (known.current.borrower !== borrower) {
+    if (!this.isPending(known) && known.current.borrower !== borrower) {
       table.apply(known, { kind: 'granted-again', borrower, reason });
     }
     return known;
--- a/src/lending/loan-evidence.ts
+++ b/src/lending/loan-evidence.ts
@@ -10,7 +10,7 @@
 /** Where the lender's tasks are otherwise. */
 export type LenderElsewhere = 'nowhere' | 'placed' | 'running';
 
-/** `wants`: it is not there, and a task of it has no place. */
+/** `wants`: it is not there, but what was lent has not come back: a task of it has no place, or others took it. */
 export type BorrowerPresence = 'there' | 'wants' | 'away';
 
 export interface LoanEvidence {
@@ -64,18 +64,29 @@
 }
 
 /** The borrower's attempts on the machine of a loan. */
-export function borrowerAttempts(loan: Loan, view: TermView): AttemptView[] {
+function borrowerAttempts(loan: Loan, view: TermView): AttemptView[] {
   const job = view.job(loan.borrower);
   const attempts = job === undefined ? [] : [...job.live.values()].flat();
   return attempts.filter((a) => a.machine === loan.machine && holds(a));
 }
 
-function borrowerPresence(loan: Loan, view: TermView): BorrowerPresence {
+/**
+ * The replicas that are where the lender was: the borrower's or, where it was placed elsewhere in the end and
+ * another service came here, those of whatever services there are.
+ */
+export function replicasThere(loan: Loan, view: TermView): AttemptView[] {
+  const own = borrowerAttempts(loan, view);
+  if (own.length > 0) return own;
+  const there = [...(view.machine(loan.machine)?.attempts.values() ?? [])];
+  return there.filter((a) => holds(a) && view.spec(a.job)?.kind === 'service');
+}
+
+/** `freeGpus`: what is free on the machine. Nothing has come back while others have it. */
+function borrowerPresence(loan: Loan, view: TermView, freeGpus: number): BorrowerPresence {
   if (borrowerAttempts(loan, view).length > 0) return 'there';
+  if (freeGpus < loan.gpus) return 'wants';
   const job = view.job(loan.borrower);
   if (job === undefined || job.phase !== 'open') return 'away';
-  // Its lease has run out. It may be back with the replica's place; till then nothing has come back.
-  if (view.machine(loan.machine)?.state === 'silent') return 'wants';
   return job.pendingCount > 0 ? 'wants' : 'away';
 }
 
@@ -88,6 +99,7 @@
 export function seenOf(
   loan: Loan,
   view: TermView,
+  freeGpus: number,
 ): Omit<LoanEvidence, 'recall' | 'broken' | 'lateS' | 'notCarriedOut'> {
   const job = view.job(loan.lender);
   const { lent, later } = lenderAttempts(loan, job);
@@ -95,7 +107,7 @@
     lenderOver: lenderOver(loan, job),
     lenderThere: lenderThere(lent),
     lenderElsewhere: lenderElsewhere(loan, later),
-    borrower: borrowerPresence(loan, view),
+    borrower: borrowerPresence(loan, view, freeGpus),
     machineGone: machineGone(loan, view),
   };
 }
--- a/src/lending/loan-watch.ts
+++ b/src/lending/loan-watch.ts
@@ -5,7 +5,7 @@
 import type { Grants } from './grants.js';
 import { isAtLimit } from './lender-work.js';
 import { isAway, type Loan } from './loan.js';
-import { borrowerAttempts, seenOf, type LoanEvidence } from './loan-evidence.js';
+import { replicasThere, seenOf, type LoanEvidence } from './loan-evidence.js';
 import { nextEvent } from './loan-steps.js';
 import type { LoanEntry, LoanTable } from './loan-table.js';
 import { planRecalls } from './recall-plan.js';
@@ -65,34 +65,36 @@
       atOnce: config.recallsAtOnce,
       gapMs: moveGaps(view),
     });
+    const free = new Map(view.rooms().map(({ id, gpus }) => [id, gpus]));
     let underWay = away.filter(({ current }) => current.state === 'recalled').length;
     for (const entry of [...table.open()]) {
       const begin = begins.get(entry.id) ?? Infinity;
       const isDue = view.wallMs() >= begin && underWay < config.recallsAtOnce;
-      if (this.step(entry, isDue) === 'recalled') underWay++;
+      const freeGpus = free.get(entry.current.machine) ?? 0;
+      if (this.step(entry, isDue, freeGpus) === 'recalled') underWay++;
     }
   }
 
   /** Carries one loan on. Returns its new state, null where it has not changed. */
-  private step(entry: LoanEntry, isDue: boolean): Loan['state'] | null {
+  private step(entry: LoanEntry, isDue: boolean, freeGpus: number): Loan['state'] | null {
     const { table, view, grants } = this.options;
     if (grants.isPending(entry)) return null;
     const before = entry.current;
-    const event = nextEvent(before, this.evidence(entry, isDue));
+    const event = nextEvent(before, this.evidence(entry, isDue, freeGpus));
     if (event !== null) {
       this.noteWayBack(before, event.kind);
       table.apply(entry, event);
+      view.nudgeStore();
     }
     if (entry.current.state === 'saving') this.endSaving(entry.current);
     // A successor has to find a recall whose replica it sees moving.
     if (entry.stored?.state === 'recalled') this.bringBack(entry.stored);
-    view.nudgeStore();
     return entry.current.state === before.state ? null : entry.current.state;
   }
 
-  private evidence(entry: LoanEntry, isDue: boolean): LoanEvidence {
+  private evidence(entry: LoanEntry, isDue: boolean, freeGpus: number): LoanEvidence {
     const loan = entry.current;
-    const seen = seenOf(loan, this.options.view);
+    const seen = seenOf(loan, this.options.view, freeGpus);
     return {
       ...seen,
       recall: this.recallReason(loan, isDue),
@@ -157,12 +159,13 @@
    */
   private bringBack(loan: Loan): void {
     const { view } = this.options;
-    // What the borrower misses elsewhere it would take back here: it is the more important of the two.
-    if (isAtLimit(loan, view) || view.job(loan.borrower)?.pendingCount !== 0) return;
-    const attempts = borrowerAttempts(loan, view);
+    if (isAtLimit(loan, view)) return;
+    const attempts = replicasThere(loan, view);
     if (attempts.some((a) => a.stop !== null)) return;
-    for (const { index } of attempts) {
-      const move = { job: loan.borrower, index, from: loan.machine, mayFetch: this.presses(loan) };
+    for (const { job, index } of attempts) {
+      // What a service misses elsewhere it would take back here: it is the more important of the two.
+      if (view.job(job)?.pendingCount !== 0) continue;
+      const move = { job, index, from: loan.machine, mayFetch: this.presses(loan) };
       if (view.moveReplica(move)) return;
     }
   }
--- a/src/lending/return-holds.ts
+++ b/src/lending/return-holds.ts
@@ -5,7 +5,7 @@
 import type { TermView } from '../subsystems/subsystem.js';
 import type { Loan } from './loan.js';
 import { isAtLimit } from './lender-work.js';
-import { borrowerAttempts } from './loan-evidence.js';
+import { replicasThere } from './loan-evidence.js';
 import type { LoanTable } from './loan-table.js';
 
 /** What came back is kept for so long, so that a lender that may not start keeps nobody from it. */
@@ -45,9 +45,10 @@
   }
 
   private noteBorrower(loan: Loan): void {
-    const spec = this.view.spec(loan.borrower);
-    const isThere = borrowerAttempts(loan, this.view).length > 0;
-    if (spec !== null && isThere) this.recalledBorrowers.push(spec);
+    for (const { job } of replicasThere(loan, this.view)) {
+      const spec = this.view.spec(job);
+      if (spec !== null) this.recalledBorrowers.push(spec);
+    }
   }
 
   private holds(loan: Loan): boolean {
--- a/test/lending.test.ts
+++ b/test/lending.test.ts
@@ -1,8 +1,9 @@
 /** Lending in its parts: tables of what is safe, when recalls begin, how a loan changes, what is promised. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import type { JobSpec } from '../src/jobs/types.js';
 import { EstimateErrors } from '../src/lending/estimate-errors.js';
-import type { LoanEvidence } from '../src/lending/loan-evidence.js';
+import { replicasThere, seenOf, type LoanEvidence } from '../src/lending/loan-evidence.js';
 import { nextEvent } from '../src/lending/loan-steps.js';
 import {
   advanceLoan,
@@ -291,6 +292,29 @@
   }
 });
 
+test('what was lent is back once it is free; till then whatever replica is there has it', () => {
+  const replica = (job: string) => makeAttempt(job, 0, 9, 'm1', 'running', 0);
+  const kinds: Record<string, JobSpec['kind']> = { 'wk-2': 'service', 'wk-3': 'service' };
+  const look = (on: string[], freeGpus: number, pendingCount = 0) => {
+    const attempts = on.map(replica);
+    const live = new Map([[0, attempts.filter(({ job }) => job === 'wk-2')]]);
+    const jobs: Record<string, unknown> = { 'wk-2': { phase: 'open', live, pendingCount } };
+    const view = {
+      job: (id: string) => jobs[id],
+      spec: (id: string) => spec({ id, kind: kinds[id] ?? 'array' }),
+      machine: () => ({ state: 'ready', attempts: new Map(attempts.map((a) => [a.job, a])) }),
+    } as unknown as TermView;
+    const loan = loanOf({ state: 'lent' });
+    const there = replicasThere(loan, view).map(({ job }) => job);
+    return [seenOf(loan, view, freeGpus).borrower, there.join(' ')];
+  };
+  assert.deepEqual(look(['wk-2', 'wk-3'], 0), ['there', 'wk-2']);
+  assert.deepEqual(look(['wk-3', 'wk-4'], 0), ['wants', 'wk-3'], 'another service');
+  assert.deepEqual(look(['wk-4'], 1), ['wants', ''], 'other work');
+  assert.deepEqual(look([], 2), ['away', '']);
+  assert.deepEqual(look([], 2, 1), ['wants', ''], 'a replica is on its way');
+});
+
 // With a leader and workers
 
 interface Row {
@@ -332,6 +356,8 @@
       await w.runUntil('it is served', serves(w), REPORT_S * 20);
       assert.deepEqual(w.loans(), []);
       assert.ok(Number(w.leader.figures().loans_without_promise) > 0);
+      await w.run(LEASE_S);
+      assert.equal(w.leader.figures().loans_requested, 0, 'not offered for ever');
     },
   },
   {
@@ -345,6 +371,7 @@
       await w.runUntil('it is served', serves(w));
       await w.run(LEASE_S * 2);
       assert.deepEqual([w.hosts(LENDER), w.hosts(BORROWER)], [['m1'], ['m2']]);
+      assert.equal(w.fleet.starts.get(`${LENDER}/0`), 1, 'it went on');
       assert.ok(w.loans().every((loan) => !isOpen(loan)));
     },
   },
@@ -404,6 +431,27 @@
       assert.equal(w.fleet.running(LENDER), 2);
     },
   },
+  {
+    name: 'two services that take both machines of a gang in one pass: its loan names who is where',
+    async play(w) {
+      w.fleet.add('m1');
+      w.fleet.add('m2');
+      await w.run(1);
+      w.batchJob(30, { id: LENDER, kind: 'gang', tasks: 2, gpus: 8, deadlineS: 400 });
+      await w.run(2);
+      w.service({ id: BORROWER });
+      w.service({ id: 'wk-000013' });
+      await w.runUntil(
+        'both are served',
+        () => w.hosts(BORROWER).length + w.hosts('wk-000013').length === 2,
+      );
+      const [loan, ...others] = w.loans();
+      assert.deepEqual(others, []);
+      assert.equal(loan!.borrower === BORROWER, loan!.machine === 'm1', 'as it was granted first');
+      await w.run(LEASE_S * 2);
+      assert.equal(w.states(), 'lent');
+    },
+  },
   {
     name: 'work that saves nothing lends only before it starts',
     async play(w) {
