--- a/test/lending.test.ts
+++ b/test/lending.test.ts
@@ -357,7 +357,7 @@
       assert.deepEqual(w.loans(), []);
       assert.ok(Number(w.leader.figures().loans_without_promise) > 0);
       await w.run(LEASE_S);
-      assert.equal(w.leader.figures().loans_requested, 0, 'not offered for ever');
+      assert.equal(w.leader.figures().loans_open_gpus, 0, 'not offered for ever');
     },
   },
   {
