--- a/test/lending.test.ts
+++ b/test/lending.test.ts
@@ -27,7 +27,7 @@
 import { makeAttempt } from '../src/workers/attempt.js';
 import type { LiveJobView, TermView } from '../src/subsystems/subsystem.js';
 import { g8, settings, spec } from './helpers.js';
-import { BORROWER, LENDER, LendingWorld, MACHINE_GPUS } from './lending-helpers.js';
+import { BORROWER, LENDER, LendingWorld, MACHINE_GPUS, OTHER } from './lending-helpers.js';
 
 const { lease_s: LEASE_S, report_s: REPORT_S } = settings().workers;
 
@@ -550,6 +550,25 @@
       await w.settle();
     },
   },
+  {
+    name: 'room that a replica was moved out of goes to the lender before other work of its priority',
+    async play(w) {
+      await w.playTo('lent');
+      // Others wait for it, so it ranks before the lender.
+      w.batchJob(2, { id: 'wk-000012', zone: 'z1', estimateS: 1 });
+      for (const id of ['wk-000021', 'wk-000022', 'wk-000023']) {
+        w.batchJob(2, { id, estimateS: 0.5, awaits: ['wk-000012'] });
+      }
+      await w.run(1);
+      w.cancel(OTHER);
+      await w.runUntil(
+        'one of them runs',
+        () => w.fleet.running(LENDER) + w.fleet.running('wk-000012') > 0,
+        80,
+      );
+      assert.equal(w.fleet.running(LENDER), 1);
+    },
+  },
   {
     name: 'a machine that comes in time settles the loan',
     async play(w) {
