--- a/test/lending.test.ts
+++ b/test/lending.test.ts
@@ -331,6 +331,15 @@
   await w.run(2);
 }
 
+/** Two machines, which a gang has filled for two seconds. */
+async function gangOnTwo(w: LendingWorld): Promise<void> {
+  w.fleet.add('m1');
+  w.fleet.add('m2');
+  await w.run(1);
+  w.batchJob(30, { id: LENDER, kind: 'gang', tasks: 2, gpus: 8, deadlineS: 400 });
+  await w.run(2);
+}
+
 const serves = (w: LendingWorld) => () => w.taskStates(BORROWER).includes('running');
 
 const ROWS: Row[] = [
@@ -415,11 +424,7 @@
   {
     name: 'a gang lends whole',
     async play(w) {
-      w.fleet.add('m1');
-      w.fleet.add('m2');
-      await w.run(1);
-      w.batchJob(30, { id: LENDER, kind: 'gang', tasks: 2, gpus: 8, deadlineS: 400 });
-      await w.run(2);
+      await gangOnTwo(w);
       w.service({ id: BORROWER });
       await w.runUntil('it is served', serves(w));
       const [loan] = w.loans();
@@ -434,11 +439,7 @@
   {
     name: 'two services that take both machines of a gang in one pass: its loan names who is where',
     async play(w) {
-      w.fleet.add('m1');
-      w.fleet.add('m2');
-      await w.run(1);
-      w.batchJob(30, { id: LENDER, kind: 'gang', tasks: 2, gpus: 8, deadlineS: 400 });
-      await w.run(2);
+      await gangOnTwo(w);
       w.service({ id: BORROWER });
       w.service({ id: 'wk-000013' });
       await w.runUntil(
