--- a/scripts/lending.ts
+++ b/scripts/lending.ts
@@ -6,7 +6,7 @@
  *     npm run lending -- --pairs 10
  */
 import { Command } from 'commander';
-import { PATIENT, Scenario, TIGHT, type ScenarioOutcome } from '../test/lending-scenario.js';
+import { Scenario, TIGHT, type ScenarioOutcome } from '../test/lending-scenario.js';
 import { positive } from './options.js';
 import { summary } from './summary.js';
 
@@ -38,23 +38,20 @@
 function report(condition: Condition): void {
   const list = outcomes[condition];
   const batch = list.flatMap((outcome) => outcome.batch);
-  const slack = (ref: string): number[] =>
+  const slack = (ref: string, tight: boolean): number[] =>
     batch
-      .filter((job) => job.ref === ref && job.doneS !== null)
+      .filter((job) => (job.ref === ref) === tight && job.doneS !== null)
       .map(({ dueS, doneS }) => dueS - doneS!);
   const met = batch.filter(({ dueS, doneS }) => doneS !== null && doneS <= dueS).length;
   const loans = list.flatMap((outcome) => outcome.loans);
   const resumed = loans.filter(({ state }) => state === 'resumed').length;
   const lines = [
     `deadlines met ${met} of ${batch.length}`,
-    `slack of the tight job ${spread(slack(TIGHT))} s, of the patient one ${spread(slack(PATIENT))} s`,
+    `slack of the tight job ${spread(slack(TIGHT, true))} s, of the patient one ${spread(slack(TIGHT, false))} s`,
     `first answer of the spike ${spread(list.map((o) => o.firstAnswerS))} s`,
     `stopped work back after the spike ${spread(list.map((o) => o.returnS))} s`,
     `repeated work ${spread(list.map((o) => o.repeatedS))} s`,
-    `changes of the store ${spread(
-      list.map((o) => o.writes),
-      0,
-    )}`,
+    `changes of the store ${spread(list.map((o) => o.writes), 0)}`, // prettier-ignore
     `loans ${loans.length}, resumed ${resumed}`,
     `rules broken ${list.reduce((sum, o) => sum + o.violations.length, 0)}`,
   ];
