Test, failing: cancelled tasks outlive four short terms that each renew their lease once

A task of a cancelled job was still on its machine when its time to be gone had passed. Reproduced with three controllers in injected time, at the times of the incident (heartbeats 2.5 s, lease 10 s, cancel_s 35 s): four leaders, each of which hears of the machine once, renew its lease with 200 and no command, although each has read the cancellation and knows the attempts.

The world behind it runs the program's own heartbeat handlers, replicas, outage quorums and leaders over one store in memory; elections are stepped by hand.

--- /dev/null
+++ b/test/support/control-plane-world.ts
@@ -0,0 +1,219 @@
+/**
+ * Several controllers, a key-value store and workers in injected time: leaders change, and the heartbeats of workers
+ * reach whichever controller they are sent to, straight or forwarded. Nothing opens a socket.
+ */
+import { parseSettings } from '../../src/config/settings.js';
+import type { JobSpec } from '../../src/jobs/types.js';
+import { renewalAllowanceS } from '../../src/leadership/renewal-allowance.js';
+import * as records from '../../src/store/records.js';
+import { encodeHeartbeat } from './encoded-heartbeat.js';
+import type { Command, Heartbeat } from '../../src/wire/workers.js';
+import { g8, settingsText } from '../helpers.js';
+import { MemoryStore } from './memory-store.js';
+import { SimulatedController } from './simulated-controller.js';
+import { asCommand, Fleet, type Worker } from './simulated-fleet.js';
+
+/** Times of a deployment, in seconds. */
+export interface DeploymentTimes {
+  reportS: number;
+  leaseS: number;
+  cancelS: number;
+}
+
+/** Those of the deployment where a cancelled task ran on. */
+const INCIDENT_TIMES: DeploymentTimes = { reportS: 2.5, leaseS: 10, cancelS: 35 };
+
+/** An answer of 200 that renewed a machine's lease and left out the stop of a cancelled task. */
+export interface OmittedStop {
+  at: number;
+  machine: string;
+  /** Of the answer. */
+  token: number;
+  job: string;
+  /** Seconds since a user was told that the job is cancelled. */
+  sinceToldS: number;
+}
+
+const CONTROLLERS = 3;
+/** Controllers take their turns so often in a heartbeat interval. */
+const STEPS_PER_HEARTBEAT = 10;
+const TIME_TOLERANCE_S = 1e-9;
+
+/** Controllers, store and workers. */
+export class ControlPlaneWorld {
+  readonly store = new MemoryStore();
+  readonly fleet: Fleet;
+  readonly controllers: SimulatedController[];
+  /** The store refuses everybody; its leases stand still. */
+  storeOutage = false;
+  /** When a user was first told that a job is cancelled, by job. */
+  readonly toldAt = new Map<string, number>();
+  readonly omittedStops: OmittedStop[] = [];
+  private readonly unconfirmed = new Set<string>();
+  private leaderKeyUntil = -Infinity;
+
+  constructor(readonly times: DeploymentTimes = INCIDENT_TIMES) {
+    this.fleet = new Fleet(times.leaseS);
+    const ports = Array.from({ length: CONTROLLERS }, (_, i) => ({ bind: i + 1, peer: i + 11 }));
+    this.store.put(records.MACHINE_TYPES, [g8]);
+    this.controllers = ports.map((_, index) => {
+      const zones = ports.map(() => 'z1');
+      const text = settingsText(index, ports, 3, 4, times.leaseS, zones, times.cancelS);
+      const parsed = parseSettings(text);
+      const workers = { ...parsed.workers, report_s: times.reportS };
+      return new SimulatedController(this, { ...parsed, workers });
+    });
+    const names = this.controllers.map(({ node }) => node);
+    for (const controller of this.controllers) controller.connect(names);
+  }
+
+  /** Seconds since the beginning. */
+  get now(): number {
+    return this.fleet.now;
+  }
+
+  /** Time of day, in ms. */
+  wallMs(): number {
+    return 1e9 + this.now * 1000;
+  }
+
+  /** A controller by its name. */
+  controller(node: string): SimulatedController {
+    return this.controllers.find((controller) => controller.node === node)!;
+  }
+
+  /** The controller that leads by its own belief, if there is one. */
+  get leader(): SimulatedController | undefined {
+    return this.controllers.find((each) => each.isRunning && each.term !== null && each.isEntitled);
+  }
+
+  // The leader's key
+
+  /** A controller has the key; its fencing token is returned. */
+  acquireLeaderKey(node: string, ttlS: number): number {
+    const incarnation = `${node}-${this.store.currentRevision}`;
+    const token = this.store.put(records.LEADER, records.encodeLeader({ node, incarnation }));
+    this.leaderKeyUntil = this.now + ttlS;
+    return token;
+  }
+
+  /** False: the key is not there any more, or is a later leader's. */
+  renewLeaderKey(token: number, ttlS: number): boolean {
+    if (this.store.revision(records.LEADER) !== token) return false;
+    this.leaderKeyUntil = this.now + ttlS;
+    return true;
+  }
+
+  private async expireLeaderKey(): Promise<void> {
+    // Leases stand still in an outage, and have their full time again after it.
+    const ttlS = this.times.leaseS * 0.3;
+    if (this.storeOutage) this.leaderKeyUntil = this.now + ttlS;
+    if (this.now <= this.leaderKeyUntil || this.store.revision(records.LEADER) === 0) return;
+    await this.store.compareAndSwap([], [{ remove: records.LEADER }]);
+  }
+
+  // Users
+
+  /** A job is accepted. */
+  submitJob(over: Partial<JobSpec>): void {
+    this.store.accept(over, this.wallMs());
+  }
+
+  /** A cancellation is stored; its user is told as soon as some controller may do so. */
+  cancel(id: string): void {
+    this.store.cancel(id);
+    this.unconfirmed.add(id);
+  }
+
+  private async confirmCancellations(): Promise<void> {
+    for (const id of [...this.unconfirmed]) {
+      for (const controller of this.controllers) {
+        if (this.toldAt.has(id) || !(await controller.confirmsCancellation(id))) continue;
+        this.toldAt.set(id, this.now);
+        this.unconfirmed.delete(id);
+      }
+    }
+  }
+
+  // Time
+
+  /** Time passes until this second. Workers report only as the caller lets them. */
+  async runUntil(at: number): Promise<void> {
+    const stepS = this.times.reportS / STEPS_PER_HEARTBEAT;
+    while (this.now < at - TIME_TOLERANCE_S) {
+      this.fleet.now = Math.min(at, this.now + stepS);
+      for (const worker of this.fleet.workers.values()) worker.tick();
+      await this.expireLeaderKey();
+      for (const controller of this.controllers) await controller.step();
+      await this.confirmCancellations();
+    }
+  }
+
+  // Workers
+
+  /** A worker's heartbeat goes to a controller. Returns the status of the answer; null: there was none. */
+  async exchangeHeartbeat(worker: Worker, node: string): Promise<number | null> {
+    const heartbeat = worker.heartbeat();
+    const sentAt = this.now;
+    const controller = this.controller(node);
+    if (worker.mute || !controller.isRunning) return null;
+    const reply = await controller.handler.handle(encodeHeartbeat(heartbeat));
+    if (worker.deaf) return null;
+    if (reply.status === 200) this.takeAnswer(worker, heartbeat, String(reply.body), sentAt);
+    return reply.status;
+  }
+
+  private takeAnswer(worker: Worker, heartbeat: Heartbeat, body: string, sentAt: number): void {
+    const { hallmark, orders } = JSON.parse(body) as {
+      hallmark: number;
+      orders: Parameters<typeof asCommand>[0][];
+    };
+    const commands = orders.map(asCommand);
+    if (hallmark >= worker.token) this.noteOmittedStops(heartbeat, hallmark, commands);
+    worker.takeAnswer(hallmark, commands, sentAt);
+  }
+
+  /** Looks whether an answer that renews a lease stops all tasks there that are told to be cancelled. */
+  private noteOmittedStops(heartbeat: Heartbeat, token: number, commands: Command[]): void {
+    for (const task of heartbeat.tasks) {
+      const toldAt = this.toldAt.get(task.job);
+      if (toldAt === undefined || task.state === 'ended') continue;
+      const isStopped = commands.some(
+        ({ kind, job, index }) => kind === 'stop' && job === task.job && index === task.index,
+      );
+      if (isStopped) continue;
+      const sinceToldS = this.now - toldAt;
+      this.omittedStops.push({
+        at: this.now, machine: heartbeat.machine, token, job: task.job, sinceToldS,
+      }); // prettier-ignore
+    }
+  }
+
+  /** Null: refused, or lost. */
+  takeDirect(id: string, token: number, epoch: number, commands: Command[]): Heartbeat | null {
+    const worker = this.fleet.workers.get(id);
+    if (worker === undefined || worker.deaf) return null;
+    return worker.takeDirect(token, epoch, commands);
+  }
+
+  // What must hold
+
+  /** Seconds for which a controller that does not know of a cancellation may renew leases. */
+  get allowanceS(): number {
+    const { leaseS: lease_s, cancelS: cancel_s } = this.times;
+    return renewalAllowanceS({ lease_s, cancel_s }, lease_s * 0.3);
+  }
+
+  /** Cancelled tasks that are still on machines after their time. */
+  overdueTasks(): string[] {
+    const overdue: string[] = [];
+    for (const [job, toldAt] of this.toldAt) {
+      if (this.now <= toldAt + this.times.cancelS) continue;
+      for (const worker of this.fleet.workers.values()) {
+        for (const task of worker.running(job))
+          overdue.push(`${job}/${task.index} on ${worker.id}, told at ${toldAt}, now ${this.now}`);
+      }
+    }
+    return overdue;
+  }
+}
--- a/test/support/memory-store.ts
+++ b/test/support/memory-store.ts
@@ -149,10 +149,13 @@
     return replica;
   }
 
-  /** A replica that lists the store afresh, in the order of keys. */
-  listed(listener: Replica['listener'] = {}): Replica {
-    const replica = new Replica(this.valueBytes);
-    replica.listener = listener;
+  /** A replica that has read nothing. */
+  emptyReplica(): Replica {
+    return new Replica(this.valueBytes);
+  }
+
+  /** A replica reads a listing, in the order of keys. */
+  list(replica: Replica): Replica {
     const keys = [...this.items.keys()].sort();
     for (const key of keys) replica.applyListed(this.items.get(key)!);
     replica.removeMissing(new Set(keys), this.currentRevision);
@@ -160,4 +163,11 @@
     replica.listingComplete();
     return replica;
   }
+
+  /** A replica that lists the store afresh. */
+  listed(listener: Replica['listener'] = {}): Replica {
+    const replica = this.emptyReplica();
+    replica.listener = listener;
+    return this.list(replica);
+  }
 }
--- /dev/null
+++ b/test/support/simulated-controller.ts
@@ -0,0 +1,437 @@
+/**
+ * One of several controllers in injected time: its replica, heartbeat handler, outage quorum and term are those of
+ * the program. Election and lease of the leader's key are stepped by hand, since theirs rest on timers.
+ */
+import { CancellationBroadcast } from '../../src/cancellation/cancellation-broadcast.js';
+import { CancellationQuorum } from '../../src/cancellation/cancellation-quorum.js';
+import type { CloudClient } from '../../src/cloud/client.js';
+import type { Settings } from '../../src/config/settings.js';
+import { HeartbeatHandler } from '../../src/heartbeat/heartbeat-handler.js';
+import { LatencyHistograms } from '../../src/latency-histograms.js';
+import { Leader } from '../../src/leader/leader.js';
+import type { Election } from '../../src/leadership/election.js';
+import { OutageQuorum } from '../../src/leadership/outage-quorum.js';
+import { QuorumAcknowledgement } from '../../src/leadership/quorum-acknowledgement.js';
+import { renewalAllowanceS } from '../../src/leadership/renewal-allowance.js';
+import type { ZoneLeaseWatch } from '../../src/leadership/zone-lease.js';
+import { silentLog } from '../../src/log.js';
+import { DEFAULT_POLICY } from '../../src/operator/policy.js';
+import type { Answer, Question } from '../../src/peers/messages.js';
+import type { PeerNetwork } from '../../src/peers/peer-network.js';
+import {
+  OutcomeUnknownError,
+  RequestRejectedError,
+  type KeyValueStoreClient,
+} from '../../src/store/client.js';
+import type { Replica } from '../../src/store/replica.js';
+import type { ReplicaSync } from '../../src/store/replica-sync.js';
+import type { Machine } from '../../src/workers/machine.js';
+import type { ControlPlaneWorld } from './control-plane-world.js';
+import { fake } from './fake.js';
+
+/** How the key-value store is to one controller. */
+export type StoreHealth = 'served' | 'refused' | 'silent';
+
+/** Life of a leader's key, in leases of a worker; see `Election`. */
+const LEADER_TTL_LEASES = 0.3;
+/** Batches of a round of writes, at the most. */
+const MAX_BATCHES = 20;
+
+/** What runs from timers in a leader, driven by hand here. */
+interface LeaderParts {
+  scheduleCycle(): void;
+  runCycle(): void;
+  writer: { writeBatch(): Promise<boolean> };
+  capacity: { provisioner: { listedOnce: boolean } };
+  dispatcher: { dispatch(): void };
+}
+
+/** A term of leadership, as this controller believes in it. */
+interface SimulatedTerm {
+  leader: Leader;
+  token: number;
+  leaseUntil: number;
+  inOutage: boolean;
+  acknowledged: QuorumAcknowledgement;
+}
+
+/** A process of a controller; `restart` begins another one of the same name. */
+export class SimulatedController {
+  alive = true;
+  frozenUntil = -Infinity;
+  /** What the store is to this controller alone; an outage is the world's. */
+  ownStoreHealth: StoreHealth = 'served';
+  /** Whether other controllers reach it and it reaches them. */
+  peersReachable = true;
+  /** Whether it stands for election when nobody leads. */
+  stands = true;
+  /** What it asks others arrives, what they answer does not. */
+  peerAnswersLost = false;
+  term: SimulatedTerm | null = null;
+  replica!: Replica;
+  handler!: HeartbeatHandler;
+  private freshAt = -Infinity;
+  private ready = false;
+  private rejectedSince: number | null = null;
+  private outage!: OutageQuorum;
+  private cancellations!: CancellationBroadcast;
+  private quorum!: CancellationQuorum;
+  private readonly leaderTtlS: number;
+  private readonly allowanceS: number;
+
+  constructor(
+    private readonly world: ControlPlaneWorld,
+    readonly settings: Settings,
+  ) {
+    const { workers } = settings;
+    this.leaderTtlS = workers.lease_s * LEADER_TTL_LEASES;
+    this.allowanceS = renewalAllowanceS(workers, this.leaderTtlS);
+    this.restart();
+  }
+
+  /** Its name. */
+  get node(): string {
+    return this.settings.node;
+  }
+
+  /** Whether it does anything at this moment. */
+  get isRunning(): boolean {
+    return this.alive && this.world.now >= this.frozenUntil;
+  }
+
+  /** How the store answers it now. */
+  get storeHealth(): StoreHealth {
+    if (this.ownStoreHealth === 'served' && this.world.storeOutage) return 'refused';
+    return this.ownStoreHealth;
+  }
+
+  /** The process ends with all that it has in memory. */
+  kill(): void {
+    this.depose();
+    this.alive = false;
+    this.ready = false;
+  }
+
+  /** A process of this name begins: it has read nothing. */
+  restart(): void {
+    const clock = { now: () => this.world.now };
+    const log = silentLog();
+    this.depose();
+    this.alive = true;
+    this.frozenUntil = -Infinity;
+    this.ready = false;
+    this.freshAt = -Infinity;
+    this.replica = this.world.store.emptyReplica();
+    this.cancellations = new CancellationBroadcast({
+      settings: this.settings,
+      zoneLeaseHolders: [],
+      peers: this.peers,
+      replica: this.replica,
+      zoneLeases: fake<ZoneLeaseWatch>({}),
+      clock,
+    });
+    this.outage = new OutageQuorum({
+      ...{ controllerCount: this.settings.controllerCount, leaseTtlS: this.leaderTtlS, clock, log },
+      allowanceS: this.allowanceS,
+      store: this.storeClient(),
+      replicaSync: this.replicaSync(),
+      replica: this.replica,
+      peers: () => this.peers,
+      events: {
+        onKnownCancelled: (ids) => this.cancellationsHeard(ids),
+        cancelledSince: (revision) => this.cancellations.storedSince(revision),
+      },
+      leads: () => this.term !== null,
+    });
+    this.quorum = new CancellationQuorum({
+      controllerCount: this.settings.controllerCount,
+      peers: this.peers,
+      replica: this.replica,
+      clock,
+      remainingWaitS: () => 0,
+      rememberS: Infinity,
+    });
+    this.handler = this.makeHandler();
+  }
+
+  private makeHandler(): HeartbeatHandler {
+    const storeHealth = (): StoreHealth => this.storeHealth;
+    const isEntitled = (): boolean => this.isEntitled;
+    const { outage } = this;
+    return new HeartbeatHandler({
+      settings: this.settings,
+      election: fake<Election>({
+        outage,
+        get isEntitled() {
+          return isEntitled();
+        },
+      }),
+      store: fake<KeyValueStoreClient>({
+        get health() {
+          return storeHealth();
+        },
+      }),
+      replica: this.replica,
+      peers: this.peers,
+      zoneLeaseHolder: null,
+      zoneLeases: fake<ZoneLeaseWatch>({ holderOf: () => null }),
+      isLate: () => false,
+      leader: () => this.term?.leader ?? null,
+      isKnownCancelled: (job) => this.cancellations.knows(job),
+      clock: { now: () => this.world.now },
+      log: silentLog(),
+    });
+  }
+
+  private replicaSync(): ReplicaSync {
+    const ready = (): boolean => this.ready;
+    const freshAt = (): number => this.freshAt;
+    return fake<ReplicaSync>({
+      get ready() {
+        return ready();
+      },
+      get freshAt() {
+        return freshAt();
+      },
+    });
+  }
+
+  /** The store as this controller finds it. */
+  private storeClient(): KeyValueStoreClient {
+    const { store } = this.world;
+    const rejectedSince = (): number | null => this.rejectedSince;
+    const reached = async <T>(answer: () => Promise<T>): Promise<T> => {
+      const health = this.storeHealth;
+      if (health === 'refused') {
+        this.rejectedSince ??= this.world.now;
+        throw new RequestRejectedError(503);
+      }
+      if (health === 'silent') throw new OutcomeUnknownError('cut off');
+      return answer();
+    };
+    return fake<KeyValueStoreClient>({
+      operationsPerTransaction: store.operationsPerTransaction,
+      writeBudget: store.writeBudget,
+      get rejectedSince() {
+        return rejectedSince();
+      },
+      get: (key: string) => reached(() => store.get(key)),
+      compareAndSwap: (...args: Parameters<KeyValueStoreClient['compareAndSwap']>) =>
+        reached(() => store.compareAndSwap(args[0], args[1])),
+    });
+  }
+
+  private readonly peers = fake<PeerNetwork>({
+    names: [],
+    ask: (node: string, question: Question) => this.ask(node, question),
+  });
+
+  /** The other controllers are known from now on. */
+  connect(names: readonly string[]): void {
+    Object.assign(this.peers, { names: names.filter((name) => name !== this.node) });
+  }
+
+  private async ask(node: string, question: Question): Promise<Answer | null> {
+    const other = this.world.controller(node);
+    if (!other.isRunning || !other.peersReachable || !this.peersReachable) return null;
+    const answer = await other.answer(question);
+    return this.peerAnswersLost ? null : answer;
+  }
+
+  private async answer(question: Question): Promise<Answer | null> {
+    switch (question.q) {
+      case 'report':
+        return { ...((await this.handler.handleForwarded(question.body, question.hop)) ?? {}) };
+      case 'refused':
+        return this.outage.answer(question.token, question.forMs, question.applied);
+      case 'cancelled':
+        this.cancellationsHeard([question.job]);
+        return { noted: true };
+      case 'elected':
+        return { remainsS: this.acknowledge(question.token) };
+      default:
+        return {};
+    }
+  }
+
+  private cancellationsHeard(ids: readonly string[]): void {
+    for (const id of ids) {
+      this.cancellations.noteStored(id);
+      this.term?.leader.onCancellationHeard(id);
+    }
+  }
+
+  private acknowledge(token: number): number {
+    const until = this.outage.acknowledge(token);
+    if (this.term !== null && token > this.term.token) this.depose();
+    return until - this.world.now;
+  }
+
+  /** Whether users may be told that a job is cancelled, by this controller and now. */
+  async confirmsCancellation(id: string): Promise<boolean> {
+    const storedJob = this.replica.jobs.get(id);
+    if (!this.isRunning || !this.ready || this.storeHealth !== 'served') return false;
+    return storedJob?.cancelledAt != null && (await this.quorum.confirm(storedJob, id));
+  }
+
+  /** Whether it may act as the leader at this moment. */
+  get isEntitled(): boolean {
+    const { term } = this;
+    if (term === null) return false;
+    const bound = term.inOutage ? Infinity : this.freshAt + this.allowanceS;
+    return this.world.now < Math.min(term.leaseUntil, bound);
+  }
+
+  /** Its regular turn: reads, renews or stands, and acts as the leader if it is. */
+  async step(): Promise<void> {
+    if (!this.isRunning) return;
+    this.read();
+    if (this.term === null) this.stand();
+    else await this.continueTerm();
+    await this.act();
+  }
+
+  private read(): void {
+    if (this.storeHealth !== 'served') {
+      if (this.storeHealth === 'refused') this.rejectedSince ??= this.world.now;
+      return;
+    }
+    this.rejectedSince = null;
+    if (this.ready) this.world.store.feed(this.replica);
+    else this.world.store.list(this.replica);
+    this.ready = true;
+    this.freshAt = this.world.now;
+    const known = this.replica.leader;
+    if (known !== null && known.node !== this.node && known.revision > this.outage.acknowledged)
+      this.acknowledge(known.revision);
+  }
+
+  private stand(): void {
+    if (!this.stands || !this.ready || this.storeHealth !== 'served') return;
+    if (this.world.now < this.outage.promisedUntil) return;
+    const { leader } = this.replica;
+    if (leader !== null && leader.node !== this.node) return;
+    const token = this.world.acquireLeaderKey(this.node, this.leaderTtlS);
+    this.world.store.feed(this.replica);
+    this.begin(token);
+  }
+
+  private begin(token: number): void {
+    const clock = { now: () => this.world.now };
+    const { controllerCount } = this.settings;
+    const acknowledged = new QuorumAcknowledgement(token, controllerCount, clock);
+    const leader = new Leader(
+      {
+        ...{ settings: this.settings, clock, log: silentLog(), policy: DEFAULT_POLICY, token },
+        wallMs: () => this.world.wallMs(),
+        replica: this.replica,
+        incarnation: this.node,
+        allReadDenseRecords: () => true,
+        isEntitled: () => this.isEntitled && this.term?.token === token,
+        canWrite: () => this.isEntitled && this.term?.token === token && !this.term.inOutage,
+        othersRenewUntil: () => acknowledged.othersRenewUntil,
+        zoneRenewal: () => ({ keptUntil: -Infinity, provenAt: Infinity }),
+        requestProof: () => undefined,
+      },
+      {
+        store: this.storeClient(),
+        cloud: fake<CloudClient>({ listMachines: () => Promise.resolve([]) }),
+        onLeadershipLost: () => this.depose(),
+        latencies: new LatencyHistograms(clock.now),
+      },
+    );
+    const parts = leader as unknown as LeaderParts;
+    parts.scheduleCycle = () => undefined;
+    parts.dispatcher.dispatch = () => this.dispatch(leader);
+    parts.capacity.provisioner.listedOnce = true;
+    this.replica.listener = {
+      onReady: (storedJob) => leader.onReady(storedJob),
+      onCancelled: (storedJob) => leader.onCancelled(storedJob),
+    };
+    const leaseUntil = this.world.now + this.leaderTtlS;
+    this.term = { leader, token, leaseUntil, inOutage: false, acknowledged };
+  }
+
+  private depose(): void {
+    if (this.term === null) return;
+    this.term = null;
+    this.replica.listener = {};
+  }
+
+  private async continueTerm(): Promise<void> {
+    const term = this.term!;
+    await this.collectAcknowledgements(term);
+    const { now } = this.world;
+    const health = this.storeHealth;
+    if (health === 'served') {
+      if (!this.world.renewLeaderKey(term.token, this.leaderTtlS)) return this.depose();
+      term.leaseUntil = now + this.leaderTtlS;
+      term.inOutage = false;
+    }
+    if (health === 'refused') await this.continueInOutage(term);
+    if (!this.isEntitled) this.depose();
+  }
+
+  private async collectAcknowledgements(term: SimulatedTerm): Promise<void> {
+    for (const node of this.peers.names) {
+      if (term.acknowledged.has(node)) continue;
+      const answer = await this.ask(node, { q: 'elected', token: term.token });
+      const remainsS = (answer as { remainsS?: number } | null)?.remainsS;
+      if (remainsS !== undefined) term.acknowledged.record(node, { remainsS });
+    }
+  }
+
+  private async continueInOutage(term: SimulatedTerm): Promise<void> {
+    const forS = this.leaderTtlS / 2;
+    const askedAt = this.world.now;
+    if (this.outage.acknowledged > term.token) return;
+    const majority = await this.outage.majorityRejected(term.token, forS);
+    if (majority === null || this.outage.acknowledged > term.token) return;
+    const until = Math.min(askedAt + forS, this.outage.renewalBound(majority));
+    if (until <= this.world.now) return;
+    term.leaseUntil = Math.max(term.leaseUntil, until);
+    term.inOutage = true;
+  }
+
+  private async act(): Promise<void> {
+    const { term } = this;
+    if (term === null || !this.isEntitled) return;
+    const parts = term.leader as unknown as LeaderParts;
+    parts.runCycle();
+    for (let i = 0; i < MAX_BATCHES && this.isEntitled && !term.inOutage; i++) {
+      if (!(await parts.writer.writeBatch())) break;
+    }
+    if (this.term === term) term.leader.tick();
+  }
+
+  /** As `CommandDispatcher.dispatch`, with the world's links to workers. */
+  private dispatch({ term }: Leader): void {
+    for (const id of [...term.machinesToCommand]) {
+      const machine = term.machines.get(id);
+      if (machine === undefined || machine.state === 'silent' || machine.state === 'unheard') {
+        term.machinesToCommand.delete(id);
+        continue;
+      }
+      if (machine.state !== 'fencing') this.sendDirect(term, machine);
+    }
+  }
+
+  private sendDirect(term: Leader['term'], machine: Machine): void {
+    const commands = machine.dueCommands((attempt) => term.mayStart(attempt), false);
+    term.machinesToCommand.delete(machine.id);
+    if (commands.every((command) => command.kind === 'forget')) return;
+    const { agentEpoch, token } = machine;
+    const { now } = this.world;
+    machine.markSent(commands, 'direct', now);
+    const answer = this.world.takeDirect(machine.id, token, agentEpoch, commands);
+    machine.directCommandsEnded(
+      commands,
+      answer === null ? 'unknown' : 'done',
+      agentEpoch,
+      now,
+      token,
+    );
+    if (answer !== null)
+      term.reconcile(machine, machine.applyHeartbeat(answer, 'direct-answer', now));
+  }
+}
