Every renewal of a lease carries the stops of cancelled tasks: one place writes it

Cause: a leader answered the first heartbeat of a machine in its term with 200 and no command, since the machine had not shown its token yet. That is right for starts, and for what the machine is told to forget; but the 200 renewed the lease of cancelled tasks all the same. The argument in docs/design.md asked who may renew without knowing of a cancellation, and took for granted that whoever knows of it also stops it.

Change: workers/lease-renewal is the only place that writes a 200 to a heartbeat. Whoever gives one names all tasks that the heartbeat shows and, as the leader, all attempts that may be there, and those of cancelled jobs are stopped in the same answer: in a first answer of a term, while a machine is fenced anew, to a late or repeated heartbeat, in an outage or a cut zone, and beyond the 400 commands that a message takes otherwise (then one command a line). Nothing else goes to an unfenced machine.

Invariant: no answer that renews a lease leaves out the stop of a task there that its giver knows to be cancelled. Then the stop is carried out, or the lease is not renewed: a cancelled task ends within a lease of the last renewal by a controller that does not know, for any number of leaders.

--- a/src/heartbeat/heartbeat-handler.ts
+++ b/src/heartbeat/heartbeat-handler.ts
@@ -10,15 +10,9 @@
 import { outcome } from '../store/stored-job.js';
 import type { Replica } from '../store/replica.js';
 import { BadMessage } from '../wire/users.js';
-import {
-  ANSWER_WAIT_S,
-  encodeRedirect,
-  encodeHeartbeatReply,
-  MAX_COMMANDS_PER_MESSAGE,
-  type Command,
-  type Heartbeat,
-} from '../wire/workers.js';
+import { ANSWER_WAIT_S, encodeRedirect, type Heartbeat } from '../wire/workers.js';
 import type { Leader } from '../leader/leader.js';
+import { renewLease } from '../workers/lease-renewal.js';
 import { ReceivedHeartbeat } from './received-heartbeat.js';
 import { Redirects } from './redirects.js';
 import { ForwardingDelay } from './forwarding-delay.js';
@@ -34,6 +28,12 @@
 export const LEADER_WAIT_SHARE = 0.25;
 const RELAY_WAIT_SHARE = 0.3;
 
+/** Whether the store, as far as this controller has read it, shows that a job is cancelled. */
+function isStoredCancelled(replica: Replica, job: string): boolean {
+  const storedJob = replica.jobs.get(job);
+  return storedJob !== undefined && outcome(storedJob) === 'cancelled';
+}
+
 interface HeartbeatHandlerOptions {
   settings: Settings;
   election: Election;
@@ -52,7 +52,6 @@
   log: Log;
 }
 
-/** Workers' heartbeats as they come to any controller: answered, forwarded, or sent elsewhere. */
 /** What became of asking other controllers. */
 interface ForwardingOutcome {
   /** Null: nobody settled it. */
@@ -218,24 +217,12 @@
     // It knows of a leader that this controller does not: what it got from here it would drop, and
     // stay here while its lease expires.
     if (heartbeat.token > token) return { status: 503, retryAfter: 1 };
-    const stops: Command[] = [];
-    for (const task of heartbeat.tasks) {
-      const storedJob = replica.jobs.get(task.job);
-      const cancelled = storedJob !== undefined && outcome(storedJob) === 'cancelled';
-      if (task.state === 'ended' || !(cancelled || isKnownCancelled(task.job))) continue;
-      stops.push({
-        kind: 'stop',
-        job: task.job,
-        index: task.index,
-        attempt: task.attempt,
-        graceS: 0,
-      });
-    }
     this.counts.renewedForLeader++;
-    return {
-      status: 200,
-      body: encodeHeartbeatReply(token, stops.slice(0, MAX_COMMANDS_PER_MESSAGE)),
-    };
+    return renewLease({
+      token,
+      tasks: heartbeat.tasks,
+      isCancelled: (job) => isKnownCancelled(job) || isStoredCancelled(replica, job),
+    });
   }
 
   /** Forwarded by another controller. */
--- a/src/leader/heartbeat-answerer.ts
+++ b/src/leader/heartbeat-answerer.ts
@@ -2,7 +2,8 @@
 
 import type { Reply } from '../http/server.js';
 import { scanMachineId } from '../wire/heartbeat-scan.js';
-import { decodeHeartbeat, encodeHeartbeatReply, type Heartbeat } from '../wire/workers.js';
+import { decodeHeartbeat, type Heartbeat } from '../wire/workers.js';
+import { renewLease } from '../workers/lease-renewal.js';
 import type { Machine } from '../workers/machine.js';
 import type { Term } from './term/term.js';
 
@@ -50,7 +51,15 @@
     machine.markSent(commands, 'heartbeat', now);
     if (fresh) term.machinesToCommand.delete(machine.id);
     if (!repeated) machine.leaseRenewed(now);
-    return { status: 200, body: encodeHeartbeatReply(machine.token, commands) };
+    // Also where nothing else may be told yet. Terms that are shorter than two heartbeats once renewed the
+    // lease one after another, and none of them stopped what was cancelled.
+    return renewLease({
+      token: machine.token,
+      tasks: heartbeat.tasks,
+      attempts: machine.attempts.values(),
+      isCancelled: (job) => term.isCancelled(job),
+      due: commands,
+    });
   }
 
   private machineOf(heartbeat: Heartbeat): Machine {
--- a/src/leader/term/term.ts
+++ b/src/leader/term/term.ts
@@ -1,7 +1,7 @@
 /** A term of leadership, put together of its parts. */
 
 import { LiveJob } from '../../jobs/live-job.js';
-import type { StoredJob } from '../../store/stored-job.js';
+import { outcome, type StoredJob } from '../../store/stored-job.js';
 import { advanceAttempt, type Attempt } from '../../workers/attempt.js';
 import type { HeartbeatChanges } from '../../workers/heartbeat-changes.js';
 import type { Machine } from '../../workers/machine.js';
@@ -64,6 +64,14 @@
     if (job !== undefined && !job.cancelled) this.cancelJob(job);
   }
 
+  /** Whether a job is cancelled, by the store's changes as far as they were read, or as others know. */
+  isCancelled(id: string): boolean {
+    const job = this.jobs.get(id);
+    if (job?.cancelled === true) return true;
+    const storedJob = job?.storedJob ?? this.context.replica.jobs.get(id);
+    return storedJob !== undefined && outcome(storedJob) === 'cancelled';
+  }
+
   private cancelJob(job: LiveJob): void {
     job.cancelled = true;
     this.stopper.closeJob(job);
--- a/src/wire/workers.ts
+++ b/src/wire/workers.ts
@@ -146,8 +146,15 @@
 /** The last answer without commands. Most answers are of that kind, and most machines have the same token. */
 let withoutCommands = { token: 0, text: '{"hallmark":0,"orders":[]}' };
 
-/** An answer to a heartbeat: the token, and the commands in the order in which they are to be carried out. */
-export function encodeHeartbeatReply(token: number, commands: Command[]): string {
+/**
+ * An answer to a heartbeat: the token, and the commands in the order in which they are to be carried out. More than
+ * a message takes otherwise are written one a line, since no line may be longer than 64 KiB (protocol).
+ */
+export function encodeHeartbeatReply(token: number, commands: readonly Command[]): string {
+  if (commands.length > MAX_COMMANDS_PER_MESSAGE) {
+    const lines = commands.map((command) => JSON.stringify(encodeCommand(command)));
+    return `{"hallmark":${token},"orders":[\n${lines.join(',\n')}\n]}`;
+  }
   if (commands.length > 0) {
     return JSON.stringify({ hallmark: token, orders: commands.map(encodeCommand) });
   }
