--- a/test/renewals-of-cancelled.test.ts
+++ b/test/renewals-of-cancelled.test.ts
@@ -17,10 +17,13 @@
 import { test } from 'node:test';
 import * as records from '../src/store/records.js';
 import { outcome } from '../src/store/stored-job.js';
+import { MAX_COMMANDS_PER_MESSAGE, MAX_REPORTED_TASKS } from '../src/wire/workers.js';
+import { renewLease } from '../src/workers/lease-renewal.js';
 import { ControlPlaneWorld } from './support/control-plane-world.js';
 import type { Worker } from './support/simulated-fleet.js';
 
 const JOB = 'wk-000001';
+const OTHER_JOB = 'wk-000002';
 const MACHINE = 'host-000033';
 const TASKS = 4;
 
@@ -73,7 +76,7 @@
   { node: 'n-1', from: 49.8, until: 55.8, heardAt: 52.63, by: 'n-1' },
 ];
 
-/** One term, as recorded. Returns the status of the only answer that the machine got. */
+/** One term, as recorded. The machine gets one answer. */
 async function playTerm(world: ControlPlaneWorld, worker: Worker, term: Term): Promise<void> {
   await world.runUntil(term.from);
   const leader = world.controller(term.node);
@@ -81,8 +84,8 @@
   letStand(world, term.node);
   await world.runUntil(term.heardAt);
   assert.equal(world.leader, leader, `${term.node} leads at ${term.heardAt}`);
-  const status = await world.exchangeHeartbeat(worker, term.by);
-  assert.equal(status, 200, `answered at ${term.heardAt}`);
+  const reply = await world.exchangeHeartbeat(worker, term.by);
+  assert.equal(reply?.status, 200, `answered at ${term.heardAt}`);
   // It knows both: the cancellation by its replica, the attempts by the machine's record.
   const storedJob = leader.replica.jobs.get(JOB)!;
   assert.equal(outcome(storedJob), 'cancelled', 'the leader has read the cancellation');
@@ -159,3 +162,127 @@
     assert.ok(world.toldAt.has(JOB), name);
   }
 });
+
+/** The leader's term, which must be there. */
+const termOf = (world: ControlPlaneWorld, node: string) => world.controller(node).term!.leader.term;
+
+/** A cancellation that its user is told of. Direct commands go nowhere: the renewal alone must do. */
+async function cancelWithoutDirect(world: ControlPlaneWorld): Promise<void> {
+  world.holdsDirectCommands = true;
+  await world.runUntil(25.4);
+  world.cancel(JOB);
+  await world.runUntil(26);
+  assert.ok(world.toldAt.has(JOB));
+}
+
+type Renewal = (world: ControlPlaneWorld, worker: Worker) => Promise<void>;
+
+/** Every way by which a lease is renewed, up to the one answer that must stop the tasks. */
+const RENEWALS: Record<string, Renewal> = {
+  'the first answer of a term': async (world, worker) => {
+    await cancelAfterLeaderEnded(world);
+    letStand(world, 'n-1');
+    await exchangeAt(world, worker, [29]);
+  },
+  'the first answer of a term, to attempts that no record names': async (world, worker) => {
+    await cancelAfterLeaderEnded(world);
+    const key = records.machineKey(MACHINE);
+    const record = records.decodeMachine(world.store.value(key));
+    world.store.put(key, records.encodeMachine({ ...record, claims: [] }));
+    letStand(world, 'n-1');
+    await exchangeAt(world, worker, [29]);
+  },
+  'an answer of a term that goes on': async (world, worker) => {
+    await cancelWithoutDirect(world);
+    await exchangeAt(world, worker, [26.5]);
+  },
+  'a machine that was forgotten and is back': async (world, worker) => {
+    await cancelWithoutDirect(world);
+    const term = termOf(world, 'n-2');
+    term.forgetMachine(term.machines.get(MACHINE)!);
+    await exchangeAt(world, worker, [26.5]);
+  },
+  'a machine that is fenced anew within a term': async (world, worker) => {
+    world.holdsDirectCommands = true;
+    world.submitJob({ id: OTHER_JOB });
+    await world.runUntil(25);
+    world.cancel(OTHER_JOB);
+    await cancelWithoutDirect(world);
+    assert.equal(termOf(world, 'n-2').machines.get(MACHINE)!.state, 'fencing');
+    await exchangeAt(world, worker, [26.5]);
+  },
+  'the same heartbeat again by another way, the first answer being lost': async (world, worker) => {
+    await cancelWithoutDirect(world);
+    world.controller('n-0').answersLostFrom.add('n-2');
+    await exchangeAt(world, worker, [26.5]);
+  },
+  'a heartbeat that the answer to a direct command has overtaken': async (world, worker) => {
+    await world.runUntil(25);
+    const heartbeat = worker.heartbeat();
+    world.submitJob({ id: OTHER_JOB });
+    await world.runUntil(25.3);
+    assert.equal(world.fleet.running(OTHER_JOB), 1, 'started directly, and answered');
+    await cancelWithoutDirect(world);
+    await world.exchangeHeartbeat(worker, 'n-0', heartbeat);
+  },
+  'a start of the former leader that arrives before the answer': async (world, worker) => {
+    world.holdsDirectCommands = true;
+    world.submitJob({ id: OTHER_JOB });
+    await world.runUntil(25);
+    assert.equal(world.fleet.running(OTHER_JOB), 0, 'its start is on the way');
+    world.cancel(OTHER_JOB);
+    await cancelAfterLeaderEnded(world);
+    letStand(world, 'n-1');
+    world.deliverBeforeAnswer = () => world.deliverHeldBack();
+    await exchangeAt(world, worker, [29]);
+    assert.equal(world.fleet.starts.get(`${OTHER_JOB}/0`), 1, 'it arrived');
+  },
+  'in the place of a leader that ended in an outage': async (world, worker) => {
+    await cancelWithoutDirect(world);
+    world.storeOutage = true;
+    world.controller('n-2').kill();
+    await exchangeAt(world, worker, [29]);
+  },
+  'by the only controller of a zone that is cut off': async (world, worker) => {
+    await cancelWithoutDirect(world);
+    const holder = world.controller('n-0');
+    Object.assign(holder, { aloneInZone: true, peersReachable: false, ownStoreHealth: 'silent' });
+    await exchangeAt(world, worker, [29]);
+  },
+};
+
+test('whoever renews a lease, and however: the one answer stops what is cancelled', async () => {
+  for (const [name, renew] of Object.entries(RENEWALS)) {
+    const { world, worker } = await runningService();
+    await renew(world, worker);
+    assert.equal(worker.answeredAt, world.now, `${name}: renewed`);
+    assert.equal(world.fleet.running(JOB), 0, name);
+    for (const id of world.toldAt.keys())
+      assert.equal(world.fleet.running(id), 0, `${name}: ${id}`);
+    assert.deepEqual(world.omittedStops, [], name);
+  }
+});
+
+test('a renewal stops all that is cancelled, however much else is due', () => {
+  const status = { state: 'running', cause: null, saved: false } as const;
+  const tasks = Array.from({ length: MAX_REPORTED_TASKS }, (_, index) => ({
+    ...{ job: JOB, index, attempt: 7 },
+    ...status,
+  }));
+  const due = Array.from({ length: MAX_COMMANDS_PER_MESSAGE }, (_, index) => ({
+    ...{ kind: 'forget' as const, job: OTHER_JOB, index, attempt: 7 },
+  }));
+  const isCancelled = (job: string): boolean => job === JOB;
+  const body = String(renewLease({ token: 9, tasks, isCancelled, due }).body);
+  const { hallmark, orders } = JSON.parse(body) as { hallmark: number; orders: { verb: string }[] };
+  assert.equal(hallmark, 9);
+  assert.equal(orders.filter(({ verb }) => verb === 'kill').length, MAX_REPORTED_TASKS);
+  assert.equal(orders.length, MAX_REPORTED_TASKS + MAX_COMMANDS_PER_MESSAGE);
+  const longest = Math.max(...body.split('\n').map((line) => line.length));
+  assert.ok(longest < 64 * 1024, `a line of ${longest} bytes`);
+  // What is due anyway is not sent twice, and what has ended is not stopped.
+  const stop = { kind: 'stop' as const, job: JOB, index: 0, attempt: 7, graceS: 0 };
+  const ended = { ...tasks[1]!, state: 'ended' as const };
+  const short = renewLease({ token: 9, tasks: [tasks[0]!, ended], isCancelled, due: [stop] });
+  assert.equal((JSON.parse(String(short.body)) as { orders: unknown[] }).orders.length, 1);
+});
--- a/test/support/control-plane-world.ts
+++ b/test/support/control-plane-world.ts
@@ -3,6 +3,7 @@
  * reach whichever controller they are sent to, straight or forwarded. Nothing opens a socket.
  */
 import { parseSettings } from '../../src/config/settings.js';
+import type { Reply } from '../../src/http/server.js';
 import type { JobSpec } from '../../src/jobs/types.js';
 import { renewalAllowanceS } from '../../src/leadership/renewal-allowance.js';
 import * as records from '../../src/store/records.js';
@@ -10,6 +11,7 @@
 import type { Command, Heartbeat } from '../../src/wire/workers.js';
 import { g8, settingsText } from '../helpers.js';
 import { MemoryStore } from './memory-store.js';
+import type { ReportLoop } from './report-loop.js';
 import { SimulatedController } from './simulated-controller.js';
 import { asCommand, Fleet, type Worker } from './simulated-fleet.js';
 
@@ -21,7 +23,7 @@
 }
 
 /** Those of the deployment where a cancelled task ran on. */
-const INCIDENT_TIMES: DeploymentTimes = { reportS: 2.5, leaseS: 10, cancelS: 35 };
+export const INCIDENT_TIMES: DeploymentTimes = { reportS: 2.5, leaseS: 10, cancelS: 35 };
 
 /** An answer of 200 that renewed a machine's lease and left out the stop of a cancelled task. */
 export interface OmittedStop {
@@ -32,6 +34,8 @@
   job: string;
   /** Seconds since a user was told that the job is cancelled. */
   sinceToldS: number;
+  /** All controllers that were running then had read the cancellation. */
+  readByAll: boolean;
 }
 
 const CONTROLLERS = 3;
@@ -49,6 +53,13 @@
   /** When a user was first told that a job is cancelled, by job. */
   readonly toldAt = new Map<string, number>();
   readonly omittedStops: OmittedStop[] = [];
+  /** Workers that report by themselves. */
+  readonly reportLoops: ReportLoop[] = [];
+  /** Called between the answer to a heartbeat and its arrival. */
+  deliverBeforeAnswer = (): void => undefined;
+  /** Direct commands are held back on their way from now on. */
+  holdsDirectCommands = false;
+  private readonly heldBack: (() => void)[] = [];
   private readonly unconfirmed = new Set<string>();
   private leaderKeyUntil = -Infinity;
 
@@ -137,12 +148,13 @@
 
   // Time
 
-  /** Time passes until this second. Workers report only as the caller lets them. */
+  /** Time passes until this second. Workers without a loop report only as the caller lets them. */
   async runUntil(at: number): Promise<void> {
     const stepS = this.times.reportS / STEPS_PER_HEARTBEAT;
     while (this.now < at - TIME_TOLERANCE_S) {
       this.fleet.now = Math.min(at, this.now + stepS);
       for (const worker of this.fleet.workers.values()) worker.tick();
+      for (const loop of this.reportLoops) await loop.step();
       await this.expireLeaderKey();
       for (const controller of this.controllers) await controller.step();
       await this.confirmCancellations();
@@ -151,16 +163,21 @@
 
   // Workers
 
-  /** A worker's heartbeat goes to a controller. Returns the status of the answer; null: there was none. */
-  async exchangeHeartbeat(worker: Worker, node: string): Promise<number | null> {
-    const heartbeat = worker.heartbeat();
+  /** A worker's heartbeat goes to a controller. Returns the answer that arrived; null: there was none. */
+  async exchangeHeartbeat(
+    worker: Worker,
+    node: string,
+    heartbeat = worker.heartbeat(),
+  ): Promise<Reply | null> {
     const sentAt = this.now;
     const controller = this.controller(node);
     if (worker.mute || !controller.isRunning) return null;
     const reply = await controller.handler.handle(encodeHeartbeat(heartbeat));
+    // What else has come to the worker before the answer does.
+    this.deliverBeforeAnswer();
     if (worker.deaf) return null;
     if (reply.status === 200) this.takeAnswer(worker, heartbeat, String(reply.body), sentAt);
-    return reply.status;
+    return reply;
   }
 
   private takeAnswer(worker: Worker, heartbeat: Heartbeat, body: string, sentAt: number): void {
@@ -182,18 +199,31 @@
         ({ kind, job, index }) => kind === 'stop' && job === task.job && index === task.index,
       );
       if (isStopped) continue;
+      const readByAll = this.controllers.every(
+        (each) => !each.isRunning || each.knowsCancelled(task.job),
+      );
       const sinceToldS = this.now - toldAt;
       this.omittedStops.push({
-        at: this.now, machine: heartbeat.machine, token, job: task.job, sinceToldS,
+        at: this.now, machine: heartbeat.machine, token, job: task.job, sinceToldS, readByAll,
       }); // prettier-ignore
     }
   }
 
-  /** Null: refused, or lost. */
+  /** Null: refused, lost, or held back on its way. */
   takeDirect(id: string, token: number, epoch: number, commands: Command[]): Heartbeat | null {
     const worker = this.fleet.workers.get(id);
-    if (worker === undefined || worker.deaf) return null;
-    return worker.takeDirect(token, epoch, commands);
+    if (worker === undefined) return null;
+    const arrive = (): Heartbeat | null => worker.takeDirect(token, epoch, commands);
+    if (this.holdsDirectCommands) {
+      this.heldBack.push(() => void arrive());
+      return null;
+    }
+    return worker.deaf ? null : arrive();
+  }
+
+  /** Direct commands that were held back arrive. */
+  deliverHeldBack(): void {
+    for (const arrive of this.heldBack.splice(0)) arrive();
   }
 
   // What must hold
--- /dev/null
+++ b/test/support/report-loop.ts
@@ -0,0 +1,68 @@
+/** When and to which controller a worker sends its heartbeats, by the protocol. */
+import { ANSWER_WAIT_S, MIN_HEARTBEAT_GAP_S } from '../../src/wire/workers.js';
+import type { ControlPlaneWorld } from './control-plane-world.js';
+import type { Worker } from './simulated-fleet.js';
+
+/** Seconds until a worker without a useful answer tries the next controller (protocol). */
+const NEXT_CONTROLLER_S = 1;
+
+/** What a worker does by itself. */
+export interface ReportLoopOptions {
+  /** A higher token makes it report early. The protocol says so; the machines of the incident did not. */
+  reportsNewToken: boolean;
+}
+
+/** A worker that reports by itself. */
+export class ReportLoop {
+  private nextAt: number;
+  private reportedToken = 0;
+  private tokenReportedAt = -Infinity;
+
+  constructor(
+    private readonly world: ControlPlaneWorld,
+    readonly worker: Worker,
+    private readonly options: ReportLoopOptions,
+    private controllerIndex = 0,
+  ) {
+    this.nextAt = world.now;
+  }
+
+  /** Its heartbeat, if it is due. */
+  async step(): Promise<void> {
+    const { world, worker } = this;
+    if (world.now < this.nextAt) return;
+    const { node, alive } = world.controllers[this.controllerIndex]!;
+    const sentAt = world.now;
+    const reply = await world.exchangeHeartbeat(worker, node);
+    if (reply === null) {
+      // A process that is gone refuses the connection; one that is there keeps the worker waiting.
+      this.tryNext(sentAt + (alive ? ANSWER_WAIT_S : 0));
+    } else if (reply.status === 200) this.stay(sentAt);
+    else if (reply.status === 421) this.follow(String(reply.body), sentAt);
+    else this.tryNext(sentAt);
+  }
+
+  private stay(sentAt: number): void {
+    const { worker, world, options } = this;
+    const { reportS, leaseS } = world.times;
+    this.nextAt = sentAt + reportS;
+    if (worker.token === this.reportedToken) return;
+    this.reportedToken = worker.token;
+    if (!options.reportsNewToken || sentAt - this.tokenReportedAt < leaseS / 2) return;
+    this.tokenReportedAt = sentAt;
+    this.nextAt = sentAt + MIN_HEARTBEAT_GAP_S;
+  }
+
+  private follow(body: string, sentAt: number): void {
+    const { foreman } = JSON.parse(body) as { foreman?: string };
+    const index = this.world.controllers.findIndex(({ node }) => node === foreman);
+    if (index < 0 || index === this.controllerIndex) return this.tryNext(sentAt);
+    this.controllerIndex = index;
+    this.nextAt = sentAt;
+  }
+
+  private tryNext(from: number): void {
+    this.controllerIndex = (this.controllerIndex + 1) % this.world.controllers.length;
+    this.nextAt = from + NEXT_CONTROLLER_S;
+  }
+}
--- a/test/support/simulated-controller.ts
+++ b/test/support/simulated-controller.ts
@@ -13,7 +13,7 @@
 import { OutageQuorum } from '../../src/leadership/outage-quorum.js';
 import { QuorumAcknowledgement } from '../../src/leadership/quorum-acknowledgement.js';
 import { renewalAllowanceS } from '../../src/leadership/renewal-allowance.js';
-import type { ZoneLeaseWatch } from '../../src/leadership/zone-lease.js';
+import type { ZoneLeaseHolder, ZoneLeaseWatch } from '../../src/leadership/zone-lease.js';
 import { silentLog } from '../../src/log.js';
 import { DEFAULT_POLICY } from '../../src/operator/policy.js';
 import type { Answer, Question } from '../../src/peers/messages.js';
@@ -25,6 +25,7 @@
 } from '../../src/store/client.js';
 import type { Replica } from '../../src/store/replica.js';
 import type { ReplicaSync } from '../../src/store/replica-sync.js';
+import { outcome } from '../../src/store/stored-job.js';
 import type { Machine } from '../../src/workers/machine.js';
 import type { ControlPlaneWorld } from './control-plane-world.js';
 import { fake } from './fake.js';
@@ -65,8 +66,12 @@
   peersReachable = true;
   /** Whether it stands for election when nobody leads. */
   stands = true;
-  /** What it asks others arrives, what they answer does not. */
-  peerAnswersLost = false;
+  /** What these controllers answer it does not arrive; what it asks does. */
+  readonly answersLostFrom = new Set<string>();
+  /** Its leases are renewed, its reads are not answered. */
+  readsLost = false;
+  /** It finds that its zone is cut off, and renews leases there. */
+  aloneInZone = false;
   term: SimulatedTerm | null = null;
   replica!: Replica;
   handler!: HeartbeatHandler;
@@ -157,6 +162,7 @@
   private makeHandler(): HeartbeatHandler {
     const storeHealth = (): StoreHealth => this.storeHealth;
     const isEntitled = (): boolean => this.isEntitled;
+    const isAlone = (): boolean => this.aloneInZone;
     const { outage } = this;
     return new HeartbeatHandler({
       settings: this.settings,
@@ -173,7 +179,13 @@
       }),
       replica: this.replica,
       peers: this.peers,
-      zoneLeaseHolder: null,
+      zoneLeaseHolder: fake<ZoneLeaseHolder>({
+        get state() {
+          return isAlone() ? 'alone' : 'present';
+        },
+        mayRenewLeases: isAlone,
+        waitUntilDecided: () => Promise.resolve(isAlone()),
+      }),
       zoneLeases: fake<ZoneLeaseWatch>({ holderOf: () => null }),
       isLate: () => false,
       leader: () => this.term?.leader ?? null,
@@ -235,7 +247,7 @@
     const other = this.world.controller(node);
     if (!other.isRunning || !other.peersReachable || !this.peersReachable) return null;
     const answer = await other.answer(question);
-    return this.peerAnswersLost ? null : answer;
+    return this.answersLostFrom.has(node) ? null : answer;
   }
 
   private async answer(question: Question): Promise<Answer | null> {
@@ -267,10 +279,17 @@
     return until - this.world.now;
   }
 
+  /** Whether it has read that a job is cancelled. */
+  knowsCancelled(id: string): boolean {
+    const storedJob = this.replica.jobs.get(id);
+    return storedJob !== undefined && outcome(storedJob) === 'cancelled';
+  }
+
   /** Whether users may be told that a job is cancelled, by this controller and now. */
   async confirmsCancellation(id: string): Promise<boolean> {
     const storedJob = this.replica.jobs.get(id);
     if (!this.isRunning || !this.ready || this.storeHealth !== 'served') return false;
+    if (this.readsLost) return false;
     return storedJob?.cancelledAt != null && (await this.quorum.confirm(storedJob, id));
   }
 
@@ -297,6 +316,7 @@
       return;
     }
     this.rejectedSince = null;
+    if (this.readsLost) return;
     if (this.ready) this.world.store.feed(this.replica);
     else this.world.store.list(this.replica);
     this.ready = true;
@@ -398,7 +418,8 @@
     if (term === null || !this.isEntitled) return;
     const parts = term.leader as unknown as LeaderParts;
     parts.runCycle();
-    for (let i = 0; i < MAX_BATCHES && this.isEntitled && !term.inOutage; i++) {
+    // What a store that does not serve would have taken stays due. The writer would wait for it in real time.
+    for (let i = 0; i < MAX_BATCHES && this.storeHealth === 'served' && !term.inOutage; i++) {
       if (!(await parts.writer.writeBatch())) break;
     }
     if (this.term === term) term.leader.tick();
