Test, failing: a user is told of a cancellation before the leader has noted it

Users are told once a majority of controllers has noted it, and that need not contain the leader, the only one that starts tasks.

--- a/test/cancellation-quorum.test.ts
+++ b/test/cancellation-quorum.test.ts
@@ -10,6 +10,8 @@
 import { settings } from './helpers.js';
 import { fake } from './support/fake.js';
 
+type NotedAnswers = Record<string, { noted: true } | null>;
+
 const JOB = 'wk-000001';
 const { lease_s, cancel_s } = settings().workers;
 
@@ -72,3 +74,46 @@
     assert.equal(last, confirmed, name);
   }
 });
+
+/**
+ * What users saw: a task of a job was started in the moment after its cancellation had been confirmed.
+ * Order of events: the cancellation was stored; another controller noted it, which made a majority of three, and the
+ * user was told. The leader had a start due, sent it with the next answer, and read the cancellation after that.
+ * Cause: the majority that must know before a user is told need not contain the leader, the only one that starts.
+ * Evidence: at the start in the recorded sequence of `warm-pools-random` the leader had read revision 13 of 14, the
+ * last being the cancellation; with its word to the leader first, that sequence starts nothing.
+ */
+test('a cancellation is told only once the leader has noted it, unless it cannot be asked', async () => {
+  const cases: [string, string | null, NotedAnswers, boolean][] = [
+    ['the leader has yet to answer', 'c', {}, false],
+    ['it has noted it', 'c', { c: { noted: true } }, true],
+    ['it cannot be asked', 'c', { c: null }, true],
+    ['nobody leads', null, {}, true],
+    ['this controller leads', 'a', {}, true],
+  ];
+  for (const [name, leader, leaderAnswers, told] of cases) {
+    const answers: NotedAnswers = { b: { noted: true }, ...leaderAnswers };
+    const quorum = new CancellationQuorum({
+      controllerCount: 3,
+      peers: fake<PeerNetwork>({
+        names: ['b', 'c'],
+        ask: (node: string) =>
+          answers[node] === undefined
+            ? new Promise(() => undefined)
+            : Promise.resolve(answers[node]),
+      }),
+      replica: fake<Replica>({
+        lastToken: 1,
+        leader: leader === null ? null : { node: leader, revision: 1 },
+      }),
+      clock: { now: () => 0 },
+      rememberS: 100,
+      remainingWaitS: () => 0,
+    });
+    let confirmed = false;
+    const storedJob = { claimCount: 1, cancelledAt: 5 } as StoredJob;
+    void quorum.confirm(storedJob, JOB).then((outcome) => (confirmed = outcome));
+    await new Promise(setImmediate);
+    assert.equal(confirmed, told, name);
+  }
+});
