Election options extend those of its outage quorum; an answer to a heartbeat in steps

What an outage quorum works with stood twice, and was handed over name by name. The leader's answer to a heartbeat asks one after the other whether it may answer, what the heartbeat shows, and what is due. Nothing is decided otherwise.

--- a/src/leader/heartbeat-answerer.ts
+++ b/src/leader/heartbeat-answerer.ts
@@ -2,7 +2,7 @@
 
 import type { Reply } from '../http/server.js';
 import { scanMachineId } from '../wire/heartbeat-scan.js';
-import { decodeHeartbeat, type Heartbeat } from '../wire/workers.js';
+import { decodeHeartbeat, type Command, type Heartbeat } from '../wire/workers.js';
 import { renewLease } from '../workers/lease-renewal.js';
 import type { Machine } from '../workers/machine.js';
 import type { Term } from './term/term.js';
@@ -28,29 +28,15 @@
    */
   answer(heartbeat: Heartbeat, body?: Buffer): Reply {
     const { term } = this;
-    if (!term.context.isEntitled()) return { status: 503, retryAfter: 1 };
-    // Of a later leader: it would drop an answer from here, and its lease would run out meanwhile.
-    if (term.isLaterToken(heartbeat.token)) return { status: 503, retryAfter: 1 };
-    // A copy that was held back. Taken for a machine, work would be placed on it.
-    if (term.returnedMachines.has(heartbeat.machine)) return { status: 503, retryAfter: 1 };
-    const now = term.now;
+    if (!this.mayAnswer(heartbeat)) return { status: 503, retryAfter: 1 };
     const machine = this.machineOf(heartbeat);
     const repeated = machine.isRepeated(heartbeat);
     if (body !== undefined && !repeated && !machine.lastHeartbeat.wasDecodedFrom(heartbeat)) {
       machine.lastHeartbeat.keep(heartbeat, body);
     }
-    // Fenced once by this term, forgotten, and back.
-    if (heartbeat.token > machine.token) machine.raiseToken(term.latestRevision);
-    const changes = machine.applyHeartbeat(heartbeat, 'heartbeat', now);
-    if (!changes.stale) term.reconcile(machine, changes);
-    const fresh =
-      !changes.stale &&
-      (machine.state === 'ready' || machine.state === 'returning') &&
-      heartbeat.token === machine.token;
-    const commands = fresh ? machine.dueCommands((attempt) => term.mayStart(attempt), true) : [];
-    machine.markSent(commands, 'heartbeat', now);
-    if (fresh) term.machinesToCommand.delete(machine.id);
-    if (!repeated) machine.leaseRenewed(now);
+    const isFenced = this.takeIn(machine, heartbeat);
+    const due = isFenced ? this.takeDueCommands(machine) : [];
+    if (!repeated) machine.leaseRenewed(term.now);
     // Also where nothing else may be told yet. Terms that are shorter than two heartbeats once renewed the
     // lease one after another, and none of them stopped what was cancelled.
     return renewLease({
@@ -58,10 +44,39 @@
       tasks: heartbeat.tasks,
       attempts: machine.attempts.values(),
       isCancelled: (job) => term.isCancelled(job),
-      due: commands,
+      due,
     });
   }
 
+  private mayAnswer({ token, machine }: Heartbeat): boolean {
+    const { term } = this;
+    if (!term.context.isEntitled()) return false;
+    // Of a later leader: it would drop an answer from here, and its lease would run out meanwhile.
+    if (term.isLaterToken(token)) return false;
+    // A copy that was held back. Taken for a machine, work would be placed on it.
+    return !term.returnedMachines.has(machine);
+  }
+
+  /** What the heartbeat shows. Returns whether it is new, and shows this term's token. */
+  private takeIn(machine: Machine, heartbeat: Heartbeat): boolean {
+    const { term } = this;
+    // Fenced once by this term, forgotten, and back.
+    if (heartbeat.token > machine.token) machine.raiseToken(term.latestRevision);
+    const changes = machine.applyHeartbeat(heartbeat, 'heartbeat', term.now);
+    if (changes.stale) return false;
+    term.reconcile(machine, changes);
+    const isTrusted = machine.state === 'ready' || machine.state === 'returning';
+    return isTrusted && heartbeat.token === machine.token;
+  }
+
+  private takeDueCommands(machine: Machine): Command[] {
+    const { term } = this;
+    const commands = machine.dueCommands((attempt) => term.mayStart(attempt), true);
+    machine.markSent(commands, 'heartbeat', term.now);
+    term.machinesToCommand.delete(machine.id);
+    return commands;
+  }
+
   private machineOf(heartbeat: Heartbeat): Machine {
     const known = this.term.machines.has(heartbeat.machine);
     const machine = this.term.machine(heartbeat.machine);
--- a/src/leadership/election.ts
+++ b/src/leadership/election.ts
@@ -1,14 +1,10 @@
 import { random } from '../random.js';
-import { MAX_CLOCK_DRIFT, WakeableSleep, sleep, type Clock } from '../clock.js';
+import { MAX_CLOCK_DRIFT, WakeableSleep, sleep } from '../clock.js';
 import { IllegalTransitionError } from '../illegal-transition.js';
-import type { Log } from '../log.js';
-import { RequestRejectedError, type KeyValueStoreClient } from '../store/client.js';
-import type { ReplicaSync } from '../store/replica-sync.js';
-import type { Replica } from '../store/replica.js';
-import type { PeerNetwork } from '../peers/peer-network.js';
+import { RequestRejectedError } from '../store/client.js';
 import { mayBecome, type ElectionRole } from './election-role.js';
 import { acquireLeaderKey } from './leader-key.js';
-import { OutageQuorum, type OutageEvents } from './outage-quorum.js';
+import { OutageQuorum, type OutageEvents, type OutageQuorumOptions } from './outage-quorum.js';
 import { renewalAllowanceS, type WorkerTimes } from './renewal-allowance.js';
 
 /** A late controller leaves leadership to a healthier one for so many lives of the leader's lease, at most. */
@@ -23,17 +19,13 @@
 }
 
 /** What an `Election` works with. */
-export interface ElectionOptions {
+export interface ElectionOptions extends Omit<
+  OutageQuorumOptions,
+  'leaseTtlS' | 'allowanceS' | 'leads'
+> {
   node: string;
   incarnation: string;
-  controllerCount: number;
   workers: WorkerTimes;
-  store: KeyValueStoreClient;
-  replicaSync: ReplicaSync;
-  replica: Replica;
-  peers: () => PeerNetwork;
-  clock: Clock;
-  log: Log;
   events: ElectionEvents;
   /** This controller is late, and another one that could be elected is healthier. */
   healthierCanCampaign: () => boolean;
@@ -63,16 +55,16 @@
   private readonly allowanceS: number;
 
   constructor(private readonly options: ElectionOptions) {
-    const { workers, controllerCount, store, replicaSync, replica, peers, clock, log, events } =
-      options;
+    const { workers } = options;
     // A third of the workers' lease: the successor has two thirds to reach them all.
     this.leaseTtlS = workers.lease_s * 0.3;
     this.allowanceS = renewalAllowanceS(workers, this.leaseTtlS);
-    const { leaseTtlS, allowanceS } = this;
     this.outage = new OutageQuorum({
-      controllerCount: controllerCount, leaseTtlS: leaseTtlS, allowanceS, store, replicaSync, replica, peers, clock, log, events,
+      ...options,
+      leaseTtlS: this.leaseTtlS,
+      allowanceS: this.allowanceS,
       leads: () => this.isLeading,
-    }); // prettier-ignore
+    });
   }
 
   private changeRole(role: ElectionRole): void {
