Cancelled attempts are counted and told: metrics, one warning a job, lines at both ends of a term

Cause: nothing in log or /metrics showed that cancelled tasks outlasted their cancellation, or that terms ended before their machines had shown the token.

Change: /metrics of the leader has cancelled_attempts and cancelled_oldest_s; one warning a job and term when half of cancel_s has passed (job, task, machine, its state, when it was heard and told last). Ages count from when the process first knew of the cancellation, as a follower too, so that they span terms. 'term began' has token, revision and what earlier terms have left; 'term ended' how long it lasted and how many machines had not shown its token. No line a heartbeat.

--- a/src/controller/composition.ts
+++ b/src/controller/composition.ts
@@ -6,6 +6,7 @@
 import { RequestQueue } from '../admission/request-queue.js';
 import type { RequestForwarder } from '../api/request-forwarder.js';
 import { CancellationBroadcast } from '../cancellation/cancellation-broadcast.js';
+import { CancellationTimes } from '../cancellation/cancellation-times.js';
 import type { Clock } from '../clock.js';
 import { CloudClient } from '../cloud/client.js';
 import type { Settings } from '../config/settings.js';
@@ -72,6 +73,7 @@
   readonly health: HealthTable;
   readonly store: KeyValueStoreClient;
   readonly replica: Replica;
+  readonly cancellationTimes: CancellationTimes;
   readonly terms: TermRunner;
   readonly replicaSync: ReplicaSync;
   readonly cloud: CloudClient;
@@ -101,6 +103,7 @@
     this.replica = new Replica(Math.floor(settings.progressValueKb * 1024));
     this.replicaSync = this.makeReplicaSync();
     this.cloud = new CloudClient(settings, clock);
+    this.cancellationTimes = new CancellationTimes(clock, settings.workers.cancel_s);
     this.terms = this.makeTermRunner();
     this.machineTypes = this.makeMachineTypeCache();
     this.election = this.makeElection();
@@ -124,6 +127,7 @@
   private cancellationsHeard(ids: string[]): void {
     for (const id of ids) {
       this.cancellations.noteStored(id);
+      this.cancellationTimes.note(id);
       this.terms.leader?.onCancellationHeard(id);
     }
   }
@@ -131,7 +135,11 @@
   private listenToReplica(): void {
     this.replica.listener = {
       onReady: (storedJob) => this.terms.leader?.onReady(storedJob),
-      onCancelled: (storedJob) => this.terms.leader?.onCancelled(storedJob),
+      onCancelled: (storedJob) => {
+        // What no machine's record names has no task that could outlast it.
+        if (storedJob.claimCount > 0) this.cancellationTimes.note(storedJob.spec.id);
+        this.terms.leader?.onCancelled(storedJob);
+      },
       onLeader: () => {
         this.election.wake();
         void this.acknowledgements.acknowledgeLeader();
@@ -200,6 +208,7 @@
       replica: this.replica,
       replicaSync: this.replicaSync,
       cloud: this.cloud,
+      cancellationTimes: this.cancellationTimes,
       latencies: this.latencies,
       overload: this.overload,
       election: () => this.election,
--- a/src/controller/term-runner.ts
+++ b/src/controller/term-runner.ts
@@ -1,6 +1,7 @@
 /** Begins and ends terms of leadership on this controller. */
 
 import type { Overload } from '../admission/overload.js';
+import type { CancellationTimes } from '../cancellation/cancellation-times.js';
 import type { Clock } from '../clock.js';
 import type { CloudClient } from '../cloud/client.js';
 import type { Settings } from '../config/settings.js';
@@ -36,6 +37,7 @@
   latencies: LatencyHistograms;
   overload: Overload;
   subsystems: readonly Subsystem[];
+  cancellationTimes: CancellationTimes;
   /** Parts that know this one; asked for only once a term begins. */
   election: () => Election;
   acknowledgements: () => LeaderAcknowledgements;
@@ -79,7 +81,7 @@
 
   private termContext(token: number): TermContext {
     const { settings, policy, clock, wallMs, log, incarnation, store } = this.options;
-    const { replica, replicaSync } = this.options;
+    const { replica, replicaSync, cancellationTimes } = this.options;
     const election = this.options.election();
     const acknowledgements = this.options.acknowledgements();
     const zoneLeases = this.options.zoneLeases();
@@ -102,6 +104,7 @@
       zoneRenewal: (zone) => zoneLeases.zone(zone),
       requestProof: () =>
         void replicaSync.sync().then((isFresh) => isFresh && this.leader?.term.requestCycle()),
+      cancellationKnownAt: (job) => cancellationTimes.of(job),
       canWrite: () => election.canWrite && election.token === token,
     };
   }
--- /dev/null
+++ b/src/leader/attempts/cancelled-attempts.ts
@@ -0,0 +1,74 @@
+/** Attempts of cancelled jobs that may still be on machines: counted, and told when they outlast their time. */
+
+import { mayBeOnMachine, type Attempt } from '../../workers/attempt.js';
+import type { Machine } from '../../workers/machine.js';
+import type { Term } from '../term/term.js';
+
+/** Of `cancel_s`, what may pass before an operator is told. */
+const WARN_SHARE = 0.5;
+
+/** Such attempts at one moment. */
+interface CancelledAttemptFigures {
+  count: number;
+  /** Seconds since this process has known of the oldest cancellation among them. */
+  oldestS: number;
+}
+
+/** Watches the attempts of cancelled jobs of one term. */
+export class CancelledAttempts {
+  private figures: CancelledAttemptFigures = { count: 0, oldestS: 0 };
+  /** Jobs that were warned of in this term. */
+  private readonly warned = new Set<string>();
+
+  constructor(private readonly term: Term) {}
+
+  /** Counts them, and warns of each job once. */
+  tick(): void {
+    const figures: CancelledAttemptFigures = { count: 0, oldestS: 0 };
+    for (const machine of this.term.machines.values()) {
+      for (const attempt of machine.attempts.values()) {
+        if (attempt.stopRequest === null || !mayBeOnMachine(attempt)) continue;
+        if (!this.term.isCancelled(attempt.job)) continue;
+        const ageS = this.ageS(attempt);
+        figures.count++;
+        figures.oldestS = Math.max(figures.oldestS, ageS);
+        if (ageS > this.term.context.settings.workers.cancel_s * WARN_SHARE)
+          this.warn(machine, attempt, ageS);
+      }
+    }
+    this.figures = figures;
+  }
+
+  private ageS(attempt: Attempt): number {
+    const knownAt = this.term.context.cancellationKnownAt(attempt.job);
+    return this.term.now - (knownAt ?? attempt.stopRequest!.at);
+  }
+
+  private warn(machine: Machine, attempt: Attempt, ageS: number): void {
+    if (this.warned.has(attempt.job)) return;
+    this.warned.add(attempt.job);
+    const { now, context } = this.term;
+    const sentAt = attempt.stopRequest!.sentAt;
+    context.log.warn(
+      {
+        job: attempt.job,
+        index: attempt.index,
+        machine: machine.id,
+        machineState: machine.state,
+        token: machine.token,
+        cancelledForS: ageS,
+        heardAgoS: machine.heartbeatAt === -Infinity ? null : now - machine.heartbeatAt,
+        stopSentAgoS: sentAt === null ? null : now - sentAt,
+      },
+      'cancelled task outlasts its cancellation',
+    );
+  }
+
+  /** Figures for `/metrics`. */
+  statistics(): Record<string, number> {
+    return {
+      cancelled_attempts: this.figures.count,
+      cancelled_oldest_s: Math.round(this.figures.oldestS),
+    };
+  }
+}
--- a/src/leader/leader.ts
+++ b/src/leader/leader.ts
@@ -10,6 +10,7 @@
 import type { Subsystem, TermView } from '../subsystems/subsystem.js';
 import type { Machine } from '../workers/machine.js';
 import type { LatencyHistograms } from '../latency-histograms.js';
+import { CancelledAttempts } from './attempts/cancelled-attempts.js';
 import { CommandDispatcher } from './attempts/command-dispatcher.js';
 import { termStatistics } from './term/statistics.js';
 import { Overload } from '../admission/overload.js';
@@ -45,6 +46,7 @@
   private readonly answerer: HeartbeatAnswerer;
   private readonly forecast: DemandForecast;
   private readonly subsystems: ActiveSubsystems;
+  private readonly cancelledAttempts: CancelledAttempts;
   private readonly latencies: LatencyHistograms;
   private timer: NodeJS.Timeout | null = null;
   private readonly cyclePacing: CyclePacing;
@@ -65,6 +67,7 @@
   ) {
     this.latencies = latencies;
     this.term = new Term(context);
+    this.cancelledAttempts = new CancelledAttempts(this.term);
     this.cyclePacing = new CyclePacing({ leaseS: context.settings.workers.lease_s, overload });
     this.term.onCycleRequested = () => this.scheduleCycle();
     this.forecast = makeForecast(this.term);
@@ -124,6 +127,7 @@
 
   /** Begins to write, to scale out and to schedule. */
   start(): void {
+    this.logBegin();
     void this.writer.run();
     void this.capacity.provisioner.run();
     this.scheduleCycle();
@@ -131,6 +135,7 @@
 
   /** The term is over: nothing more is written or commanded, and no machine is requested. */
   stop(): void {
+    this.logEnd();
     this.stopped = true;
     this.writer.stop();
     this.capacity.provisioner.stop();
@@ -206,6 +211,7 @@
     splitOversizedProgress(this.term);
     // Before the sweep: what has just ended can still be looked at.
     this.subsystems.tick();
+    this.cancelledAttempts.tick();
     this.collectGarbage();
     this.term.requestCycle();
   }
@@ -231,6 +237,39 @@
     this.cyclePacing.cycleEnded(began, end);
   }
 
+  /** What this term begins with: what was read, and which cancelled tasks earlier terms have left on machines. */
+  private logBegin(): void {
+    const { context, machines, jobs } = this.term;
+    this.cancelledAttempts.tick();
+    context.log.info(
+      {
+        token: context.token,
+        revision: context.replica.applied,
+        jobs: jobs.size,
+        machines: machines.size,
+        ...this.cancelledAttempts.statistics(),
+      },
+      'term began',
+    );
+  }
+
+  /** A term that ends before its machines have shown its token has started nothing on them. */
+  private logEnd(): void {
+    const { context, machines, now, startedAt } = this.term;
+    const all = [...machines.values()];
+    const notFenced = all.filter(({ state }) => state === 'unheard' || state === 'fencing').length;
+    context.log.info(
+      {
+        token: context.token,
+        lastedS: now - startedAt,
+        machines: machines.size,
+        notFenced,
+        ...this.cancelledAttempts.statistics(),
+      },
+      'term ended',
+    );
+  }
+
   private logFencingDone(): void {
     const { machines, now, startedAt } = this.term;
     if (now - startedAt > this.context.settings.workers.lease_s) this.fencedLogged = true;
@@ -266,7 +305,11 @@
 
   /** Figures for `/metrics`. */
   statistics(): Record<string, number | string> {
-    return { ...termStatistics(this.term, this.capacity), ...this.subsystems.statistics() };
+    return {
+      ...termStatistics(this.term, this.capacity),
+      ...this.cancelledAttempts.statistics(),
+      ...this.subsystems.statistics(),
+    };
   }
 }
 
--- a/src/leader/term/term-state.ts
+++ b/src/leader/term/term-state.ts
@@ -30,6 +30,8 @@
   zoneRenewal: (zone: string) => { keptUntil: number; provenAt: number };
   /** Asks for a fresh proof of that. */
   requestProof: () => void;
+  /** Since when this process has known of a job's cancellation, in seconds of the clock. */
+  cancellationKnownAt: (job: string) => number | undefined;
 }
 
 /** The state of a term, which its parts share. */
--- a/test/renewals-of-cancelled.test.ts
+++ b/test/renewals-of-cancelled.test.ts
@@ -314,3 +314,34 @@
   const short = renewLease({ token: 9, tasks: [tasks[0]!, ended], isCancelled, due: [stop] });
   assert.equal((JSON.parse(String(short.body)) as { orders: unknown[] }).orders.length, 1);
 });
+
+test('cancelled tasks that outlast their time are told, across terms, and counted', async () => {
+  const { world, worker } = await runningService();
+  // Nothing is heard of the machine, and no term is long enough to count its lease as expired.
+  worker.mute = true;
+  world.holdsDirectCommands = true;
+  world.cancel(JOB);
+  const warnings = (): Record<string, unknown>[] =>
+    world.logLines.filter(({ msg }) => msg === 'cancelled task outlasts its cancellation');
+  const { cancelS } = world.times;
+  const cancelledAt = world.now;
+  await world.runUntil(cancelledAt + cancelS * 0.25);
+  assert.deepEqual(warnings(), []);
+  world.controller('n-2').kill();
+  letStand(world, 'n-0');
+  await world.runUntil(cancelledAt + cancelS * 0.52);
+  const [warning, ...more] = warnings();
+  assert.deepEqual(more, [], 'one line a job and term');
+  const { job, machine, machineState, cancelledForS, heardAgoS, stopSentAgoS } = warning!;
+  assert.deepEqual([job, machine, machineState], [JOB, MACHINE, 'unheard']);
+  assert.ok(
+    Number(cancelledForS) >= cancelS * 0.5,
+    'since this process has known, not since its term began',
+  );
+  assert.deepEqual([heardAgoS, stopSentAgoS], [null, null]);
+  const figures = world.controller('n-0').term!.leader.statistics();
+  assert.equal(figures.cancelled_attempts, TASKS);
+  assert.ok(Number(figures.cancelled_oldest_s) >= cancelS * 0.5);
+  const began = world.logLines.filter(({ msg }) => msg === 'term began').at(-1)!;
+  assert.equal(began.cancelled_attempts, TASKS, 'what earlier terms have left');
+});
--- a/test/support/control-plane-world.ts
+++ b/test/support/control-plane-world.ts
@@ -2,6 +2,7 @@
  * Several controllers, a key-value store and workers in injected time: leaders change, and the heartbeats of workers
  * reach whichever controller they are sent to, straight or forwarded. Nothing opens a socket.
  */
+import { pino } from 'pino';
 import { parseSettings } from '../../src/config/settings.js';
 import type { Reply } from '../../src/http/server.js';
 import type { JobSpec } from '../../src/jobs/types.js';
@@ -48,6 +49,12 @@
   readonly store = new MemoryStore();
   readonly fleet: Fleet;
   readonly controllers: SimulatedController[];
+  /** What all controllers have logged. */
+  readonly logLines: Record<string, unknown>[] = [];
+  readonly log = pino(
+    { level: 'info', base: null },
+    { write: (line: string) => void this.logLines.push(JSON.parse(line)) },
+  );
   /** The store refuses everybody; its leases stand still. */
   storeOutage = false;
   /** When a user was first told that a job is cancelled, by job. */
--- a/test/support/leader-world.ts
+++ b/test/support/leader-world.ts
@@ -119,6 +119,7 @@
         othersRenewUntil: () => -Infinity,
         zoneRenewal: () => this.zoneRenewal,
         requestProof: () => undefined,
+        cancellationKnownAt: () => undefined,
       },
       {
         store: this.store.client(),
--- a/test/support/scheduler-world.ts
+++ b/test/support/scheduler-world.ts
@@ -45,6 +45,7 @@
       othersRenewUntil: () => -Infinity,
       zoneRenewal: () => ({ keptUntil: this.keptUntil, provenAt: Infinity }),
       requestProof: () => undefined,
+      cancellationKnownAt: () => undefined,
     });
     const forecast = new DemandForecast(
       () => this.now * 1000,
--- a/test/support/simulated-controller.ts
+++ b/test/support/simulated-controller.ts
@@ -4,6 +4,7 @@
  */
 import { CancellationBroadcast } from '../../src/cancellation/cancellation-broadcast.js';
 import { CancellationQuorum } from '../../src/cancellation/cancellation-quorum.js';
+import { CancellationTimes } from '../../src/cancellation/cancellation-times.js';
 import type { CloudClient } from '../../src/cloud/client.js';
 import type { Settings } from '../../src/config/settings.js';
 import { HeartbeatHandler } from '../../src/heartbeat/heartbeat-handler.js';
@@ -14,7 +15,6 @@
 import { QuorumAcknowledgement } from '../../src/leadership/quorum-acknowledgement.js';
 import { renewalAllowanceS } from '../../src/leadership/renewal-allowance.js';
 import type { ZoneLeaseHolder, ZoneLeaseWatch } from '../../src/leadership/zone-lease.js';
-import { silentLog } from '../../src/log.js';
 import { DEFAULT_POLICY } from '../../src/operator/policy.js';
 import type { Answer, Question } from '../../src/peers/messages.js';
 import type { PeerNetwork } from '../../src/peers/peer-network.js';
@@ -41,6 +41,7 @@
 /** What runs from timers in a leader, driven by hand here. */
 interface LeaderParts {
   scheduleCycle(): void;
+  logBegin(): void;
   runCycle(): void;
   writer: { writeBatch(): Promise<boolean> };
   capacity: { provisioner: { listedOnce: boolean } };
@@ -81,6 +82,7 @@
   private outage!: OutageQuorum;
   private cancellations!: CancellationBroadcast;
   private quorum!: CancellationQuorum;
+  private cancellationTimes!: CancellationTimes;
   private readonly leaderTtlS: number;
   private readonly allowanceS: number;
 
@@ -120,13 +122,15 @@
   /** A process of this name begins: it has read nothing. */
   restart(): void {
     const clock = { now: () => this.world.now };
-    const log = silentLog();
+    const { log } = this.world;
     this.depose();
     this.alive = true;
     this.frozenUntil = -Infinity;
     this.ready = false;
     this.freshAt = -Infinity;
     this.replica = this.world.store.emptyReplica();
+    this.replica.listener = this.followerListener;
+    this.cancellationTimes = new CancellationTimes(clock, this.settings.workers.cancel_s);
     this.cancellations = new CancellationBroadcast({
       settings: this.settings,
       zoneLeaseHolders: [],
@@ -191,7 +195,7 @@
       leader: () => this.term?.leader ?? null,
       isKnownCancelled: (job) => this.cancellations.knows(job),
       clock: { now: () => this.world.now },
-      log: silentLog(),
+      log: this.world.log,
     });
   }
 
@@ -266,9 +270,16 @@
     }
   }
 
+  private readonly followerListener: Replica['listener'] = {
+    onCancelled: ({ claimCount, spec }) => {
+      if (claimCount > 0) this.cancellationTimes.note(spec.id);
+    },
+  };
+
   private cancellationsHeard(ids: readonly string[]): void {
     for (const id of ids) {
       this.cancellations.noteStored(id);
+      this.cancellationTimes.note(id);
       this.term?.leader.onCancellationHeard(id);
     }
   }
@@ -342,7 +353,7 @@
     const acknowledged = new QuorumAcknowledgement(token, controllerCount, clock);
     const leader = new Leader(
       {
-        ...{ settings: this.settings, clock, log: silentLog(), policy: DEFAULT_POLICY, token },
+        ...{ settings: this.settings, clock, log: this.world.log, policy: DEFAULT_POLICY, token },
         wallMs: () => this.world.wallMs(),
         replica: this.replica,
         incarnation: this.node,
@@ -352,6 +363,7 @@
         othersRenewUntil: () => acknowledged.othersRenewUntil,
         zoneRenewal: () => ({ keptUntil: -Infinity, provenAt: Infinity }),
         requestProof: () => undefined,
+        cancellationKnownAt: (job) => this.cancellationTimes.of(job),
       },
       {
         store: this.storeClient(),
@@ -366,16 +378,20 @@
     parts.capacity.provisioner.listedOnce = true;
     this.replica.listener = {
       onReady: (storedJob) => leader.onReady(storedJob),
-      onCancelled: (storedJob) => leader.onCancelled(storedJob),
+      onCancelled: (storedJob) => {
+        this.followerListener.onCancelled?.(storedJob);
+        leader.onCancelled(storedJob);
+      },
     };
     const leaseUntil = this.world.now + this.leaderTtlS;
     this.term = { leader, token, leaseUntil, inOutage: false, acknowledged };
+    (leader as unknown as LeaderParts).logBegin();
   }
 
   private depose(): void {
     if (this.term === null) return;
     this.term = null;
-    this.replica.listener = {};
+    this.replica.listener = this.followerListener;
   }
 
   private async continueTerm(): Promise<void> {
