--- a/test/renewals-of-cancelled.test.ts
+++ b/test/renewals-of-cancelled.test.ts
@@ -61,10 +61,11 @@
 }
 
 interface Term {
-  /** Who leads, from when, and when its term ends. */
+  /** Who leads, from when, and when its process is killed, or frozen. */
   node: string;
   from: number;
   until: number;
+  frozenUntil?: number;
   /** When the machine is heard, and by which controller. */
   heardAt: number;
   by: string;
@@ -72,7 +73,7 @@
 
 /** The terms of the incident: the machine was heard once in each. */
 const TERMS: Term[] = [
-  { node: 'n-1', from: 28, until: 32, heardAt: 28.97, by: 'n-0' },
+  { node: 'n-1', from: 28, until: 32, frozenUntil: 36, heardAt: 28.97, by: 'n-0' },
   { node: 'n-2', from: 35, until: 38, heardAt: 36.1, by: 'n-1' },
   { node: 'n-1', from: 42, until: 44, heardAt: 43.85, by: 'n-0' },
   { node: 'n-1', from: 49.8, until: 55.8, heardAt: 52.63, by: 'n-1' },
@@ -94,7 +95,8 @@
   const attempts = leader.term!.leader.term.machines.get(MACHINE)!.attempts;
   assert.equal(attempts.size, TASKS, 'the leader knows the attempts');
   await world.runUntil(term.until);
-  leader.kill();
+  if (term.frozenUntil === undefined) leader.kill();
+  else leader.frozenUntil = term.frozenUntil;
 }
 
 test('leaders that hear of a machine once, one after another, end its cancelled tasks in time', async () => {
--- a/test/support/control-plane-world.ts
+++ b/test/support/control-plane-world.ts
@@ -79,6 +79,7 @@
       const text = settingsText(index, ports, 3, 4, times.leaseS, zones, times.cancelS);
       const parsed = parseSettings(text);
       const workers = { ...parsed.workers, report_s: times.reportS };
+      parsed.teams.set('t', { name: 't', cores: 0, coresMax: 0, gpus: 0, gpusMax: 0 });
       return new SimulatedController(this, { ...parsed, workers });
     });
     const names = this.controllers.map(({ node }) => node);
