--- a/src/leader/leader.ts
+++ b/src/leader/leader.ts
@@ -21,6 +21,7 @@
 import { RecordWriter } from './writes/record-writer.js';
 import { closeFinishedJobs, machinesToForget } from './term/garbage-collection.js';
 import { Term, type TermContext } from './term/term.js';
+import { TermLog } from './term/term-log.js';
 import { CapacityManager } from './capacity/capacity-manager.js';
 
 /** What a leader works with, beside what its term rests on. */
@@ -47,12 +48,11 @@
   private readonly forecast: DemandForecast;
   private readonly subsystems: ActiveSubsystems;
   private readonly cancelledAttempts: CancelledAttempts;
+  private readonly log: TermLog;
   private readonly latencies: LatencyHistograms;
   private timer: NodeJS.Timeout | null = null;
   private readonly cyclePacing: CyclePacing;
   private stopped = false;
-  /** Whether it has been logged how long this term took to hear of its machines. */
-  private fencedLogged = false;
 
   constructor(
     private readonly context: TermContext,
@@ -68,6 +68,7 @@
     this.latencies = latencies;
     this.term = new Term(context);
     this.cancelledAttempts = new CancelledAttempts(this.term);
+    this.log = new TermLog(this.term, this.cancelledAttempts);
     this.cyclePacing = new CyclePacing({ leaseS: context.settings.workers.lease_s, overload });
     this.term.onCycleRequested = () => this.scheduleCycle();
     this.forecast = makeForecast(this.term);
@@ -127,7 +128,7 @@
 
   /** Begins to write, to scale out and to schedule. */
   start(): void {
-    this.logBegin();
+    this.log.began();
     void this.writer.run();
     void this.capacity.provisioner.run();
     this.scheduleCycle();
@@ -135,7 +136,7 @@
 
   /** The term is over: nothing more is written or commanded, and no machine is requested. */
   stop(): void {
-    this.logEnd();
+    this.log.ended();
     this.stopped = true;
     this.writer.stop();
     this.capacity.provisioner.stop();
@@ -205,7 +206,7 @@
   /** Called about twice a heartbeat interval, for what comes with time alone. */
   tick(): void {
     if (this.stopped) return;
-    if (!this.fencedLogged) this.logFencingDone();
+    this.log.tick();
     this.capacity.consolidate();
     if (this.context.canWrite()) this.term.fenceUnanswered();
     splitOversizedProgress(this.term);
@@ -237,51 +238,6 @@
     this.cyclePacing.cycleEnded(began, end);
   }
 
-  /** What this term begins with: what was read, and which cancelled tasks earlier terms have left on machines. */
-  private logBegin(): void {
-    const { context, machines, jobs } = this.term;
-    this.cancelledAttempts.tick();
-    context.log.info(
-      {
-        token: context.token,
-        revision: context.replica.applied,
-        jobs: jobs.size,
-        machines: machines.size,
-        ...this.cancelledAttempts.statistics(),
-      },
-      'term began',
-    );
-  }
-
-  /** A term that ends before its machines have shown its token has started nothing on them. */
-  private logEnd(): void {
-    const { context, machines, now, startedAt } = this.term;
-    const all = [...machines.values()];
-    const notFenced = all.filter(({ state }) => state === 'unheard' || state === 'fencing').length;
-    context.log.info(
-      {
-        token: context.token,
-        lastedS: now - startedAt,
-        machines: machines.size,
-        notFenced,
-        ...this.cancelledAttempts.statistics(),
-      },
-      'term ended',
-    );
-  }
-
-  private logFencingDone(): void {
-    const { machines, now, startedAt } = this.term;
-    if (now - startedAt > this.context.settings.workers.lease_s) this.fencedLogged = true;
-    for (const machine of machines.values())
-      if (machine.state === 'unheard' || machine.state === 'fencing') return;
-    this.fencedLogged = true;
-    this.context.log.info(
-      { machines: machines.size, tookS: now - startedAt },
-      'all machines fenced',
-    );
-  }
-
   private anyDirty(): boolean {
     for (const job of this.term.jobs.values()) if (job.progress.dirty.size > 0) return true;
     return false;
