Tests: one decoding of an answer to a heartbeat, one life of the leader's key, one way to lose claims

The answer's body was taken apart in two worlds, the key's life stood as a number beside its constant, and a record without claims was made twice. Assertions and expectations are the same; nothing in src changes.

--- a/test/renewals-of-cancelled.test.ts
+++ b/test/renewals-of-cancelled.test.ts
@@ -108,6 +108,13 @@
   assert.deepEqual(world.omittedStops, [], 'every renewal carries the stop');
 });
 
+/** The machine's record names no attempt any more. */
+function forgetClaims({ store }: ControlPlaneWorld): void {
+  const key = records.machineKey(MACHINE);
+  const record = records.decodeMachine(store.value(key));
+  store.put(key, records.encodeMachine({ ...record, claims: [] }));
+}
+
 /** Heartbeats at these seconds, by n-0 to whoever leads. */
 async function exchangeAt(world: ControlPlaneWorld, worker: Worker, ats: number[]): Promise<void> {
   for (const at of ats) {
@@ -141,9 +148,7 @@
       'the attempts are in no record: they are found by what the machine shows',
       async (world, worker) => {
         await cancelAfterLeaderEnded(world);
-        const key = records.machineKey(MACHINE);
-        const record = records.decodeMachine(world.store.value(key));
-        world.store.put(key, records.encodeMachine({ ...record, claims: [] }));
+        forgetClaims(world);
         letStand(world, 'n-1');
         await exchangeAt(world, worker, [28.97, 31.47, 33.97]);
       },
@@ -190,9 +195,7 @@
   },
   'the first answer of a term, to attempts that no record names': async (world, worker) => {
     await cancelAfterLeaderEnded(world);
-    const key = records.machineKey(MACHINE);
-    const record = records.decodeMachine(world.store.value(key));
-    world.store.put(key, records.encodeMachine({ ...record, claims: [] }));
+    forgetClaims(world);
     letStand(world, 'n-1');
     await exchangeAt(world, worker, [29]);
   },
--- a/test/support/control-plane-world.ts
+++ b/test/support/control-plane-world.ts
@@ -13,8 +13,8 @@
 import { g8, settingsText } from '../helpers.js';
 import { MemoryStore } from './memory-store.js';
 import type { ReportLoop } from './report-loop.js';
-import { SimulatedController } from './simulated-controller.js';
-import { asCommand, Fleet, type Worker } from './simulated-fleet.js';
+import { LEADER_TTL_LEASES, SimulatedController } from './simulated-controller.js';
+import { decodeHeartbeatReply, Fleet, type Worker } from './simulated-fleet.js';
 
 /** Times of a deployment, in seconds. */
 export interface DeploymentTimes {
@@ -125,7 +125,7 @@
 
   private async expireLeaderKey(): Promise<void> {
     // Leases stand still in an outage, and have their full time again after it.
-    const ttlS = this.times.leaseS * 0.3;
+    const ttlS = this.times.leaseS * LEADER_TTL_LEASES;
     if (this.storeOutage) this.leaderKeyUntil = this.now + ttlS;
     if (this.now <= this.leaderKeyUntil || this.store.revision(records.LEADER) === 0) return;
     await this.store.compareAndSwap([], [{ remove: records.LEADER }]);
@@ -189,13 +189,9 @@
   }
 
   private takeAnswer(worker: Worker, heartbeat: Heartbeat, body: string, sentAt: number): void {
-    const { hallmark, orders } = JSON.parse(body) as {
-      hallmark: number;
-      orders: Parameters<typeof asCommand>[0][];
-    };
-    const commands = orders.map(asCommand);
-    if (hallmark >= worker.token) this.noteOmittedStops(heartbeat, hallmark, commands);
-    worker.takeAnswer(hallmark, commands, sentAt);
+    const { token, commands } = decodeHeartbeatReply(body);
+    if (token >= worker.token) this.noteOmittedStops(heartbeat, token, commands);
+    worker.takeAnswer(token, commands, sentAt);
   }
 
   /** Looks whether an answer that renews a lease stops all tasks there that are told to be cancelled. */
@@ -239,7 +235,7 @@
   /** Seconds for which a controller that does not know of a cancellation may renew leases. */
   get allowanceS(): number {
     const { leaseS: lease_s, cancelS: cancel_s } = this.times;
-    return renewalAllowanceS({ lease_s, cancel_s }, lease_s * 0.3);
+    return renewalAllowanceS({ lease_s, cancel_s }, lease_s * LEADER_TTL_LEASES);
   }
 
   /** Cancelled tasks that are still on machines after their time. */
--- a/test/support/leader-world.ts
+++ b/test/support/leader-world.ts
@@ -17,7 +17,7 @@
 import { g8, settings } from '../helpers.js';
 import { fake } from './fake.js';
 import { MemoryStore, type StoreMode } from './memory-store.js';
-import { asCommand, Fleet, type Worker } from './simulated-fleet.js';
+import { decodeHeartbeatReply, Fleet, type Worker } from './simulated-fleet.js';
 
 /** What runs from timers in a leader, driven by hand here. */
 interface LeaderParts {
@@ -165,11 +165,8 @@
     const sentAt = this.now;
     const reply = this.leader.answerHeartbeat(worker.heartbeat());
     if (reply.status !== 200) return;
-    const { hallmark, orders } = JSON.parse(String(reply.body)) as {
-      hallmark: number;
-      orders: { verb: string; piece: string; pour: number; cooling_s?: number }[];
-    };
-    worker.takeAnswer(hallmark, orders.map(asCommand), sentAt);
+    const { token, commands } = decodeHeartbeatReply(String(reply.body));
+    worker.takeAnswer(token, commands, sentAt);
   }
 
   /** A direct command goes out; the caller says what becomes of it. */
--- a/test/support/simulated-controller.ts
+++ b/test/support/simulated-controller.ts
@@ -34,7 +34,7 @@
 export type StoreHealth = 'served' | 'refused' | 'silent';
 
 /** Life of a leader's key, in leases of a worker; see `Election`. */
-const LEADER_TTL_LEASES = 0.3;
+export const LEADER_TTL_LEASES = 0.3;
 /** Batches of a round of writes, at the most. */
 const MAX_BATCHES = 20;
 
@@ -300,8 +300,8 @@
   async confirmsCancellation(id: string): Promise<boolean> {
     const storedJob = this.replica.jobs.get(id);
     if (!this.isRunning || !this.ready || this.storeHealth !== 'served') return false;
-    if (this.readsLost) return false;
-    return storedJob?.cancelledAt != null && (await this.quorum.confirm(storedJob, id));
+    if (this.readsLost || storedJob === undefined || !this.knowsCancelled(id)) return false;
+    return this.quorum.confirm(storedJob, id);
   }
 
   /** Whether it may act as the leader at this moment. */
--- a/test/support/simulated-fleet.ts
+++ b/test/support/simulated-fleet.ts
@@ -132,14 +132,22 @@
 const OPS = { start: 'start', kill: 'stop', reap: 'forget' } as const;
 
 /** A command as it stands in the answer to a heartbeat. */
-export function asCommand(order: {
+interface EncodedCommand {
   verb: string;
   piece: string;
   pour: number;
   cooling_s?: number;
-}): Command {
+}
+
+function asCommand(order: EncodedCommand): Command {
   const [job, index] = order.piece.split('/') as [string, string];
   const base = { job, index: Number(index), attempt: order.pour };
   const kind = OPS[order.verb as keyof typeof OPS];
   return kind === 'stop' ? { kind, ...base, graceS: order.cooling_s ?? 0 } : { kind, ...base };
 }
+
+/** The body of a 200 to a heartbeat. */
+export function decodeHeartbeatReply(body: string): { token: number; commands: Command[] } {
+  const { hallmark, orders } = JSON.parse(body) as { hallmark: number; orders: EncodedCommand[] };
+  return { token: hallmark, commands: orders.map(asCommand) };
+}
