Test, failing: a held-back start of a cancelled task is carried out, whoever renews the lease

Nine ways from the cancellation to the arrival fail: the leader goes on in an outage, or ends in it and others renew, straight or with part of the knowledge; a zone's only controller renews; the machine is being returned; commits are late or their answers are lost.

--- /dev/null
+++ b/test/late-starts.test.ts
@@ -0,0 +1,175 @@
+/**
+ * Starts of cancelled tasks that arrive late.
+ *
+ * What happens: a start goes straight to a machine and is held back on its way. Its job is cancelled, and the store
+ * refuses everybody. Long after the time at which the task must be gone the start arrives, and the machine carries it
+ * out, since token and agent epoch still match.
+ * Why: the one thing that made such a start harmless was a higher token, and a leader gave one only after a commit had
+ * named it. In an outage there is no commit, while every answer to a heartbeat renews the lease, which keeps the epoch,
+ * and repeats the token that the start needs. Controllers that renew in a leader's place did the same.
+ * Evidence: in the failing case the machine's token stays at the term's own from the cancellation to the arrival, 37.5 s
+ * later, over fifteen renewals; the record that claims the task has a higher revision all along (`refusedAt` below),
+ * which the machine would have taken.
+ */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import * as records from '../src/store/records.js';
+import { ControlPlaneWorld, INCIDENT_TIMES } from './support/control-plane-world.js';
+import type { Worker } from './support/simulated-fleet.js';
+
+const JOB = 'wk-000001';
+const OTHER_JOB = 'wk-000002';
+const MACHINE = 'host-000001';
+
+interface HeldBackStart {
+  world: ControlPlaneWorld;
+  worker: Worker;
+  /** Where the machine sends its heartbeats. */
+  node: string;
+}
+
+/** n-2 leads. A task runs, and the start of another job's task is held back on its way to the same machine. */
+async function startOnItsWay(): Promise<HeldBackStart> {
+  const world = new ControlPlaneWorld(INCIDENT_TIMES);
+  for (const controller of world.controllers) controller.stands = controller.node === 'n-2';
+  await world.runUntil(1);
+  const worker = world.fleet.add(MACHINE);
+  await world.exchangeHeartbeat(worker, 'n-0');
+  world.submitJob({ id: JOB, kind: 'service' });
+  const held: HeldBackStart = { world, worker, node: 'n-0' };
+  await heartbeats(held, 10);
+  world.holdsDirectCommands = true;
+  world.submitJob({ id: OTHER_JOB });
+  await world.runUntil(world.now + 0.5);
+  assert.equal(world.fleet.starts.get(`${OTHER_JOB}/0`), undefined, 'still on its way');
+  return held;
+}
+
+/** Time passes, with a heartbeat every interval. */
+async function heartbeats({ world, worker, node }: HeldBackStart, seconds: number): Promise<void> {
+  const until = world.now + seconds;
+  while (world.now < until) {
+    await world.runUntil(world.now + world.times.reportS);
+    await world.exchangeHeartbeat(worker, node);
+  }
+}
+
+/** The job whose start is on its way is cancelled, and its user is told. */
+async function cancel({ world }: HeldBackStart): Promise<void> {
+  world.cancel(OTHER_JOB);
+  await world.runUntil(world.now + 0.25);
+  assert.ok(world.toldAt.has(OTHER_JOB));
+}
+
+/** How it goes on from the cancellation to the arrival; the machine's lease is renewed all the time. */
+const WAYS: Record<string, (held: HeldBackStart) => Promise<void>> = {
+  'the leader goes on in an outage': async (held) => {
+    await cancel(held);
+    held.world.storeOutage = true;
+  },
+  'the outage comes first, and the leader hears of the cancellation from others': async (held) => {
+    held.world.controller('n-2').ownStoreHealth = 'refused';
+    await cancel(held);
+    held.world.storeOutage = true;
+  },
+  'the leader ends in the outage, and others renew leases in its place': async (held) => {
+    await cancel(held);
+    held.world.storeOutage = true;
+    held.world.controller('n-2').kill();
+  },
+  'the same, by one that has heard of the cancellation and not read it': async (held) => {
+    held.world.controller('n-0').ownStoreHealth = 'refused';
+    await cancel(held);
+    held.world.storeOutage = true;
+    held.world.controller('n-2').kill();
+  },
+  'others renew in turn, and one of them knows less': async (held) => {
+    held.world.controller('n-1').ownStoreHealth = 'refused';
+    await cancel(held);
+    held.world.storeOutage = true;
+    held.world.controller('n-2').kill();
+    await heartbeats(held, held.world.times.leaseS / 2);
+    held.node = 'n-1';
+  },
+  'the only controller of a zone that is cut off renews': async (held) => {
+    await cancel(held);
+    const alone = { aloneInZone: true, peersReachable: false, ownStoreHealth: 'silent' };
+    Object.assign(held.world.controller('n-0'), alone);
+  },
+  'the machine is being returned, and the cloud does not answer': async (held) => {
+    const machine = held.world.controller('n-2').term!.leader.term.machines.get(MACHINE)!;
+    assert.ok(machine.changeState('returning'));
+    await cancel(held);
+    held.world.storeOutage = true;
+  },
+  'commits are carried out late': async (held) => {
+    await cancel(held);
+    held.world.store.mode = 'hold back';
+  },
+  'commits are carried out, and their answers are lost': async (held) => {
+    await cancel(held);
+    held.world.store.mode = 'lose answers';
+  },
+  'a successor renews': async (held) => {
+    await cancel(held);
+    held.world.controller('n-2').kill();
+    held.world.controller('n-1').stands = true;
+  },
+};
+
+test('a start that is held back is refused once its time is over, whoever renews the lease', async () => {
+  for (const [name, goOn] of Object.entries(WAYS)) {
+    const held = await startOnItsWay();
+    const { world, worker } = held;
+    await goOn(held);
+    const before = worker.agentEpoch;
+    await heartbeats(held, world.times.cancelS + world.times.reportS);
+    assert.ok(worker.agentEpoch > before || worker.answeredAt === world.now, `${name}: renewed`);
+    assert.deepEqual(world.lateStarts(), [], name);
+    world.deliverHeldBack();
+    assert.equal(world.fleet.starts.get(`${OTHER_JOB}/0`), undefined, `${name}: must not start`);
+    assert.deepEqual(world.fleet.violations, [], name);
+  }
+});
+
+test('the token that refuses a start costs the other work of its machine nothing', async () => {
+  for (const name of [
+    'the leader goes on in an outage',
+    'the leader ends in the outage, and others renew leases in its place',
+    'others renew in turn, and one of them knows less',
+    'the only controller of a zone that is cut off renews',
+  ]) {
+    const held = await startOnItsWay();
+    const { world, worker } = held;
+    await WAYS[name]!(held);
+    await heartbeats(held, world.times.cancelS);
+    assert.equal(worker.agentEpoch, 1, `${name}: its lease is renewed all the time`);
+    assert.equal(worker.running(JOB).length, 1, name);
+  }
+});
+
+test('a raised token outlives the outage: the leader goes on with it, and starts with it', async () => {
+  for (const leaderEnds of [false, true]) {
+    const held = await startOnItsWay();
+    const { world, worker } = held;
+    await cancel(held);
+    world.storeOutage = true;
+    await heartbeats(held, world.times.leaseS);
+    if (leaderEnds) {
+      world.controller('n-2').kill();
+      await heartbeats(held, world.times.leaseS);
+      world.controller('n-1').stands = true;
+    }
+    world.storeOutage = false;
+    world.holdsDirectCommands = false;
+    await heartbeats(held, world.times.leaseS);
+    assert.equal(worker.running(JOB).length, 1);
+    world.submitJob({ id: 'wk-000003' });
+    await heartbeats(held, world.times.reportS * 4);
+    assert.equal(worker.running('wk-000003').length, 1, 'new work starts there');
+    const record = records.decodeMachine(world.store.value(records.machineKey(MACHINE)));
+    assert.ok(!record.claims.some(({ job }) => job === OTHER_JOB), 'its claim is withdrawn');
+    world.deliverHeldBack();
+    assert.equal(world.fleet.starts.get(`${OTHER_JOB}/0`), undefined);
+  }
+});
--- a/test/support/control-plane-world.ts
+++ b/test/support/control-plane-world.ts
@@ -10,6 +10,7 @@
 import * as records from '../../src/store/records.js';
 import { encodeHeartbeat } from './encoded-heartbeat.js';
 import type { Command, Heartbeat } from '../../src/wire/workers.js';
+import { attemptKey } from '../../src/workers/attempt.js';
 import { g8, settingsText } from '../helpers.js';
 import { MemoryStore } from './memory-store.js';
 import type { ReportLoop } from './report-loop.js';
@@ -39,6 +40,14 @@
   readByAll: boolean;
 }
 
+/** A direct command that is held back on its way. */
+interface HeldBackCommand {
+  worker: Worker;
+  token: number;
+  agentEpoch: number;
+  commands: Command[];
+}
+
 const CONTROLLERS = 3;
 /** Controllers take their turns so often in a heartbeat interval. */
 const STEPS_PER_HEARTBEAT = 10;
@@ -57,6 +66,8 @@
   );
   /** The store refuses everybody; its leases stand still. */
   storeOutage = false;
+  /** Jobs that were accepted, in their order. */
+  readonly accepted: string[] = [];
   /** When a user was first told that a job is cancelled, by job. */
   readonly toldAt = new Map<string, number>();
   readonly omittedStops: OmittedStop[] = [];
@@ -66,7 +77,7 @@
   deliverBeforeAnswer = (): void => undefined;
   /** Direct commands are held back on their way from now on. */
   holdsDirectCommands = false;
-  private readonly heldBack: (() => void)[] = [];
+  private readonly heldBack: HeldBackCommand[] = [];
   private readonly unconfirmed = new Set<string>();
   private leaderKeyUntil = -Infinity;
 
@@ -123,12 +134,12 @@
     return true;
   }
 
-  private async expireLeaderKey(): Promise<void> {
+  private expireLeaderKey(): void {
     // Leases stand still in an outage, and have their full time again after it.
     const ttlS = this.times.leaseS * LEADER_TTL_LEASES;
     if (this.storeOutage) this.leaderKeyUntil = this.now + ttlS;
     if (this.now <= this.leaderKeyUntil || this.store.revision(records.LEADER) === 0) return;
-    await this.store.compareAndSwap([], [{ remove: records.LEADER }]);
+    this.store.remove(records.LEADER);
   }
 
   // Users
@@ -136,6 +147,7 @@
   /** A job is accepted. */
   submitJob(over: Partial<JobSpec>): void {
     this.store.accept(over, this.wallMs());
+    if (over.id !== undefined) this.accepted.push(over.id);
   }
 
   /** A cancellation is stored; its user is told as soon as some controller may do so. */
@@ -163,7 +175,7 @@
       this.fleet.now = Math.min(at, this.now + stepS);
       for (const worker of this.fleet.workers.values()) worker.tick();
       for (const loop of this.reportLoops) await loop.step();
-      await this.expireLeaderKey();
+      this.expireLeaderKey();
       for (const controller of this.controllers) await controller.step();
       await this.confirmCancellations();
     }
@@ -217,17 +229,18 @@
   takeDirect(id: string, token: number, epoch: number, commands: Command[]): Heartbeat | null {
     const worker = this.fleet.workers.get(id);
     if (worker === undefined) return null;
-    const arrive = (): Heartbeat | null => worker.takeDirect(token, epoch, commands);
     if (this.holdsDirectCommands) {
-      this.heldBack.push(() => void arrive());
+      this.heldBack.push({ worker, token, agentEpoch: epoch, commands });
       return null;
     }
-    return worker.deaf ? null : arrive();
+    return worker.deaf ? null : worker.takeDirect(token, epoch, commands);
   }
 
   /** Direct commands that were held back arrive. */
   deliverHeldBack(): void {
-    for (const arrive of this.heldBack.splice(0)) arrive();
+    this.fleet.violations.push(...this.lateStarts());
+    for (const { worker, token, agentEpoch, commands } of this.heldBack.splice(0))
+      worker.takeDirect(token, agentEpoch, commands);
   }
 
   // What must hold
@@ -238,6 +251,21 @@
     return renewalAllowanceS({ lease_s, cancel_s }, lease_s * LEADER_TTL_LEASES);
   }
 
+  /** Starts of cancelled tasks that are still on their way after their time, and would be carried out. */
+  lateStarts(): string[] {
+    const late: string[] = [];
+    for (const { worker, token, agentEpoch, commands } of this.heldBack) {
+      if (token < worker.token || agentEpoch !== worker.agentEpoch) continue;
+      for (const { kind, job, index, attempt } of commands) {
+        const toldAt = this.toldAt.get(job) ?? Infinity;
+        if (kind !== 'start' || this.now <= toldAt + this.times.cancelS) continue;
+        if (worker.tasks.has(attemptKey(job, index, attempt))) continue;
+        late.push(`start of ${job}/${index} on ${worker.id}, told at ${toldAt}, now ${this.now}`);
+      }
+    }
+    return late;
+  }
+
   /** Cancelled tasks that are still on machines after their time. */
   overdueTasks(): string[] {
     const overdue: string[] = [];
--- a/test/support/memory-store.ts
+++ b/test/support/memory-store.ts
@@ -113,6 +113,11 @@
     return this.currentRevision;
   }
 
+  /** Removes a key without a precondition. */
+  remove(key: string): void {
+    this.apply([], [{ remove: key }]);
+  }
+
   /** All keys. */
   keys(): string[] {
     return [...this.items.keys()];
