A start on its way is refused by a higher token without a commit, whoever renews

Symptom: a start that went straight to a machine, and was held back on its way, started a task of a cancelled job after its time, where the store refused everybody or took commits late. Cause: a check in one path and not in another. Such a start is refused by a higher token alone, and the leader gave one only after a commit had named it; whoever renewed in its place gave none. Meanwhile each answer renewed the lease, which kept the agent epoch that the start needs, and repeated its token. Change: each number above a leader's token, up to a revision read in its term, is a token of that term and below every later leader's. A start goes directly only with a token below its claim's revision, else with the answer to the next heartbeat; so a higher token is there for each. The leader gives the next one at once, in any state of the machine and of the store. A substitute gives the revision of the record that claims a cancelled task which the worker does not show, or of what it has read where it has heard of cancellations that it has not read; and it repeats what the worker shows if that is of the same term. Records and messages are as before. "The store shows the job cancelled" stands once.

--- a/src/cancellation/cancellation-broadcast.ts
+++ b/src/cancellation/cancellation-broadcast.ts
@@ -44,6 +44,12 @@
     return this.ids.size;
   }
 
+  /** Whether any is remembered and not over. */
+  get hasOpen(): boolean {
+    for (const id of this.ids.keys()) if (!this.over(id)) return true;
+    return false;
+  }
+
   /** The ids, oldest first. */
   keys(): IterableIterator<string> {
     return this.ids.keys();
@@ -98,6 +104,11 @@
     return [...new Set([...this.options.replica.cancelledSince(revision), ...this.stored.keys()])];
   }
 
+  /** Whether a cancellation is stored, as another controller knows, that this one has not read. */
+  get hasUnread(): boolean {
+    return this.stored.hasOpen;
+  }
+
   /** Whether a cancellation of the job was heard of, stored or announced. */
   knows(id: string): boolean {
     return this.stored.has(id) || this.announced.has(id);
--- a/src/controller/composition.ts
+++ b/src/controller/composition.ts
@@ -347,6 +347,7 @@
       isLate: (node) => this.health.isLate(node),
       leader: () => this.terms.leader,
       isKnownCancelled: (job) => this.cancellations.knows(job),
+      hasUnreadCancellations: () => this.cancellations.hasUnread,
       clock,
       log,
     });
--- a/src/heartbeat/heartbeat-handler.ts
+++ b/src/heartbeat/heartbeat-handler.ts
@@ -7,7 +7,7 @@
 import type { Reply } from '../http/server.js';
 import type { Log } from '../log.js';
 import type { KeyValueStoreClient } from '../store/client.js';
-import { outcome } from '../store/stored-job.js';
+import { isStoredCancelled } from '../store/stored-job.js';
 import type { Replica } from '../store/replica.js';
 import { BadMessage } from '../wire/users.js';
 import { ANSWER_WAIT_S, encodeRedirect, type Heartbeat } from '../wire/workers.js';
@@ -17,6 +17,7 @@
 import { Redirects } from './redirects.js';
 import { ForwardingDelay } from './forwarding-delay.js';
 import { HeartbeatCounts } from './heartbeat-counts.js';
+import { substituteToken } from './substitute-token.js';
 
 /**
  * Of the time that a worker waits for an answer, what it may be left waiting here, and what one of the
@@ -28,12 +29,6 @@
 export const LEADER_WAIT_SHARE = 0.25;
 const RELAY_WAIT_SHARE = 0.3;
 
-/** Whether the store, as far as this controller has read it, shows that a job is cancelled. */
-function isStoredCancelled(replica: Replica, job: string): boolean {
-  const storedJob = replica.jobs.get(job);
-  return storedJob !== undefined && outcome(storedJob) === 'cancelled';
-}
-
 interface HeartbeatHandlerOptions {
   settings: Settings;
   election: Election;
@@ -48,6 +43,8 @@
   leader: () => Leader | null;
   /** Cancelled, as far as this controller has been told by any way. */
   isKnownCancelled: (job: string) => boolean;
+  /** Whether a stored cancellation was heard of that this controller has not read. */
+  hasUnreadCancellations: () => boolean;
   clock: Clock;
   log: Log;
 }
@@ -211,18 +208,19 @@
 
   /** Renews a worker's lease in a leader's place. The only commands: cancelled tasks stop. */
   private renewForLeader(heartbeat: Heartbeat, leaderToken: number): Reply {
-    const { replica, isKnownCancelled } = this.options;
-    const record = replica.machines.get(heartbeat.machine)?.record;
-    const token = (record?.term === leaderToken ? record.token : undefined) ?? leaderToken;
-    // It knows of a leader that this controller does not: what it got from here it would drop, and
-    // stay here while its lease expires.
-    if (heartbeat.token > token) return { status: 503, retryAfter: 1 };
-    this.counts.renewedForLeader++;
-    return renewLease({
-      token,
-      tasks: heartbeat.tasks,
-      isCancelled: (job) => isKnownCancelled(job) || isStoredCancelled(replica, job),
+    const { replica, isKnownCancelled, hasUnreadCancellations } = this.options;
+    const isCancelled = (job: string): boolean =>
+      isKnownCancelled(job) || isStoredCancelled(replica.jobs.get(job));
+    const token = substituteToken({
+      heartbeat,
+      leaderToken,
+      replica,
+      isCancelled,
+      hasUnreadCancellations: hasUnreadCancellations(),
     });
+    if (token === null) return { status: 503, retryAfter: 1 };
+    this.counts.renewedForLeader++;
+    return renewLease({ token, tasks: heartbeat.tasks, isCancelled });
   }
 
   /** Forwarded by another controller. */
--- a/src/leader/attempts/command-dispatcher.ts
+++ b/src/leader/attempts/command-dispatcher.ts
@@ -70,7 +70,7 @@
     const { context } = term;
     const channel = this.channelTo(machine);
     if (channel === null || channel.busy) return;
-    const commands = machine.dueCommands((attempt) => term.mayStart(attempt), false);
+    const commands = machine.dueCommands((attempt) => term.mayStartDirectly(attempt), false);
     term.machinesToCommand.delete(machine.id);
     if (commands.every((command) => command.kind === 'forget')) return;
     const { agentEpoch, token } = machine;
--- a/src/leader/attempts/start-permission.ts
+++ b/src/leader/attempts/start-permission.ts
@@ -16,6 +16,17 @@
   return !job.isGang || isGangStored(job, attempt.number);
 }
 
+/**
+ * The same for a start that is sent straight to the worker. It may arrive at any later time, so there must be a token of
+ * this term that refuses it then, without a commit: see `fenceUnanswered`. Where there is none, the start goes with the
+ * answer to the next heartbeat, which is never carried out late.
+ */
+export function mayStartDirectly(term: TermState, attempt: Attempt): boolean {
+  const machine = term.machines.get(attempt.machine);
+  if (machine === undefined || attempt.claimRevision === null) return false;
+  return attempt.claimRevision > machine.token && mayStart(term, attempt);
+}
+
 /** All of a gang's claims are stored before the first of them starts. */
 function isGangStored(job: LiveJob, number: number): boolean {
   let claims = 0;
--- a/src/leader/heartbeat-answerer.ts
+++ b/src/leader/heartbeat-answerer.ts
@@ -60,8 +60,8 @@
   /** What the heartbeat shows. Returns whether it is new, and shows this term's token. */
   private takeIn(machine: Machine, heartbeat: Heartbeat): boolean {
     const { term } = this;
-    // Fenced once by this term, forgotten, and back.
-    if (heartbeat.token > machine.token) machine.raiseToken(term.latestRevision);
+    // Fenced by this term, forgotten, and back; or fenced in this leader's place.
+    machine.raiseToken(heartbeat.token);
     const changes = machine.applyHeartbeat(heartbeat, 'heartbeat', term.now);
     if (changes.stale) return false;
     term.reconcile(machine, changes);
--- a/src/leader/leader.ts
+++ b/src/leader/leader.ts
@@ -208,7 +208,7 @@
     if (this.stopped) return;
     this.log.tick();
     this.capacity.consolidate();
-    if (this.context.canWrite()) this.term.fenceUnanswered();
+    this.term.fenceUnanswered();
     splitOversizedProgress(this.term);
     // Before the sweep: what has just ended can still be looked at.
     this.subsystems.tick();
--- a/src/leader/term/term.ts
+++ b/src/leader/term/term.ts
@@ -1,7 +1,7 @@
 /** A term of leadership, put together of its parts. */
 
 import { LiveJob } from '../../jobs/live-job.js';
-import { outcome, type StoredJob } from '../../store/stored-job.js';
+import { isStoredCancelled, type StoredJob } from '../../store/stored-job.js';
 import { advanceAttempt, type Attempt } from '../../workers/attempt.js';
 import type { HeartbeatChanges } from '../../workers/heartbeat-changes.js';
 import type { Machine } from '../../workers/machine.js';
@@ -12,7 +12,7 @@
 import { MachineHealth } from '../attempts/machine-health.js';
 import { progressLayout } from '../writes/progress-layout.js';
 import { HeartbeatReconciler } from '../attempts/heartbeat-reconciler.js';
-import { mayStart } from '../attempts/start-permission.js';
+import { mayStart, mayStartDirectly } from '../attempts/start-permission.js';
 import { TermState, type TermContext } from './term-state.js';
 
 export type { TermContext } from './term-state.js';
@@ -68,8 +68,7 @@
   isCancelled(id: string): boolean {
     const job = this.jobs.get(id);
     if (job?.cancelled === true) return true;
-    const storedJob = job?.storedJob ?? this.context.replica.jobs.get(id);
-    return storedJob !== undefined && outcome(storedJob) === 'cancelled';
+    return isStoredCancelled(job?.storedJob ?? this.context.replica.jobs.get(id));
   }
 
   private cancelJob(job: LiveJob): void {
@@ -84,9 +83,10 @@
 
   // Attempts
 
-  /** The claim is stored. */
-  claimStored(attempt: Attempt): void {
+  /** The claim is stored, at this revision. */
+  claimStored(attempt: Attempt, revision: number): void {
     if (attempt.state !== 'claiming') return;
+    attempt.claimRevision = revision;
     advanceAttempt(attempt, 'claimed', this.now);
     const job = this.jobs.get(attempt.job);
     if (attempt.stopRequest !== null || job === undefined || job.phase !== 'active') {
@@ -105,6 +105,11 @@
     return mayStart(this, attempt);
   }
 
+  /** See `mayStartDirectly` in attempts/start-permission. */
+  mayStartDirectly(attempt: Attempt): boolean {
+    return mayStartDirectly(this, attempt);
+  }
+
   /** Wants an attempt gone within so many seconds. One that was never sent is withdrawn at once. */
   stopAttempt(attempt: Attempt, graceS: number): void {
     this.stopper.stop(attempt, graceS);
--- a/src/leader/writes/due-writes.ts
+++ b/src/leader/writes/due-writes.ts
@@ -74,8 +74,7 @@
     const claiming = this.highestClaimPriority(machine);
     const encode = (): RecordWrite => this.writes.machineWrite(machine);
     if (claiming !== null) due.push({ urgency: claiming, encode });
-    else if (machine.state === 'returning' || machine.nextToken > machine.token)
-      due.push({ urgency: SOON, encode });
+    else if (machine.state === 'returning') due.push({ urgency: SOON, encode });
     else if (machine.recordRevision === 0 && machine.attempts.size === 0)
       this.term.machinesToWrite.delete(machine.id);
     // Claims too many are safe; they are dropped with the next write, or when there is time.
--- a/src/leader/writes/record-writes.ts
+++ b/src/leader/writes/record-writes.ts
@@ -80,7 +80,6 @@
     const claims = machine.claims();
     const key = records.machineKey(machine.id);
     const returning = machine.state === 'returning';
-    const token = machine.nextToken;
     const record = machineRecord(term, machine);
     const form = term.context.allReadDenseRecords() ? 'dense' : 'plain';
     const value = records.encodeMachine(record, machineRecordBytes(term.context.settings), form);
@@ -93,9 +92,8 @@
         stored: (revision) => {
           machine.recordRevision = revision;
           machine.recordTerm = term.context.token;
-          machine.raiseToken(token);
           if (returning) machine.returnRecorded = true;
-          for (const attempt of claims) term.claimStored(attempt);
+          for (const attempt of claims) term.claimStored(attempt, revision);
         },
         failed: () => term.machinesToWrite.add(machine.id),
         readBack: (item) => (machine.recordRevision = item?.revision ?? 0),
--- a/src/leader/writes/stored-machine.ts
+++ b/src/leader/writes/stored-machine.ts
@@ -16,7 +16,7 @@
 
 /** The record as it would be stored now. */
 export function machineRecord({ context }: TermState, machine: Machine): MachineRecord {
-  const token = machine.nextToken;
+  const { token } = machine;
   return {
     owner: context.settings.node,
     term: context.token,
--- a/src/store/stored-job.ts
+++ b/src/store/stored-job.ts
@@ -57,6 +57,10 @@
   return storedJob.doneAt !== null ? 'done' : 'open';
 }
 
+/** Whether the store, as far as it was read, shows that a job is cancelled; false for one that it does not show. */
+export const isStoredCancelled = (storedJob: StoredJob | undefined): boolean =>
+  storedJob !== undefined && outcome(storedJob) === 'cancelled';
+
 /** Not over, and in need of no other job any more: its tasks may start. */
 export const isReady = (storedJob: StoredJob): boolean =>
   storedJob.readyAt !== null && outcome(storedJob) === 'open';
--- a/src/workers/attempt.ts
+++ b/src/workers/attempt.ts
@@ -52,6 +52,11 @@
   number: number;
   machine: string;
   state: AttemptState;
+  /**
+   * Revision of this term's commit that stored the claim; null: not of this term, or not stored yet. A start is sent
+   * directly only with a token below it: then a higher token that refuses the start is there without a further commit.
+   */
+  claimRevision: number | null;
   /** Session of the worker for which the start went out; null: not known. */
   agentEpoch: number | null;
   /** The start went out in the answer to the heartbeat with this number. */
@@ -94,6 +99,7 @@
     number,
     machine,
     state,
+    claimRevision: null,
     agentEpoch: null,
     sentInHeartbeat: null,
     sendingDirectly: false,
--- a/src/workers/machine-attempts.ts
+++ b/src/workers/machine-attempts.ts
@@ -35,7 +35,7 @@
 
   constructor(
     readonly id: string,
-    /** What commands to it carry: the term's token, or a later revision of the term's own commits. */
+    /** What commands to it carry: the term's token, or a higher one of the term; see `fenceUnanswered`. */
     public token: number,
   ) {}
 
@@ -44,10 +44,14 @@
     this.changeCount++;
   }
 
-  /** Whether an unanswered start that may still arrive keeps a task from ending or being forgotten. */
+  /**
+   * Whether an unanswered start that may still arrive, since no higher token has been given since, keeps a task from
+   * ending or being forgotten.
+   */
   isBlockedByUnansweredStart(): boolean {
     for (const attempt of this.attempts.values()) {
       if (attempt.unansweredToken === null || attempt.sendingDirectly) continue;
+      if (attempt.unansweredToken < this.token) continue;
       if (attempt.stopRequest !== null || attempt.state === 'ended') return true;
     }
     return false;
--- a/src/workers/machine.ts
+++ b/src/workers/machine.ts
@@ -64,9 +64,6 @@
   returnRecorded = false;
   listedAgeS: number | null = null;
 
-  /** The token that its record is to name next; above `token`: the machine is to be fenced anew. */
-  nextToken: number;
-
   constructor(
     id: string,
     token: number,
@@ -74,7 +71,6 @@
     readonly knownAt: number,
   ) {
     super(id, token);
-    this.nextToken = token;
     this.lastSeenAt = knownAt;
     this.idleSince = knownAt;
     // Whoever led before may have renewed its lease until this term began; a substitute, in an outage
@@ -94,11 +90,10 @@
     return true;
   }
 
-  /** Its record names a higher token: from now on it is given that, and trusted once it shows it. */
+  /** From now on it is given a higher token, and trusted once it shows it. */
   raiseToken(token: number): void {
     if (token <= this.token) return;
     this.token = token;
-    this.nextToken = Math.max(this.nextToken, token);
     if (this.state === 'ready') this.changeState('fencing');
   }
 
--- a/test/heartbeat-bytes.test.ts
+++ b/test/heartbeat-bytes.test.ts
@@ -54,6 +54,7 @@
       isLate: () => false,
       leader: () => null,
       isKnownCancelled: () => false,
+      hasUnreadCancellations: () => false,
       clock: { now: () => 0 },
       log: silentLog(),
       ...over,
--- a/test/heartbeat-handler.test.ts
+++ b/test/heartbeat-handler.test.ts
@@ -58,6 +58,7 @@
       isLate: () => false,
       leader: () => null,
       isKnownCancelled: () => false,
+      hasUnreadCancellations: () => false,
       clock: { now: () => now },
       log: silentLog(),
     });
--- a/test/late-starts.test.ts
+++ b/test/late-starts.test.ts
@@ -7,9 +7,9 @@
  * Why: the one thing that made such a start harmless was a higher token, and a leader gave one only after a commit had
  * named it. In an outage there is no commit, while every answer to a heartbeat renews the lease, which keeps the epoch,
  * and repeats the token that the start needs. Controllers that renew in a leader's place did the same.
- * Evidence: in the failing case the machine's token stays at the term's own from the cancellation to the arrival, 37.5 s
- * later, over fifteen renewals; the record that claims the task has a higher revision all along (`refusedAt` below),
- * which the machine would have taken.
+ * Evidence: in the first case the start carries token 2, and in the 37.5 s from the cancellation to the arrival fifteen
+ * renewals repeat token 2 in agent epoch 1. The record that claims the task stands at revision 6 all along: a token of
+ * the same term that the machine would have taken. No fence was stored; a leader that may not write did not try.
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
--- a/test/support/leader-world.ts
+++ b/test/support/leader-world.ts
@@ -173,7 +173,7 @@
   sendDirect(id: string): { arrive(): void; unanswered(): void } {
     const machine = this.machine(id);
     const worker = this.fleet.workers.get(id)!;
-    const commands = machine.dueCommands((attempt) => this.term.mayStart(attempt), false);
+    const commands = machine.dueCommands((attempt) => this.term.mayStartDirectly(attempt), false);
     const { agentEpoch } = machine;
     const { token } = this;
     machine.markSent(commands, 'direct', this.now);
--- a/test/support/scheduler-world.ts
+++ b/test/support/scheduler-world.ts
@@ -111,7 +111,7 @@
   /** What is claimed is stored, started and running; `ended`: what was to stop has saved. */
   confirmClaims(id: string, ended: boolean): void {
     const machine = this.term.machines.get(id)!;
-    for (const attempt of machine.attempts.values()) this.term.claimStored(attempt);
+    for (const attempt of machine.attempts.values()) this.term.claimStored(attempt, TOKEN + 1);
     const tasks = [...machine.attempts.values()].map((attempt): TaskStatus => ({
       job: attempt.job,
       index: attempt.index,
--- a/test/support/simulated-controller.ts
+++ b/test/support/simulated-controller.ts
@@ -25,7 +25,7 @@
 } from '../../src/store/client.js';
 import type { Replica } from '../../src/store/replica.js';
 import type { ReplicaSync } from '../../src/store/replica-sync.js';
-import { outcome } from '../../src/store/stored-job.js';
+import { isStoredCancelled } from '../../src/store/stored-job.js';
 import type { Machine } from '../../src/workers/machine.js';
 import type { ControlPlaneWorld } from './control-plane-world.js';
 import { fake } from './fake.js';
@@ -194,6 +194,7 @@
       isLate: () => false,
       leader: () => this.term?.leader ?? null,
       isKnownCancelled: (job) => this.cancellations.knows(job),
+      hasUnreadCancellations: () => this.cancellations.hasUnread,
       clock: { now: () => this.world.now },
       log: this.world.log,
     });
@@ -292,8 +293,7 @@
 
   /** Whether it has read that a job is cancelled. */
   knowsCancelled(id: string): boolean {
-    const storedJob = this.replica.jobs.get(id);
-    return storedJob !== undefined && outcome(storedJob) === 'cancelled';
+    return isStoredCancelled(this.replica.jobs.get(id));
   }
 
   /** Whether users may be told that a job is cancelled, by this controller and now. */
@@ -454,7 +454,7 @@
   }
 
   private sendDirect(term: Leader['term'], machine: Machine): void {
-    const commands = machine.dueCommands((attempt) => term.mayStart(attempt), false);
+    const commands = machine.dueCommands((attempt) => term.mayStartDirectly(attempt), false);
     term.machinesToCommand.delete(machine.id);
     if (commands.every((command) => command.kind === 'forget')) return;
     const { agentEpoch, token } = machine;
