What is held for a burst is measured by a time of day that is never set

Symptom: a machine was kept for six seconds, and an hour of it was billed, where the time of day was set while a commit was on its way. Cause: two clocks in one difference. The beginning of a held interval was in the time of day that counts for bursts, and was moved once when that was set; a record of before, adopted later, was never moved, and its end was of the new time. No leader changed in it: it is not the fault of a successor that begins with a wrong clock. Change: both ends, the sending of requests and boots are by a steady time of day of the term; bursts go by the other one, as before. The record gains a field, by how much that was set (absent while it is 0): a successor counts the shorter interval that agrees with its own clock, and marks the rest as uncertain where both do. It is compared at every round, not once. Before, the same was wrong where a request was sent between the setting and the round after it (0 s billed, an hour uncertain), and at successors, which billed 5 s too few or 10 s too many without marking it. Test changed: the row "the clock was set" stated the beginning after its move; it now states what is paid for, the same as without the setting, and five rows beside it state the successor's choice. In the test committed before, the bound of the two successors is what they cannot know, which is the stated aim of `uncertain s`; both fail before.

--- a/src/warm-pools/burst-clock.ts
+++ b/src/warm-pools/burst-clock.ts
@@ -1,4 +1,4 @@
-/** The time of day by which bursts are kept. */
+/** The time of day by which bursts are kept, and the one by which what is held for them is measured. */
 
 import { MAX_CLOCK_DRIFT } from '../clock.js';
 
@@ -15,9 +15,10 @@
 }
 
 /**
- * A time of day that goes on evenly when the clock of the machine jumps. What it is off by within the
+ * Two times of day of one term. `nowMs` names bursts: it goes on evenly when the clock of the machine jumps. What it is off by within the
  * clocks' known bounds is made up for slowly. A larger difference is ignored until it has lasted: a
- * clock that was set wrong for a moment starts no burst and ends none.
+ * clock that was set wrong for a moment starts no burst and ends none. `steadyMs` is never set: the difference between
+ * two of its values is the time that has passed, whatever came between.
  */
 export class BurstClock {
   /** Time of day, in ms, at which the steady clock was 0. */
@@ -26,7 +27,8 @@
   private jumpedSince: number | null = null;
   /** Jumps that lasted and are followed since. */
   jumps = 0;
-  private steppedMs = 0;
+  /** By how much the time of day was set in all, in ms. */
+  setMs = 0;
 
   constructor(private readonly options: BurstClockOptions) {
     this.seenAt = options.now();
@@ -38,14 +40,13 @@
     return this.jumpedSince !== null;
   }
 
-  /** By how much it was set since this was asked last, in ms: no time has passed with it. */
-  takeStepMs(): number {
-    const steppedMs = this.steppedMs;
-    this.steppedMs = 0;
-    return steppedMs;
+  /** Time of day in ms as if it had never been set in this term: what is held is measured by it. */
+  steadyMs(): number {
+    const nowMs = this.nowMs();
+    return nowMs - this.setMs;
   }
 
-  /** Time of day in ms. */
+  /** Time of day in ms: bursts are kept by it. */
   nowMs(): number {
     const { now, wallMs, skewMs, settleS } = this.options;
     const at = now();
@@ -59,7 +60,7 @@
       this.jumpedSince ??= at;
       if (at - this.jumpedSince >= settleS) {
         this.zeroMs += differenceMs;
-        this.steppedMs += differenceMs;
+        this.setMs += differenceMs;
         this.jumpedSince = null;
         this.jumps++;
       }
--- a/src/warm-pools/slot-monitor.ts
+++ b/src/warm-pools/slot-monitor.ts
@@ -4,6 +4,7 @@
 import { release, allocate } from '../scheduler/bin-packing.js';
 import type { MachineView, TermView } from '../subsystems/subsystem.js';
 import { occupiesCapacity } from '../workers/attempt.js';
+import type { BurstClock } from './burst-clock.js';
 import type { PoolDeclaration } from './declaration.js';
 import type { LeadTimes } from './lead-times.js';
 import type { ModelLoader } from './model-loader.js';
@@ -32,7 +33,8 @@
   loader: ModelLoader;
   leadTimes: LeadTimes;
   pool: (name: string) => PoolDeclaration | undefined;
-  nowMs: () => number;
+  /** Time of day by which bursts are kept, and by which held time is measured: see `BurstClock`. */
+  clock: Pick<BurstClock, 'nowMs' | 'steadyMs'>;
 }
 
 /** Carries slots on by what is seen of their machines: warm, used or lost. */
@@ -82,7 +84,8 @@
   /** What shows that a slot's machine is gone or of no use; null: nothing does. */
   private loss(entry: SlotEntry, machine: MachineView | undefined): SlotEvent | null {
     if (machine === undefined) return this.neverCame(entry);
-    const { view, nowMs } = this.options;
+    const { view, clock } = this.options;
+    const atMs = clock.steadyMs();
     if (
       machine.state === 'silent' ||
       machine.state === 'returning' ||
@@ -92,21 +95,22 @@
       return {
         kind: 'lost',
         reason: machine.state,
-        atMs: nowMs() - silentMs,
+        atMs: atMs - silentMs,
         uncertainMs: silentMs,
       };
     }
     if (machine.condition.quarantined)
-      return { kind: 'lost', reason: 'faulty', atMs: nowMs(), uncertainMs: 0 };
+      return { kind: 'lost', reason: 'faulty', atMs, uncertainMs: 0 };
     if (machine.reclaimedAt === null) return null;
-    return { kind: 'lost', reason: 'taken back', atMs: nowMs(), uncertainMs: 0 };
+    return { kind: 'lost', reason: 'taken back', atMs, uncertainMs: 0 };
   }
 
   private neverCame({ current }: SlotEntry): SlotEvent | null {
-    const { view, nowMs } = this.options;
+    const { view, clock } = this.options;
     const { lease_s } = view.settings.workers;
     const { fromMs } = current.held!;
-    const heldS = (nowMs() - fromMs) / 1000;
+    const atMs = clock.steadyMs();
+    const heldS = (atMs - fromMs) / 1000;
     const judgeS = lease_s * JUDGE_LEASES + view.settings.cloud.list_lag_s * 2;
     const isSettled = view.now() - this.beganAt > judgeS && heldS > judgeS;
     const id = current.machine!;
@@ -116,7 +120,7 @@
     }
     const leadS = this.leadS(current.pool, current.request);
     if (heldS <= leadS * NEVER_LEADS + lease_s * NEVER_LEASES) return null;
-    return { kind: 'lost', reason: 'never came', atMs: nowMs(), uncertainMs: 0 };
+    return { kind: 'lost', reason: 'never came', atMs, uncertainMs: 0 };
   }
 
   private leadS(poolName: string, request: { type: string; zone: string } | null): number {
@@ -150,13 +154,14 @@
 
   /** Idle time ends with the placing; storing and sending the start take a moment more. */
   private use({ name, placedAt }: ModelTask): SlotEvent {
-    const { view, nowMs } = this.options;
+    const { view, clock } = this.options;
     const { report_s, lease_s } = view.settings.workers;
     const sinceMs = Math.max(0, view.now() - placedAt) * 1000;
     // Placed by an earlier term, which ended before it could say so.
     const isInherited = placedAt <= this.beganAt;
     const uncertainS = isInherited ? lease_s * INHERITED_LEASES : report_s * START_HEARTBEATS;
-    return { kind: 'used', task: name, atMs: nowMs() - sinceMs, uncertainMs: uncertainS * 1000 };
+    const atMs = clock.steadyMs() - sinceMs;
+    return { kind: 'used', task: name, atMs, uncertainMs: uncertainS * 1000 };
   }
 
   private modelTasks(machine: MachineView, pool: PoolDeclaration): ModelTask[] {
@@ -166,26 +171,31 @@
   private detectModel(entry: SlotEntry, machine: MachineView): void {
     const pool = this.options.pool(entry.current.pool);
     if (pool === undefined) return;
-    const { loader, table, nowMs } = this.options;
+    const { loader, table, clock } = this.options;
     const state = loader.state(machine, pool);
     if (state === 'failed') {
       loader.forget(machine.id);
-      table.apply(entry, { kind: 'lost', reason: 'not loaded', atMs: nowMs(), uncertainMs: 0 });
+      table.apply(entry, {
+        kind: 'lost',
+        reason: 'not loaded',
+        atMs: clock.steadyMs(),
+        uncertainMs: 0,
+      });
       return;
     }
     this.measureBoot(entry, machine);
     if (state !== 'ready' || entry.current.state !== 'loading') return;
     this.measureLoad(entry, machine, pool);
-    table.apply(entry, { kind: 'loaded', atMs: nowMs() });
+    table.apply(entry, { kind: 'loaded', atMs: clock.nowMs() });
   }
 
   private measureBoot({ id, current }: SlotEntry, machine: MachineView): void {
     if (current.request === null || machine.firstSeenAt === null || this.measured.has(id)) return;
     this.measured.add(id);
     // Heard first by this term, which began before: otherwise the boot was over already.
-    const { leadTimes, nowMs, view } = this.options;
+    const { leadTimes, clock, view } = this.options;
     const sinceHeardS = view.now() - machine.firstSeenAt;
-    const bootS = (nowMs() - current.held!.fromMs) / 1000 - sinceHeardS;
+    const bootS = (clock.steadyMs() - current.held!.fromMs) / 1000 - sinceHeardS;
     const isOwn = current.request.name.startsWith(view.uniquePrefix);
     if (isOwn && bootS > 0) leadTimes.noteBoot(machine.type, machine.zone, bootS);
   }
@@ -202,16 +212,22 @@
     entries: readonly SlotEntry[],
     claimed: ReadonlySet<string>,
   ): void {
-    const { view, table, nowMs } = this.options;
+    const { view, table, clock } = this.options;
     const type = view.machineTypes().get(machine.type);
     if (type === undefined) return;
     const free = freeOn(view, machine, type);
     for (const entry of entries) {
       const pool = this.options.pool(entry.current.pool);
       if (pool === undefined || !isHeld(entry.current) || claimed.has(entry.id)) continue;
-      const isLent = pool.lend && nowMs() < entry.current.burstMs;
+      const isLent = pool.lend && clock.nowMs() < entry.current.burstMs;
       if (fits(pool.shape, free) || isLent) allocate(pool.shape, free);
-      else table.apply(entry, { kind: 'lost', reason: 'in use', atMs: nowMs(), uncertainMs: 0 });
+      else
+        table.apply(entry, {
+          kind: 'lost',
+          reason: 'in use',
+          atMs: clock.steadyMs(),
+          uncertainMs: 0,
+        });
     }
   }
 }
--- a/src/warm-pools/slot-planner.ts
+++ b/src/warm-pools/slot-planner.ts
@@ -4,6 +4,7 @@
 import type { Alarms } from './alarms.js';
 import type { MoneyByDay } from './bill.js';
 import { burstId, type Burst } from './bursts.js';
+import type { BurstClock } from './burst-clock.js';
 import type { PoolDeclaration } from './declaration.js';
 import {
   allowedTypes,
@@ -39,7 +40,8 @@
   reservations: SlotReservations;
   alarms: Alarms;
   pool: (name: string) => PoolDeclaration | undefined;
-  nowMs: () => number;
+  /** Time of day by which bursts are kept, and by which held time is measured: see `BurstClock`. */
+  clock: Pick<BurstClock, 'nowMs' | 'steadyMs'>;
 }
 
 /** Slots of a burst: those that are to be, and what became of the others. */
@@ -58,7 +60,7 @@
   private readonly addFrom = new Map<string, number>();
 
   constructor(private readonly options: SlotPlannerOptions) {
-    this.beganMs = options.nowMs();
+    this.beganMs = options.clock.nowMs();
   }
 
   /** One round. `bursts`: in the order in which they get what there is. */
@@ -143,8 +145,8 @@
   }
 
   private release(entry: SlotEntry, reason: string): void {
-    const { table, nowMs } = this.options;
-    table.apply(entry, { kind: 'released', reason, atMs: nowMs() });
+    const { table, clock } = this.options;
+    table.apply(entry, { kind: 'released', reason, atMs: clock.steadyMs() });
   }
 
   /** Slots of bursts that are over, and of pools that are not declared any more. */
@@ -159,10 +161,10 @@
   }
 
   private findPlaces(burst: Burst, of: BurstSlots): void {
-    const { nowMs } = this.options;
+    const { clock } = this.options;
     const planned = of.open.filter(({ current }) => current.state === 'planned');
     if (planned.length === 0) return;
-    const isDue = nowMs() >= burst.burstMs - burst.leadS * 1000;
+    const isDue = clock.nowMs() >= burst.burstMs - burst.leadS * 1000;
     const toRequest: SlotEntry[] = [];
     for (const entry of planned) {
       if (this.options.scaleOutRequests.mayHaveBeenSent(entry.current, this.beganMs))
@@ -180,7 +182,7 @@
 
   /** A machine that is there already is kept for the slot, if there is one. */
   private adopt({ pool }: Burst, entry: SlotEntry): boolean {
-    const { view, reservations, table, nowMs } = this.options;
+    const { view, reservations, table, clock } = this.options;
     const room = bestCapacity(
       pool,
       view.freeCapacities(),
@@ -188,7 +190,7 @@
     );
     if (room === null) return false;
     const place = this.place(entry.current, room.id, room.type);
-    table.apply(entry, { kind: 'adopted', place, atMs: nowMs() });
+    table.apply(entry, { kind: 'adopted', place, atMs: clock.steadyMs() });
     return true;
   }
 
@@ -282,8 +284,8 @@
   }
 
   private noteLate({ pool, burstMs }: Burst, of: BurstSlots, wanted: number): void {
-    const { nowMs, alarms } = this.options;
-    if (nowMs() < burstMs) return;
+    const { clock, alarms } = this.options;
+    if (clock.nowMs() < burstMs) return;
     const warm = of.open.filter(({ current }) => current.state === 'warm').length;
     if (warm < wanted) alarms.raise('late', pool.name, `${warm} of ${wanted} warm`);
   }
--- a/src/warm-pools/slot-reservations.ts
+++ b/src/warm-pools/slot-reservations.ts
@@ -1,5 +1,6 @@
 /** What slots keep of machines, and which tasks may use it. */
 
+import type { BurstClock } from './burst-clock.js';
 import { fits, type JobSpec, type Resources } from '../jobs/types.js';
 import { release, type FreeCapacity } from '../scheduler/bin-packing.js';
 import type { MachineView, TermView } from '../subsystems/subsystem.js';
@@ -70,7 +71,7 @@
   table: SlotTable;
   pool: (name: string) => PoolDeclaration | undefined;
   /** Time of day in ms. */
-  nowMs: () => number;
+  clock: Pick<BurstClock, 'nowMs'>;
 }
 
 /** The part of each machine that is kept for slots. */
@@ -168,7 +169,7 @@
     if (spec.priority !== BEST_EFFORT || spec.kind !== 'array') return false;
     const fetchS = capacity.imageDelayS(spec.image, spec.imageGb);
     const neededS = fetchS + spec.estimateS * LENT_ESTIMATES + spec.saveS;
-    const nowMs = this.options.nowMs();
+    const nowMs = this.options.clock.nowMs();
     return kept.every(({ pool, entry }) => {
       return pool.lend && nowMs + neededS * 1000 < entry.current.burstMs;
     });
--- a/src/warm-pools/slot-scale-out.ts
+++ b/src/warm-pools/slot-scale-out.ts
@@ -1,6 +1,7 @@
 /** Requests to the cloud for slots: named in the store before they are sent. */
 
 import type { ScaleOutResult } from '../cloud/client.js';
+import type { BurstClock } from './burst-clock.js';
 import type { StoredScaleOutRequest, TermView } from '../subsystems/subsystem.js';
 import { isOpen, type Slot, type SlotPlace, type SlotRequest } from './slot.js';
 import type { SlotEntry, SlotTable } from './slot-table.js';
@@ -10,7 +11,7 @@
 const RETRY_MOST_S = 8;
 
 interface Sending {
-  /** Time of day, in ms, of the first sending that may have been carried out. */
+  /** Steady time of day, in ms, of the first sending that may have been carried out. */
   sinceMs: number;
   sentMs: number;
   retryAt: number;
@@ -23,7 +24,8 @@
 export interface SlotRentRequestsOptions {
   view: TermView;
   table: SlotTable;
-  nowMs: () => number;
+  /** Time of day by which bursts are kept, and by which held time is measured: see `BurstClock`. */
+  clock: Pick<BurstClock, 'nowMs' | 'steadyMs'>;
   /** What the slot gets with a machine of this type. */
   place: (slot: Slot, machine: string, type: string) => SlotPlace;
 }
@@ -44,14 +46,6 @@
     return this.sendings.has(request.name) || termBeganMs >= sendFromMs;
   }
 
-  /** The time of day was set by so much. */
-  clockSet(byMs: number): void {
-    for (const sending of this.sendings.values()) {
-      sending.sinceMs += byMs;
-      sending.sentMs += byMs;
-    }
-  }
-
   /** Requests that are due; the fleet asks before each whether the term is entitled to send it. */
   due(): StoredScaleOutRequest[] {
     const { view, table } = this.options;
@@ -78,10 +72,10 @@
    */
   private dueName({ stored, current }: SlotEntry): string | null {
     if (stored === null || stored.request === null || !isOpen(current)) return null;
-    const { view, nowMs } = this.options;
+    const { view, clock } = this.options;
     if (stored.state === 'renting') return current.state === 'renting' ? stored.request.name : null;
     if (stored.state !== 'planned' || view.canWrite()) return null;
-    return nowMs() >= stored.sendFromMs ? stored.request.name : null;
+    return clock.nowMs() >= stored.sendFromMs ? stored.request.name : null;
   }
 
   private request(name: string, group: SlotEntry[]): StoredScaleOutRequest {
@@ -94,15 +88,15 @@
   }
 
   private sending(name: string, group: SlotEntry[]): void {
-    const { nowMs } = this.options;
-    const sentMs = nowMs();
+    const sentMs = this.options.clock.steadyMs();
     const known = this.sendings.get(name);
     if (known !== undefined) {
       known.sentMs = sentMs;
       known.sinceMs = Math.min(known.sinceMs, sentMs);
       return;
     }
-    // An earlier term may have sent it, from the moment on at which it was due.
+    // An earlier term may have sent it, from the moment on at which it was due: before this one began, when its two
+    // times of day were the same.
     const sinceMs = Math.min(sentMs, ...group.map(({ current }) => this.earliestMs(current)));
     const first = { retryS: RETRY_S, retryAt: -Infinity, machines: null };
     this.sendings.set(name, { sinceMs, sentMs, ...first });
--- a/src/warm-pools/slot.ts
+++ b/src/warm-pools/slot.ts
@@ -43,13 +43,18 @@
   position: number;
 }
 
-/** A time for which idle machine time is paid, in ms of the time of day. */
+/**
+ * A time for which idle machine time is paid, in ms by the steady time of day of the term that leads: both ends by the
+ * same one.
+ */
 export interface HeldInterval {
   fromMs: number;
   /** Null: it goes on. */
   toMs: number | null;
   /** By how much its length may be wrong. */
   uncertainMs: number;
+  /** By how much that term's time of day was set: a successor's may agree with it from before, or from after that. */
+  clockSetMs: number;
 }
 
 /** A slot; times are times of day in ms. */
@@ -100,6 +105,8 @@
   | { kind: 'loaded'; atMs: number }
   /** The time of day was set: what has been paid for stays as long as it was. */
   | { kind: 'clock-set'; byMs: number }
+  /** Another term leads from now on, and measures by its own time of day. */
+  | { kind: 'taken-over'; atMs: number }
   /** `uncertainMs`: by how much the replica's beginning may be from `atMs`. */
   | { kind: 'used'; task: string; atMs: number; uncertainMs: number }
   | { kind: 'released'; reason: string; atMs: number }
@@ -116,6 +123,7 @@
   adopted: ['planned'],
   loaded: ['loading'],
   'clock-set': ['loading', 'warm'],
+  'taken-over': ['loading', 'warm'],
   used: ['loading', 'warm'],
   released: ['planned', 'loading', 'warm'],
   lost: ['loading', 'warm'],
@@ -146,7 +154,9 @@
     case 'loaded':
       return { ...slot, state: 'warm', warmAtMs: event.atMs };
     case 'clock-set':
-      return { ...slot, held: later(slot.held, event.byMs) };
+      return { ...slot, held: clockSet(slot.held, event.byMs) };
+    case 'taken-over':
+      return { ...slot, held: takenOver(slot.held, event.atMs) };
     case 'used':
       return { ...ended(slot, 'used', event.atMs, event.uncertainMs), task: event.task };
     case 'released':
@@ -157,18 +167,37 @@
 }
 
 function placed(slot: Slot, place: SlotPlace, fromMs: number, uncertainMs: number): Slot {
-  return { ...slot, state: 'loading', ...place, held: { fromMs, toMs: null, uncertainMs } };
+  return {
+    ...slot,
+    state: 'loading',
+    ...place,
+    held: { fromMs, toMs: null, uncertainMs, clockSetMs: 0 },
+  };
 }
 
-const later = (held: HeldInterval | null, byMs: number): HeldInterval | null =>
-  held === null ? null : { ...held, fromMs: held.fromMs + byMs };
+const clockSet = (held: HeldInterval | null, byMs: number): HeldInterval | null =>
+  held === null ? null : { ...held, clockSetMs: held.clockSetMs + byMs };
+
+/**
+ * The beginning by the time of day of a term that begins now. The term before had one time of day at first and another
+ * one later: of those that this one can agree with, the shorter interval counts, and the rest is uncertain.
+ */
+function takenOver(held: HeldInterval | null, atMs: number): HeldInterval | null {
+  if (held === null || held.clockSetMs === 0) return held;
+  const { fromMs, uncertainMs, clockSetMs } = held;
+  const earlierMs = Math.min(fromMs, fromMs + clockSetMs);
+  const laterMs = Math.max(fromMs, fromMs + clockSetMs);
+  if (laterMs > atMs) return { ...held, fromMs: earlierMs, clockSetMs: 0 };
+  const uncertainNowMs = uncertainMs + laterMs - earlierMs;
+  return { ...held, fromMs: laterMs, uncertainMs: uncertainNowMs, clockSetMs: 0 };
+}
 
 /** The interval ends with the slot. A clock that went back must not make it shorter than nothing. */
 function ended(slot: Slot, state: SlotState, atMs: number, uncertainMs: number): Slot {
   if (slot.held === null) return { ...slot, state };
   const { fromMs } = slot.held;
   const held = {
-    fromMs,
+    ...slot.held,
     toMs: Math.max(fromMs, atMs),
     uncertainMs: slot.held.uncertainMs + uncertainMs + Math.max(0, fromMs - atMs),
   };
@@ -211,6 +240,7 @@
   h: v.optional(number, 0),
   c: v.optional(number, 0),
   l: v.optional(v.nullable(v.tuple([number, v.nullable(number), number])), null),
+  z: v.optional(number, 0),
   w: v.optional(v.nullable(number), null),
   o: v.optional(v.array(text), []),
   k: v.optional(v.nullable(text), null),
@@ -235,6 +265,7 @@
     h: slot.share,
     c: slot.pricePerHour,
     l: held === null ? null : [held.fromMs, held.toMs, held.uncertainMs],
+    ...(held === null || held.clockSetMs === 0 ? {} : { z: held.clockSetMs }),
     w: slot.warmAtMs,
     o: slot.beside,
     k: slot.task,
@@ -246,7 +277,7 @@
 export function decodeSlot(value: unknown): Slot | null {
   const result = v.safeParse(record, value);
   if (!result.success) return null;
-  const { p, b, i, t, s, r, f, m, h, c, l, w, o, k, y } = result.output;
+  const { p, b, i, t, s, r, f, m, h, c, l, z, w, o, k, y } = result.output;
   return {
     pool: p,
     burstMs: b,
@@ -259,7 +290,7 @@
     machine: m,
     share: h,
     pricePerHour: c,
-    held: l === null ? null : { fromMs: l[0], toMs: l[1], uncertainMs: l[2] },
+    held: l === null ? null : { fromMs: l[0], toMs: l[1], uncertainMs: l[2], clockSetMs: z },
     warmAtMs: w,
     beside: o,
     task: k,
--- a/src/warm-pools/warm-pools-term.ts
+++ b/src/warm-pools/warm-pools-term.ts
@@ -19,7 +19,7 @@
 import { SlotPlanner } from './slot-planner.js';
 import { SlotScaleOut } from './slot-scale-out.js';
 import { SlotReservations } from './slot-reservations.js';
-import { SlotTable } from './slot-table.js';
+import { SlotTable, type SlotEntry } from './slot-table.js';
 import { SlotMonitor } from './slot-monitor.js';
 
 /** A jump of the machine's clock is believed after so many leases. */
@@ -68,7 +68,7 @@
       view,
       table: this.table,
       pool: (name: string) => this.pools.get(name),
-      nowMs: () => this.clock.nowMs(),
+      clock: this.clock,
     };
     this.reservations = new SlotReservations(shared);
     this.slotScaleOut = new SlotScaleOut({
@@ -80,6 +80,7 @@
     this.monitor = new SlotMonitor({ ...shared, loader, leadTimes });
     this.leadStoredAt = view.now();
     this.reconcile();
+    this.takeOverHeldSlots();
   }
 
   private reconcile(): void {
@@ -96,7 +97,7 @@
     this.reconcile();
     this.noteClockSet();
     this.reservations.noteClaims(this.monitor.update());
-    const money = this.bill.moneyByDay(this.table.values(), nowMs);
+    const money = this.bill.moneyByDay(this.table.values(), this.clock.steadyMs());
     this.planner.plan(this.bursts.at(nowMs), money);
     this.unloadWhatIsOver();
     if (this.clock.doubted) this.alarms.raise('clock_jump', 'all', 'the time of day jumped');
@@ -105,16 +106,30 @@
     this.view.wakeProvisioner();
   }
 
-  /** A clock that was set has let no time pass: a jump of an hour was once billed as one. */
+  /** What an earlier term holds was measured by its time of day. */
+  private takeOverHeldSlots(): void {
+    const atMs = this.clock.steadyMs();
+    for (const entry of this.heldSlots()) {
+      if (entry.current.held?.clockSetMs !== 0)
+        this.table.apply(entry, { kind: 'taken-over', atMs });
+    }
+  }
+
+  /**
+   * The records of what is held tell by how much the time of day was set, for a successor. They are compared at every
+   * round: a commit from before may be carried out at any time, and bring a record back as it was.
+   */
   private noteClockSet(): void {
-    const byMs = this.clock.takeStepMs();
-    if (byMs === 0) return;
-    this.slotScaleOut.clockSet(byMs);
-    for (const entries of [...this.table.held().values()]) {
-      for (const entry of entries) this.table.apply(entry, { kind: 'clock-set', byMs });
+    for (const entry of this.heldSlots()) {
+      const byMs = this.clock.setMs - (entry.current.held?.clockSetMs ?? 0);
+      if (byMs !== 0) this.table.apply(entry, { kind: 'clock-set', byMs });
     }
   }
 
+  private heldSlots(): SlotEntry[] {
+    return [...this.table.held().values()].flat();
+  }
+
   /** Models that no slot and no replica on their machine wants any more. */
   private unloadWhatIsOver(): void {
     const wanted = new Map<string, { machine: string; image: string }>();
--- a/test/support/recorded-forms.ts
+++ b/test/support/recorded-forms.ts
@@ -153,7 +153,7 @@
     machine: 'm1',
     share: 0.5,
     pricePerHour: 10,
-    held: { fromMs: 1000, toMs: index % 2 === 0 ? null : 9000, uncertainMs: 50 },
+    held: { fromMs: 1000, toMs: index % 2 === 0 ? null : 9000, uncertainMs: 50, clockSetMs: 0 },
     warmAtMs: 4000,
     beside: ['wk-1/0#1'],
     task: 'wk-1/0#2',
--- a/test/warm-pool-clock.test.ts
+++ b/test/warm-pool-clock.test.ts
@@ -25,12 +25,15 @@
 const keptS = (world: WarmPoolWorld, until: number): number =>
   until - [...world.cloud.machines.values()][0]!.addedAt;
 
-/** All is over and billed: the pool's machine for so many seconds, and hardly anything is uncertain. */
-function checkBill(world: WarmPoolWorld, seconds: number, uncertainS = 2): void {
+/**
+ * All is over and billed: the pool's machine for so many seconds, as far as that can be known; and no more than
+ * `unknowableS`, beside the intervals between heartbeats, is marked as uncertain.
+ */
+function checkBill(world: WarmPoolWorld, seconds: number, unknowableS = 0): void {
   assert.deepEqual(world.slots(), [], 'all slots are over');
-  const sums = totals(world);
-  near(sums.machineS, seconds, 2, 'machine-seconds');
-  assert.ok(sums.uncertainS <= uncertainS, `uncertain: ${sums.uncertainS}`);
+  const { machineS, uncertainS } = totals(world);
+  assert.ok(uncertainS <= unknowableS + 2, `uncertain: ${uncertainS}`);
+  near(machineS, seconds, unknowableS + 2, 'machine-seconds');
 }
 
 /** The store takes what was held back, and serves. */
@@ -93,7 +96,7 @@
         world.failOver();
         await world.runUntil(BURST_AT + HOLD_S + 3);
         // Which of the two times of day was right the successor cannot know: 10 s for the whole machine.
-        checkBill(world, keptS(world, BURST_AT + HOLD_S), 10 + 2);
+        checkBill(world, keptS(world, BURST_AT + HOLD_S), 10);
       },
     },
     {
@@ -105,7 +108,7 @@
         world.wallJumpMs = 0;
         world.failOver();
         await world.runUntil(BURST_AT + HOLD_S + 3);
-        checkBill(world, keptS(world, BURST_AT + HOLD_S), 5 + 2);
+        checkBill(world, keptS(world, BURST_AT + HOLD_S), 5);
       },
     },
   ]);
--- a/test/warm-pools-random.test.ts
+++ b/test/warm-pools-random.test.ts
@@ -103,8 +103,8 @@
 ];
 
 /**
- * Found by random runs, and failing: an hour is billed that nobody held, where the clock jumps and the store takes
- * the commits later. In KNOWN-RED.txt until it is mended.
+ * Found by random runs: an hour was billed that nobody held, where the clock jumps and the store takes the commits
+ * later. The slots' changes, and why: warm-pool-clock.test.
  */
 const HOUR_BILLED_THAT_NOBODY_HELD: Event[] = [
   after('clock jumps', 2),
--- a/test/warm-slots.test.ts
+++ b/test/warm-slots.test.ts
@@ -48,6 +48,7 @@
   { kind: 'used', task: 'wk-2/0#1', atMs: 3000, uncertainMs: 4 },
   { kind: 'released', reason: 'x', atMs: 3000 },
   { kind: 'lost', reason: 'x', atMs: 3000, uncertainMs: 7 },
+  { kind: 'taken-over', atMs: 2500 },
 ];
 
 function slotIn(state: SlotState): Slot {
@@ -66,12 +67,18 @@
   return states[state]();
 }
 
+/** Held, and by so much the time of day was set since. */
+const clockSet = (byMs: number): Slot =>
+  advanceSlot(slotIn('loading'), { kind: 'clock-set', byMs });
+const takenOver = (byMs: number): Slot =>
+  advanceSlot(clockSet(byMs), { kind: 'taken-over', atMs: 5000 });
+
 test('every state meets the events that it may, and no other', () => {
   const table: Record<SlotState, Partial<Record<SlotEvent['kind'], SlotState>>> = {
     planned: { 'request-named': 'planned', 'request-due': 'renting', adopted: 'loading', released: 'released' },
     renting: { 'request-refused': 'planned', added: 'loading' },
-    loading: { loaded: 'warm', 'clock-set': 'loading', used: 'used', released: 'released', lost: 'lost' },
-    warm: { 'clock-set': 'warm', used: 'used', released: 'released', lost: 'lost' },
+    loading: { loaded: 'warm', 'clock-set': 'loading', 'taken-over': 'loading', used: 'used', released: 'released', lost: 'lost' },
+    warm: { 'clock-set': 'warm', 'taken-over': 'warm', used: 'used', released: 'released', lost: 'lost' },
     used: {},
     released: {},
     lost: {},
@@ -99,7 +106,12 @@
     ['renting', slotIn('renting'), 0, 0],
     ['loading', slotIn('loading'), 4.5, 0.005],
     ['used', slotIn('used'), 1, 0.009],
-    ['the clock was set', advanceSlot(slotIn('loading'), { kind: 'clock-set', byMs: 3_600_000 }), 0, 0.005],
+    ['the clock was set', clockSet(3_600_000), 4.5, 0.005],
+    ['the clock was set back', clockSet(-3_600_000), 4.5, 0.005],
+    ['set an hour ahead, and taken over by a clock that can agree only with the one before', takenOver(3_600_000), 4.5, 0.005],
+    ['set an hour back, and taken over: the shorter one counts', takenOver(-3_600_000), 4.5, 3600.005],
+    ['set two seconds ahead, and taken over: the shorter one counts', takenOver(2000), 3.5, 2.005],
+    ['set and ended', advanceSlot(clockSet(3_600_000), EVENTS[9]!), 1, 0.012],
     ['lost', slotIn('lost'), 1, 0.012],
     ['ended before it began', advanceSlot(slotIn('loading'), { kind: 'released', reason: '', atMs: 400 }), 0, 0.605],
   ]; // prettier-ignore
