--- a/src/leader/attempts/fencing.ts
+++ b/src/leader/attempts/fencing.ts
@@ -18,6 +18,9 @@
     if (!machine.isBlockedByUnansweredStart()) continue;
     machine.raiseToken(machine.token + 1);
     term.machinesToWrite.add(machine.id);
+    term.machinesFencedAnew++;
+    const { id, token } = machine;
+    term.context.log.debug({ machine: id, token }, 'machine fenced anew: a start is unanswered');
   }
 }
 
--- a/src/leader/term/statistics.ts
+++ b/src/leader/term/statistics.ts
@@ -14,6 +14,7 @@
       if (occupiesCapacity(attempt)) add(`attempts_${attempt.state}`);
   }
   counts.machines_coming = capacity.provisioner.pending.size;
+  counts.machines_fenced_anew = term.machinesFencedAnew;
   counts.jobs_open = term.jobs.size;
   counts.demand_tasks = capacity.demand.reduce((sum, demand) => sum + demand.tasks, 0);
   return counts;
--- a/src/leader/term/term-state.ts
+++ b/src/leader/term/term-state.ts
@@ -46,6 +46,8 @@
   readonly returnedMachines = new Set<string>();
   /** Machines whose leases were counted as lost. */
   machinesLost = 0;
+  /** Times that a machine was given a higher token, since a direct start was never answered. */
+  machinesFencedAnew = 0;
   /** Machines with commands that should not wait for the next heartbeat. */
   readonly machinesToCommand = new Set<string>();
   readonly fetchTimes = new FetchTimes();
--- a/test/late-starts.test.ts
+++ b/test/late-starts.test.ts
@@ -132,6 +132,18 @@
   }
 });
 
+test('a start that is called back is told: the machine fenced anew is counted, in an outage too', async () => {
+  const held = await startOnItsWay();
+  const { world } = held;
+  await cancel(held);
+  world.storeOutage = true;
+  await heartbeats(held, world.times.leaseS);
+  const { leader } = world.controller('n-2').term!;
+  assert.equal(leader.statistics().machines_fenced_anew, 1, 'once, however often it is looked at');
+  // Seen to be refused by then: it counts for no quota, and is not taken for on its way.
+  assert.equal(leader.statistics().cancelled_attempts, 0);
+});
+
 test('the token that refuses a start costs the other work of its machine nothing', async () => {
   for (const name of [
     'the leader goes on in an outage',
--- /dev/null
+++ b/test/term-tokens.test.ts
@@ -0,0 +1,125 @@
+/** Tokens of one term beside its own: who gives them, who takes them for its own, and which starts they refuse. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { substituteToken, type SubstituteTokenOptions } from '../src/heartbeat/substitute-token.js';
+import type { MachineRecord } from '../src/store/machine-record.js';
+import type { Heartbeat, TaskStatus } from '../src/wire/workers.js';
+import { fake } from './support/fake.js';
+import { LeaderWorld } from './support/leader-world.js';
+
+const JOB = 'wk-000001';
+const LEADER = 20;
+const RECORD = 25;
+const READ = 30;
+
+const TASK: TaskStatus = {
+  ...{ job: JOB, index: 0, attempt: 21 },
+  ...{ state: 'running', cause: null, saved: false },
+};
+
+interface Situation {
+  shown: number;
+  tasks?: TaskStatus[];
+  record?: Partial<MachineRecord>;
+  cancelled?: boolean;
+  unread?: boolean;
+}
+
+function tokenGiven({ shown, tasks = [], record, cancelled, unread }: Situation): number | null {
+  const claims = [{ job: JOB, index: 0, attempt: 21 }];
+  const stored = {
+    record: fake<MachineRecord>({ term: LEADER, claims, ...record }),
+    revision: RECORD,
+  };
+  const options: SubstituteTokenOptions = {
+    heartbeat: fake<Heartbeat>({ machine: 'a', token: shown, tasks }),
+    leaderToken: LEADER,
+    replica: { machines: new Map(record === undefined ? [] : [['a', stored]]), applied: READ },
+    isCancelled: () => cancelled === true,
+    hasUnreadCancellations: unread === true,
+  };
+  return substituteToken(options);
+}
+
+test("the token of a renewal in a leader's place: the term's, and one that refuses what must not start", () => {
+  const cases: [string, Situation, number | null][] = [
+    ['nothing is known of the machine', { shown: LEADER }, LEADER],
+    ['it has not seen the leader', { shown: 7 }, LEADER],
+    ['its record names a token', { shown: LEADER, record: { token: 23 } }, 23],
+    ['it shows one that no record names', { shown: 24, record: {} }, 24],
+    ['the highest that is certain to be the leader\'s', { shown: READ, record: {} }, READ],
+    ['it may be a later leader\'s', { shown: READ + 1, record: {} }, null],
+    ['a later leader\'s, beside a claim', { shown: READ + 1, record: {}, cancelled: true }, null],
+    ['a later leader\'s, beside unread cancellations', { shown: READ + 1, unread: true }, null],
+    ['the start of a cancelled task may be on its way', { shown: LEADER, record: {}, cancelled: true }, RECORD],
+    ['the same, after the answer', { shown: RECORD, record: {}, cancelled: true }, RECORD],
+    ['the same, the worker knows the task', { shown: LEADER, record: {}, tasks: [TASK], cancelled: true }, LEADER],
+    ['it knows another attempt', { shown: LEADER, record: {}, tasks: [{ ...TASK, attempt: 3 }], cancelled: true }, RECORD],
+    ['it knows another task', { shown: LEADER, record: {}, tasks: [{ ...TASK, index: 3 }], cancelled: true }, RECORD],
+    ['a start of an earlier leader', { shown: 7, record: { term: 7 }, cancelled: true }, LEADER],
+    ['a token of an earlier leader', { shown: 7, record: { term: 7, token: 9 } }, LEADER],
+    ['claims may be unread', { shown: LEADER, record: {}, unread: true }, READ],
+    ['claims may be unread, no record', { shown: LEADER, unread: true }, READ],
+  ]; // prettier-ignore
+  for (const [name, situation, token] of cases) assert.equal(tokenGiven(situation), token, name);
+});
+
+/** A leader, and a machine that has shown its token. */
+async function withMachine(): Promise<LeaderWorld> {
+  const world = new LeaderWorld();
+  world.fleet.add('a');
+  await world.run(1);
+  return world;
+}
+
+test("a leader goes on with a token that was given in its place, and takes no later leader's for it", async () => {
+  const world = await withMachine();
+  const worker = world.fleet.workers.get('a')!;
+  // Others have written since: the leader has read it, and has stored nothing itself.
+  world.store.put('ps/other', {});
+  world.store.feed(world.replica);
+  worker.token = world.store.currentRevision;
+  assert.ok(worker.token > world.term.latestRevision);
+  await world.run(1);
+  assert.equal(worker.answeredAt, world.now, 'answered, with a token that it takes');
+  world.submitJob({ id: JOB });
+  await world.run(1);
+  assert.equal(world.fleet.running(JOB), 1);
+  // What the leader has not read may be a later leader's.
+  worker.token = world.store.currentRevision + 1;
+  const { status } = world.leader.answerHeartbeat(worker.heartbeat());
+  assert.equal(status, 503);
+});
+
+test('after the key has changed hands, what was read is not taken for the own term', async () => {
+  const world = await withMachine();
+  const worker = world.fleet.workers.get('a')!;
+  const { leader, replica, token } = world;
+  world.failOver();
+  world.store.feed(replica);
+  world.token = token;
+  worker.token = world.store.currentRevision;
+  assert.equal(leader.answerHeartbeat(worker.heartbeat()).status, 503);
+});
+
+test("a start goes directly only with a token below its claim's revision", async () => {
+  const world = await withMachine();
+  const machine = world.machine('a');
+  const direct = (): string[] =>
+    machine
+      .dueCommands((attempt) => world.term.mayStartDirectly(attempt), false)
+      .map(({ kind }) => kind);
+  world.submitJob({ id: JOB });
+  world.runCycle();
+  assert.deepEqual(direct(), [], 'not before the claim is stored');
+  await world.writeAll();
+  assert.deepEqual(direct(), ['start']);
+  const [attempt] = machine.activeAttempts();
+  assert.ok(attempt!.claimRevision! > machine.token);
+  // No higher token is certain to be there once the start has to be refused.
+  machine.token = attempt!.claimRevision!;
+  assert.deepEqual(direct(), []);
+  world.fleet.workers.get('a')!.token = machine.token;
+  await world.run(0.4);
+  assert.equal(world.fleet.running(JOB), 1, 'it went with the answer to a heartbeat');
+});
