Direct commands go by a transport that is handed in; simulated controllers use the program's dispatcher

CommandDispatcher decided what is sent and kept the connections; SimulatedController repeated the one part of it. The connections are a module (direct-channels), with a typed answer; the dispatcher is the same for both. An answer that cannot be read counts as unanswered, as before, by one call instead of two.

--- a/src/leader/leader.ts
+++ b/src/leader/leader.ts
@@ -12,6 +12,7 @@
 import type { LatencyHistograms } from '../latency-histograms.js';
 import { CancelledAttempts } from './attempts/cancelled-attempts.js';
 import { CommandDispatcher } from './attempts/command-dispatcher.js';
+import { HttpDirectTransport, type DirectTransport } from './attempts/direct-channels.js';
 import { termStatistics } from './term/statistics.js';
 import { Overload } from '../admission/overload.js';
 import { MIN_CYCLE_GAP_S, CyclePacing } from './scheduling/cycle-pacing.js';
@@ -33,6 +34,8 @@
   latencies: LatencyHistograms;
   /** What a scheduling cycle may take of the processor; shared by the leaders of a controller. */
   overload?: Overload;
+  /** How commands get straight to workers; missing: by connections to them. */
+  directTransport?: DirectTransport;
   /** Those that this controller's features file switches on. */
   subsystems?: readonly Subsystem[];
 }
@@ -62,6 +65,7 @@
       onLeadershipLost,
       latencies,
       overload = new Overload(),
+      directTransport = makeDirectTransport(context),
       subsystems = [],
     }: LeaderServices,
   ) {
@@ -78,7 +82,7 @@
     this.answerer = new HeartbeatAnswerer(this.term, ({ id }) =>
       this.capacity.provisioner.machineReported(id),
     );
-    this.dispatcher = new CommandDispatcher(this.term, () => this.scheduleCycle());
+    this.dispatcher = new CommandDispatcher(this.term, directTransport, () => this.scheduleCycle());
     this.writer = new RecordWriter({
       term: this.term,
       store,
@@ -269,6 +273,11 @@
   }
 }
 
+function makeDirectTransport({ settings, log }: TermContext): DirectTransport {
+  const { limits, workers } = settings;
+  return new HttpDirectTransport({ sockets: limits.sockets, heartbeatS: workers.report_s, log });
+}
+
 /** A forecast that knows of all jobs that have become ready so far. */
 function makeForecast(term: Term): DemandForecast {
   const { wallMs, settings, replica } = term.context;
--- a/test/support/simulated-controller.ts
+++ b/test/support/simulated-controller.ts
@@ -9,6 +9,7 @@
 import type { Settings } from '../../src/config/settings.js';
 import { HeartbeatHandler } from '../../src/heartbeat/heartbeat-handler.js';
 import { LatencyHistograms } from '../../src/latency-histograms.js';
+import type { DirectTransport } from '../../src/leader/attempts/direct-channels.js';
 import { Leader } from '../../src/leader/leader.js';
 import type { Election } from '../../src/leadership/election.js';
 import { OutageQuorum } from '../../src/leadership/outage-quorum.js';
@@ -26,7 +27,6 @@
 import type { Replica } from '../../src/store/replica.js';
 import type { ReplicaSync } from '../../src/store/replica-sync.js';
 import { isStoredCancelled } from '../../src/store/stored-job.js';
-import type { Machine } from '../../src/workers/machine.js';
 import type { ControlPlaneWorld } from './control-plane-world.js';
 import { fake } from './fake.js';
 
@@ -45,7 +45,6 @@
   runCycle(): void;
   writer: { writeBatch(): Promise<boolean> };
   capacity: { provisioner: { listedOnce: boolean } };
-  dispatcher: { dispatch(): void };
 }
 
 /** A term of leadership, as this controller believes in it. */
@@ -271,6 +270,18 @@
     }
   }
 
+  /** The world's links to workers. */
+  private readonly directTransport: DirectTransport = {
+    channelTo: ({ id }) => ({
+      send: ({ token, agentEpoch, commands }) => {
+        const heartbeat = this.world.takeDirect(id, token, agentEpoch, commands);
+        return Promise.resolve({ outcome: heartbeat === null ? 'unknown' : 'done', heartbeat });
+      },
+    }),
+    closeChannel: () => undefined,
+    stop: () => undefined,
+  };
+
   private readonly followerListener: Replica['listener'] = {
     onCancelled: ({ claimCount, spec }) => {
       if (claimCount > 0) this.cancellationTimes.note(spec.id);
@@ -370,11 +381,11 @@
         cloud: fake<CloudClient>({ listMachines: () => Promise.resolve([]) }),
         onLeadershipLost: () => this.depose(),
         latencies: new LatencyHistograms(clock.now),
+        directTransport: this.directTransport,
       },
     );
     const parts = leader as unknown as LeaderParts;
     parts.scheduleCycle = () => undefined;
-    parts.dispatcher.dispatch = () => this.dispatch(leader);
     parts.capacity.provisioner.listedOnce = true;
     this.replica.listener = {
       onReady: (storedJob) => leader.onReady(storedJob),
@@ -440,35 +451,4 @@
     }
     if (this.term === term) term.leader.tick();
   }
-
-  /** As `CommandDispatcher.dispatch`, with the world's links to workers. */
-  private dispatch({ term }: Leader): void {
-    for (const id of [...term.machinesToCommand]) {
-      const machine = term.machines.get(id);
-      if (machine === undefined || machine.state === 'silent' || machine.state === 'unheard') {
-        term.machinesToCommand.delete(id);
-        continue;
-      }
-      if (machine.state !== 'fencing') this.sendDirect(term, machine);
-    }
-  }
-
-  private sendDirect(term: Leader['term'], machine: Machine): void {
-    const commands = machine.dueCommands((attempt) => term.mayStartDirectly(attempt), false);
-    term.machinesToCommand.delete(machine.id);
-    if (commands.every((command) => command.kind === 'forget')) return;
-    const { agentEpoch, token } = machine;
-    const { now } = this.world;
-    machine.markSent(commands, 'direct', now);
-    const answer = this.world.takeDirect(machine.id, token, agentEpoch, commands);
-    machine.directCommandsEnded(
-      commands,
-      answer === null ? 'unknown' : 'done',
-      agentEpoch,
-      now,
-      token,
-    );
-    if (answer !== null)
-      term.reconcile(machine, machine.applyHeartbeat(answer, 'direct-answer', now));
-  }
 }
