A term whose entitlement has lapsed is over: one rule, for the election and the simulated one

What callers saw: tasks on two machines. A leader froze across an outage of the key-value store, others renewed leases in its place, and it came back in its term and counted those leases as expired. Cause: a right that had lapsed came back. Any renewal of the key that the store took extended the leader's entitlement, also after it had lapsed; leases have their full time again after an outage, so the key was still there. Change: `TermEntitlement` begins, extends and ends the time in which a term may act. It looks at the clock at each extension: by the store, by an answer that was on its way over the freeze, by a majority in an outage, and at the end of an election. Once lapsed, nothing brings it back. The lease of the ended term is given up where the store answers, so that anybody, the same controller too, stands at once. Late reads suspend a leader as before, and the election's next look ends its term: no one else can renew leases by that alone, and nothing rests on the time between two looks. Why it works: after a lapse the same node leads by a new election alone, which fences its machines and is acknowledged. The log line at the end of a term tells steady time, entitlement and time of the last read.

--- a/src/leadership/election.ts
+++ b/src/leadership/election.ts
@@ -6,12 +6,16 @@
 import { acquireLeaderKey } from './leader-key.js';
 import { OutageQuorum, type OutageEvents, type OutageQuorumOptions } from './outage-quorum.js';
 import { renewalAllowanceS, type WorkerTimes } from './renewal-allowance.js';
+import { TermEntitlement, leaseEnd } from './term-entitlement.js';
 
 /** A late controller leaves leadership to a healthier one for so many lives of the leader's lease, at most. */
 const DEFER_TTLS = 0.5;
 /** It looks so many times in that life whether it still has to. */
 const DEFER_CHECKS_PER_TTL = 20;
 
+/** What became of a renewal of the leader's lease; `unknown`: it was not answered. */
+type LeaderLeaseRenewal = 'renewed' | 'expired' | 'refused' | 'unknown';
+
 /** What an election tells its controller. */
 export interface ElectionEvents extends OutageEvents {
   onElected(token: number): void;
@@ -38,7 +42,8 @@
   private lease = 0;
   /** How often this process has stood. */
   private campaigns = 0;
-  private leaseValidUntil = -Infinity;
+  /** Of the present term, or of the one that this controller stands for; null: there is none. */
+  private entitlement: TermEntitlement | null = null;
   /**
    * Since when this controller might stand, in seconds of the clock: nobody leads, or by the store only a
    * former process of its own. Null: it might not.
@@ -80,7 +85,7 @@
     this.role = role;
     if (role === 'leader') this.vacantSince = null;
     if (role === 'follower' && led) {
-      this.leaseValidUntil = -Infinity;
+      this.entitlement = null;
       this.options.store.setRole('follower');
       this.options.events.onDeposed();
     }
@@ -92,17 +97,16 @@
 
   /** Whether this node may act for the controllers at this moment. */
   get isEntitled(): boolean {
-    if (!this.isLeading) return false;
-    return this.options.clock.now() < this.entitledUntil;
+    return this.isLeading && this.entitlement?.hasLapsed === false && this.readsAreFresh;
   }
 
   /**
    * A leader whose lease is renewed but whose reads are not answered hears of no cancellation: it
-   * must stop renewing workers' leases in time. In an outage `validUntil` counts with this already.
+   * must stop renewing workers' leases in time. A majority's word in an outage counts with this already.
    */
-  private get entitledUntil(): number {
-    if (this.role === 'leader-in-outage') return this.leaseValidUntil;
-    return Math.min(this.leaseValidUntil, this.options.replicaSync.freshAt + this.allowanceS);
+  private get readsAreFresh(): boolean {
+    if (this.role === 'leader-in-outage') return true;
+    return this.options.clock.now() < this.options.replicaSync.freshAt + this.allowanceS;
   }
 
   /** Entitled, and commits can be expected to go through. */
@@ -190,9 +194,12 @@
     if (token === null) return false;
     this.lease = lease;
     this.token = token;
-    this.leaseValidUntil = this.leaseEnd(grantSentAt);
+    this.entitlement = new TermEntitlement(clock, leaseEnd(grantSentAt, this.leaseTtlS));
     store.setRole('leader');
-    if (!(await this.catchUp(token, grantSentAt))) return false;
+    if (!(await this.catchUp(this.entitlement, grantSentAt))) {
+      store.setRole('follower');
+      return false;
+    }
     // Stopped while it was being elected: it would lead on with nobody to stop it again.
     if (this.stopped) return false;
     this.changeRole('leader');
@@ -201,57 +208,76 @@
   }
 
   /** Everything that former leaders stored must be in the replica before anything is decided. */
-  private async catchUp(token: number, grantSentAt: number): Promise<boolean> {
-    const { store, clock, replica, replicaSync } = this.options;
-    while (replica.applied < token || replicaSync.freshAt < grantSentAt) {
-      if (this.stopped || clock.now() >= this.leaseValidUntil) {
-        store.setRole('follower');
-        return false;
-      }
+  private async catchUp(entitlement: TermEntitlement, grantSentAt: number): Promise<boolean> {
+    const { replica, replicaSync } = this.options;
+    while (replica.applied < this.token || replicaSync.freshAt < grantSentAt) {
+      if (this.stopped || entitlement.hasLapsed) return false;
       if (!(await replicaSync.sync())) await sleep(0.05);
     }
-    return true;
-  }
-
-  /** The lease ends a life after its renewal was carried out, which is no earlier than it was sent. */
-  private leaseEnd(sentAt: number): number {
-    return sentAt + this.leaseTtlS * (1 - 2 * MAX_CLOCK_DRIFT) - 0.02;
+    return !entitlement.hasLapsed;
   }
 
   private async stepAsLeader(): Promise<void> {
     const sentAt = this.options.clock.now();
-    const left = this.leaseValidUntil - sentAt;
-    let refused = false;
-    try {
-      if (
-        await this.options.store.keepLeaseAlive(this.lease, Math.max(0.3, Math.min(1, left / 2)))
-      ) {
-        this.leaseValidUntil = Math.max(this.leaseValidUntil, this.leaseEnd(sentAt));
-        if (this.role === 'leader-in-outage') this.changeRole('leader');
-        this.refreshReplica();
-      } else {
-        this.options.log.info({ token: this.token }, 'leader lease expired');
-        this.changeRole('follower');
-        return;
-      }
-    } catch (error) {
-      refused = error instanceof RequestRejectedError && error.status === 503;
-      this.options.log.debug({ err: error, left }, 'leader lease not renewed');
-    }
+    const renewal = await this.renewLeaderLease(sentAt);
     const leader = this.options.replica.leader;
-    if (leader !== null && leader.revision > this.token) {
+    // Deposed while it waited, by an acknowledgement of a later leader or by `stepDown`.
+    if (!this.isLeading) return;
+    if (renewal === 'expired' || (leader !== null && leader.revision > this.token)) {
       this.changeRole('follower');
       return;
     }
-    if (refused) await this.continueInOutage(sentAt);
-    if (this.options.clock.now() >= this.entitledUntil) {
-      this.options.log.info({ token: this.token }, 'leader entitlement expired');
-      this.changeRole('follower');
+    if (renewal === 'refused') await this.continueInOutage(sentAt);
+    if (!this.isEntitled) {
+      await this.endLapsedTerm(renewal === 'renewed');
       return;
     }
     await sleep(
-      this.role === 'leader-in-outage' || refused ? this.leaseTtlS / 12 : this.leaseTtlS / 5,
+      this.role === 'leader-in-outage' || renewal === 'refused'
+        ? this.leaseTtlS / 12
+        : this.leaseTtlS / 5,
+    );
+  }
+
+  /** Renews the lease of the leader's key, and the entitlement with it unless that has lapsed. */
+  private async renewLeaderLease(sentAt: number): Promise<LeaderLeaseRenewal> {
+    const { entitlement } = this;
+    const left = (entitlement?.validUntil ?? sentAt) - sentAt;
+    try {
+      const timeoutS = Math.max(0.3, Math.min(1, left / 2));
+      if (!(await this.options.store.keepLeaseAlive(this.lease, timeoutS))) {
+        this.options.log.info({ token: this.token }, 'leader lease expired');
+        return 'expired';
+      }
+      if (entitlement?.extend(leaseEnd(sentAt, this.leaseTtlS)) === true) {
+        if (this.role === 'leader-in-outage') this.changeRole('leader');
+        this.refreshReplica();
+      }
+      return 'renewed';
+    } catch (error) {
+      this.options.log.debug({ err: error, left }, 'leader lease not renewed');
+      return error instanceof RequestRejectedError && error.status === 503 ? 'refused' : 'unknown';
+    }
+  }
+
+  /**
+   * The term is over. The key may stand for long, since leases have their full time again after an outage: where the
+   * store answers it goes at once, and anybody may stand, this controller too.
+   */
+  private async endLapsedTerm(isServed: boolean): Promise<void> {
+    const { lease, token, entitlement, options } = this;
+    const steadyS = options.clock.now();
+    options.log.info(
+      { token, steadyS, validUntil: entitlement?.validUntil, freshAt: options.replicaSync.freshAt },
+      'leader entitlement expired',
     );
+    this.changeRole('follower');
+    if (isServed) await this.giveUpLease(lease);
+  }
+
+  /** Best effort: without an answer the key goes by itself, when the lease ends. */
+  private async giveUpLease(lease: number): Promise<void> {
+    await this.options.store.endLease(lease, this.leaseTtlS / 2).catch(() => undefined);
   }
 
   /**
@@ -263,8 +289,7 @@
     const { lease } = this;
     this.campaignsFrom = this.options.clock.now() + this.leaseTtlS / 2;
     this.changeRole('follower');
-    // Without an answer the key goes by itself, when the lease ends.
-    await this.options.store.endLease(lease, this.leaseTtlS / 2).catch(() => undefined);
+    await this.giveUpLease(lease);
   }
 
   /** Reads the store when the watch has had nothing to show for a while. */
@@ -288,7 +313,7 @@
       this.outage.renewalBound(majority),
     );
     if (until <= this.options.clock.now()) return;
-    this.leaseValidUntil = Math.max(this.leaseValidUntil, until);
+    if (this.entitlement?.extend(until) !== true) return;
     if (this.role === 'leader') this.changeRole('leader-in-outage');
   }
 
@@ -302,7 +327,7 @@
     const known = token <= this.outage.acknowledged;
     let until = this.outage.acknowledge(token);
     if (!known && token > this.token && this.isLeading) {
-      until = Math.max(until, Math.min(now, this.leaseValidUntil));
+      until = Math.max(until, Math.min(now, this.entitlement?.validUntil ?? -Infinity));
       this.options.log.info({ token: this.token, later: token }, 'newer leader acknowledged');
       this.changeRole('follower');
     }
--- a/test/meeting-elections.test.ts
+++ b/test/meeting-elections.test.ts
@@ -237,3 +237,79 @@
     assert.ok(lives >= stands[0] - 1e-6 && lives <= stands[1], `${name}: after ${lives}`);
   }
 });
+
+/** How the entitlement of a term lapses although something would extend it afterwards. */
+interface Lapse {
+  name: string;
+  /** The step of a leader in which something comes too late. */
+  step: (controller: Controller) => Promise<void>;
+  /** Whether the store answers, and so the key is gone at once. */
+  isServed: boolean;
+}
+
+const witness = { refused: true, freshAgeS: 0 };
+const LAPSES: Lapse[] = [
+  {
+    name: 'frozen; the key is still there when it asks',
+    step: async (controller) => {
+      controller.now += LIFE * 1.1;
+      await controller.steps.stepAsLeader();
+    },
+    isServed: true,
+  },
+  {
+    name: 'frozen while the answer is on its way',
+    step: async (controller) => {
+      controller.now += LIFE * 0.5;
+      controller.store.keepLeaseAlive = () => {
+        controller.now += LIFE * 0.6;
+        return Promise.resolve(true);
+      };
+      await controller.steps.stepAsLeader();
+    },
+    isServed: true,
+  },
+  {
+    name: 'frozen in an outage; a majority would let it continue',
+    step: async (controller) => {
+      controller.now += LIFE * 1.1;
+      controller.store.mode = 'refuse';
+      controller.store.keepLeaseAlive = () => controller.store.get('').then(() => true);
+      await controller.steps.stepAsLeader();
+      controller.store.mode = 'serve';
+    },
+    isServed: false,
+  },
+];
+
+// A leader that was frozen came back in its term, and counted leases as expired that others had renewed meanwhile.
+test('a term whose entitlement has lapsed is over, whatever would extend it', async () => {
+  for (const { name, step, isServed } of LAPSES) {
+    const controller = new Controller(new MemoryStore(), 'a', () => [witness, witness]);
+    assert.equal(await controller.campaign(), true, name);
+    const { token } = controller.election;
+    await step(controller);
+    assert.equal(controller.election.role, 'follower', name);
+    assert.equal(controller.election.isEntitled, false, name);
+    assert.equal(controller.deposed, 1, name);
+    assert.equal(controller.store.revision(records.LEADER), isServed ? 0 : token, name);
+    // The same controller leads again, by an election of its own.
+    await controller.sync();
+    assert.equal(await controller.campaign(controller.store.revision(records.LEADER)), true, name);
+    assert.ok(controller.election.token > token, name);
+    assert.equal(controller.election.isEntitled, true, name);
+  }
+});
+
+// A leader that was frozen while it read the store led with an entitlement that had lapsed before its term began.
+test('a controller that is frozen while it catches up is not elected', async () => {
+  const controller = new Controller(new MemoryStore());
+  const { store } = controller;
+  const feed = store.feed.bind(store);
+  store.feed = (replica) => {
+    controller.now += LIFE * 1.1;
+    return feed(replica);
+  };
+  assert.equal(await controller.campaign(), false);
+  assert.equal(controller.election.isEntitled, false);
+});
--- a/test/support/control-plane-world.ts
+++ b/test/support/control-plane-world.ts
@@ -134,6 +134,11 @@
     return true;
   }
 
+  /** The key is given up, if it is still that of this token. */
+  removeLeaderKey(token: number): void {
+    if (this.store.revision(records.LEADER) === token) this.store.remove(records.LEADER);
+  }
+
   private expireLeaderKey(): void {
     // Leases stand still in an outage, and have their full time again after it.
     const ttlS = this.times.leaseS * LEADER_TTL_LEASES;
--- a/test/support/memory-store.ts
+++ b/test/support/memory-store.ts
@@ -18,7 +18,7 @@
 /** A key-value store by the protocol. Its methods are those of the client that the code under test uses. */
 export class MemoryStore implements Pick<
   KeyValueStoreClient,
-  'compareAndSwap' | 'get' | 'changes' | 'grantLease' | 'keepLeaseAlive' | 'setRole'
+  'compareAndSwap' | 'get' | 'changes' | 'grantLease' | 'keepLeaseAlive' | 'endLease' | 'setRole'
 > {
   mode: StoreMode = 'serve';
   currentRevision = 0;
@@ -30,6 +30,8 @@
   private readonly items = new Map<string, KeyValue>();
   private readonly changeLog: Change[] = [];
   private readonly heldBack: (() => void)[] = [];
+  /** Keys that are attached to a lease. */
+  private readonly leaseOf = new Map<string, number>();
   private leases = 0;
 
   /** The store as the client that the code under test asks for. */
@@ -57,6 +59,8 @@
       } else {
         const item = { key: op.put, value: JSON.parse(JSON.stringify(op.value)), revision };
         this.items.set(op.put, item);
+        if (op.lease === undefined) this.leaseOf.delete(op.put);
+        else this.leaseOf.set(op.put, op.lease);
         this.changeLog.push({ kind: 'put', ...item });
       }
     }
@@ -107,6 +111,16 @@
     return Promise.resolve(true);
   }
 
+  /** See `KeyValueStoreClient.endLease`. */
+  endLease(id: number): Promise<void> {
+    for (const [key, lease] of [...this.leaseOf]) {
+      if (lease !== id) continue;
+      this.leaseOf.delete(key);
+      this.remove(key);
+    }
+    return Promise.resolve();
+  }
+
   /** Puts a value without a precondition. Returns its revision. */
   put(key: string, value: unknown): number {
     this.apply([], [{ put: key, value }]);
--- a/test/support/simulated-controller.ts
+++ b/test/support/simulated-controller.ts
@@ -15,6 +15,7 @@
 import { OutageQuorum } from '../../src/leadership/outage-quorum.js';
 import { QuorumAcknowledgement } from '../../src/leadership/quorum-acknowledgement.js';
 import { renewalAllowanceS } from '../../src/leadership/renewal-allowance.js';
+import { TermEntitlement, leaseEnd } from '../../src/leadership/term-entitlement.js';
 import type { ZoneLeaseHolder, ZoneLeaseWatch } from '../../src/leadership/zone-lease.js';
 import { DEFAULT_POLICY } from '../../src/operator/policy.js';
 import type { Answer, Question } from '../../src/peers/messages.js';
@@ -51,7 +52,7 @@
 interface SimulatedTerm {
   leader: Leader;
   token: number;
-  leaseUntil: number;
+  entitlement: TermEntitlement;
   inOutage: boolean;
   acknowledged: QuorumAcknowledgement;
 }
@@ -318,9 +319,8 @@
   /** Whether it may act as the leader at this moment. */
   get isEntitled(): boolean {
     const { term } = this;
-    if (term === null) return false;
-    const bound = term.inOutage ? Infinity : this.freshAt + this.allowanceS;
-    return this.world.now < Math.min(term.leaseUntil, bound);
+    if (term === null || term.entitlement.hasLapsed) return false;
+    return term.inOutage || this.world.now < this.freshAt + this.allowanceS;
   }
 
   /** Its regular turn: reads, renews or stands, and acts as the leader if it is. */
@@ -394,8 +394,8 @@
         leader.onCancelled(storedJob);
       },
     };
-    const leaseUntil = this.world.now + this.leaderTtlS;
-    this.term = { leader, token, leaseUntil, inOutage: false, acknowledged };
+    const entitlement = new TermEntitlement(clock, leaseEnd(clock.now(), this.leaderTtlS));
+    this.term = { leader, token, entitlement, inOutage: false, acknowledged };
     parts.log.began();
   }
 
@@ -412,11 +412,12 @@
     const health = this.storeHealth;
     if (health === 'served') {
       if (!this.world.renewLeaderKey(term.token, this.leaderTtlS)) return this.depose();
-      term.leaseUntil = now + this.leaderTtlS;
-      term.inOutage = false;
+      if (term.entitlement.extend(leaseEnd(now, this.leaderTtlS))) term.inOutage = false;
     }
     if (health === 'refused') await this.continueInOutage(term);
-    if (!this.isEntitled) this.depose();
+    if (this.isEntitled) return;
+    if (health === 'served') this.world.removeLeaderKey(term.token);
+    this.depose();
   }
 
   private async collectAcknowledgements(term: SimulatedTerm): Promise<void> {
@@ -436,8 +437,7 @@
     if (majority === null || this.outage.acknowledged > term.token) return;
     const until = Math.min(askedAt + forS, this.outage.renewalBound(majority));
     if (until <= this.world.now) return;
-    term.leaseUntil = Math.max(term.leaseUntil, until);
-    term.inOutage = true;
+    if (term.entitlement.extend(until)) term.inOutage = true;
   }
 
   private async act(): Promise<void> {
