A lease counts as expired only after a majority, asked past its end, knows of no other renewal

What callers saw: tasks on two machines, by a leader that was frozen while an outage lasted and came back still entitled. Cause: substitutes may renew after 0.4 of the leader key's life of being refused, a leader is entitled for its whole life. One that is frozen in between was never refused itself, so it counts with none of these renewals; what it learnt by its acknowledgement is of the term's beginning. The same gap is open without a freeze to a leader that is served and cut off from the others, both of which are refused. Change: whoever renews in a leader's place has the word of a majority, and each of it knows until when its word holds. So a leader asks the others again, by the question by which they acknowledge it, when a lease seems to have expired, and counts it as expired once a majority that was asked after its end has answered. Any two majorities share a controller. Chosen beside the lapse rule, not in its place: both ways of the issue are needed. The wait after a refusal stays, for what a zone's lease holder renews in an outage. Price: a leader that no majority answers takes no machine for lost, as was so in a new term already.

--- a/src/controller/term-runner.ts
+++ b/src/controller/term-runner.ts
@@ -96,19 +96,24 @@
       incarnation,
       allReadDenseRecords: () => this.options.versions().everyoneKnows('pipelines'),
       isEntitled: () => election.isEntitled && election.token === token,
-      othersRenewUntil: () =>
-        Math.max(
-          store.rejectedAt + election.outage.substituteS,
-          acknowledgements.othersRenewUntil(token),
-        ),
+      othersRenewal: () => {
+        const { keptUntil, provenAt } = acknowledgements.othersRenewal(token);
+        const substitutesUntil = store.rejectedAt + election.outage.substituteS;
+        return { keptUntil: Math.max(keptUntil, substitutesUntil), provenAt };
+      },
+      requestOthersProof: () => this.cycleOnceProven(acknowledgements.requestRenewalProof()),
       zoneRenewal: (zone) => zoneLeases.zone(zone),
-      requestProof: () =>
-        void replicaSync.sync().then((isFresh) => isFresh && this.leader?.term.requestCycle()),
+      requestZoneProof: () => this.cycleOnceProven(replicaSync.sync()),
       cancellationKnownAt: (job) => cancellationTimes.of(job),
       canWrite: () => election.canWrite && election.token === token,
     };
   }
 
+  /** Leases are looked at again as soon as a proof that was asked for is there. */
+  private cycleOnceProven(proof: Promise<boolean>): void {
+    void proof.then((isProven) => isProven && this.leader?.term.requestCycle());
+  }
+
   /** The term is over, if there is one. */
   end(): void {
     if (this.leader === null) return;
--- a/src/leader/attempts/lease-expiry.ts
+++ b/src/leader/attempts/lease-expiry.ts
@@ -14,11 +14,12 @@
   /** Leases that have expired for certain, with nobody else entitled to renew them. */
   expire(): void {
     const { context, machines, now } = this.term;
-    const kept = context.othersRenewUntil();
-    let unproven = false;
+    const others = context.othersRenewal();
+    let othersUnproven = false;
+    let zoneUnproven = false;
     for (const machine of machines.values()) {
       // While the key-value store is down others may renew leases in this controller's place.
-      if (kept > machine.knownAt) machine.leaseRenewed(kept);
+      if (others.keptUntil > machine.knownAt) machine.leaseRenewed(others.keptUntil);
       if (
         now <= machine.leaseExpiresAt ||
         machine.state === 'silent' ||
@@ -29,10 +30,15 @@
       const zone = context.zoneRenewal(machine.zone);
       machine.leaseRenewed(zone.keptUntil);
       if (now <= machine.leaseExpiresAt) continue;
-      if (zone.provenAt < machine.leaseExpiresAt) unproven = true;
-      else this.leaseExpired(machine);
+      // What is proven up to a moment before its end may have been followed by another renewal.
+      const isOthersProven = others.provenAt >= machine.leaseExpiresAt;
+      const isZoneProven = zone.provenAt >= machine.leaseExpiresAt;
+      othersUnproven ||= !isOthersProven;
+      zoneUnproven ||= !isZoneProven;
+      if (isOthersProven && isZoneProven) this.leaseExpired(machine);
     }
-    if (unproven) context.requestProof();
+    if (othersUnproven) context.requestOthersProof();
+    if (zoneUnproven) context.requestZoneProof();
   }
 
   private leaseExpired(machine: Machine): void {
--- a/src/leader/term/term-state.ts
+++ b/src/leader/term/term-state.ts
@@ -4,6 +4,7 @@
 import type { Settings } from '../../config/settings.js';
 import type { LiveJob } from '../../jobs/live-job.js';
 import type { MachineType } from '../../jobs/types.js';
+import type { RenewalKnowledge } from '../../leadership/substitute-renewals.js';
 import type { Log } from '../../log.js';
 import type { Policy } from '../../operator/policy.js';
 import { FetchTimes } from '../../scheduler/fetch-times.js';
@@ -24,12 +25,14 @@
   allReadDenseRecords: () => boolean;
   isEntitled: () => boolean;
   canWrite: () => boolean;
-  /** Until when another controller may have renewed leases because the key-value store was down. */
-  othersRenewUntil: () => number;
-  /** Until when a zone's zone lease holder may renew leases there, and up to which moment that is certain. */
-  zoneRenewal: (zone: string) => { keptUntil: number; provenAt: number };
+  /** What is known of leases that other controllers renew in this leader's place. */
+  othersRenewal: () => RenewalKnowledge;
+  /** Asks a majority for a fresh proof of that. */
+  requestOthersProof: () => void;
+  /** What is known of leases that a zone's lease holder renews there. */
+  zoneRenewal: (zone: string) => RenewalKnowledge;
   /** Asks for a fresh proof of that. */
-  requestProof: () => void;
+  requestZoneProof: () => void;
   /** Since when this process has known of a job's cancellation, in seconds of the clock. */
   cancellationKnownAt: (job: string) => number | undefined;
 }
--- a/src/leadership/leader-acknowledgements.ts
+++ b/src/leadership/leader-acknowledgements.ts
@@ -1,5 +1,6 @@
 import type { Election } from './election.js';
 import { QuorumAcknowledgement } from './quorum-acknowledgement.js';
+import { SubstituteRenewals, type RenewalKnowledge } from './substitute-renewals.js';
 import type { ElectedAnswer } from '../peers/messages.js';
 import type { PeerNetwork } from '../peers/peer-network.js';
 import { sleep, type Clock } from '../clock.js';
@@ -28,35 +29,51 @@
 /** Acknowledgements of a leader: collected as the leader, and given by the peer link or the store. */
 export class LeaderAcknowledgements {
   private quorum: QuorumAcknowledgement | null = null;
+  private renewals: SubstituteRenewals | null = null;
   private stopped = false;
 
   constructor(private readonly options: LeaderAcknowledgementsOptions) {}
 
-  /** Until when others may renew leases in the place of a leader before this one. */
-  othersRenewUntil(token: number): number {
-    return this.quorum?.token === token ? this.quorum.othersRenewUntil : this.options.clock.now();
+  /** What is known of leases that others renew in the place of this leader, or of one before it. */
+  othersRenewal(token: number): RenewalKnowledge {
+    if (this.quorum?.token === token && this.renewals !== null) return this.renewals.known;
+    return { keptUntil: this.options.clock.now(), provenAt: -Infinity };
+  }
+
+  /** Asks a majority anew; false: none has answered. */
+  requestRenewalProof(): Promise<boolean> {
+    return this.renewals?.request() ?? Promise.resolve(false);
+  }
+
+  private get askTimeoutS(): number {
+    return this.options.settings.workers.lease_s / ASKS_PER_LEASE;
+  }
+
+  private askElected(node: string, token: number): Promise<ElectedAnswer | null> {
+    return this.options.peers().ask(node, { q: 'elected', token }, this.askTimeoutS);
   }
 
   /** This controller was elected. */
   async collect(token: number): Promise<void> {
-    const quorum = new QuorumAcknowledgement(
-      token,
-      this.options.settings.controllerCount,
-      this.options.clock,
-    );
+    const { clock, peers } = this.options;
+    const { controllerCount } = this.options.settings;
+    const quorum = new QuorumAcknowledgement(token, controllerCount, clock);
     this.quorum = quorum;
+    this.renewals = new SubstituteRenewals({
+      ...{ acknowledged: quorum, controllerCount, clock },
+      names: () => peers().names,
+      askElected: (node) => this.askElected(node, token),
+    });
     for (const [node, { ack }] of this.options.replica.acknowledgements) this.noteStored(node, ack);
-    const pause = this.options.settings.workers.lease_s / ASKS_PER_LEASE;
     while (!this.stopped && this.quorum === quorum && quorum.state === 'pending') {
-      const missing = this.options.peers().names.filter((node) => !quorum.has(node));
+      const missing = peers().names.filter((node) => !quorum.has(node));
       await Promise.all(
         missing.map(async (node) => {
-          const answer = await this.options.peers().ask(node, { q: 'elected', token }, pause);
-          const remains = answer?.remainsS;
-          if (remains !== undefined) quorum.record(node, { remainsS: remains });
+          const remainsS = (await this.askElected(node, token))?.remainsS;
+          if (remainsS !== undefined) quorum.record(node, { remainsS });
         }),
       );
-      if (quorum.state === 'pending') await sleep(pause);
+      if (quorum.state === 'pending') await sleep(this.askTimeoutS);
     }
     if (this.quorum === quorum) this.options.log.debug({ token }, 'leader acknowledged by quorum');
   }
--- a/src/leadership/zone-lease.ts
+++ b/src/leadership/zone-lease.ts
@@ -7,6 +7,7 @@
 import { RequestRejectedError, type KeyValueStoreClient } from '../store/client.js';
 import { ANSWER_WAIT_S } from '../wire/workers.js';
 import type { PeerNetwork } from '../peers/peer-network.js';
+import type { RenewalKnowledge } from './substitute-renewals.js';
 
 /**
  * Zones that go on working by themselves. Where a zone has exactly one controller, that one is its
@@ -254,7 +255,7 @@
    * `keptUntil`: until when a zone's zone lease holder may renew, or may have renewed, leases of its machines.
    * `provenAt`: up to which moment that is certain.
    */
-  zone(zone: string): { keptUntil: number; provenAt: number } {
+  zone(zone: string): RenewalKnowledge {
     const node = this.options.byZone.get(zone);
     if (node === undefined) return { keptUntil: -Infinity, provenAt: Infinity };
     const now = this.options.clock.now();
--- /dev/null
+++ b/test/substitute-renewals.test.ts
@@ -0,0 +1,102 @@
+/** What a leader learns of leases that others renewed in its place, and what it does before it has learnt it. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { QuorumAcknowledgement } from '../src/leadership/quorum-acknowledgement.js';
+import { SubstituteRenewals } from '../src/leadership/substitute-renewals.js';
+import type { ElectedAnswer } from '../src/peers/messages.js';
+import { JOB, worldWith } from './support/leader-stages.js';
+
+const TOKEN = 7;
+
+/** Renewals as a leader knows them, asked for at 100 s. */
+class Asker {
+  now = 100;
+  readonly acknowledged: QuorumAcknowledgement;
+  readonly renewals: SubstituteRenewals;
+
+  /** What the others answer; null: nothing, undefined: not yet. */
+  constructor(private readonly answers: (ElectedAnswer | null | undefined)[]) {
+    const controllerCount = answers.length + 1;
+    const clock = { now: (): number => this.now };
+    this.acknowledged = new QuorumAcknowledgement(TOKEN, controllerCount, clock);
+    this.renewals = new SubstituteRenewals({
+      ...{ acknowledged: this.acknowledged, controllerCount, clock },
+      names: () => answers.map((_, index) => `n-${index}`),
+      askElected: (node, token) => this.answer(Number(node.slice(2)), token),
+    });
+    answers.forEach((_, index) => this.acknowledged.record(`n-${index}`, { remainsS: -50 }));
+  }
+
+  private answer(index: number, token: number): Promise<ElectedAnswer | null> {
+    assert.equal(token, TOKEN);
+    const answer = this.answers[index];
+    // On its way for a second.
+    this.now += 1;
+    return answer === undefined ? new Promise(() => undefined) : Promise.resolve(answer);
+  }
+}
+
+test('what others renewed is known up to the moment at which a majority was asked', async () => {
+  const over = { remainsS: -50 };
+  const cases: [string, (ElectedAnswer | null | undefined)[], boolean][] = [
+    ['alone', [], true],
+    ['one of two others is silent', [null, over], true],
+    ['one of two others has not answered yet', [undefined, over], true],
+    ['both are silent', [null, null], false],
+    ['one of four others is not enough', [over, null, null, null], false],
+    ['an answer without a time', [{}, null], false],
+  ];
+  for (const [name, answers, isProven] of cases) {
+    const { renewals } = new Asker(answers);
+    assert.equal(renewals.known.provenAt, -Infinity, name);
+    assert.equal(await renewals.request(), isProven, name);
+    assert.equal(renewals.known.provenAt, isProven ? 100 : -Infinity, name);
+  }
+});
+
+test('a promise that an answer tells of counts from the arrival of the answer', async () => {
+  const asker = new Asker([{ remainsS: 1.5 }, null]);
+  await asker.renewals.request();
+  assert.deepEqual(asker.renewals.known, { keptUntil: asker.now + 1.5, provenAt: 100 });
+});
+
+test('until a majority has acknowledged the leader, others may renew at any moment', async () => {
+  const clock = { now: (): number => 100 };
+  const renewals = new SubstituteRenewals({
+    ...{ acknowledged: new QuorumAcknowledgement(TOKEN, 3, clock), controllerCount: 3, clock },
+    names: () => [],
+    askElected: () => Promise.resolve(null),
+  });
+  assert.equal(await renewals.request(), false);
+  assert.deepEqual(renewals.known, { keptUntil: 100, provenAt: -Infinity });
+});
+
+// Tasks were on two machines: a lease counted as expired that others had renewed unknown to the leader.
+test('a lease is over only when a majority that was asked after its end knows of no renewal', async () => {
+  // Both in leases from now on.
+  const cases: [string, number, number, boolean][] = [
+    ['nobody has answered', -Infinity, -Infinity, false],
+    ['asked before its end', -Infinity, 1, false],
+    ['asked after its end', -Infinity, 2, true],
+    ['asked after its end, renewed by others', 2, 2, false],
+  ];
+  for (const [name, keptLeases, provenLeases, isLost] of cases) {
+    const world = await worldWith(['a', 'b']);
+    const leaseS = world.settings.workers.lease_s;
+    world.submitJob({ id: JOB, gpus: 8, cores: 8 });
+    await world.run(1);
+    const [on] = [...world.fleet.workers.values()].filter(({ tasks }) => tasks.size > 0);
+    on!.mute = true;
+    // Renewed by others.
+    if (!isLost) on!.answeredAt = Infinity;
+    world.othersRenewal = {
+      keptUntil: world.now + keptLeases * leaseS,
+      provenAt: world.now + provenLeases * leaseS,
+    };
+    world.proofsRequested = 0;
+    await world.run(leaseS * 1.9);
+    assert.equal(world.fleet.starts.get(`${JOB}/0`), isLost ? 2 : 1, name);
+    assert.equal(world.proofsRequested > 0, provenLeases <= 1, name);
+    assert.deepEqual(world.fleet.violations, [], name);
+  }
+});
--- a/test/support/leader-world.ts
+++ b/test/support/leader-world.ts
@@ -59,6 +59,10 @@
   token = 0;
   canWrite = true;
   zoneRenewal = { keptUntil: -Infinity, provenAt: Infinity };
+  /** What others renew in the leader's place. */
+  othersRenewal = { keptUntil: -Infinity, provenAt: Infinity };
+  /** How often the leader has asked a majority for a proof of that. */
+  proofsRequested = 0;
   machinesGivenBack: string[] = [];
   /** By how much the time of day has jumped on the leader's machine. */
   wallJumpMs = 0;
@@ -116,9 +120,10 @@
         allReadDenseRecords: () => true,
         isEntitled: () => this.token === token,
         canWrite: () => this.canWrite && this.token === token,
-        othersRenewUntil: () => -Infinity,
+        othersRenewal: () => this.othersRenewal,
+        requestOthersProof: () => void this.proofsRequested++,
         zoneRenewal: () => this.zoneRenewal,
-        requestProof: () => undefined,
+        requestZoneProof: () => undefined,
         cancellationKnownAt: () => undefined,
       },
       {
--- a/test/support/scheduler-world.ts
+++ b/test/support/scheduler-world.ts
@@ -42,9 +42,10 @@
       allReadDenseRecords: () => true,
       isEntitled: () => true,
       canWrite: () => true,
-      othersRenewUntil: () => -Infinity,
+      othersRenewal: () => ({ keptUntil: -Infinity, provenAt: Infinity }),
+      requestOthersProof: () => undefined,
       zoneRenewal: () => ({ keptUntil: this.keptUntil, provenAt: Infinity }),
-      requestProof: () => undefined,
+      requestZoneProof: () => undefined,
       cancellationKnownAt: () => undefined,
     });
     const forecast = new DemandForecast(
--- a/test/support/simulated-controller.ts
+++ b/test/support/simulated-controller.ts
@@ -15,10 +15,11 @@
 import { OutageQuorum } from '../../src/leadership/outage-quorum.js';
 import { QuorumAcknowledgement } from '../../src/leadership/quorum-acknowledgement.js';
 import { renewalAllowanceS } from '../../src/leadership/renewal-allowance.js';
+import { SubstituteRenewals } from '../../src/leadership/substitute-renewals.js';
 import { TermEntitlement, leaseEnd } from '../../src/leadership/term-entitlement.js';
 import type { ZoneLeaseHolder, ZoneLeaseWatch } from '../../src/leadership/zone-lease.js';
 import { DEFAULT_POLICY } from '../../src/operator/policy.js';
-import type { Answer, Question } from '../../src/peers/messages.js';
+import type { Answer, ElectedAnswer, Question } from '../../src/peers/messages.js';
 import type { PeerNetwork } from '../../src/peers/peer-network.js';
 import {
   OutcomeUnknownError,
@@ -362,6 +363,11 @@
     const clock = { now: () => this.world.now };
     const { controllerCount } = this.settings;
     const acknowledged = new QuorumAcknowledgement(token, controllerCount, clock);
+    const renewals = new SubstituteRenewals({
+      ...{ acknowledged, controllerCount, clock },
+      names: () => this.peers.names,
+      askElected: (node) => this.askElected(node, token),
+    });
     const leader = new Leader(
       {
         ...{ settings: this.settings, clock, log: this.world.log, policy: DEFAULT_POLICY, token },
@@ -371,9 +377,10 @@
         allReadDenseRecords: () => true,
         isEntitled: () => this.isEntitled && this.term?.token === token,
         canWrite: () => this.isEntitled && this.term?.token === token && !this.term.inOutage,
-        othersRenewUntil: () => acknowledged.othersRenewUntil,
+        othersRenewal: () => renewals.known,
+        requestOthersProof: () => void renewals.request(),
         zoneRenewal: () => ({ keptUntil: -Infinity, provenAt: Infinity }),
-        requestProof: () => undefined,
+        requestZoneProof: () => undefined,
         cancellationKnownAt: (job) => this.cancellationTimes.of(job),
       },
       {
@@ -420,11 +427,14 @@
     this.depose();
   }
 
+  private async askElected(node: string, token: number): Promise<ElectedAnswer | null> {
+    return (await this.ask(node, { q: 'elected', token })) as ElectedAnswer | null;
+  }
+
   private async collectAcknowledgements(term: SimulatedTerm): Promise<void> {
     for (const node of this.peers.names) {
       if (term.acknowledged.has(node)) continue;
-      const answer = await this.ask(node, { q: 'elected', token: term.token });
-      const remainsS = (answer as { remainsS?: number } | null)?.remainsS;
+      const remainsS = (await this.askElected(node, term.token))?.remainsS;
       if (remainsS !== undefined) term.acknowledged.record(node, { remainsS });
     }
   }
