A promise that another controller relies on is not taken back with another one

What callers would see: a later leader counts leases as expired that are still renewed, so tasks on two machines. Never seen; found by reading every place in which a promise is kept too briefly. Cause: two questions at once, one value. The answer to a question that found the store serving put the promise back to what it was before, unless it had been raised since. One that was given in between and was not longer went with it. Evidence: test/outage-promises, with the store's answers by hand, fails before at "the kept one is shorter, the other one is answered first". Change: each promise stands for itself; the end is that of the latest that holds or may come to hold. Why it works: withdrawing one removes that one only, in any order of the answers.

--- a/src/leadership/outage-quorum.ts
+++ b/src/leadership/outage-quorum.ts
@@ -7,6 +7,7 @@
 import { MAX_FRAME } from '../peers/frames.js';
 import type { RefusedAnswer } from '../peers/messages.js';
 import type { PeerNetwork } from '../peers/peer-network.js';
+import { OutagePromises } from './outage-promises.js';
 import { UNHEARD_CONFIRM_S } from './renewal-allowance.js';
 
 /** Of a frame between controllers, what the cancellations told in one answer may take. */
@@ -66,8 +67,7 @@
 export class OutageQuorum {
   /** The latest leader that this controller has acknowledged: it bears witness for no older one. */
   acknowledged = 0;
-  /** This controller has promised not to take over before. */
-  promisedUntil = -Infinity;
+  private readonly promises = new OutagePromises();
   private renewsUntil = -Infinity;
   private currentCheck: Promise<boolean> | null = null;
   private readonly startedAt: number;
@@ -80,6 +80,11 @@
     return this.options.clock.now();
   }
 
+  /** This controller has promised not to take over before. */
+  get promisedUntil(): number {
+    return this.promises.until;
+  }
+
   /** Asked by another node: looks at the key-value store now, not at what it said before. */
   async answer(token: number, forMs: number, applied: number): Promise<RefusedAnswer> {
     // A process that has not read the store knows neither the leader nor the cancellations that the
@@ -92,28 +97,22 @@
     }
     // One that only stands is as good a witness as any: it may stand again and again in an outage.
     if (this.options.leads()) return { refused: false };
-    const promise =
-      this.now + (Math.min(forMs, leaseTtlS * 1000) / 1000) * (1 + 2 * MAX_CLOCK_DRIFT);
-    const before = this.promisedUntil;
-    const given = Math.max(before, promise);
-    this.promisedUntil = given;
-    // Another answer may have promised more meanwhile: that stays.
-    const takeBack = (): void => {
-      if (this.promisedUntil === given) this.promisedUntil = before;
-    };
+    const forS = Math.min(forMs / 1000, leaseTtlS);
+    const promise = this.promises.make(this.now + forS * (1 + 2 * MAX_CLOCK_DRIFT));
     try {
       await store.get(records.LEADER, PROBE_TIMEOUT_S);
-      takeBack();
+      promise.withdraw();
       return { refused: false };
     } catch (error) {
       if (error instanceof RequestRejectedError && error.status === 503) {
+        promise.keep();
         // An outage may keep the last cancellations from the leader: their tasks must go all the same.
         const cancelled = events.cancelledSince(applied);
         if (!replicaSync.ready || !fitInOneFrame(cancelled)) return {};
         const freshAgeS = this.now - replicaSync.freshAt;
         return { refused: true, cancelled, freshAgeS };
       }
-      takeBack();
+      promise.withdraw();
       return {};
     }
   }
--- /dev/null
+++ b/test/outage-promises.test.ts
@@ -0,0 +1,96 @@
+/** Promises and renewals that a controller remembers: a later leader counts leases from their end. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { OutageQuorum } from '../src/leadership/outage-quorum.js';
+import { silentLog } from '../src/log.js';
+import type { RefusedAnswer } from '../src/peers/messages.js';
+import type { PeerNetwork } from '../src/peers/peer-network.js';
+import { RequestRejectedError, type KeyValueStoreClient } from '../src/store/client.js';
+import type { ReplicaSync } from '../src/store/replica-sync.js';
+import type { Replica } from '../src/store/replica.js';
+import { fake } from './support/fake.js';
+
+const TTL_S = 3;
+const TOKEN = 7;
+
+/** A controller that is asked, and asks, about refusals; its reads of the store are answered by hand. */
+class Witness {
+  now = 100;
+  peerFreshAgeS = 0;
+  readonly replicaSync = { ready: true, freshAt: 100 };
+  private readonly reads: ((served: boolean) => void)[] = [];
+  private storeRefuses = false;
+  readonly outage: OutageQuorum;
+
+  constructor(allowanceS = 10) {
+    this.outage = new OutageQuorum({
+      controllerCount: 3,
+      leaseTtlS: TTL_S,
+      allowanceS,
+      store: fake<KeyValueStoreClient>({ get: () => this.read(), rejectedSince: 0 }),
+      replicaSync: fake<ReplicaSync>(this.replicaSync),
+      replica: fake<Replica>({ leader: { revision: TOKEN, node: 'a' }, applied: 1 }),
+      peers: () =>
+        fake<PeerNetwork>({
+          names: ['x'],
+          ask: () => Promise.resolve({ refused: true, freshAgeS: this.peerFreshAgeS }),
+        }),
+      clock: { now: () => this.now },
+      log: silentLog(),
+      events: { onKnownCancelled: () => undefined, cancelledSince: () => [] },
+      leads: () => false,
+    });
+    // Long after the start of its process.
+    this.now += 1000;
+    this.replicaSync.freshAt = this.now;
+  }
+
+  private read(): Promise<null> {
+    if (this.storeRefuses) return Promise.reject(new RequestRejectedError(503));
+    return new Promise((resolve, reject) => {
+      this.reads.push((served) => (served ? resolve(null) : reject(new RequestRejectedError(503))));
+    });
+  }
+
+  /** From now on each read is refused at once. */
+  refuseReads(): void {
+    this.storeRefuses = true;
+  }
+
+  /** Asked whether it is refused; `served` answers its read of the store. */
+  ask(forS: number): { answer: Promise<RefusedAnswer>; served: (served: boolean) => void } {
+    const answer = this.outage.answer(TOKEN, forS * 1000, 1);
+    return { answer, served: this.reads.at(-1)! };
+  }
+}
+
+// A promise that another controller relied on was forgotten, and a later leader counted leases as expired too early.
+test('a promise is kept although a question that came with it found the store serving', async () => {
+  const cases: [string, number, number][] = [
+    ['the kept one is shorter', 1.5, 1],
+    ['they are equal', 1, 1],
+    ['the kept one is longer', 1, 1.5],
+  ];
+  for (const [name, otherS, keptS] of cases) {
+    for (const order of ['the other one is answered first', 'the kept one is answered first']) {
+      const witness = new Witness();
+      const other = witness.ask(otherS);
+      const kept = witness.ask(keptS);
+      const settle = [
+        async (): Promise<void> => {
+          other.served(true);
+          assert.deepEqual(await other.answer, { refused: false });
+        },
+        async (): Promise<void> => {
+          kept.served(false);
+          assert.equal((await kept.answer).refused, true);
+        },
+      ];
+      if (order !== 'the other one is answered first') settle.reverse();
+      for (const step of settle) await step();
+      const until = witness.outage.acknowledge(TOKEN + 1);
+      assert.ok(until >= witness.now + keptS, `${name}, ${order}`);
+      assert.ok(until < witness.now + keptS * 1.1, `${name}, ${order}: no longer than that`);
+    }
+  }
+});
