A controller remembers until when it renewed leases, and tells each later leader that asks

What callers would see: tasks on two machines. A later leader counts leases from the time that the others tell it, and was told of none of their renewals in three cases: the answer to its first question was lost; the renewing leader's term had ended by itself before it was asked; the substitute's next majority knew less, so its word ended earlier than the one before. Cause: what had been renewed was kept only as long as it could be continued, and was forgotten with the right to do so. Change: one memory of own renewals, as a leader or in a leader's place, that only grows; each answer to a leader tells it. The simulated controller tells of its own term as the program does. Messages are as before. Why it works: the question was "until when may you have renewed", and its answer no longer depends on what was asked before. A process that began anew tells of the life of a promise after its start, as before, which covers what it has forgotten.

--- a/src/leadership/election.ts
+++ b/src/leadership/election.ts
@@ -85,12 +85,19 @@
     this.role = role;
     if (role === 'leader') this.vacantSince = null;
     if (role === 'follower' && led) {
+      this.noteOwnRenewals();
       this.entitlement = null;
       this.options.store.setRole('follower');
       this.options.events.onDeposed();
     }
   }
 
+  /** A later leader that asks for acknowledgement must know until when this one may have renewed leases. */
+  private noteOwnRenewals(): void {
+    const until = this.entitlement?.validUntil ?? -Infinity;
+    this.outage.noteRenewals(Math.min(this.options.clock.now(), until));
+  }
+
   private get isLeading(): boolean {
     return this.role === 'leader' || this.role === 'leader-in-outage';
   }
@@ -323,15 +330,11 @@
    * far have ended.
    */
   acknowledge(token: number): number {
-    const now = this.options.clock.now();
-    const known = token <= this.outage.acknowledged;
-    let until = this.outage.acknowledge(token);
-    if (!known && token > this.token && this.isLeading) {
-      until = Math.max(until, Math.min(now, this.entitlement?.validUntil ?? -Infinity));
+    if (token > this.outage.acknowledged && token > this.token && this.isLeading) {
       this.options.log.info({ token: this.token, later: token }, 'newer leader acknowledged');
       this.changeRole('follower');
     }
-    return until - now;
+    return this.outage.acknowledge(token) - this.options.clock.now();
   }
 
   /** Ends `run`; an election that is under way is not won any more. */
--- a/src/leadership/outage-quorum.ts
+++ b/src/leadership/outage-quorum.ts
@@ -68,7 +68,10 @@
   /** The latest leader that this controller has acknowledged: it bears witness for no older one. */
   acknowledged = 0;
   private readonly promises = new OutagePromises();
+  /** End of the present majority's word, by which this controller may renew leases. */
   private renewsUntil = -Infinity;
+  /** Until when this controller may have renewed leases before that, in a leader's place or as a leader. */
+  private renewedUntil = -Infinity;
   private currentCheck: Promise<boolean> | null = null;
   private readonly startedAt: number;
 
@@ -119,18 +122,23 @@
 
   /**
    * From now on this controller neither acts for a leader older than this one nor bears witness for it.
-   * Returns the steady time at which its promises so far have ended.
+   * Returns the steady time at which its promises, and what it has renewed itself, have ended: the same
+   * however often it is asked, since an answer may be lost.
    */
   acknowledge(token: number): number {
-    const { now } = this;
-    let until = Math.max(this.promisedUntil, Math.min(now, this.renewsUntil));
-    // A process that began just now does not know what the one before it promised.
-    until = Math.max(until, this.startedAt + this.options.leaseTtlS * (1 + 2 * MAX_CLOCK_DRIFT));
+    this.noteRenewals(Math.min(this.now, this.renewsUntil));
     if (token > this.acknowledged) {
       this.acknowledged = token;
       this.renewsUntil = -Infinity;
     }
-    return until;
+    // A process that began just now does not know what the one before it promised.
+    const unknownUntil = this.startedAt + this.options.leaseTtlS * (1 + 2 * MAX_CLOCK_DRIFT);
+    return Math.max(this.promisedUntil, this.renewedUntil, unknownUntil);
+  }
+
+  /** Leases may have been renewed by this controller until then. */
+  noteRenewals(until: number): void {
+    this.renewedUntil = Math.max(this.renewedUntil, until);
   }
 
   /**
@@ -163,6 +171,7 @@
     const majority = await this.majorityRejected(leader.revision, this.substituteS);
     if (majority === null || this.acknowledged > leader.revision) return false;
     const until = askedAt + this.substituteS * (1 - 2 * MAX_CLOCK_DRIFT);
+    this.noteRenewals(this.renewsUntil);
     this.renewsUntil = Math.min(until, this.renewalBound(majority));
     if (this.now >= this.renewsUntil) return false;
     this.options.log.info({ token: leader.revision }, 'renewing leases for a failed leader');
--- a/test/meeting-elections.test.ts
+++ b/test/meeting-elections.test.ts
@@ -313,3 +313,23 @@
   assert.equal(await controller.campaign(), false);
   assert.equal(controller.election.isEntitled, false);
 });
+
+// A later leader asked twice, since the first answer was lost, or once the term was over, and learnt of no renewals.
+test('a former leader tells until when it may have renewed leases, as often as it is asked', async () => {
+  const ends: [string, (controller: Controller) => Promise<void> | number][] = [
+    ['by the question itself', (controller) => controller.election.acknowledge(99)],
+    ['by itself', (controller) => controller.election.stepDown()],
+  ];
+  for (const [name, end] of ends) {
+    const controller = new Controller(new MemoryStore());
+    await controller.campaign();
+    controller.now += LIFE / 2;
+    const endedAt = controller.now;
+    await end(controller);
+    for (let i = 0; i < 3; i++) {
+      const until = controller.election.acknowledge(99) + controller.now;
+      assert.ok(Math.abs(until - endedAt) < 1e-9, `${name}: ${until}, not ${endedAt}`);
+      controller.now += LIFE;
+    }
+  }
+});
--- a/test/outage-promises.test.ts
+++ b/test/outage-promises.test.ts
@@ -94,3 +94,35 @@
     }
   }
 });
+
+// A substitute whose majority knew less the second time told of an earlier end than the one up to which it had renewed.
+test('a substitute tells until when it renewed, also after a majority that knows less', async () => {
+  const allowanceS = 10;
+  const witness = new Witness(allowanceS);
+  witness.refuseReads();
+  // Fresh only by the other one, long ago: the word holds for a moment more.
+  witness.replicaSync.freshAt = witness.now - 1000;
+  witness.peerFreshAgeS = 45 + allowanceS - 0.5;
+  assert.equal(await witness.outage.mayRenewLeases(), true);
+  witness.now += 0.4;
+  assert.equal(await witness.outage.mayRenewLeases(), true);
+  const renewedAt = witness.now;
+  witness.now += 0.2;
+  witness.peerFreshAgeS = 2000;
+  assert.equal(await witness.outage.mayRenewLeases(), false);
+  assert.ok(witness.outage.acknowledge(TOKEN + 1) >= renewedAt);
+});
+
+// The answer was lost, and the one to the next question no longer told of these renewals.
+test('a substitute tells until when it renewed as often as it is asked', async () => {
+  const witness = new Witness();
+  witness.refuseReads();
+  assert.equal(await witness.outage.mayRenewLeases(), true);
+  witness.now += 0.5;
+  const stoppedAt = witness.now;
+  for (let i = 0; i < 3; i++) {
+    assert.equal(witness.outage.acknowledge(TOKEN + 1), stoppedAt);
+    assert.equal(await witness.outage.mayRenewLeases(), false);
+    witness.now += 5;
+  }
+});
--- a/test/support/simulated-controller.ts
+++ b/test/support/simulated-controller.ts
@@ -299,9 +299,8 @@
   }
 
   private acknowledge(token: number): number {
-    const until = this.outage.acknowledge(token);
     if (this.term !== null && token > this.term.token) this.depose();
-    return until - this.world.now;
+    return this.outage.acknowledge(token) - this.world.now;
   }
 
   /** Whether it has read that a job is cancelled. */
@@ -408,6 +407,7 @@
 
   private depose(): void {
     if (this.term === null) return;
+    this.outage.noteRenewals(Math.min(this.world.now, this.term.entitlement.validUntil));
     this.term = null;
     this.replica.listener = this.followerListener;
   }
