Test: a search over freezes of any controller for any time, beside outages, cuts and deaf machines

After every step: no task on two machines, none that is cancelled runs or may still start after its time, no quota exceeded.

--- /dev/null
+++ b/test/frozen-controllers-random.test.ts
@@ -0,0 +1,96 @@
+/**
+ * Controllers that freeze for any time, beside outages, refusals of one alone, cut links, machines that are not reached,
+ * leaders that end and direct commands that are held back, in any order and in injected time: after every step no task is on
+ * two machines, none that is cancelled runs or may start after its time, and no quota is exceeded. A fixed seed; more with
+ * `FREEZES_RUNS=5000 FREEZES_SEED=7 node --test target/check/test/frozen-controllers-random.test.js`.
+ */
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { anyOf, playDay, type DayEvent } from './support/day-search.js';
+import { TIMES, TROUBLES, type Trouble } from './support/troubled-days.js';
+
+const RUNS = Number(process.env.FREEZES_RUNS ?? 1200);
+const SEED = Number(process.env.FREEZES_SEED ?? 1);
+/** The five jobs of a day have ten tasks, and two more jobs may come before some must wait. */
+const GPUS_MAX = 14;
+/** A freeze is a multiple of this share of a lease: shorter and longer than the life of a leader's key. */
+const FREEZE_STEP_LEASES = 1 / 15;
+/** Numbers choose a controller by their remainder, and the length of its freeze by the rest. */
+const CONTROLLERS = 3;
+const LARGEST_NUMBER = 20 * CONTROLLERS;
+
+const freezeS = (leaseS: number, number: number): number =>
+  leaseS * FREEZE_STEP_LEASES * (1 + Math.floor(number / CONTROLLERS));
+
+const FREEZES: Record<string, Trouble> = {
+  'the leader freezes': (world, number) => {
+    const leader = world.leader ?? world.controllers[0]!;
+    leader.frozenUntil = world.now + freezeS(world.times.leaseS, number);
+  },
+  'a controller freezes': (world, number) => {
+    const controller = world.controllers[number % CONTROLLERS]!;
+    controller.frozenUntil = world.now + freezeS(world.times.leaseS, number);
+  },
+};
+
+const OTHERS: Record<string, Trouble> = {
+  'a controller is refused alone': (world, number) => {
+    world.controllers[number % CONTROLLERS]!.ownStoreHealth = 'refused';
+  },
+  'a job arrives': (world) => {
+    if (world.storeOutage) return;
+    const id = `wk-${String(world.accepted.length).padStart(6, '0')}`;
+    world.submitJob({ id, kind: 'service', tasks: 2, gpus: 1, cores: 1 });
+  },
+};
+
+const ALL: Record<string, Trouble> = { ...TROUBLES, ...OTHERS, ...FREEZES };
+
+const event = (...names: string[]): fc.Arbitrary<DayEvent> => anyOf(names, LARGEST_NUMBER);
+const anyEvents = (maxLength: number): fc.Arbitrary<DayEvent[]> =>
+  fc.array(event(...Object.keys(ALL)), { maxLength });
+
+/** A freeze beside what lets others renew leases, and a machine that is not reached afterwards. */
+const anyTroubles = fc.tuple(
+  anyEvents(3),
+  event(...Object.keys(FREEZES)),
+  event('outage', 'a controller is refused alone', 'a controller is cut from the others'),
+  anyEvents(3),
+  event('a machine is deaf', 'a machine is mute'),
+  anyEvents(2),
+  event('the outage is over', 'links are whole', 'the leader ends', 'outage'),
+  anyEvents(4),
+);
+
+/** The leader is frozen for most of an outage, and a machine is not reached from its end on. */
+const frozenInOutage = fc.tuple(
+  anyEvents(1),
+  event('the leader freezes'),
+  event('outage'),
+  anyEvents(1),
+  event('the outage is over'),
+  event('a machine is deaf', 'a machine is mute'),
+  anyEvents(1),
+);
+
+const events = fc.oneof(anyTroubles, frozenInOutage).map((parts) => parts.flat());
+
+const day = fc.record({
+  times: fc.constantFrom(...TIMES),
+  reportsNewToken: fc.boolean(),
+  gpusMax: fc.constant(GPUS_MAX),
+  events,
+});
+
+// A leader that was frozen across an outage started tasks that others had kept running.
+test('freezes in any order beside other troubles: no task is on two machines, none outlives its cancellation', async () => {
+  await fc.assert(
+    fc.asyncProperty(day, (each) => playDay(each, ALL).then(() => undefined)),
+    {
+      seed: SEED,
+      numRuns: RUNS,
+      interruptAfterTimeLimit: Math.max(200, RUNS / 4) * 1000,
+      markInterruptAsFailure: true,
+    },
+  );
+});
--- a/test/support/control-plane-world.ts
+++ b/test/support/control-plane-world.ts
@@ -81,7 +81,11 @@
   private readonly unconfirmed = new Set<string>();
   private leaderKeyUntil = -Infinity;
 
-  constructor(readonly times: DeploymentTimes = INCIDENT_TIMES) {
+  constructor(
+    readonly times: DeploymentTimes = INCIDENT_TIMES,
+    /** GPUs that the jobs may hold at most; 0: any number. */
+    private readonly gpusMax = 0,
+  ) {
     this.fleet = new Fleet(times.leaseS);
     const ports = Array.from({ length: CONTROLLERS }, (_, i) => ({ bind: i + 1, peer: i + 11 }));
     this.store.put(records.MACHINE_TYPES, [g8]);
@@ -90,7 +94,7 @@
       const text = settingsText(index, ports, 3, 4, times.leaseS, zones, times.cancelS);
       const parsed = parseSettings(text);
       const workers = { ...parsed.workers, report_s: times.reportS };
-      parsed.teams.set('t', { name: 't', cores: 0, coresMax: 0, gpus: 0, gpusMax: 0 });
+      parsed.teams.set('t', { name: 't', cores: 0, coresMax: 0, gpus: 0, gpusMax });
       return new SimulatedController(this, { ...parsed, workers });
     });
     const names = this.controllers.map(({ node }) => node);
@@ -271,6 +275,13 @@
     return late;
   }
 
+  /** What is running beyond the quota; each task has one GPU. */
+  overQuota(): string[] {
+    if (this.gpusMax === 0) return [];
+    const running = this.accepted.reduce((sum, id) => sum + this.fleet.running(id), 0);
+    return running <= this.gpusMax ? [] : [`${running} tasks of at most ${this.gpusMax}`];
+  }
+
   /** Cancelled tasks that are still on machines after their time. */
   overdueTasks(): string[] {
     const overdue: string[] = [];
--- a/test/support/troubled-days.ts
+++ b/test/support/troubled-days.ts
@@ -86,6 +86,8 @@
 export interface TroubledDay {
   times: DeploymentTimes;
   reportsNewToken: boolean;
+  /** GPUs that the jobs may hold at most; missing: any number. */
+  gpusMax?: number;
   events: readonly { what: string; steps: number; number: number }[];
 }
 
@@ -93,8 +95,9 @@
 export async function beginDay({
   times,
   reportsNewToken,
+  gpusMax = 0,
 }: TroubledDay): Promise<ControlPlaneWorld> {
-  const world = new ControlPlaneWorld(times);
+  const world = new ControlPlaneWorld(times, gpusMax);
   for (let i = 0; i < MACHINES; i++) {
     const worker = world.fleet.add(`host-00000${i}`);
     world.reportLoops.push(new ReportLoop(world, worker, { reportsNewToken }, i));
