A start is refused also where nobody but its leader, which ended, had read its claim

What callers would see: a task of a cancelled job started 2.5 s after its time. Cause: a leader that had read a job but not its cancellation stores a claim and sends the start; an outage begins before anybody else reads that, and the leader ends. Whoever renews the machine's lease in its place has read the cancellation, and knows no claim that it would belong to: so it repeated the token with which the start is valid. The variant in which the leader goes on in the outage passed before too: the others name the cancellation, since it came after what the leader had read. It stays as a guard. Change: a substitute gives the latest revision that it has read also while its copy shows a job, cancelled in this term, with tasks that it shows no claim of. Results of the search for cancelled jobs are kept for several revisions at once, since substitutes and confirmers now ask for different ones. Why it works: such a start carries the token that its machine had shown, which is not above what was read.

--- a/src/heartbeat/heartbeat-handler.ts
+++ b/src/heartbeat/heartbeat-handler.ts
@@ -216,7 +216,7 @@
       leaderToken,
       replica,
       isCancelled,
-      hasUnreadCancellations: hasUnreadCancellations(),
+      mayLackClaims: hasUnreadCancellations() || replica.mayLackClaimsSince(leaderToken),
     });
     if (token === null) return { status: 503, retryAfter: 1 };
     this.counts.renewedForLeader++;
--- a/src/heartbeat/substitute-token.ts
+++ b/src/heartbeat/substitute-token.ts
@@ -10,8 +10,11 @@
   leaderToken: number;
   replica: Pick<Replica, 'machines' | 'applied'>;
   isCancelled: (job: string) => boolean;
-  /** Whether cancellations were heard of that the replica does not show; so it may lack claims as well. */
-  hasUnreadCancellations: boolean;
+  /**
+   * Whether a claim may be missing in the replica whose task is cancelled: cancellations were heard of that it does not
+   * show, or it shows some of this term, which the leader had perhaps not read when it stored its last claims.
+   */
+  mayLackClaims: boolean;
 }
 
 /**
@@ -24,12 +27,12 @@
  * that of the record, which the claim is read from, or of what was read at all.
  */
 export function substituteToken(options: SubstituteTokenOptions): number | null {
-  const { heartbeat, leaderToken, replica, hasUnreadCancellations } = options;
+  const { heartbeat, leaderToken, replica, mayLackClaims } = options;
   const stored = replica.machines.get(heartbeat.machine);
   const recorded = stored?.record.term === leaderToken ? stored.record.token : undefined;
   const token = Math.max(heartbeat.token, recorded ?? leaderToken);
   if (token > Math.max(recorded ?? leaderToken, replica.applied)) return null;
-  if (hasUnreadCancellations) return Math.max(token, replica.applied);
+  if (mayLackClaims) return Math.max(token, replica.applied);
   return awaitsCancelledStart(options) ? Math.max(token, stored!.revision) : token;
 }
 
--- a/src/store/job-table.ts
+++ b/src/store/job-table.ts
@@ -8,6 +8,16 @@
 import { neverStarted, outcome, specOf, type StoredJob } from './stored-job.js';
 import { countDone, decodeBits, parseProgressKey } from './stored-progress.js';
 
+/** Jobs whose cancellation was stored after a revision. */
+interface CancelledSince {
+  ids: readonly string[];
+  /** A leader that had not read one of them may have stored a claim of it that this copy does not show. */
+  mayLackClaims: boolean;
+}
+
+/** Results of `cancelledSince` that are kept: one for each controller that may ask, and some more. */
+const MAX_KEPT_RESULTS = 16;
+
 /** All jobs that were ever accepted, kept up to date by a listing and then by the stream of changes. */
 export class JobTable {
   readonly jobs = new Map<string, StoredJob>();
@@ -16,7 +26,7 @@
   listing = false;
   private readonly earlyCancels = new Map<string, number>();
   private readonly earlyProgress = new Map<string, KeyValue[]>();
-  private lastCancelled = { since: -1, applied: -1, ids: [] as readonly string[] };
+  private cancelled = { applied: -1, since: new Map<number, CancelledSince>() };
   private readonly compactor = new JobCompactor();
 
   constructor(
@@ -61,20 +71,31 @@
 
   /**
    * Ids of jobs that may have tasks and whose cancellation was stored after `revision`, as far as this copy
-   * goes, which holds all changes up to `applied`. Rarely asked for, and then several times for the same
-   * revision: the last result is kept.
+   * goes, which holds all changes up to `applied`. Rarely asked for, and then many times for a few revisions
+   * while nothing is read: the results are kept until something is.
    */
-  cancelledSince(revision: number, applied: number): readonly string[] {
-    const last = this.lastCancelled;
-    if (last.since === revision && last.applied === applied) return last.ids;
+  cancelledSince(revision: number, applied: number): CancelledSince {
+    if (this.cancelled.applied !== applied) this.cancelled = { applied, since: new Map() };
+    const { since } = this.cancelled;
+    let found = since.get(revision);
+    if (found !== undefined) return found;
+    if (since.size >= MAX_KEPT_RESULTS) since.clear();
+    found = this.findCancelledSince(revision);
+    since.set(revision, found);
+    return found;
+  }
+
+  private findCancelledSince(revision: number): CancelledSince {
     const ids: string[] = [];
+    let mayLackClaims = false;
     for (const [id, storedJob] of this.jobs) {
       if (storedJob.cancelledAt === null || storedJob.cancelledAt <= revision) continue;
       // What never started has no task whose lease could be renewed: a cascade may hold thousands.
-      if (outcome(storedJob) === 'cancelled' && !neverStarted(storedJob)) ids.push(id);
+      if (outcome(storedJob) !== 'cancelled' || neverStarted(storedJob)) continue;
+      ids.push(id);
+      mayLackClaims ||= storedJob.claimCount < storedJob.spec.tasks - storedJob.doneTasks;
     }
-    this.lastCancelled = { since: revision, applied, ids };
-    return ids;
+    return { ids, mayLackClaims };
   }
 
   /** A batch of accepted jobs and cancellations. */
--- a/src/store/replica.ts
+++ b/src/store/replica.ts
@@ -79,7 +79,12 @@
 
   /** See `JobTable.cancelledSince`. */
   cancelledSince(revision: number): readonly string[] {
-    return this.jobTable.cancelledSince(revision, this.applied);
+    return this.jobTable.cancelledSince(revision, this.applied).ids;
+  }
+
+  /** Whether claims of jobs that were cancelled after a revision may be stored that this copy does not show. */
+  mayLackClaimsSince(revision: number): boolean {
+    return this.jobTable.cancelledSince(revision, this.applied).mayLackClaims;
   }
 
   /**
--- a/test/heartbeat-bytes.test.ts
+++ b/test/heartbeat-bytes.test.ts
@@ -47,6 +47,7 @@
         lastToken: 5,
         jobs: new Map(),
         machines: new Map(),
+        mayLackClaimsSince: () => false,
       },
       peers: { names: ['n-1'], ask },
       zoneLeaseHolder: null,
--- a/test/late-starts.test.ts
+++ b/test/late-starts.test.ts
@@ -15,6 +15,7 @@
 import { test } from 'node:test';
 import * as records from '../src/store/records.js';
 import { ControlPlaneWorld, INCIDENT_TIMES } from './support/control-plane-world.js';
+import type { SimulatedController } from './support/simulated-controller.js';
 import type { Worker } from './support/simulated-fleet.js';
 
 const JOB = 'wk-000001';
@@ -185,3 +186,57 @@
     assert.equal(world.fleet.starts.get(`${OTHER_JOB}/0`), undefined);
   }
 });
+
+interface LateClaim extends HeldBackStart {
+  /** The job whose task is claimed; its user has been told that it is cancelled. */
+  late: string;
+  leader: SimulatedController;
+}
+
+/** An outage begins as the leader has stored a claim that nobody else has read, of a job whose cancellation it has not read. */
+async function claimBeforeOutage(): Promise<LateClaim> {
+  const held = await startOnItsWay();
+  const { world } = held;
+  world.deliverHeldBack();
+  await heartbeats(held, world.times.leaseS);
+  const late = 'wk-000004';
+  const leader = world.controller('n-2');
+  // The leader reads the job, and not that it is cancelled.
+  world.submitJob({ id: late });
+  (leader as unknown as { read(): void }).read();
+  Object.assign(leader, { readsLost: true, peersReachable: false });
+  world.cancel(late);
+  // The others take their turns before it, read the cancellation, and do not read the claim any more.
+  await world.runUntil(world.now + world.times.reportS / 10);
+  assert.ok(world.toldAt.has(late));
+  world.storeOutage = true;
+  const claims = records.decodeMachine(world.store.value(records.machineKey(MACHINE))).claims;
+  assert.ok(
+    claims.some(({ job }) => job === late),
+    'its claim is stored',
+  );
+  return { ...held, late, leader };
+}
+
+// Nobody else knew of the claim, so whoever renewed the lease in the outage gave no token that refuses its start.
+test('a start whose claim was stored just before an outage is refused, although its leader ended', async () => {
+  const held = await claimBeforeOutage();
+  const { world, worker, leader } = held;
+  world.holdsDirectCommands = true;
+  await leader.step();
+  leader.kill();
+  await heartbeats(held, world.times.cancelS + world.times.reportS);
+  assert.equal(worker.answeredAt, world.now, 'its lease is renewed');
+  assert.deepEqual(world.lateStarts(), []);
+});
+
+// Whoever confirmed the leader in the outage did not name a cancelled job that had no task by what it had read itself.
+test('a leader that claims a cancelled task just before an outage hears that it is cancelled', async () => {
+  const { world, worker, late, leader } = await claimBeforeOutage();
+  world.holdsDirectCommands = false;
+  leader.peersReachable = true;
+  await heartbeats({ world, worker, node: 'n-0' }, world.times.cancelS + world.times.reportS);
+  assert.equal(worker.answeredAt, world.now, 'its lease is renewed');
+  assert.deepEqual(worker.running(late), []);
+  assert.deepEqual(world.overdueTasks(), []);
+});
--- a/test/term-tokens.test.ts
+++ b/test/term-tokens.test.ts
@@ -22,10 +22,16 @@
   tasks?: TaskStatus[];
   record?: Partial<MachineRecord>;
   cancelled?: boolean;
-  unread?: boolean;
+  mayLackClaims?: boolean;
 }
 
-function tokenGiven({ shown, tasks = [], record, cancelled, unread }: Situation): number | null {
+function tokenGiven({
+  shown,
+  tasks = [],
+  record,
+  cancelled,
+  mayLackClaims,
+}: Situation): number | null {
   const claims = [{ job: JOB, index: 0, attempt: 21 }];
   const stored = {
     record: fake<MachineRecord>({ term: LEADER, claims, ...record }),
@@ -36,7 +42,7 @@
     leaderToken: LEADER,
     replica: { machines: new Map(record === undefined ? [] : [['a', stored]]), applied: READ },
     isCancelled: () => cancelled === true,
-    hasUnreadCancellations: unread === true,
+    mayLackClaims: mayLackClaims === true,
   };
   return substituteToken(options);
 }
@@ -50,7 +56,7 @@
     ['the highest that is certain to be the leader\'s', { shown: READ, record: {} }, READ],
     ['it may be a later leader\'s', { shown: READ + 1, record: {} }, null],
     ['a later leader\'s, beside a claim', { shown: READ + 1, record: {}, cancelled: true }, null],
-    ['a later leader\'s, beside unread cancellations', { shown: READ + 1, unread: true }, null],
+    ['a later leader\'s, beside unread cancellations', { shown: READ + 1, mayLackClaims: true }, null],
     ['the start of a cancelled task may be on its way', { shown: LEADER, record: {}, cancelled: true }, RECORD],
     ['the same, after the answer', { shown: RECORD, record: {}, cancelled: true }, RECORD],
     ['the same, the worker knows the task', { shown: LEADER, record: {}, tasks: [TASK], cancelled: true }, LEADER],
@@ -58,8 +64,8 @@
     ['it knows another task', { shown: LEADER, record: {}, tasks: [{ ...TASK, index: 3 }], cancelled: true }, RECORD],
     ['a start of an earlier leader', { shown: 7, record: { term: 7 }, cancelled: true }, LEADER],
     ['a token of an earlier leader', { shown: 7, record: { term: 7, token: 9 } }, LEADER],
-    ['claims may be unread', { shown: LEADER, record: {}, unread: true }, READ],
-    ['claims may be unread, no record', { shown: LEADER, unread: true }, READ],
+    ['claims may be unread', { shown: LEADER, record: {}, mayLackClaims: true }, READ],
+    ['claims may be unread, no record', { shown: LEADER, mayLackClaims: true }, READ],
   ]; // prettier-ignore
   for (const [name, situation, token] of cases) assert.equal(tokenGiven(situation), token, name);
 });
