One time of day per process, followed only once it has lasted; loans are timed by the steady clock

What callers saw: a loan was waived ("no free place for the lender or the borrower") or told as 3,599 s late, where the leader's time of day was an hour off for a second; the lender missed its deadline. Cause: due times, patience with returns and with saving, and lengths of recalls were differences to the time of day of that moment. Change: `LoanClock` keeps when each loan changed and is due by the steady clock of the term. What an earlier term stored is due by this machine's clock, or at once where that is provably another; it is given up, and told as late, only after the latest moment at which it may have been due. Recalls of earlier terms teach no return time. The same fault elsewhere, each by a test that fails on: a job that comes before others took the priority of what needs it (job queue); arrivals left the demand forecast for good, and warm machines with them; a job accepted in that second had its deadline moved by an hour. Leader, user API, compaction, views and both subsystems take it from there; nothing else reads the machine's clock. Bursts and their schedule stay with warm pools. Records are as before; the log line of a loan tells steady time and due time. A controller that leads with a wrong clock from its start recalls loans too early, at most.

--- a/src/controller/composition.ts
+++ b/src/controller/composition.ts
@@ -25,6 +25,7 @@
 import { ReplicaSync } from '../store/replica-sync.js';
 import { Replica } from '../store/replica.js';
 import type { Subsystem } from '../subsystems/subsystem.js';
+import type { TimeOfDay } from '../time-of-day.js';
 import { ControllerVersions } from './controller-versions.js';
 import { HttpRouter, type HttpRouterOptions } from './http-router.js';
 import { MachineTypeCache } from './machine-type-cache.js';
@@ -55,8 +56,8 @@
   policy: Policy;
   log: Log;
   clock: Clock;
-  /** Time of day in ms. */
-  wallMs: () => number;
+  /** Of this process. */
+  timeOfDay: TimeOfDay;
   subsystems: readonly Subsystem[];
   /** This controller's features file; undefined: it has none. */
   featuresFile: FeaturesFileRecord | undefined;
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -10,6 +10,7 @@
 import type { Policy } from '../operator/policy.js';
 import type { FeaturesFileRecord } from '../store/records.js';
 import type { Subsystem } from '../subsystems/subsystem.js';
+import { TimeOfDay } from '../time-of-day.js';
 import { Composition } from './composition.js';
 import { UNAVAILABLE } from './http-router.js';
 import { LoadLog } from './load-log.js';
@@ -43,7 +44,7 @@
 export class Controller {
   private readonly parts: Composition;
   private readonly clock: Clock;
-  private readonly wallMs: () => number;
+  private readonly timeOfDay: TimeOfDay;
   private readonly subsystems: readonly Subsystem[];
   /** Only where the log's level is `debug`. */
   private readonly loadLog: LoadLog | null;
@@ -58,14 +59,19 @@
     options: ControllerOptions = {},
   ) {
     this.clock = options.clock ?? steadyClock;
-    this.wallMs = options.wallMs ?? Date.now;
+    this.timeOfDay = new TimeOfDay({
+      clock: this.clock,
+      wallMs: options.wallMs ?? Date.now,
+      skewMs: settings.skewMs,
+      leaseS: settings.workers.lease_s,
+    });
     this.subsystems = options.features?.subsystems ?? [];
     this.parts = new Composition({
       settings,
       policy,
       log,
       clock: this.clock,
-      wallMs: this.wallMs,
+      timeOfDay: this.timeOfDay,
       subsystems: this.subsystems,
       featuresFile: options.features?.file,
       views: {
@@ -131,6 +137,8 @@
   private onTick(): void {
     const { versions, leadershipTransfer, health, peers } = this.parts;
     this.noteLag(this.clock.now());
+    // A jump counts from when it is first seen, also where nothing else asks for the time of day.
+    this.timeOfDay.nowMs();
     versions.logChanges();
     if (++this.ticks % LOAD_TICKS === 0) this.loadLog?.write();
     if (this.ticks % HOUSEKEEPING_TICKS === 0) this.keepHouse();
@@ -154,7 +162,7 @@
     const { latencies, replica } = this.parts;
     this.log.debug(latencies.statistics(), 'latencies');
     const keepMs = this.settings.workers.lease_s * COMPACTION_LEASES * 1000;
-    replica.compactFinished(this.wallMs() - keepMs);
+    replica.compactFinished(this.timeOfDay.nowMs() - keepMs);
   }
 
   /** Ends everything that the controller does. It is not started again. */
@@ -182,7 +190,7 @@
     if (subsystem === undefined) return { status: 404, body: '{}' };
     if (!replicaSync.ready) return UNAVAILABLE;
     const own = replica.subsystems.of(name);
-    const view = subsystem.view(own, this.settings, this.wallMs());
+    const view = subsystem.view(own, this.settings, this.timeOfDay.nowMs());
     // In many lines: no line of an answer may be longer than 64 KiB.
     return { status: 200, body: JSON.stringify(view, null, 1) };
   }
--- a/src/controller/request-path.ts
+++ b/src/controller/request-path.ts
@@ -13,6 +13,7 @@
 import type { ReplicaSync } from '../store/replica-sync.js';
 import type { Replica } from '../store/replica.js';
 import { RequestWriter } from '../store/request-writer.js';
+import type { TimeOfDay } from '../time-of-day.js';
 import type { ControllerVersions } from './controller-versions.js';
 
 /** What is known of the confirmation of cancellations is kept for so many leases. */
@@ -22,8 +23,8 @@
 export interface RequestPathOptions {
   settings: Settings;
   clock: Clock;
-  /** Time of day in ms. */
-  wallMs: () => number;
+  /** Of this process. */
+  timeOfDay: TimeOfDay;
   log: Log;
   incarnation: string;
   store: KeyValueStoreClient;
@@ -51,7 +52,7 @@
 }
 
 function makeUserApi(options: RequestPathOptions): UserApi {
-  const { settings, wallMs, log, replica, replicaSync, cancellations, versions } = options;
+  const { settings, timeOfDay, log, replica, replicaSync, cancellations, versions } = options;
   const quorum = makeCancellationQuorum(options);
   return new UserApi({
     settings,
@@ -62,7 +63,7 @@
     announceCancellation: (job) => cancellations.announce(job),
     confirmCancellation: (storedJob, job) => quorum.confirm(storedJob, job),
     isOldVersionPresent: () => versions.isOldPresent('pipelines'),
-    wallMs,
+    wallMs: () => timeOfDay.nowMs(),
     log,
   });
 }
--- a/src/controller/term-runner.ts
+++ b/src/controller/term-runner.ts
@@ -17,6 +17,7 @@
 import type { ReplicaSync } from '../store/replica-sync.js';
 import type { Replica } from '../store/replica.js';
 import type { Subsystem } from '../subsystems/subsystem.js';
+import type { TimeOfDay } from '../time-of-day.js';
 import type { ControllerVersions } from './controller-versions.js';
 import type { MachineTypeCache } from './machine-type-cache.js';
 
@@ -25,8 +26,8 @@
   settings: Settings;
   policy: Policy;
   clock: Clock;
-  /** Time of day in ms. */
-  wallMs: () => number;
+  /** Of this process. */
+  timeOfDay: TimeOfDay;
   log: Log;
   /** Names of requests begin with it; no other process ever has it. */
   incarnation: string;
@@ -80,7 +81,7 @@
   }
 
   private termContext(token: number): TermContext {
-    const { settings, policy, clock, wallMs, log, incarnation, store } = this.options;
+    const { settings, policy, clock, timeOfDay, log, incarnation, store } = this.options;
     const { replica, replicaSync, cancellationTimes } = this.options;
     const election = this.options.election();
     const acknowledgements = this.options.acknowledgements();
@@ -88,7 +89,7 @@
     return {
       settings,
       clock,
-      wallMs,
+      timeOfDay,
       log,
       replica,
       policy,
--- a/src/leader/leader.ts
+++ b/src/leader/leader.ts
@@ -280,7 +280,8 @@
 
 /** A forecast that knows of all jobs that have become ready so far. */
 function makeForecast(term: Term): DemandForecast {
-  const { wallMs, settings, replica } = term.context;
+  const { settings, replica } = term.context;
+  const wallMs = (): number => term.timeOfDay.nowMs();
   const types = (): MachineType[] => [...term.machineTypes.values()];
   const forecast = new DemandForecast(wallMs, settings.workers.report_s, types);
   for (const { readyAt, readyMs, spec } of replica.jobs.values()) {
--- a/src/leader/scheduling/job-queue.ts
+++ b/src/leader/scheduling/job-queue.ts
@@ -72,8 +72,8 @@
 
   /** Whether it may end too late if it waits for a machine to boot first. Without a deadline: always. */
   private isUrgent({ spec }: LiveJob, { latestEndMs }: DownstreamPath): boolean {
-    const { context, slowestBootS } = this.term;
-    const leftS = (latestEndMs - context.wallMs()) / 1000;
+    const { timeOfDay, slowestBootS } = this.term;
+    const leftS = (latestEndMs - timeOfDay.nowMs()) / 1000;
     return latestEndMs === Infinity || leftS < spec.estimateS * ESTIMATE_ERROR + slowestBootS;
   }
 
--- a/src/leader/term/subsystem-view.ts
+++ b/src/leader/term/subsystem-view.ts
@@ -15,6 +15,7 @@
   TeamUsage,
   TermView,
 } from '../../subsystems/subsystem.js';
+import type { TermTimeOfDay } from '../../time-of-day.js';
 import { occupiesCapacity, type Attempt } from '../../workers/attempt.js';
 import type { CapacityManager } from '../capacity/capacity-manager.js';
 import type { Term } from './term.js';
@@ -53,9 +54,9 @@
     return this.options.term.now;
   }
 
-  /** See `TermView.wallMs`. */
-  wallMs(): number {
-    return this.options.term.context.wallMs();
+  /** See `TermView.timeOfDay`. */
+  get timeOfDay(): TermTimeOfDay {
+    return this.options.term.timeOfDay;
   }
 
   /** See `TermView.canWrite`. */
--- a/src/leader/term/term-state.ts
+++ b/src/leader/term/term-state.ts
@@ -9,13 +9,15 @@
 import type { Policy } from '../../operator/policy.js';
 import { FetchTimes } from '../../scheduler/fetch-times.js';
 import type { Replica } from '../../store/replica.js';
+import { TermTimeOfDay, type TimeOfDay } from '../../time-of-day.js';
 import { Machine } from '../../workers/machine.js';
 
 /** What a term rests on: this controller's settings, clocks, replica and entitlement. */
 export interface TermContext {
   settings: Settings;
   clock: Clock;
-  wallMs: () => number;
+  /** Of this process. */
+  timeOfDay: TimeOfDay;
   log: Log;
   replica: Replica;
   policy: Policy;
@@ -53,6 +55,7 @@
   machinesFencedAnew = 0;
   /** Machines with commands that should not wait for the next heartbeat. */
   readonly machinesToCommand = new Set<string>();
+  readonly timeOfDay: TermTimeOfDay;
   readonly fetchTimes = new FetchTimes();
   readonly startedAt: number;
   /**
@@ -68,6 +71,7 @@
   onCycleRequested: () => void = () => undefined;
 
   constructor(readonly context: TermContext) {
+    this.timeOfDay = new TermTimeOfDay(context.timeOfDay);
     this.startedAt = context.clock.now();
     this.latestRevision = context.token;
     this.setMachineTypes(context.replica.machineTypes ?? []);
--- a/src/leader/term/term.ts
+++ b/src/leader/term/term.ts
@@ -45,7 +45,7 @@
     let job = this.jobs.get(storedJob.spec.id);
     if (job === undefined) {
       const layout = progressLayout(this, storedJob.spec.tasks);
-      job = new LiveJob(storedJob, layout, this.now, this.context.wallMs());
+      job = new LiveJob(storedJob, layout, this.now, this.timeOfDay.nowMs());
       this.jobs.set(storedJob.spec.id, job);
     }
     this.requestCycle();
--- a/src/leader/writes/record-writes.ts
+++ b/src/leader/writes/record-writes.ts
@@ -106,7 +106,7 @@
     const key = job.progressKey(unit);
     const { progress } = job;
     const record = job.progressRecord(unit);
-    const doneMs = record.bits === null ? { doneMs: this.term.context.wallMs() } : {};
+    const doneMs = record.bits === null ? { doneMs: this.term.timeOfDay.nowMs() } : {};
     const value = records.encodeProgress({ ...record, ...doneMs });
     const fresh = progress.unstoredTasks(unit);
     const stored = (revision: number): void => {
--- a/src/lending/grants.ts
+++ b/src/lending/grants.ts
@@ -96,7 +96,7 @@
     for (const victim of preemption.victims) {
       const judgement = this.assess(victim, preemption.saves);
       if (!judgement.safe) return null;
-      const loan = makeLoan(victim, preemption, view.wallMs(), judgement.latestReturnS);
+      const loan = makeLoan(victim, preemption, view.timeOfDay.nowMs(), judgement.latestReturnS);
       byName.set(loanId(loan), loan);
     }
     const loans = [...byName.values()];
--- a/src/lending/lender-work.ts
+++ b/src/lending/lender-work.ts
@@ -38,7 +38,7 @@
 ): LenderWork {
   const { job, attempt } = victim;
   const { spec } = job;
-  const nowMs = view.wallMs();
+  const nowMs = view.timeOfDay.nowMs();
   const type = view.machineTypes().get(view.machine(attempt.machine)?.type ?? '');
   return {
     leftS: (view.latestEndMs(spec.id) - nowMs) / 1000,
--- a/src/lending/lending-term.ts
+++ b/src/lending/lending-term.ts
@@ -14,6 +14,7 @@
 import { Grants } from './grants.js';
 import { loanId, noLoans, type Loan } from './loan.js';
 import { LoanTable } from './loan-table.js';
+import { LoanClock } from './loan-times.js';
 import { LoanMonitor } from './loan-monitor.js';
 import { ReturnHolds } from './return-holds.js';
 import { ReturnTimes } from './return-times.js';
@@ -21,6 +22,7 @@
 /** Lending in one term of leadership. */
 export class LendingTerm implements SubsystemTerm {
   readonly preemption: PreemptionRules;
+  private readonly clock: LoanClock;
   private readonly table: LoanTable;
   private readonly errors: EstimateErrors;
   private readonly grants: Grants;
@@ -31,27 +33,39 @@
     private readonly view: TermView,
     private readonly config: LendingConfig,
   ) {
+    this.clock = new LoanClock(view);
     this.errors = new EstimateErrors(config.leastMargin);
     this.table = new LoanTable({
-      nowMs: () => view.wallMs(),
+      nowMs: () => view.timeOfDay.nowMs(),
       onStored: () => this.grants.carryOutStored(),
-      onChange: (loan) => this.log(loan),
+      onChange: (loan) => this.noteChange(loan),
+      onForgotten: (id) => this.clock.forget(id),
     });
     const returnTimes = new ReturnTimes(view);
-    const { table, errors } = this;
+    const { table, errors, clock } = this;
     this.grants = new Grants({ view, table, config, errors, returnTimes: returnTimes });
-    this.monitor = new LoanMonitor({ view, table, grants: this.grants, returnTimes, config });
-    this.holds = new ReturnHolds(view, table);
+    this.monitor = new LoanMonitor({
+      view,
+      table,
+      grants: this.grants,
+      returnTimes,
+      config,
+      clock,
+    });
+    this.holds = new ReturnHolds(view, table, clock);
     this.preemption = this.grants;
     this.table.reconcile(view.records());
     this.holds.update();
   }
 
-  private log(loan: Loan): void {
+  private noteChange(loan: Loan): void {
+    this.clock.noteChange(loan);
     const { lender, borrower, machine, gpus, state, dueMs, reason } = loan;
     const due = dueMs === null ? null : new Date(dueMs).toISOString();
+    const { dueAt } = this.clock.of(loan);
+    const steadyS = this.view.now();
     this.view.log.info(
-      { loan: loanId(loan), lender, borrower, machine, gpus, state, due, reason },
+      { loan: loanId(loan), lender, borrower, machine, gpus, state, due, dueAt, steadyS, reason },
       'loan state changed',
     );
   }
--- a/src/lending/loan-monitor.ts
+++ b/src/lending/loan-monitor.ts
@@ -8,6 +8,7 @@
 import { replicasThere, observeLoan, type LoanEvidence } from './loan-evidence.js';
 import { nextEvent } from './loan-steps.js';
 import type { LoanEntry, LoanTable } from './loan-table.js';
+import type { LoanClock } from './loan-times.js';
 import { planRecalls } from './recall-plan.js';
 import type { ReturnTimes } from './return-times.js';
 
@@ -28,6 +29,7 @@
   grants: Grants;
   returnTimes: ReturnTimes;
   config: LendingConfig;
+  clock: LoanClock;
 }
 
 /** The gap in ms between two moves of replicas of a class; each is looked up once. */
@@ -43,24 +45,27 @@
 /** Carries open loans on by what is seen of both sides. */
 export class LoanMonitor {
   private readonly startedAt: number;
-  /** Time of day in ms since when this leader has been able to bring something back. */
-  private ableFromMs: number;
+  /** Since when this leader has been able to bring something back, in seconds of the steady clock. */
+  private ableFrom: number;
 
   constructor(private readonly options: LoanMonitorOptions) {
     this.startedAt = options.view.now();
-    this.ableFromMs = options.view.wallMs();
+    this.ableFrom = this.startedAt;
   }
 
   /** Nothing can be stored: nothing is decided. */
   noteOutage(): void {
-    this.ableFromMs = this.options.view.wallMs();
+    this.ableFrom = this.options.view.now();
   }
 
   /** One round over all open loans. */
   update(): void {
-    const { table, view, config, returnTimes } = this.options;
+    const { table, view, config, returnTimes, clock } = this.options;
     const away = [...table.open()].filter(({ current }) => isAway(current));
-    const due = away.map(({ id, current: { dueMs, borrower } }) => {
+    const due = away.map(({ id, current }) => {
+      const { borrower } = current;
+      const { dueAt } = clock.of(current);
+      const dueMs = dueAt === null ? null : dueAt * 1000;
       return { id, dueMs, group: view.spec(borrower)?.class ?? borrower };
     });
     const begins = planRecalls(due, {
@@ -72,7 +77,7 @@
     let underWay = away.filter(({ current }) => current.state === 'recalled').length;
     for (const entry of [...table.open()]) {
       const begin = begins.get(entry.id) ?? Infinity;
-      const isDue = view.wallMs() >= begin && underWay < config.recallsAtOnce;
+      const isDue = view.now() * 1000 >= begin && underWay < config.recallsAtOnce;
       const freeGpus = free.get(entry.current.machine) ?? 0;
       if (this.step(entry, isDue, freeGpus) === 'recalled') underWay++;
     }
@@ -97,12 +102,14 @@
 
   private evidence(entry: LoanEntry, isDue: boolean, freeGpus: number): LoanEvidence {
     const loan = entry.current;
-    const seen = observeLoan(loan, this.options.view, freeGpus);
+    const { view, clock } = this.options;
+    const seen = observeLoan(loan, view, freeGpus);
+    const { lateFrom } = clock.of(loan);
     return {
       ...seen,
       recall: this.recallReason(loan, isDue),
       broken: this.brokenReason(loan, seen),
-      lateS: loan.dueMs === null ? 0 : Math.max(0, this.options.view.wallMs() - loan.dueMs) / 1000,
+      lateS: lateFrom === null ? 0 : Math.max(0, view.now() - lateFrom),
       notCarriedOut: this.untoldReason(),
     };
   }
@@ -121,11 +128,11 @@
    * a row had no time for, or an outage, was without its place for good.
    */
   private brokenReason(loan: Loan, seen: Pick<LoanEvidence, 'borrower'>): string | null {
-    const { view, returnTimes } = this.options;
-    if (loan.dueMs === null) return null;
-    const ableMs = Math.max(loan.dueMs, this.ableFromMs);
+    const { view, returnTimes, clock } = this.options;
+    const { lateFrom } = clock.of(loan);
+    if (lateFrom === null) return null;
     const graceS = returnTimes.seconds + view.settings.workers.lease_s * GRACE_LEASES;
-    if (view.wallMs() <= ableMs + graceS * 1000) return null;
+    if (view.now() <= Math.max(lateFrom, this.ableFrom) + graceS) return null;
     if (isAtLimit(loan, view)) return "the lender's team is at its limit";
     if (seen.borrower === 'away') return 'the lender has no place, though the borrower has left';
     return 'no free place for the lender or the borrower';
@@ -139,17 +146,18 @@
 
   private recordReturnTime(loan: Loan, kind: string): void {
     if (loan.state !== 'recalled' || (kind !== 'returned' && kind !== 'resumed')) return;
-    const { view, returnTimes } = this.options;
-    returnTimes.record((view.wallMs() - loan.changedMs) / 1000);
+    const { view, returnTimes, clock } = this.options;
+    const { changedAt, isOwnChange } = clock.of(loan);
+    if (isOwnChange) returnTimes.record(view.now() - changedAt);
   }
 
   /** A lender whose saving never ends does not keep the borrower waiting for ever. */
   private endSaving(loan: Loan): void {
-    const { view } = this.options;
+    const { view, clock } = this.options;
     const job = view.job(loan.lender);
     if (job === undefined) return;
     const mostS = job.spec.saveS * SAVE_FACTOR + view.settings.workers.lease_s * SAVE_LEASES;
-    if ((view.wallMs() - loan.changedMs) / 1000 <= mostS) return;
+    if (view.now() - clock.of(loan).changedAt <= mostS) return;
     for (const { index, attempt } of loan.tasks) {
       const late = job.attemptsByTask.get(index)?.find((each) => each.number === attempt);
       if (late !== undefined) view.endStopped(late);
@@ -177,8 +185,10 @@
    * Half of the time for the recall is over: a place where the image has to be fetched will do too. A new
    * leader often does not know what idle machines have cached.
    */
-  private isPressing({ dueMs, changedMs }: Loan): boolean {
-    const untilMs = dueMs ?? changedMs + this.options.returnTimes.seconds * 1000;
-    return this.options.view.wallMs() >= changedMs + (untilMs - changedMs) * PRESSING_SHARE;
+  private isPressing(loan: Loan): boolean {
+    const { view, clock, returnTimes } = this.options;
+    const { dueAt, changedAt } = clock.of(loan);
+    const until = dueAt ?? changedAt + returnTimes.seconds;
+    return view.now() >= changedAt + (until - changedAt) * PRESSING_SHARE;
   }
 }
--- a/src/lending/loan-table.ts
+++ b/src/lending/loan-table.ts
@@ -36,6 +36,8 @@
   onStored: (entry: LoanEntry) => void;
   /** A loan has changed; for the log. */
   onChange: (loan: Loan) => void;
+  /** A loan was never stored, or its record is removed. */
+  onForgotten: (id: string) => void;
 }
 
 /** Loans by name, and what is derived of all of them. */
@@ -89,6 +91,7 @@
   /** A loan that was never stored, as far as is known. If it is after all, `reconcile` finds it. */
   forget(entry: LoanEntry): void {
     this.table.removed(entry.id);
+    this.options.onForgotten(entry.id);
   }
 
   /** Whether the store holds the loan's latest change. */
@@ -139,7 +142,9 @@
     const nowMs = this.options.nowMs();
     for (const entry of this.table.values()) {
       const { current } = entry;
-      if (!isOpen(current) && nowMs - current.changedMs > keepMs) this.table.remove(entry);
+      if (isOpen(current) || nowMs - current.changedMs <= keepMs) continue;
+      this.table.remove(entry);
+      this.options.onForgotten(entry.id);
     }
   }
 
--- a/src/lending/recall-plan.ts
+++ b/src/lending/recall-plan.ts
@@ -3,7 +3,7 @@
 /** A loan that may have to be recalled. */
 export interface DueLoan {
   id: string;
-  /** Time of day in ms by which the lender needs its place; null: no deadline asks for it. */
+  /** When the lender needs its place, in ms of a clock that is never set; null: no deadline asks for it. */
   dueMs: number | null;
   /** Borrowers of one group are moved one after the other. */
   group: string;
@@ -20,7 +20,7 @@
 }
 
 /**
- * The moment in ms at which each recall has to begin, by loan, the earliest due first: each is over when it is
+ * The moment, in ms of the same clock, at which each recall has to begin, by loan, the earliest due first: each is over when it is
  * due, and before the one `atOnce` places later has to begin; within a group they keep the gap. Loans without
  * a due time are left out.
  */
--- a/src/lending/return-holds.ts
+++ b/src/lending/return-holds.ts
@@ -7,6 +7,7 @@
 import { isAtLimit } from './lender-work.js';
 import { replicasThere } from './loan-evidence.js';
 import type { LoanTable } from './loan-table.js';
+import type { LoanClock } from './loan-times.js';
 
 /** What came back is kept for so long, so that a lender that may not start keeps nobody from it. */
 const HOLD_LEASES = 2;
@@ -29,6 +30,7 @@
   constructor(
     private readonly view: TermView,
     private readonly table: LoanTable,
+    private readonly clock: LoanClock,
   ) {}
 
   /** Looks again which loans hold capacity. */
@@ -53,13 +55,13 @@
   }
 
   private holds(loan: Loan): boolean {
-    const { state, changedMs, lender, tasks } = loan;
+    const { state, lender, tasks } = loan;
     if (state !== 'recalled' && state !== 'returned') return false;
     const live = this.view.job(lender)?.attemptsByTask;
     const hasPlace = tasks.every(({ index }) => live?.has(index) === true);
     if (hasPlace || isAtLimit(loan, this.view)) return false;
     if (state === 'recalled') return true;
-    const heldS = (this.view.wallMs() - changedMs) / 1000;
+    const heldS = this.view.now() - this.clock.of(loan).changedAt;
     return heldS <= this.view.settings.workers.lease_s * HOLD_LEASES;
   }
 
--- a/src/subsystems/subsystem.ts
+++ b/src/subsystems/subsystem.ts
@@ -10,6 +10,7 @@
 import type { JobSpec, MachineType } from '../jobs/types.js';
 import type { Log } from '../log.js';
 import type { FreeCapacity } from '../scheduler/bin-packing.js';
+import type { TermTimeOfDay } from '../time-of-day.js';
 import type { ScaleOutRequest } from '../wire/cloud.js';
 import type { ScaleOutResult } from '../cloud/client.js';
 import type { Attempt } from '../workers/attempt.js';
@@ -139,8 +140,8 @@
   readonly uniquePrefix: string;
   /** Seconds of the steady clock. */
   now(): number;
-  /** Time of day in ms. */
-  wallMs(): number;
+  /** Names moments to people and other processes; what takes time is measured by `now`. */
+  readonly timeOfDay: TermTimeOfDay;
   /** Whether it may store and place. */
   canWrite(): boolean;
   machineTypes(): ReadonlyMap<string, MachineType>;
--- a/src/warm-pools/slot-monitor.ts
+++ b/src/warm-pools/slot-monitor.ts
@@ -4,7 +4,7 @@
 import { release, allocate } from '../scheduler/bin-packing.js';
 import type { MachineView, TermView } from '../subsystems/subsystem.js';
 import { occupiesCapacity } from '../workers/attempt.js';
-import type { BurstClock } from './burst-clock.js';
+import type { TermTimeOfDay } from '../time-of-day.js';
 import type { PoolDeclaration } from './declaration.js';
 import type { LeadTimes } from './lead-times.js';
 import type { ModelLoader } from './model-loader.js';
@@ -33,8 +33,8 @@
   loader: ModelLoader;
   leadTimes: LeadTimes;
   pool: (name: string) => PoolDeclaration | undefined;
-  /** Time of day by which bursts are kept, and by which held time is measured: see `BurstClock`. */
-  clock: Pick<BurstClock, 'nowMs' | 'steadyMs'>;
+  /** Time of day by which bursts are kept, and by which held time is measured: see `TermTimeOfDay`. */
+  clock: Pick<TermTimeOfDay, 'nowMs' | 'steadyMs'>;
 }
 
 /** Carries slots on by what is seen of their machines: warm, used or lost. */
--- a/src/warm-pools/slot-planner.ts
+++ b/src/warm-pools/slot-planner.ts
@@ -4,7 +4,7 @@
 import type { Alarms } from './alarms.js';
 import type { MoneyByDay } from './bill.js';
 import { burstId, type Burst } from './bursts.js';
-import type { BurstClock } from './burst-clock.js';
+import type { TermTimeOfDay } from '../time-of-day.js';
 import type { PoolDeclaration } from './declaration.js';
 import {
   allowedTypes,
@@ -40,8 +40,8 @@
   reservations: SlotReservations;
   alarms: Alarms;
   pool: (name: string) => PoolDeclaration | undefined;
-  /** Time of day by which bursts are kept, and by which held time is measured: see `BurstClock`. */
-  clock: Pick<BurstClock, 'nowMs' | 'steadyMs'>;
+  /** Time of day by which bursts are kept, and by which held time is measured: see `TermTimeOfDay`. */
+  clock: Pick<TermTimeOfDay, 'nowMs' | 'steadyMs'>;
 }
 
 /** Slots of a burst: those that are to be, and what became of the others. */
--- a/src/warm-pools/slot-reservations.ts
+++ b/src/warm-pools/slot-reservations.ts
@@ -1,6 +1,6 @@
 /** What slots keep of machines, and which tasks may use it. */
 
-import type { BurstClock } from './burst-clock.js';
+import type { TermTimeOfDay } from '../time-of-day.js';
 import { fits, type JobSpec, type Resources } from '../jobs/types.js';
 import { release, type FreeCapacity } from '../scheduler/bin-packing.js';
 import type { MachineView, TermView } from '../subsystems/subsystem.js';
@@ -71,7 +71,7 @@
   table: SlotTable;
   pool: (name: string) => PoolDeclaration | undefined;
   /** Time of day in ms. */
-  clock: Pick<BurstClock, 'nowMs'>;
+  clock: Pick<TermTimeOfDay, 'nowMs'>;
 }
 
 /** The part of each machine that is kept for slots. */
--- a/src/warm-pools/slot-scale-out.ts
+++ b/src/warm-pools/slot-scale-out.ts
@@ -1,7 +1,7 @@
 /** Requests to the cloud for slots: named in the store before they are sent. */
 
 import type { ScaleOutResult } from '../cloud/client.js';
-import type { BurstClock } from './burst-clock.js';
+import type { TermTimeOfDay } from '../time-of-day.js';
 import type { StoredScaleOutRequest, TermView } from '../subsystems/subsystem.js';
 import { isOpen, type Slot, type SlotPlace, type SlotRequest } from './slot.js';
 import type { SlotEntry, SlotTable } from './slot-table.js';
@@ -24,8 +24,8 @@
 export interface SlotRentRequestsOptions {
   view: TermView;
   table: SlotTable;
-  /** Time of day by which bursts are kept, and by which held time is measured: see `BurstClock`. */
-  clock: Pick<BurstClock, 'nowMs' | 'steadyMs'>;
+  /** Time of day by which bursts are kept, and by which held time is measured: see `TermTimeOfDay`. */
+  clock: Pick<TermTimeOfDay, 'nowMs' | 'steadyMs'>;
   /** What the slot gets with a machine of this type. */
   place: (slot: Slot, machine: string, type: string) => SlotPlace;
 }
--- a/src/warm-pools/warm-pools-term.ts
+++ b/src/warm-pools/warm-pools-term.ts
@@ -8,9 +8,9 @@
   SubsystemTerm,
   TermView,
 } from '../subsystems/subsystem.js';
+import type { TermTimeOfDay } from '../time-of-day.js';
 import { Alarms } from './alarms.js';
 import { Bill } from './bill.js';
-import { BurstClock } from './burst-clock.js';
 import { burstId, Bursts } from './bursts.js';
 import type { PoolDeclaration, WarmPoolsConfig } from './declaration.js';
 import { LeadTimes } from './lead-times.js';
@@ -22,8 +22,6 @@
 import { SlotTable, type SlotEntry } from './slot-table.js';
 import { SlotMonitor } from './slot-monitor.js';
 
-/** A jump of the machine's clock is believed after so many leases. */
-const JUMP_LEASES = 6;
 /** Slots that go into the bill with one commit: a share of what may be written in a second, at most. */
 const MERGE_SHARE = 0.12;
 /** Measured times are stored once in so many leases. */
@@ -32,7 +30,7 @@
 /** Warm pools in one term of leadership. */
 export class WarmPoolsTerm implements SubsystemTerm {
   private readonly pools: ReadonlyMap<string, PoolDeclaration>;
-  private readonly clock: BurstClock;
+  private readonly clock: TermTimeOfDay;
   private readonly table = new SlotTable();
   private readonly leadTimes = new LeadTimes();
   private readonly bill: Bill;
@@ -53,12 +51,7 @@
   ) {
     const { settings } = view;
     this.pools = new Map(config.pools.map((pool) => [pool.name, pool]));
-    this.clock = new BurstClock({
-      now: () => view.now(),
-      wallMs: () => view.wallMs(),
-      skewMs: settings.skewMs,
-      settleS: settings.workers.lease_s * JUMP_LEASES,
-    });
+    this.clock = view.timeOfDay;
     this.bill = new Bill(mergeSize(settings.state), config.keepBillDays);
     this.alarms = new Alarms(view.log);
     this.bursts = new Bursts(config.pools, view, this.leadTimes, (pool) =>
--- a/test/lending.test.ts
+++ b/test/lending.test.ts
@@ -260,7 +260,7 @@
       settings: { ...settings(), state: { ...state, value_kb: valueKb } },
       ...{
         now: () => 0,
-        wallMs: () => 0,
+        timeOfDay: { nowMs: () => 0 },
         latestEndMs: () => Infinity,
         wakeWriter: () => undefined,
       },
@@ -272,6 +272,7 @@
       nowMs: () => 0,
       onStored: () => undefined,
       onChange: () => undefined,
+      onForgotten: () => undefined,
     });
     const config = { maxOpen: 9, recallsAtOnce: 1, leastMargin: 1, keepEndedS: 1 };
     const grants = new Grants({ view, table, config, errors, returnTimes });
--- a/test/standins/cluster.ts
+++ b/test/standins/cluster.ts
@@ -31,9 +31,14 @@
   nextLimits: string;
   /** The features file of each controller; empty: it has none. */
   features: string;
+  /** Time of day, in ms, as each controller's machine shows it. */
+  wallMs: () => number;
 }
 
-const DEFAULTS = { leaseS: 2, zones: ['z1', 'z1', 'z1'], nextLimits: '', features: '' };
+const DEFAULTS = {
+  ...{ leaseS: 2, zones: ['z1', 'z1', 'z1'], nextLimits: '', features: '' },
+  wallMs: (): number => Date.now(),
+};
 /** Where a test gives no `cancelS`: in leases. */
 const CANCEL_LEASES = 3;
 
@@ -122,10 +127,10 @@
   }
 
   private extras(settings: Settings): ControllerOptions {
-    const { features } = this.options;
-    if (features === '') return {};
+    const { features, wallMs } = this.options;
+    if (features === '') return { wallMs };
     const parsed = parseFeatures(features, settings, Date.now());
-    return { features: controllerFeatures(parsed, steadyClock) };
+    return { wallMs, features: controllerFeatures(parsed, steadyClock) };
   }
 
   /** Stops a controller from one moment to the next. */
--- a/test/support/day-search.ts
+++ b/test/support/day-search.ts
@@ -23,7 +23,7 @@
 }
 
 /** What must hold at any moment. */
-export function checkRules(world: ControlPlaneWorld): void {
+function checkRules(world: ControlPlaneWorld): void {
   assert.deepEqual(world.lateStarts(), []);
   assert.deepEqual(world.overdueTasks(), []);
   assert.deepEqual(world.overQuota(), []);
@@ -31,7 +31,7 @@
 }
 
 /** Time passes, with looks in between. */
-export async function watch(world: ControlPlaneWorld, tenths: number): Promise<void> {
+async function watch(world: ControlPlaneWorld, tenths: number): Promise<void> {
   for (let left = tenths; left > 0; left -= LOOK_TENTHS) {
     await world.runUntil(world.now + (Math.min(left, LOOK_TENTHS) * world.times.reportS) / 10);
     checkRules(world);
--- a/test/support/leader-world.ts
+++ b/test/support/leader-world.ts
@@ -13,6 +13,7 @@
 import * as records from '../../src/store/records.js';
 import type { Replica } from '../../src/store/replica.js';
 import type { Subsystem } from '../../src/subsystems/subsystem.js';
+import { TimeOfDay } from '../../src/time-of-day.js';
 import type { Machine } from '../../src/workers/machine.js';
 import { g8, settings } from '../helpers.js';
 import { fake } from './fake.js';
@@ -97,6 +98,15 @@
     return this.term.machines.get(id)!;
   }
 
+  private makeTimeOfDay(): TimeOfDay {
+    return new TimeOfDay({
+      clock: { now: () => this.now },
+      wallMs: () => this.wallMs(),
+      skewMs: this.settings.skewMs,
+      leaseS: this.settings.workers.lease_s,
+    });
+  }
+
   /** The leader ends with all that it has in memory; another controller leads from now on. */
   failOver(): void {
     const value = records.encodeLeader({
@@ -111,7 +121,7 @@
       {
         settings: this.settings,
         clock: { now: () => this.now },
-        wallMs: () => this.wallMs(),
+        timeOfDay: this.makeTimeOfDay(),
         log: silentLog(),
         replica,
         policy: DEFAULT_POLICY,
--- a/test/support/scheduler-world.ts
+++ b/test/support/scheduler-world.ts
@@ -8,6 +8,7 @@
 import { CapacityManager } from '../../src/leader/capacity/capacity-manager.js';
 import * as records from '../../src/store/records.js';
 import { Replica } from '../../src/store/replica.js';
+import { TimeOfDay } from '../../src/time-of-day.js';
 import type { Machine } from '../../src/workers/machine.js';
 import type { TaskStatus } from '../../src/wire/workers.js';
 import { g8, settings, spec } from '../helpers.js';
@@ -33,7 +34,10 @@
     this.term = new Term({
       settings: config,
       clock: { now: () => this.now },
-      wallMs: () => this.now * 1000,
+      timeOfDay: new TimeOfDay({
+        ...{ clock: { now: () => this.now }, wallMs: () => this.now * 1000 },
+        ...{ skewMs: 0, leaseS: 10 },
+      }),
       log: silentLog(),
       replica: this.replica,
       policy: DEFAULT_POLICY,
--- a/test/support/simulated-controller.ts
+++ b/test/support/simulated-controller.ts
@@ -29,6 +29,7 @@
 import type { Replica } from '../../src/store/replica.js';
 import type { ReplicaSync } from '../../src/store/replica-sync.js';
 import { isStoredCancelled } from '../../src/store/stored-job.js';
+import { TimeOfDay } from '../../src/time-of-day.js';
 import type { ControlPlaneWorld } from './control-plane-world.js';
 import { fake } from './fake.js';
 
@@ -79,6 +80,7 @@
   handler!: HeartbeatHandler;
   private freshAt = -Infinity;
   private ready = false;
+  private timeOfDay!: TimeOfDay;
   private rejectedSince: number | null = null;
   private outage!: OutageQuorum;
   private cancellations!: CancellationBroadcast;
@@ -129,6 +131,10 @@
     this.frozenUntil = -Infinity;
     this.ready = false;
     this.freshAt = -Infinity;
+    this.timeOfDay = new TimeOfDay({
+      ...{ clock, wallMs: () => this.world.wallMs(), skewMs: this.settings.skewMs },
+      leaseS: this.settings.workers.lease_s,
+    });
     this.replica = this.world.store.emptyReplica();
     this.replica.listener = this.followerListener;
     this.cancellationTimes = new CancellationTimes(clock, this.settings.workers.cancel_s);
@@ -370,7 +376,7 @@
     const leader = new Leader(
       {
         ...{ settings: this.settings, clock, log: this.world.log, policy: DEFAULT_POLICY, token },
-        wallMs: () => this.world.wallMs(),
+        timeOfDay: this.timeOfDay,
         replica: this.replica,
         incarnation: this.node,
         allReadDenseRecords: () => true,
--- /dev/null
+++ b/test/time-of-day.test.ts
@@ -0,0 +1,86 @@
+/**
+ * Decisions by the time of day, other than those of loans and warm pools, where it jumps for a moment.
+ *
+ * Guards against jobs that change their order, machines that are given back, and deadlines that move by an hour because a
+ * machine's clock was wrong for a second.
+ */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { DemandForecast } from '../src/cloud/demand-forecast.js';
+import { JOBS, decodeRequestBatch } from '../src/store/records.js';
+import { wait } from './helpers.js';
+import { Cluster } from './standins/cluster.js';
+import { LeaderWorld } from './support/leader-world.js';
+
+const HOUR_MS = 3_600_000;
+const JUMPS_MS = [HOUR_MS, -HOUR_MS];
+
+// A job had the priority of what needs it, hours before that was urgent, and went before others for a second.
+test('a time of day that jumps for a second makes no job urgent, and none less so', async () => {
+  for (const byMs of JUMPS_MS) {
+    for (const deadlineS of [1000, 60]) {
+      const world = new LeaderWorld();
+      world.fleet.add('a');
+      await world.run(1);
+      world.submitJob({ id: 'wk-1', priority: 2, estimateS: 50, gpus: 8, cores: 8 });
+      const needs = { id: 'wk-2', priority: 0 as const, estimateS: 50, dependencies: ['wk-1'] };
+      world.submitJob({ ...needs, deadlineS });
+      await world.run(1);
+      const priority = (): number => world.term.jobs.get('wk-1')!.spec.priority;
+      const before = priority();
+      assert.equal(before, deadlineS === 60 ? 0 : 2);
+      world.wallJumpMs = byMs;
+      await world.run(1);
+      assert.equal(priority(), before, `${deadlineS} s, ${byMs} ms`);
+    }
+  }
+});
+
+// What had arrived left the forecast for good, and machines that were kept warm for it were given back.
+test('a time of day that jumps for a second takes nothing out of the forecast', async () => {
+  for (const byMs of JUMPS_MS) {
+    const world = new LeaderWorld();
+    world.fleet.add('a');
+    for (let i = 0; i < 5; i++) {
+      world.submitJob({ id: `wk-${i}`, kind: 'service', gpus: 1, cores: 1 });
+      await world.run(1);
+    }
+    const { forecast } = world.leader as unknown as { forecast: DemandForecast };
+    const expected = (): (number | string)[] => [
+      ...forecast.hotImages().map(({ image }) => image),
+      forecast.warmTarget(false),
+    ];
+    const before = expected();
+    assert.ok(before.length > 1);
+    world.wallJumpMs = byMs;
+    await world.run(1);
+    expected();
+    world.wallJumpMs = 0;
+    await world.run(1);
+    assert.deepEqual(expected()[0], before[0], `${byMs} ms`);
+    assert.ok(Number(expected()[1]) >= Number(before[1]) * 0.9, `${byMs} ms`);
+  }
+});
+
+// A job's deadline counts from its acceptance: it was moved by an hour for good.
+test('a job that is accepted while the time of day has jumped is accepted by the time of before', async () => {
+  let jumpMs = 0;
+  const cluster = await Cluster.start({ wallMs: () => Date.now() + jumpMs });
+  try {
+    await cluster.newLeader();
+    for (const [index, byMs] of JUMPS_MS.entries()) {
+      jumpMs = byMs;
+      await wait(50);
+      const ref = `wk-00000${index}`;
+      await cluster.users.submit(index, ref, {});
+      jumpMs = 0;
+      const batches = [...cluster.state.keys].filter(([key]) => key.startsWith(JOBS));
+      const accepted = batches
+        .flatMap(([, { value }]) => decodeRequestBatch(value).jobs)
+        .find(({ spec }) => spec.id === ref)!;
+      assert.ok(Math.abs(accepted.atMs - Date.now()) < HOUR_MS / 2, `${byMs} ms`);
+    }
+  } finally {
+    cluster.close();
+  }
+});
--- a/test/warm-pool-times.test.ts
+++ b/test/warm-pool-times.test.ts
@@ -1,7 +1,7 @@
 /** When bursts begin, the time of day that counts, and how long preparation takes. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { BurstClock } from '../src/warm-pools/burst-clock.js';
+import { TimeOfDay } from '../src/time-of-day.js';
 import { BurstSchedule, ScheduleError } from '../src/warm-pools/burst-schedule.js';
 import { quantile } from '../src/subsystems/samples.js';
 import { LeadTimes } from '../src/warm-pools/lead-times.js';
@@ -37,15 +37,15 @@
   let now = 0;
   let jumpMs = 0;
   const rate = 1.0004;
-  const make = (): BurstClock => {
+  const make = (): TimeOfDay => {
     now = jumpMs = 0;
-    return new BurstClock({
-      ...{ now: () => now, wallMs: () => 1e12 + now * 1000 * rate + jumpMs },
-      ...{ skewMs: 100, settleS: 60 },
+    return new TimeOfDay({
+      ...{ clock: { now: () => now }, wallMs: () => 1e12 + now * 1000 * rate + jumpMs },
+      ...{ skewMs: 100, leaseS: 10 },
     });
   };
-  const offMs = (clock: BurstClock): number => Math.abs(clock.nowMs() - (1e12 + now * 1000 * rate));
-  const run = (clock: BurstClock, seconds: number): void => {
+  const offMs = (clock: TimeOfDay): number => Math.abs(clock.nowMs() - (1e12 + now * 1000 * rate));
+  const run = (clock: TimeOfDay, seconds: number): void => {
     for (let i = 0; i < seconds; i++) {
       now++;
       clock.nowMs();
