A zone's lease holder that has renewed leases puts its key anew before it counts as present

What callers would see: tasks on two machines. Found by reading, while the same fault as a frozen leader's was looked for. Cause: the key of a holder whose zone is cut off stands through an outage. It renewed leases meanwhile, and went on with the old key afterwards; to the others the key had been there all along, which says that nothing was renewed. Change: a holder that may have renewed stops renewing, and puts a new key. Until that one is certainly gone it renews none, should the zone be cut off again without an answer to the put. Why it works: the others count leases from when a key was put (`ZoneLeaseWatch.seenAt`), and none is renewed after that. Left, suspected: a leader that is frozen, within its entitlement, through an outage and a cut reads the old key in the moment between the outage's end and the new key. It needs a lease above 11.7 s and a machine that is silent then.

--- a/src/leadership/zone-lease.ts
+++ b/src/leadership/zone-lease.ts
@@ -104,6 +104,10 @@
   /** When the last renewal that was carried out had been sent. */
   private provenAt = -Infinity;
   private lease = 0;
+  /** It may have renewed leases since its key was put; then the key is put anew, which tells the others when that ended. */
+  private hasRenewed = false;
+  /** A key that was put without an answer may be there until then. */
+  private renewsFrom = -Infinity;
   private stopped = false;
   private readonly times: ZoneLeaseTimes;
 
@@ -120,14 +124,19 @@
     this.state = to;
   }
 
-  /** Whether leases of the zone's machines may be renewed at this moment. */
+  /** Whether leases of the zone's machines may be renewed at this moment. Whoever asks does so. */
   mayRenewLeases(): boolean {
     const now = this.options.clock.now();
-    return (
-      this.state === 'alone' &&
-      now > this.provenAt + this.times.beginS * (1 + 2 * MAX_CLOCK_DRIFT) &&
-      now < this.provenAt + this.times.renewForS
-    );
+    const from = Math.max(this.renewsFrom, this.certainlyGoneAt(this.provenAt));
+    if (this.state !== 'alone' || now <= from) return false;
+    if (now >= this.provenAt + this.times.renewForS) return false;
+    this.hasRenewed = true;
+    return true;
+  }
+
+  /** When a key is certainly gone whose last renewal was sent at this time. */
+  private certainlyGoneAt(sentAt: number): number {
+    return sentAt + this.times.beginS * (1 + 2 * MAX_CLOCK_DRIFT);
   }
 
   /** Waits for as long as it may still turn out that this zone is alone. */
@@ -151,7 +160,8 @@
           // live on while this zone is being kept.
           if (this.state !== 'present')
             await this.options.store.get(records.LEADER, this.times.ttlS / 2);
-          await this.renew();
+          if (this.hasRenewed) await this.registerAnew();
+          else await this.renew();
         }
       } catch (error) {
         // Refused is heard: an outage, or this controller alone. Nothing is cut off.
@@ -180,9 +190,20 @@
     }
     this.lease = lease;
     this.provenAt = sentAt;
+    this.hasRenewed = false;
     this.changeState('present');
   }
 
+  /**
+   * The key of before may have stood through an outage while leases were renewed here, and would show nothing of that. No
+   * lease is renewed from before the new one is put.
+   */
+  private async registerAnew(): Promise<void> {
+    this.changeState('doubting');
+    this.renewsFrom = this.certainlyGoneAt(this.options.clock.now());
+    await this.register();
+  }
+
   private async renew(): Promise<void> {
     const sentAt = this.options.clock.now();
     const there = await this.options.store.keepLeaseAlive(this.lease, this.times.ttlS / 2);
--- a/test/zone-lease.test.ts
+++ b/test/zone-lease.test.ts
@@ -218,3 +218,65 @@
   assert.equal(cluster.tasks('wk-000002', inZone('z2')).length, 1);
   assert.equal(cluster.rules.starts.get('wk-000002/0'), 1, 'never started again');
 });
+
+// The key stood through an outage in which its zone was cut off, and showed the leader nothing of the leases renewed there.
+test('a zone lease holder that has renewed leases puts its key anew, and renews none from then on', async () => {
+  const lease = 0.4;
+  const { beginS } = zoneLeaseTimes(lease);
+  let reached = true;
+  let losesAnswers = false;
+  let keptAlive = 0;
+  /** When the key was put, and whether leases might be renewed then. */
+  const puts: { at: number; renews: boolean }[] = [];
+  const answer = async <T>(value: T): Promise<T> => {
+    await wait(1);
+    if (!reached) throw new OutcomeUnknownError('cut off');
+    return value;
+  };
+  const zoneLeaseHolder = new ZoneLeaseHolder({
+    node: 'a',
+    incarnation: 'a-1',
+    leaseS: lease,
+    store: fake<KeyValueStoreClient>({
+      writeBudget: { force: () => undefined },
+      grantLease: () => answer(7),
+      compareAndSwap: async () => {
+        puts.push({ at: steadyClock.now(), renews: zoneLeaseHolder.mayRenewLeases() });
+        reached &&= !losesAnswers;
+        return answer({ ok: true, revision: puts.length });
+      },
+      get: () => answer(null),
+      // Leases stand still in an outage: the key is there whenever it is asked for.
+      keepLeaseAlive: () => {
+        keptAlive++;
+        return answer(true);
+      },
+    }),
+    replicaSync: fake<ReplicaSync>({ ready: true, sync: async () => true }),
+    replica: fake<Replica>({ controllers: new Map() }),
+    peers: () => fake<PeerNetwork>({ names: ['b'], ask: async () => null }),
+    clock: steadyClock,
+    log: silentLog(),
+  });
+  void zoneLeaseHolder.run();
+  try {
+    await until('it is there', () => zoneLeaseHolder.state === 'present' && keptAlive > 0);
+    reached = false;
+    await until('leases are renewed', () => zoneLeaseHolder.mayRenewLeases());
+    // Put without an answer: the zone is cut off again at that moment.
+    losesAnswers = true;
+    reached = true;
+    await until('put anew', () => puts.length === 2);
+    await until('leases are renewed again', () => zoneLeaseHolder.mayRenewLeases());
+    assert.ok(steadyClock.now() - puts[1]!.at >= beginS, 'the new key is certainly gone');
+    losesAnswers = false;
+    reached = true;
+    await until('it is there again', () => zoneLeaseHolder.state === 'present');
+    assert.deepEqual(
+      puts.map(({ renews }) => renews),
+      [false, false, false],
+    );
+  } finally {
+    zoneLeaseHolder.stop();
+  }
+});
