--- a/.ci/known-red.mjs
+++ b/.ci/known-red.mjs
@@ -16,8 +16,9 @@
 }
 
 const { errors, passedOver } = verdict();
-for (const { test, cause, issue } of passedOver) {
-  process.stdout.write(`known failure passed over: ${test} | ${cause} | ${issue}\n`);
+for (const { test, command, seen, issue } of passedOver) {
+  const line = [test, command, seen, issue].join(' | ');
+  process.stdout.write(`known failure passed over: ${line}\n`);
 }
 for (const error of errors) process.stderr.write(`known failures: ${error}\n`);
 process.exitCode = errors.length > 0 ? 1 : 0;
--- a/test/known-red.test.ts
+++ b/test/known-red.test.ts
@@ -2,17 +2,20 @@
 import { test } from 'node:test';
 import { judge, parseKnownFailures, parseTap, type TestResult } from './tools/known-red.js';
 
-const LINE = 'a # test | a cause | 14';
+const LINE = 'a # test | node --test a.test.js, no seed | what was seen | 14';
 
 test('the list of known failures is short and whole', () => {
   const cases: [string, string, number | RegExp][] = [
     ['empty', '', 0],
     ['blank lines', '\n\n', 0],
     ['one line', `${LINE}\n`, 1],
-    ['three lines', `a | b | 1\nc | d | 2\ne | f | 3\n`, 3],
-    ['four lines', `a | b | 1\nc | d | 2\ne | f | 3\ng | h | 4\n`, /4 lines/],
-    ['no issue', 'a | b', /not "test name/],
-    ['an empty cause', 'a | | 1', /not "test name/],
+    ['three lines', `a | r | b | 1\nc | r | d | 2\ne | r | f | 3\n`, 3],
+    ['four lines', `a | r | b | 1\nc | r | d | 2\ne | r | f | 3\ng | r | h | 4\n`, /4 lines/],
+    ['no issue', 'a | r | b', /not "test name/],
+    ['the form of before', 'a | a cause | 1', /not "test name/],
+    ['no command', 'a | | b | 1', /not "test name/],
+    ['nothing seen', 'a | r | | 1', /not "test name/],
+    ['a field too many', 'a | r | b | 1 | 2', /not "test name/],
     ['listed twice', `${LINE}\n${LINE}`, /twice/],
   ];
   for (const [name, text, want] of cases) {
--- a/test/tools/known-red.ts
+++ b/test/tools/known-red.ts
@@ -6,13 +6,18 @@
 /** Lines that the list may have. */
 const MAX_KNOWN = 3;
 
-/** One line of the list: `test name | cause | issue`. */
+/** One line of the list: `test name | command and seed | what was seen | issue`. */
 export interface KnownFailure {
   test: string;
-  cause: string;
+  /** How to run it, with its seed, or `no seed`. */
+  command: string;
+  seen: string;
   issue: string;
 }
 
+/** Fields of a line. */
+const FIELDS = 4;
+
 /** A line of the test report. */
 export interface TestResult {
   name: string;
@@ -32,11 +37,11 @@
   if (lines.length > MAX_KNOWN) throw new Error(`${lines.length} lines, at most ${MAX_KNOWN}`);
   const known = lines.map((line) => {
     const parts = line.split('|').map((part) => part.trim());
-    const [test, cause, issue] = parts;
-    if (parts.length !== 3 || !test || !cause || !issue) {
-      throw new Error(`not "test name | cause | issue": ${line}`);
+    const [test, command, seen, issue] = parts;
+    if (parts.length !== FIELDS || !test || !command || !seen || !issue) {
+      throw new Error(`not "test name | command and seed | what was seen | issue": ${line}`);
     }
-    return { test, cause, issue };
+    return { test, command, seen, issue };
   });
   const names = new Set(known.map((failure) => failure.test));
   if (names.size < known.length) throw new Error('a test is listed twice');
