--- a/test/outage-promises.test.ts
+++ b/test/outage-promises.test.ts
@@ -126,3 +126,14 @@
     witness.now += 5;
   }
 });
+
+// A later leader that asked in between would have learnt of no promise, and the answer that relies on it came after that.
+test('a promise counts while its question is not answered yet', async () => {
+  const witness = new Witness();
+  const asked = witness.ask(1.5);
+  assert.ok(witness.outage.promisedUntil >= witness.now + 1.5);
+  assert.ok(witness.outage.acknowledge(TOKEN + 1) >= witness.now + 1.5);
+  asked.served(true);
+  await asked.answer;
+  assert.ok(witness.outage.promisedUntil < witness.now, 'nobody relies on it');
+});
