A loan that a later term grants again keeps the due time of its record

Found by reading once more. Cause: the first event of a loan in a term told it from a new one by whether the term had looked at it before. A later leader that chose it anew in its first cycle took it for its own, and reckoned its whole length from then: due later by the time since it was granted, so recalled too late. Change: whoever changes a loan hands over what it was before; null means new. Nothing rests on the order of looks.

--- a/src/lending/lending-term.ts
+++ b/src/lending/lending-term.ts
@@ -38,7 +38,7 @@
     this.table = new LoanTable({
       nowMs: () => view.timeOfDay.nowMs(),
       onStored: () => this.grants.carryOutStored(),
-      onChange: (loan) => this.noteChange(loan),
+      onChange: (loan, before) => this.noteChange(loan, before),
       onForgotten: (id) => this.clock.forget(id),
     });
     const returnTimes = new ReturnTimes(view);
@@ -58,8 +58,8 @@
     this.holds.update();
   }
 
-  private noteChange(loan: Loan): void {
-    this.clock.noteChange(loan);
+  private noteChange(loan: Loan, before: Loan | null): void {
+    this.clock.noteChange(loan, before);
     const { lender, borrower, machine, gpus, state, dueMs, reason } = loan;
     const due = dueMs === null ? null : new Date(dueMs).toISOString();
     const { dueAt } = this.clock.of(loan);
--- a/src/lending/loan-table.ts
+++ b/src/lending/loan-table.ts
@@ -34,8 +34,8 @@
   nowMs: () => number;
   /** The store holds a loan's latest change. */
   onStored: (entry: LoanEntry) => void;
-  /** A loan has changed; for the log. */
-  onChange: (loan: Loan) => void;
+  /** A loan has changed; `before`: as it was, null for a new one. */
+  onChange: (loan: Loan, before: Loan | null) => void;
   /** A loan was never stored, or its record is removed. */
   onForgotten: (id: string) => void;
 }
@@ -77,15 +77,16 @@
   /** A new loan; it is stored later. */
   add(loan: Loan): LoanEntry {
     const entry = this.table.add(loan);
-    this.options.onChange(loan);
+    this.options.onChange(loan, null);
     return entry;
   }
 
   /** Changes a loan; the change is stored later. Throws IllegalTransitionError. */
   apply(entry: LoanEntry, event: LoanEvent): void {
-    const loan = advanceLoan(entry.current, event, this.options.nowMs());
+    const before = entry.current;
+    const loan = advanceLoan(before, event, this.options.nowMs());
     this.table.change(entry, loan);
-    if (event.kind !== 'borrower-seen') this.options.onChange(loan);
+    if (event.kind !== 'borrower-seen') this.options.onChange(loan, before);
   }
 
   /** A loan that was never stored, as far as is known. If it is after all, `reconcile` finds it. */
--- a/src/lending/loan-times.ts
+++ b/src/lending/loan-times.ts
@@ -30,11 +30,9 @@
 
   constructor(private readonly view: Pick<TermView, 'now' | 'timeOfDay' | 'settings'>) {}
 
-  /** A loan of this term, or a change of one. */
-  noteChange(loan: Loan): void {
-    const before = this.known.get(loanId(loan));
-    const dueAt = before === undefined ? this.newDueAt(loan) : before.dueAt;
-    const lateFrom = before === undefined ? dueAt : before.lateFrom;
+  /** A loan is granted by this term, or changed; `before`: as it was, null for a new one. */
+  noteChange(loan: Loan, before: Loan | null): void {
+    const { dueAt, lateFrom } = before === null ? this.newTimes(loan) : this.of(before);
     this.remember(loan, { isOwnChange: true, dueAt, lateFrom });
   }
 
@@ -62,8 +60,9 @@
     return known;
   }
 
-  private newDueAt({ dueMs, grantedMs }: Loan): number | null {
-    return dueMs === null ? null : this.view.now() + (dueMs - grantedMs) / 1000;
+  private newTimes({ dueMs, grantedMs }: Loan): Pick<LoanTimes, 'dueAt' | 'lateFrom'> {
+    const dueAt = dueMs === null ? null : this.view.now() + (dueMs - grantedMs) / 1000;
+    return { dueAt, lateFrom: dueAt };
   }
 
   /** It is due no later than if its latest change had happened just now: both times are of one clock. */
--- a/test/lending-clock-cases.test.ts
+++ b/test/lending-clock-cases.test.ts
@@ -5,6 +5,13 @@
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { LOAN_PREFIX, encodeLoan, loanId, type Loan } from '../src/lending/loan.js';
+import { LoanTable } from '../src/lending/loan-table.js';
+import { LoanClock } from '../src/lending/loan-times.js';
+import type { TermView } from '../src/subsystems/subsystem.js';
+import { TimeOfDay } from '../src/time-of-day.js';
+import { settings } from './helpers.js';
+import { fake } from './support/fake.js';
 import { LendingWorld, POINTS, type Point } from './support/lending-world.js';
 
 const HOUR_MS = 3_600_000;
@@ -79,3 +86,31 @@
     }
   });
 }
+
+// A later leader that chose the loan anew before it had looked at it took it for its own, and would have recalled it too late.
+test('a loan of an earlier term that is granted again is due when it was', () => {
+  let now = 100;
+  const clock = { now: (): number => now };
+  const timeOfDay = new TimeOfDay({ clock, wallMs: () => now * 1000, skewMs: 100, leaseS: 2 });
+  const table = new LoanTable({
+    nowMs: () => timeOfDay.nowMs(),
+    onStored: () => undefined,
+    onChange: (loan, before) => loanClock.noteChange(loan, before),
+    onForgotten: () => undefined,
+  });
+  const loanClock = new LoanClock(fake<TermView>({ ...clock, timeOfDay, settings: settings() }));
+  const stored: Loan = {
+    ...{ lender: 'wk-1', tasks: [{ index: 0, attempt: 2, machine: 'm1' }], borrower: 'wk-2' },
+    ...{ machine: 'm1', gpus: 8, state: 'requested', used: false, reason: '' },
+    ...{ grantedMs: 80_000, changedMs: 80_000, dueMs: 140_000 },
+  };
+  const key = LOAN_PREFIX + loanId(stored);
+  table.reconcile(new Map([[key, { value: encodeLoan(stored), revision: 5 }]]));
+  const entry = table.get(loanId(stored))!;
+  table.apply(entry, { kind: 'granted-again', borrower: 'wk-3', reason: '' });
+  assert.ok(Math.abs(loanClock.of(entry.current).dueAt! - 140) < 1e-6);
+  // One of this term is due after the time that it was granted for.
+  now = 110;
+  const own = table.add({ ...stored, lender: 'wk-4', grantedMs: 110_000, changedMs: 110_000 });
+  assert.equal(loanClock.of(own.current).dueAt, 140);
+});
