review: case 1, one mistaken job takes sound machines out of use for good

A service whose replicas fail after a lease counts as one that has succeeded, so its failures quarantine the machines under it, and a quarantine is never lifted. What comes later waits beside their room for longer than 90 s.

--- a/review/stand-ins/deployment.mjs
+++ b/review/stand-ins/deployment.mjs
@@ -266,13 +266,15 @@
     return { status, state, body: answer?.body };
   }
 
-  submitOnce(index, submission, runS = submission.reckon_s) {
+  /** `failsAfterS`: submitted with a mistake, its tasks fail on every machine after so long; null: it is sound. */
+  submitOnce(index, submission, runS = submission.reckon_s, failsAfterS = null) {
     const { ref } = submission;
     if (!this.jobs.has(ref))
       this.jobs.set(ref, {
         ...{
           submission,
           runS,
+          failsAfterS,
           accepted: false,
           final: null,
           cancelAsked: false,
--- a/review/stand-ins/waiting.mjs
+++ b/review/stand-ins/waiting.mjs
@@ -32,13 +32,13 @@
     .filter((task) => !isOver(task))
     .reduce((sum, task) => sum + d.jobs.get(task.piece.split('/')[0]).submission[key], 0);
 
-/** Fills machines with replicas of four GPUs, two on each, and waits until they run. */
-export async function runReplicas(d, replicas) {
+/** Runs replicas of four GPUs, so that two fill a machine. `gpus`: what each takes. */
+export async function runReplicas(d, replicas, gpus = 4) {
   const crews = ['physlab-team', 'biolab-team', 'results-desk'];
   const services = [];
   for (let left = replicas; left > 0; left -= 2) {
     const crew = crews[services.length % crews.length];
-    services.push(tutorService(d, { crew, pieces: Math.min(2, left) }));
+    services.push(tutorService(d, { crew, gpus, pieces: Math.min(2, left) }));
   }
   await Promise.all(services.map((service, i) => d.submitOnce(i % 3, service, 0)));
   const running = () =>
--- a/review/stand-ins/worker.mjs
+++ b/review/stand-ins/worker.mjs
@@ -267,8 +267,9 @@
     task.temper = job.submission.form === 'group' ? 'gathering' : 'running';
     world.checker.started(this, task);
     this.noteChange();
-    if (this.sick) {
-      setTimeout(() => this.end(task, 'error'), 300);
+    if (this.sick || job.failsAfterS !== null) {
+      const afterS = this.sick ? 0.3 : job.failsAfterS;
+      task.timer = setTimeout(() => this.end(task, 'error'), afterS * 1000);
       return;
     }
     if (world.results.has(task.piece)) {
