Logs: why a task's failure counts against its machine or its job; machines kept out of use

Change: 'task failed' has the run time, whether the job ever succeeded and on how many machines it failed; 'machine quarantined' has the failures that counted; /metrics of a leader counts machines that are cordoned or quarantined. Nothing is decided differently.

--- a/src/leader/attempts/machine-health.ts
+++ b/src/leader/attempts/machine-health.ts
@@ -67,11 +67,8 @@
           machine.condition.taskFailures.set(`${attempt.job}/${attempt.index}`, now);
           this.cordon(machine, report_s * 2);
         }
+        this.logFailure(machine, job, attempt, jobSuspect);
         this.quarantineIfFaulty(machine);
-        this.options.log.info(
-          { machine: machine.id, job: attempt.job, index: attempt.index, jobSuspect },
-          'task failed',
-        );
         break;
       }
       case 'full':
@@ -87,6 +84,22 @@
     }
   }
 
+  private logFailure(machine: Machine, job: LiveJob, attempt: Attempt, jobSuspect: boolean): void {
+    const { log, clock } = this.options;
+    log.info(
+      {
+        machine: machine.id,
+        job: attempt.job,
+        index: attempt.index,
+        ranS: attempt.startedAt === null ? 0 : clock.now() - attempt.startedAt,
+        jobSucceeded: job.hasSucceeded,
+        jobFailedOn: job.failedOn.size,
+        jobSuspect,
+      },
+      'task failed',
+    );
+  }
+
   /** Quarantines a machine after failures of jobs that have succeeded somewhere or have failed on no other machine. */
   private quarantineIfFaulty(machine: Machine): void {
     const windowStart =
@@ -105,7 +118,10 @@
       !machine.condition.quarantined
     ) {
       machine.condition.quarantined = true;
-      this.options.log.info({ machine: machine.id }, 'machine quarantined');
+      this.options.log.info(
+        { machine: machine.id, provenJobFailures, unprovenJobs: [...unprovenJobs] },
+        'machine quarantined',
+      );
     }
   }
 
--- a/src/leader/term/statistics.ts
+++ b/src/leader/term/statistics.ts
@@ -4,12 +4,16 @@
 import type { CapacityManager } from '../capacity/capacity-manager.js';
 import type { Term } from './term.js';
 
-/** Counts of machines and attempts by state, of open jobs and of tasks that were not placed. */
+/** Counts of machines and attempts by state, of machines kept out of use, of open jobs and of unplaced tasks. */
 export function termStatistics(term: Term, capacity: CapacityManager): Record<string, number> {
   const counts: Record<string, number> = {};
   const add = (name: string): void => void (counts[name] = (counts[name] ?? 0) + 1);
+  counts.machines_cordoned = 0;
+  counts.machines_quarantined = 0;
   for (const machine of term.machines.values()) {
     add(`machines_${machine.state}`);
+    if (machine.condition.cordonedUntil > term.now) add('machines_cordoned');
+    if (machine.condition.quarantined) add('machines_quarantined');
     for (const attempt of machine.attempts.values())
       if (occupiesCapacity(attempt)) add(`attempts_${attempt.state}`);
   }
