Fix: a run that ended in failure proved its job, and its failures took sound machines out of use

Cause: a task that had run for a lease before it failed counted as a success of its job (LiveJob.recordRunTime, called before the failure was rated). So the failures of a job that fails on every machine counted as those of a job that works elsewhere, and two of them quarantine a machine. Change: JobHealth rates jobs, in place of logic that stood in two modules. A failure after some run time counts as the machine's only if a task of the job is done or has outlived that time by a lease, without a failure. A running task has provably run until its machine's latest message. Why it works: a job with a mistake never outlives its own failures.

--- a/src/jobs/live-job.ts
+++ b/src/jobs/live-job.ts
@@ -7,6 +7,7 @@
 import { chunkCount } from './chunks.js';
 import { JobProgress, type ProgressLayout } from './progress.js';
 import { placementKeyOf } from './placement-key.js';
+import type { TaskFailure } from './task-failure.js';
 import type { JobSpec, Priority } from './types.js';
 
 /**
@@ -37,9 +38,12 @@
   /** Ended attempts of done tasks that are not stored as done yet. */
   unstoredEnds: Attempt[] = [];
   attainedS: number;
-  /** Machines on which its tasks failed. */
-  readonly failedOn = new Set<string>();
-  hasSucceeded = false;
+  /** The latest failure on each machine where one of its tasks failed. */
+  readonly failures = new Map<string, TaskFailure>();
+  /** Whether any of its tasks is done. */
+  hasDoneTask = false;
+  /** Longest run, in seconds, of a task that has ended without a failure. */
+  longestRunS = 0;
   isLong = false;
   score = 0;
   isGuaranteed = false;
@@ -70,7 +74,7 @@
     for (const [key, { first, bits, revision }] of storedJob.progress ?? []) {
       this.progress.addStored(key, first, bits, revision);
     }
-    if (this.done.count > 0) this.hasSucceeded = true;
+    if (this.done.count > 0) this.hasDoneTask = true;
   }
 
   /** Treats the job as one of the given priority. */
@@ -139,20 +143,9 @@
     this.retries.set(index, delay);
   }
 
-  /**
-   * Records that a task has run for `ranS`. From `minRunS` on this shows that the job's tasks do not fail
-   * wherever they start. Services never have a task that is done: without this rule, one whose replicas had
-   * failed on three faulty machines got no replica any more.
-   */
-  recordRunTime(ranS: number, minRunS: number): void {
-    if (ranS < minRunS) return;
-    this.hasSucceeded = true;
-    this.failedOn.clear();
-  }
-
   /** Marks a task as done; false: it was done already. */
   markDone(index: number, now: number): boolean {
-    this.hasSucceeded = true;
+    this.hasDoneTask = true;
     if (!this.progress.markDone(index, now)) return false;
     this.requeued.delete(index);
     this.retries.delete(index);
--- a/src/leader/attempts/heartbeat-reconciler.ts
+++ b/src/leader/attempts/heartbeat-reconciler.ts
@@ -5,6 +5,7 @@
 import type { HeartbeatChanges } from '../../workers/heartbeat-changes.js';
 import type { Machine } from '../../workers/machine.js';
 import type { AttemptStopper } from './attempt-stopper.js';
+import type { JobHealth } from './job-health.js';
 import type { MachineHealth } from './machine-health.js';
 import type { TermState } from '../term/term-state.js';
 
@@ -19,6 +20,7 @@
     private readonly term: TermState,
     private readonly stopper: AttemptStopper,
     private readonly health: MachineHealth,
+    private readonly jobHealth: JobHealth,
   ) {}
 
   /** Applies the changes that a heartbeat has shown. */
@@ -124,9 +126,8 @@
 
   private recordRunTime(job: LiveJob, attempt: Attempt): void {
     if (attempt.startedAt === null) return;
-    const ranS = this.term.now - attempt.startedAt;
-    job.attainedS += ranS;
-    job.recordRunTime(ranS, this.term.context.settings.workers.lease_s);
+    job.attainedS += this.term.now - attempt.startedAt;
+    this.jobHealth.runEnded(job, attempt);
   }
 
   /** Stops the remaining tasks of a gang that has lost one. Those already asked to stop may finish saving. */
--- /dev/null
+++ b/src/leader/attempts/job-health.ts
@@ -0,0 +1,72 @@
+/** Decides from the runs of a job's tasks whether the job or its machines are the likely cause of failures. */
+
+import type { Clock } from '../../clock.js';
+import type { LiveJob } from '../../jobs/live-job.js';
+import type { TaskFailure } from '../../jobs/task-failure.js';
+import type { Attempt } from '../../workers/attempt.js';
+import type { Machine } from '../../workers/machine.js';
+
+/** A job that failed on this many machines, and that is not proven, is suspect; the machines are not. */
+const SUSPECT_JOB_MIN_MACHINES = 3;
+/** Leases by which a task must have outlived a failure to prove that the job does not always fail by then. */
+const PROVING_MARGIN_LEASES = 1;
+
+/** Dependencies of `JobHealth`. */
+export interface JobHealthOptions {
+  leaseS: number;
+  machines: ReadonlyMap<string, Machine>;
+  clock: Clock;
+}
+
+/**
+ * Rates jobs by the runs of their tasks. A job that was submitted with a mistake fails on every machine, possibly
+ * only after it has run for a while. So a run proves nothing by itself: it must have outlived the failure.
+ */
+export class JobHealth {
+  constructor(private readonly options: JobHealthOptions) {}
+
+  /** Records the run of a task that has ended. */
+  runEnded(job: LiveJob, attempt: Attempt): void {
+    const hasFailed = attempt.state === 'ended' && !isSoundExit(attempt);
+    if (!hasFailed) job.longestRunS = Math.max(job.longestRunS, this.observedRunS(attempt));
+  }
+
+  /** Records a task that ended with an error on a machine, and returns the failure. */
+  taskFailed(job: LiveJob, attempt: Attempt): TaskFailure {
+    const at = this.options.clock.now();
+    const ranS = attempt.startedAt === null ? 0 : at - attempt.startedAt;
+    const failure = { at, ranS };
+    job.failures.set(attempt.machine, failure);
+    return failure;
+  }
+
+  /** Whether tasks of the job are known to outlive a failure after a run of `ranS`, or to be done. */
+  isProvenBeyond(job: LiveJob, ranS: number): boolean {
+    if (job.hasDoneTask) return true;
+    const minRunS = ranS + this.options.leaseS * PROVING_MARGIN_LEASES;
+    if (job.longestRunS >= minRunS) return true;
+    for (const attempt of job.activeAttempts())
+      if (this.observedRunS(attempt) >= minRunS) return true;
+    return false;
+  }
+
+  /** Whether the job is the likely cause of its failures, not the machines: its tasks fail wherever they start. */
+  isSuspect(job: LiveJob): boolean {
+    if (job.failures.size < SUSPECT_JOB_MIN_MACHINES) return false;
+    const longestFailedRunS = Math.max(...[...job.failures.values()].map(({ ranS }) => ranS));
+    if (!this.isProvenBeyond(job, longestFailedRunS)) return true;
+    job.failures.clear();
+    return false;
+  }
+
+  /** For how long an attempt has provably run: until the latest message of its machine. */
+  private observedRunS({ startedAt, machine, state }: Attempt): number {
+    if (startedAt === null) return 0;
+    if (state === 'ended') return this.options.clock.now() - startedAt;
+    const lastSeenAt = this.options.machines.get(machine)?.lastSeenAt ?? startedAt;
+    return Math.max(0, lastSeenAt - startedAt);
+  }
+}
+
+/** Whether a task ended without a failure of its own or of its gang. */
+const isSoundExit = ({ cause }: Attempt): boolean => cause === 'done' || cause === 'stopped';
--- a/src/leader/attempts/machine-health.ts
+++ b/src/leader/attempts/machine-health.ts
@@ -2,12 +2,13 @@
 import type { Replica } from '../../store/replica.js';
 import type { Clock } from '../../clock.js';
 import type { LiveJob } from '../../jobs/live-job.js';
+import type { TaskFailure } from '../../jobs/task-failure.js';
 import type { Log } from '../../log.js';
 import type { Attempt } from '../../workers/attempt.js';
 import type { Machine } from '../../workers/machine.js';
+import { parseTaskName } from '../../wire/workers.js';
+import type { JobHealth } from './job-health.js';
 
-/** Failures of a job that has succeeded nowhere do not count against machines once it has failed on this many. */
-const SUSPECT_JOB_MIN_MACHINES = 3;
 /** Longest cordon of a machine, in leases. */
 const MAX_CORDON_LEASES = 3;
 /** How often the cordon of a machine doubles, at most. */
@@ -16,13 +17,14 @@
 const FAILURE_WINDOW_LEASES = 12;
 /** Longest retry delay of a task whose job fails on every machine, in leases. */
 const MAX_RETRY_DELAY_LEASES = 6;
-/** A machine is faulty from this many recent failures; those of a job that has succeeded nowhere count as one. */
+/** A machine is faulty from this many recent failures; those of a job that is not proven count as one. */
 const QUARANTINE_MIN_FAILURES = 2;
 
 /** Dependencies of `MachineHealth`. */
 export interface MachineHealthOptions {
   workers: { report_s: number; lease_s: number };
   jobs: ReadonlyMap<string, LiveJob>;
+  jobHealth: JobHealth;
   replica: Pick<Replica, 'jobs'>;
   clock: Clock;
   log: Log;
@@ -54,9 +56,9 @@
     const { report_s, lease_s } = this.options.workers;
     switch (attempt.cause) {
       case 'error': {
-        job.failedOn.add(machine.id);
+        const failure = this.options.jobHealth.taskFailed(job, attempt);
         // A job that fails on every machine is no evidence against the machines.
-        const jobSuspect = !job.hasSucceeded && job.failedOn.size >= SUSPECT_JOB_MIN_MACHINES;
+        const jobSuspect = this.options.jobHealth.isSuspect(job);
         job.delayRetry(
           attempt.index,
           now,
@@ -64,10 +66,10 @@
           lease_s * (jobSuspect ? MAX_RETRY_DELAY_LEASES : 1),
         );
         if (!jobSuspect) {
-          machine.condition.taskFailures.set(`${attempt.job}/${attempt.index}`, now);
+          machine.condition.taskFailures.set(`${attempt.job}/${attempt.index}`, failure);
           this.cordon(machine, report_s * 2);
         }
-        this.logFailure(machine, job, attempt, jobSuspect);
+        this.logFailure(job, attempt, failure, jobSuspect);
         this.quarantineIfFaulty(machine);
         break;
       }
@@ -84,34 +86,32 @@
     }
   }
 
-  private logFailure(machine: Machine, job: LiveJob, attempt: Attempt, jobSuspect: boolean): void {
-    const { log, clock } = this.options;
-    log.info(
-      {
-        machine: machine.id,
-        job: attempt.job,
-        index: attempt.index,
-        ranS: attempt.startedAt === null ? 0 : clock.now() - attempt.startedAt,
-        jobSucceeded: job.hasSucceeded,
-        jobFailedOn: job.failedOn.size,
-        jobSuspect,
-      },
+  private logFailure(
+    job: LiveJob,
+    { machine, index }: Attempt,
+    { ranS }: TaskFailure,
+    jobSuspect: boolean,
+  ): void {
+    const jobProven = this.options.jobHealth.isProvenBeyond(job, ranS);
+    const jobFailedOn = job.failures.size;
+    this.options.log.info(
+      { machine, job: job.spec.id, index, ranS, jobProven, jobFailedOn, jobSuspect },
       'task failed',
     );
   }
 
-  /** Quarantines a machine after failures of jobs that have succeeded somewhere or have failed on no other machine. */
+  /** Quarantines a machine after failures of jobs that are proven or have failed on no other machine. */
   private quarantineIfFaulty(machine: Machine): void {
     const windowStart =
       this.options.clock.now() - this.options.workers.lease_s * FAILURE_WINDOW_LEASES;
     const unprovenJobs = new Set<string>();
     let provenJobFailures = 0;
-    for (const [task, at] of machine.condition.taskFailures) {
-      const id = task.slice(0, task.lastIndexOf('/'));
-      if (at < windowStart) machine.condition.taskFailures.delete(task);
-      else if (this.hasSucceeded(id)) provenJobFailures++;
+    for (const [task, failure] of machine.condition.taskFailures) {
+      const { job: id } = parseTaskName(task);
+      if (failure.at < windowStart) machine.condition.taskFailures.delete(task);
+      else if (this.isProven(id, failure)) provenJobFailures++;
       // All tasks of a faulty job fail on the first machine that runs them: they count once.
-      else if (this.options.jobs.get(id)?.failedOn.size === 1) unprovenJobs.add(id);
+      else if (this.options.jobs.get(id)?.failures.size === 1) unprovenJobs.add(id);
     }
     if (
       provenJobFailures + unprovenJobs.size >= QUARANTINE_MIN_FAILURES &&
@@ -125,10 +125,10 @@
     }
   }
 
-  /** Whether any task of a job has succeeded on any machine. */
-  private hasSucceeded(id: string): boolean {
+  /** Whether tasks of a job are known to outlive such a failure on some machine. */
+  private isProven(id: string, { ranS }: TaskFailure): boolean {
     const job = this.options.jobs.get(id);
-    if (job !== undefined) return job.hasSucceeded;
+    if (job !== undefined) return this.options.jobHealth.isProvenBeyond(job, ranS);
     const storedJob = this.options.replica.jobs.get(id);
     return storedJob !== undefined && outcome(storedJob) === 'done';
   }
--- a/src/leader/scheduling/job-placement.ts
+++ b/src/leader/scheduling/job-placement.ts
@@ -19,9 +19,6 @@
 import { taskCountsByZone, type PlacementOutcome, type CycleContext } from './cycle-context.js';
 import type { Term } from '../term/term.js';
 
-/** A job that failed on this many machines and never succeeded is suspect; the machines are not. */
-const SUSPECT_JOB_MACHINE_COUNT = 3;
-
 /** A search for capacity for tasks of a job; `constraints.zones` grows with each task placed. */
 interface PlacementSearch {
   job: LiveJob;
@@ -70,7 +67,7 @@
   }
 
   private placeTasks(job: LiveJob, cycle: CycleContext, maxTasks: number): PlacementOutcome {
-    const isSuspect = this.isSuspect(job);
+    const isSuspect = this.term.jobHealth.isSuspect(job);
     const indexes = this.startableTasks(job, cycle, maxTasks, isSuspect);
     if (indexes.length === 0) return { placed: 0, unplaced: 0 };
     if (cycle.unplaced.covers(job)) return { placed: 0, unplaced: indexes.length };
@@ -117,7 +114,7 @@
       job,
       constraints: {
         zones: taskCountsByZone(this.term, job),
-        avoid: isSuspect ? job.failedOn : undefined,
+        avoid: isSuspect ? new Set(job.failures.keys()) : undefined,
         mayUse,
       },
       // A gap on an ordinary machine costs nothing, so best-effort work uses it as readily as spot.
@@ -170,16 +167,6 @@
     this.claimTask(job, index, capacity);
   }
 
-  /** Whether the job is the likely cause of its failures, not the machines: its tasks fail wherever they start. */
-  private isSuspect(job: LiveJob): boolean {
-    if (job.hasSucceeded || job.failedOn.size < SUSPECT_JOB_MACHINE_COUNT) return false;
-    const { lease_s } = this.term.context.settings.workers;
-    for (const attempt of job.activeAttempts()) {
-      if (attempt.startedAt !== null) job.recordRunTime(this.term.now - attempt.startedAt, lease_s);
-    }
-    return !job.hasSucceeded;
-  }
-
   /** Claims a machine for a task, under the task's next attempt number. */
   claimTask(job: LiveJob, index: number, capacity: FreeCapacity): void {
     this.claim(job, index, job.nextNumber(index, this.term.context.token), capacity);
--- a/src/leader/scheduling/unplaced-requests.ts
+++ b/src/leader/scheduling/unplaced-requests.ts
@@ -43,7 +43,7 @@
 
 function isComparable(job: LiveJob): boolean {
   const { spec } = job;
-  return !job.isGang && !spec.oneZone && !spec.scatter && job.failedOn.size === 0;
+  return !job.isGang && !spec.oneZone && !spec.scatter && job.failures.size === 0;
 }
 
 /** Properties that change between cycles: long work has a share, guaranteed work may preempt more. */
--- a/src/leader/term/term.ts
+++ b/src/leader/term/term.ts
@@ -9,6 +9,7 @@
 import { fenceUnanswered, isLaterToken } from '../attempts/fencing.js';
 import { restoreMachine, readyJobs } from './failover.js';
 import { LeaseExpiry } from '../attempts/lease-expiry.js';
+import { JobHealth } from '../attempts/job-health.js';
 import { MachineHealth } from '../attempts/machine-health.js';
 import { progressLayout } from '../writes/progress-layout.js';
 import { HeartbeatReconciler } from '../attempts/heartbeat-reconciler.js';
@@ -22,6 +23,7 @@
  * attempts by events go through this class; it does no input or output.
  */
 export class Term extends TermState {
+  readonly jobHealth: JobHealth;
   private readonly stopper: AttemptStopper;
   private readonly reconciler: HeartbeatReconciler;
   private readonly leaseExpiry: LeaseExpiry;
@@ -30,9 +32,12 @@
     super(context);
     const { settings, replica, clock, log } = context;
     const { workers } = settings;
-    const health = new MachineHealth({ workers, jobs: this.jobs, replica, clock, log });
+    const { jobs, machines } = this;
+    this.jobHealth = new JobHealth({ leaseS: workers.lease_s, machines, clock });
+    const { jobHealth } = this;
+    const health = new MachineHealth({ workers, jobs, jobHealth, replica, clock, log });
     this.stopper = new AttemptStopper(this);
-    this.reconciler = new HeartbeatReconciler(this, this.stopper, health);
+    this.reconciler = new HeartbeatReconciler(this, this.stopper, health, jobHealth);
     this.leaseExpiry = new LeaseExpiry(this, this.reconciler);
     for (const storedJob of readyJobs(replica)) this.addJob(storedJob);
     for (const [id, stored] of replica.machines) restoreMachine(this, this.stopper, id, stored);
--- a/src/workers/machine-condition.ts
+++ b/src/workers/machine-condition.ts
@@ -1,3 +1,5 @@
+import type { TaskFailure } from '../jobs/task-failure.js';
+
 /** What failed tasks indicate about a machine: whether it is cordoned for a while, or quarantined. */
 export class MachineCondition {
   /**
@@ -7,8 +9,8 @@
   cordonedUntil = -Infinity;
   /** Number of cordons since the last success, up to a limit; each doubles the time of the next one. */
   cordonCount = 0;
-  /** Tasks that failed here recently and since the last success, as `job/index`, and when. */
-  readonly taskFailures = new Map<string, number>();
+  /** Failures of tasks here recently and since the last success, by `job/index`. */
+  readonly taskFailures = new Map<string, TaskFailure>();
   /** Tasks of jobs that succeed elsewhere fail here: it gets no new work and is returned. */
   quarantined = false;
 
--- a/test/support/leader-world.ts
+++ b/test/support/leader-world.ts
@@ -47,6 +47,8 @@
   cloud?: CloudClient;
   /** A fleet of extended workers. */
   fleet?: Fleet;
+  /** Times that replace those of the settings. */
+  workers?: Partial<Settings['workers']>;
 }
 
 /** A leader with a store and a fleet. `failOver` replaces the leader by a new one. */
@@ -72,6 +74,7 @@
     gpusMax = 100,
     private readonly options: LeaderWorldOptions = {},
   ) {
+    Object.assign(this.settings.workers, options.workers);
     this.fleet = options.fleet ?? new Fleet(this.settings.workers.lease_s);
     this.settings.teams.set('t', { name: 't', cores: 0, coresMax: 0, gpus: 0, gpusMax });
     this.store.put(records.MACHINE_TYPES, [g8]);
--- a/test/unplaced-requests.test.ts
+++ b/test/unplaced-requests.test.ts
@@ -40,7 +40,7 @@
   ['a gang is placed as a whole', { kind: 'gang' }, {}, false],
   ['one zone: which one depends on where its tasks are', { oneZone: true }, {}, false],
   ['spread over zones: the same', { scatter: true }, {}, false],
-  ['it avoids machines', {}, { failedOn: new Set(['host-1']) }, false],
+  ['it avoids machines', {}, { failures: new Map([['host-1', { at: 0, ranS: 0 }]]) }, false],
 ];
 
 test('a request is skipped only if an earlier one that found no capacity could use all that it may use', () => {
@@ -59,7 +59,7 @@
     assert.equal(unplaced.covers(job(over)), false, JSON.stringify(over));
   }
   const unplaced = new UnplacedRequests();
-  unplaced.note(job({}, { failedOn: new Set(['host-1']) }));
+  unplaced.note(job({}, { failures: new Map([['host-1', { at: 0, ranS: 0 }]]) }));
   assert.equal(unplaced.covers(job({})), false, 'only this job avoids the machine');
 });
 
