Fix: a machine that had been quarantined once got no work for the rest of the leader's term

What callers saw: jobs waited for ever beside a machine with room that had failed tasks for a moment, or on which two jobs with a mistake had failed first; neither time, a success nor the end of these jobs changed that. Cause: MachineHealth set a flag that nothing cleared; the machine is returned when it is empty, which one with a standing replica never is. Change: MachineQuarantine keeps the failures that count and weighs them again: four leases after the latest one, a job that has found no other machine for 1.5 boots is started there as a probe, one task or gang at a time; a task placed since that is done, or outlives all failures by a lease, releases the machine. When a job ends that was never proven, its failures are withdrawn, and a machine that rested on them alone may be probed at once. A task that had started before the failure releases nothing. A new leader begins without any of this, as before. Why it works: a machine that works completes its first probe, which takes five leases and a start at the most.

--- a/src/leader/attempts/heartbeat-reconciler.ts
+++ b/src/leader/attempts/heartbeat-reconciler.ts
@@ -7,6 +7,7 @@
 import type { AttemptStopper } from './attempt-stopper.js';
 import type { JobHealth } from './job-health.js';
 import type { MachineHealth } from './machine-health.js';
+import type { MachineQuarantine } from './machine-quarantine.js';
 import type { TermState } from '../term/term-state.js';
 
 /** Length of the first cordon of a machine that did not carry out a start, in heartbeat intervals. */
@@ -14,13 +15,19 @@
 /** Length of the first cordon of a machine whose agent restarted, in heartbeat intervals. */
 const RESTART_CORDON_HEARTBEATS = 1;
 
+/** What is rated by the runs of tasks. */
+interface Ratings {
+  jobHealth: JobHealth;
+  quarantine: MachineQuarantine;
+}
+
 /** Updates jobs from the observed state of their attempts. */
 export class HeartbeatReconciler {
   constructor(
     private readonly term: TermState,
     private readonly stopper: AttemptStopper,
     private readonly health: MachineHealth,
-    private readonly jobHealth: JobHealth,
+    private readonly ratings: Ratings,
   ) {}
 
   /** Applies the changes that a heartbeat has shown. */
@@ -127,7 +134,7 @@
   private recordRunTime(job: LiveJob, attempt: Attempt): void {
     if (attempt.startedAt === null) return;
     job.attainedS += this.term.now - attempt.startedAt;
-    this.jobHealth.runEnded(job, attempt);
+    this.ratings.jobHealth.runEnded(job, attempt);
   }
 
   /** Stops the remaining tasks of a gang that has lost one. Those already asked to stop may finish saving. */
@@ -139,7 +146,7 @@
   }
 
   private taskDone(machine: Machine, job: LiveJob, attempt: Attempt): void {
-    machine.condition.taskSucceeded();
+    this.ratings.quarantine.taskDone(machine, attempt);
     const indexes = job.isGang ? [...Array(job.spec.tasks).keys()] : [attempt.index];
     // A gang completes as a unit: if one task is done, all are.
     for (const index of indexes) job.markDone(index, this.term.now);
--- a/src/leader/attempts/job-health.ts
+++ b/src/leader/attempts/job-health.ts
@@ -7,7 +7,7 @@
 import type { Machine } from '../../workers/machine.js';
 
 /** A job that failed on this many machines, and that is not proven, is suspect; the machines are not. */
-const SUSPECT_JOB_MIN_MACHINES = 3;
+export const SUSPECT_JOB_MIN_MACHINES = 3;
 /** Leases by which a task must have outlived a failure to prove that the job does not always fail by then. */
 const PROVING_MARGIN_LEASES = 1;
 
@@ -60,7 +60,7 @@
   }
 
   /** For how long an attempt has provably run: until the latest message of its machine. */
-  private observedRunS({ startedAt, machine, state }: Attempt): number {
+  observedRunS({ startedAt, machine, state }: Attempt): number {
     if (startedAt === null) return 0;
     if (state === 'ended') return this.options.clock.now() - startedAt;
     const lastSeenAt = this.options.machines.get(machine)?.lastSeenAt ?? startedAt;
--- a/src/leader/leader.ts
+++ b/src/leader/leader.ts
@@ -227,6 +227,7 @@
     const { term, context, capacity } = this;
     if (!context.isEntitled()) return;
     term.expireLeases();
+    term.quarantine.review();
     if (context.canWrite()) {
       const result = this.scheduler.runCycle();
       capacity.demand = result.demand;
--- a/src/leader/scheduling/job-placement.ts
+++ b/src/leader/scheduling/job-placement.ts
@@ -16,7 +16,12 @@
 import { COMMAND_LATENCY_S, type Preemptor } from './preemptor.js';
 import { longWorkFilter, type LongWorkFilter } from './long-work-share.js';
 import type { MachineEligibility } from './machine-eligibility.js';
-import { taskCountsByZone, type PlacementOutcome, type CycleContext } from './cycle-context.js';
+import {
+  taskCountsByZone,
+  type CycleContext,
+  type MachineFilter,
+  type PlacementOutcome,
+} from './cycle-context.js';
 import type { Term } from '../term/term.js';
 
 /** A search for capacity for tasks of a job; `constraints.zones` grows with each task placed. */
@@ -47,23 +52,60 @@
 
   private placeGang(job: LiveJob, cycle: CycleContext): PlacementOutcome {
     const { spec } = job;
-    const { capacities, usages, weights } = cycle;
-    if (job.activeAttemptCount > 0) return { placed: 0, unplaced: 0 };
-    if (job.pendingTasks(cycle.now, spec.tasks).length < spec.tasks)
-      return { placed: 0, unplaced: 0 };
-    if (!usages.allows(spec, spec.tasks)) return { placed: 0, unplaced: 0 };
+    if (!this.mayPlaceGang(job, cycle)) return { placed: 0, unplaced: 0 };
     const { mayUse } = longWorkFilter(job, cycle, this.eligibility.filterFor(job));
-    const chosen = placeGang(
-      spec,
-      capacities,
-      { zones: taskCountsByZone(this.term, job), mayUse },
-      weights,
+    const chosen = this.placeGangOn(job, cycle, cycle.capacities, mayUse);
+    return chosen === null
+      ? { placed: 0, unplaced: spec.tasks }
+      : { placed: spec.tasks, unplaced: 0 };
+  }
+
+  /** Whether none of a gang's tasks is on a machine, all may start now, and its team's limit allows them. */
+  private mayPlaceGang(job: LiveJob, { now, usages }: CycleContext): boolean {
+    const { tasks } = job.spec;
+    return (
+      job.activeAttemptCount === 0 &&
+      job.pendingTasks(now, tasks).length === tasks &&
+      usages.allows(job.spec, tasks)
     );
-    if (chosen === null) return { placed: 0, unplaced: spec.tasks };
+  }
+
+  /** Places all tasks of a gang on these machines; null: they do not fit. */
+  private placeGangOn(
+    job: LiveJob,
+    { usages, weights }: CycleContext,
+    capacities: FreeCapacity[],
+    mayUse: MachineFilter,
+  ): FreeCapacity[] | null {
+    const { spec } = job;
+    const zones = taskCountsByZone(this.term, job);
+    const chosen = placeGang(spec, capacities, { zones, mayUse }, weights);
+    if (chosen === null) return null;
     const attemptNumber = job.nextGangNumber(this.term.context.token);
     chosen.forEach((capacity, i) => this.claim(job, i, attemptNumber, capacity));
     usages.add(spec, spec.tasks);
-    return { placed: spec.tasks, unplaced: 0 };
+    return chosen;
+  }
+
+  /**
+   * Places one task of a job, or a whole gang, which found no capacity, on quarantined machines as a probe. Returns
+   * the machines that it uses. A gang may use `cycle.capacities` too.
+   */
+  placeProbe(job: LiveJob, cycle: CycleContext, quarantined: FreeCapacity[]): FreeCapacity[] {
+    const mayUse = this.eligibility.filterFor(job);
+    if (job.isGang) {
+      if (!this.mayPlaceGang(job, cycle)) return [];
+      return this.placeGangOn(job, cycle, [...cycle.capacities, ...quarantined], mayUse) ?? [];
+    }
+    const [index] = job.pendingTasks(cycle.now, 1);
+    if (index === undefined || !cycle.usages.allows(job.spec, 1)) return [];
+    const zones = taskCountsByZone(this.term, job);
+    const capacity = bestFit(job.spec, quarantined, { zones, mayUse }, cycle.weights);
+    if (capacity === null) return [];
+    allocate(job.spec, capacity);
+    this.claimTask(job, index, capacity);
+    cycle.usages.add(job.spec, 1);
+    return [capacity];
   }
 
   private placeTasks(job: LiveJob, cycle: CycleContext, maxTasks: number): PlacementOutcome {
--- a/src/leader/scheduling/machine-eligibility.ts
+++ b/src/leader/scheduling/machine-eligibility.ts
@@ -16,13 +16,16 @@
 const ANY_MACHINE: MachineFilter = () => true;
 
 /** Whether new work may be placed on a machine now. */
-export function acceptsNewWork(term: Term, machine: Machine): boolean {
+export const acceptsNewWork = (term: Term, machine: Machine): boolean =>
+  !machine.condition.quarantined && isAvailable(term, machine);
+
+/** Whether new work may be placed on a machine now, unless it is quarantined. */
+export function isAvailable(term: Term, machine: Machine): boolean {
   const { now } = term;
   const { report_s } = term.context.settings.workers;
   return (
     machine.state === 'ready' &&
     machine.reclaimAt === null &&
-    !machine.condition.quarantined &&
     machine.drainingSince === null &&
     // Answers to direct commands do not count: a worker that reaches no controller still sends them
     // while its lease expires.
--- a/src/leader/scheduling/scheduler.ts
+++ b/src/leader/scheduling/scheduler.ts
@@ -18,6 +18,7 @@
 import { JobPlacement } from './job-placement.js';
 import { longWorkShares } from './long-work-share.js';
 import { acceptsNewWork, MachineEligibility } from './machine-eligibility.js';
+import { ProbePlacement } from './probe-placement.js';
 import { ReplicaMigrations } from './replica-migrations.js';
 import { taskCountsByZone, type CycleContext } from './cycle-context.js';
 import { JobQueue } from './job-queue.js';
@@ -57,6 +58,7 @@
   private readonly reservations: GangReservations;
   private readonly eligibility: MachineEligibility;
   private readonly placement: JobPlacement;
+  private readonly probePlacement: ProbePlacement;
 
   constructor(
     private readonly term: Term,
@@ -86,6 +88,7 @@
       subsystems,
     });
     this.placement = new JobPlacement(term, this.eligibility, this.startObjectives);
+    this.probePlacement = new ProbePlacement(term, this.freeCapacities, this.placement);
   }
 
   /** Current costs of placements, in seconds. */
@@ -134,7 +137,12 @@
       this.placement.claimTask(job, index, capacity),
     );
     const demand: Demand[] = [];
-    placed = this.placeJobs(jobs, cycle, placed, demand);
+    const unplacedJobs: LiveJob[] = [];
+    placed = this.placeJobs(jobs, cycle, placed, (job, tasks) => {
+      unplacedJobs.push(job);
+      demand.push({ spec: job.spec, tasks, zones: taskCountsByZone(term, job) });
+    });
+    placed += this.probePlacement.place(unplacedJobs, cycle);
     return { placed, demand, capacities, usages };
   }
 
@@ -154,7 +162,7 @@
     jobs: LiveJob[],
     cycle: CycleContext,
     placedBefore: number,
-    demand: Demand[],
+    onUnplaced: (job: LiveJob, tasks: number) => void,
   ): number {
     const maxTasks = Math.ceil(this.term.context.settings.state.write_rps * MAX_CLAIMS_PER_WRITE);
     let placed = placedBefore;
@@ -164,8 +172,7 @@
       placed += outcome.placed;
       if (outcome.unplaced === 0) continue;
       const unplaced = this.preemptFor(job, cycle, outcome.unplaced);
-      if (unplaced > 0)
-        demand.push({ spec: job.spec, tasks: unplaced, zones: taskCountsByZone(this.term, job) });
+      if (unplaced > 0) onUnplaced(job, unplaced);
     }
     return placed;
   }
--- a/src/leader/term/term.ts
+++ b/src/leader/term/term.ts
@@ -11,6 +11,7 @@
 import { LeaseExpiry } from '../attempts/lease-expiry.js';
 import { JobHealth } from '../attempts/job-health.js';
 import { MachineHealth } from '../attempts/machine-health.js';
+import { MachineQuarantine } from '../attempts/machine-quarantine.js';
 import { progressLayout } from '../writes/progress-layout.js';
 import { HeartbeatReconciler } from '../attempts/heartbeat-reconciler.js';
 import { mayStart, mayStartDirectly } from '../attempts/start-permission.js';
@@ -24,6 +25,7 @@
  */
 export class Term extends TermState {
   readonly jobHealth: JobHealth;
+  readonly quarantine: MachineQuarantine;
   private readonly stopper: AttemptStopper;
   private readonly reconciler: HeartbeatReconciler;
   private readonly leaseExpiry: LeaseExpiry;
@@ -33,11 +35,17 @@
     const { settings, replica, clock, log } = context;
     const { workers } = settings;
     const { jobs, machines } = this;
-    this.jobHealth = new JobHealth({ leaseS: workers.lease_s, machines, clock });
-    const { jobHealth } = this;
-    const health = new MachineHealth({ workers, jobs, jobHealth, replica, clock, log });
+    const leaseS = workers.lease_s;
+    const jobHealth = new JobHealth({ leaseS, machines, clock });
+    const quarantine = new MachineQuarantine({ leaseS, machines, jobs, jobHealth, clock, log });
+    const health = new MachineHealth({ workers, jobHealth, quarantine, clock, log });
+    this.jobHealth = jobHealth;
+    this.quarantine = quarantine;
     this.stopper = new AttemptStopper(this);
-    this.reconciler = new HeartbeatReconciler(this, this.stopper, health, jobHealth);
+    this.reconciler = new HeartbeatReconciler(this, this.stopper, health, {
+      jobHealth,
+      quarantine,
+    });
     this.leaseExpiry = new LeaseExpiry(this, this.reconciler);
     for (const storedJob of readyJobs(replica)) this.addJob(storedJob);
     for (const [id, stored] of replica.machines) restoreMachine(this, this.stopper, id, stored);
@@ -78,12 +86,15 @@
 
   private cancelJob(job: LiveJob): void {
     job.cancelled = true;
+    this.quarantine.jobEnded(job);
     this.stopper.closeJob(job);
   }
 
   /** Handles a job whose tasks are all done and stored. */
   jobCompleted(job: LiveJob): void {
-    if (job.phase === 'active') job.changePhase('closing');
+    if (job.phase !== 'active') return;
+    this.quarantine.jobEnded(job);
+    job.changePhase('closing');
   }
 
   // Attempts
--- a/src/workers/machine-condition.ts
+++ b/src/workers/machine-condition.ts
@@ -1,5 +1,24 @@
 import type { TaskFailure } from '../jobs/task-failure.js';
 
+/** A task's failure that counts against the machine on which it ran. */
+export interface CountedFailure extends TaskFailure {
+  /** The id of the task's job. */
+  job: string;
+  /** Its job has ended, and its tasks were known to outlive such a failure on some machine. */
+  ofProvenJob: boolean;
+}
+
+/** A machine that counts as faulty; times in seconds of the steady clock. */
+export interface Quarantine {
+  since: number;
+  /** The latest failure that counts against the machine. */
+  failedAt: number;
+  /** From when on a task may be started there as a probe, which shows whether the machine still fails tasks. */
+  probeFrom: number;
+  /** How many probes have failed. */
+  failedProbes: number;
+}
+
 /** What failed tasks indicate about a machine: whether it is cordoned for a while, or quarantined. */
 export class MachineCondition {
   /**
@@ -10,13 +29,19 @@
   /** Number of cordons since the last success, up to a limit; each doubles the time of the next one. */
   cordonCount = 0;
   /** Failures of tasks here recently and since the last success, by `job/index`. */
-  readonly taskFailures = new Map<string, TaskFailure>();
-  /** Tasks of jobs that succeed elsewhere fail here: it gets no new work and is returned. */
-  quarantined = false;
+  readonly taskFailures = new Map<string, CountedFailure>();
+  /** Set while it counts as faulty: it gets no new work but probes, and is returned once it is empty. */
+  quarantine: Quarantine | null = null;
+
+  /** Whether it counts as faulty. */
+  get quarantined(): boolean {
+    return this.quarantine !== null;
+  }
 
   /** A task succeeded here: earlier failures no longer count. */
   taskSucceeded(): void {
     this.taskFailures.clear();
     this.cordonCount = 0;
+    this.quarantine = null;
   }
 }
--- a/test/failure-evidence.test.ts
+++ b/test/failure-evidence.test.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { JobSpec } from '../src/jobs/types.js';
+import { g8 } from './helpers.js';
 import { FailingFleet } from './support/failing-fleet.js';
 import { LeaderWorld } from './support/leader-world.js';
 
@@ -16,6 +17,10 @@
   { report_s: 2.5, lease_s: 15.25, cancel_s: 40.25 },
 ];
 
+/** The deployments' machines take this long to boot, in seconds. */
+const MACHINE_TYPE = { ...g8, bootS: 25 };
+const GPUS_MAX = 1000;
+
 type WorkerTimes = (typeof WORKER_TIMES)[number];
 
 interface FailingWorld {
@@ -26,7 +31,7 @@
 /** A leader and machines on each of which one replica stands and three GPUs are free. */
 async function worldWithReplicas(times: WorkerTimes, machines: string[]): Promise<FailingWorld> {
   const fleet = new FailingFleet(times.lease_s);
-  const world = new LeaderWorld(1000, { fleet, workers: times });
+  const world = new LeaderWorld(GPUS_MAX, { fleet, workers: times, machineType: MACHINE_TYPE });
   for (const id of machines) fleet.add(id);
   await world.run(times.report_s);
   world.submitJob({
@@ -65,3 +70,114 @@
     }
   }
 });
+
+// Guards against: the quarantine of a machine outlived the jobs whose failures it rested on.
+test('two mistaken jobs that fail first on the same machine do not take it out of use for good', async () => {
+  for (const times of WORKER_TIMES) {
+    for (const isCancelled of [true, false]) {
+      const setup = await worldWithReplicas(times, ['a']);
+      const { world, fleet } = setup;
+      for (const id of ['wk-100001', 'wk-100002']) {
+        fleet.failsAfterS.set(id, 0);
+        world.submitJob({ id, priority: 0 });
+      }
+      await world.run(times.lease_s);
+      if (isCancelled) for (const id of ['wk-100001', 'wk-100002']) world.cancel(id);
+      const message = `lease ${times.lease_s} s, cancelled: ${isCancelled}`;
+      await assertServed(setup, { id: WAITING, gpus: 1, priority: 3 }, message);
+    }
+  }
+});
+
+/** Two jobs that fill the free GPUs of one machine. */
+const KINDS = ['array', 'service', 'gang'] as const;
+const FIRST = 'wk-100001';
+const SECOND = 'wk-100002';
+
+/** One machine with a standing replica, which fails all tasks of two jobs that it starts for two leases. */
+async function worldAfterShortFault(
+  times: WorkerTimes,
+  kind: (typeof KINDS)[number],
+): Promise<FailingWorld> {
+  const setup = await worldWithReplicas(times, ['a']);
+  const { world, fleet } = setup;
+  fleet.worker('a').failsAfterS = 0.3;
+  world.submitJob({ id: FIRST, kind, tasks: 2 });
+  world.submitJob({ id: SECOND, kind });
+  await world.run(times.lease_s * 2);
+  assert.ok(fleet.worker('a').wastedStarts > 1);
+  fleet.worker('a').failsAfterS = null;
+  return setup;
+}
+
+// Guards against: a machine that failed tasks for a moment got nothing any more, although jobs waited for it.
+test('a machine whose fault is over gets the tasks again that it has failed', async () => {
+  for (const times of WORKER_TIMES) {
+    for (const kind of KINDS) {
+      const { world, fleet } = await worldAfterShortFault(times, kind);
+      await world.run(MAX_WAIT_S);
+      const message = `lease ${times.lease_s} s, ${kind}`;
+      assert.deepEqual([fleet.running(FIRST), fleet.running(SECOND)], [2, 1], message);
+      assert.deepEqual(fleet.violations, [], message);
+    }
+  }
+});
+
+// Guards against: as before, where the jobs that failed are cancelled, or another leader takes over.
+test('a machine whose fault is over gets other tasks', async () => {
+  for (const times of WORKER_TIMES) {
+    for (const kind of KINDS) {
+      for (const isLeaderReplaced of [false, true]) {
+        const setup = await worldAfterShortFault(times, kind);
+        if (isLeaderReplaced) setup.world.failOver();
+        for (const id of [FIRST, SECOND]) setup.world.cancelNotedByLeader(id);
+        const message = `lease ${times.lease_s} s, ${kind}, replaced: ${isLeaderReplaced}`;
+        await assertServed(setup, { id: WAITING, kind, tasks: 3 }, message);
+      }
+    }
+  }
+});
+
+// Guards against: failures of a job that runs well elsewhere kept a machine out of use when its fault was over.
+test('a machine that failed tasks of a proven service gets its replicas again', async () => {
+  for (const times of WORKER_TIMES) {
+    const { world, fleet } = await worldWithReplicas(times, ['a', 'b']);
+    fleet.worker('b').failsAfterS = 0.3;
+    world.submitJob({ id: WAITING, kind: 'service', tasks: 6, priority: 0 });
+    await world.run(times.lease_s * 6);
+    assert.equal(fleet.running(WAITING), 3);
+    assert.ok(world.machine('b').condition.quarantined);
+    fleet.worker('b').failsAfterS = null;
+    await world.run(MAX_WAIT_S);
+    assert.equal(fleet.running(WAITING), 6, `lease ${times.lease_s} s`);
+  }
+});
+
+/** Machines beside the faulty one, arrays that come, and the starts that were wasted before quarantines could end. */
+const LASTING_FAULTS = [
+  { name: 'others have room', sound: 7, tasks: 1, runS: 10, gapS: 5, wastedBefore: 0 },
+  { name: 'others are full at times', sound: 3, tasks: 10, runS: 20, gapS: 40, wastedBefore: 6 },
+  { name: 'jobs wait for it', sound: 0, tasks: 1, runS: 10, gapS: 5, wastedBefore: 3 },
+];
+const FAULT_S = 600;
+/** Jobs that wait may need the machine within the time of the users' rule, and only a start shows whether it works. */
+const PROBE_GAP_LEASES = 4;
+
+// Guards against: what releases sound machines gives faulty ones more tasks to fail.
+test('a machine that stays faulty gets no more tasks than before, and few while jobs wait for it', async () => {
+  for (const { name, sound, tasks, runS, gapS, wastedBefore } of LASTING_FAULTS) {
+    const times = WORKER_TIMES[0]!;
+    const soundIds = [...'abcdefg'].slice(0, sound);
+    const { world, fleet } = await worldWithReplicas(times, [...soundIds, 'faulty']);
+    fleet.worker('faulty').failsAfterS = 0.3;
+    for (let i = 0; i < FAULT_S / gapS; i++) {
+      const id = `wk-${200_000 + i}`;
+      fleet.runS.set(id, runS);
+      world.submitJob({ id, tasks });
+      await world.run(gapS);
+    }
+    const probes = sound === 0 ? FAULT_S / (times.lease_s * PROBE_GAP_LEASES) : 0;
+    const { wastedStarts } = fleet.worker('faulty');
+    assert.ok(wastedStarts <= wastedBefore + probes, `${name}: ${wastedStarts}`);
+  }
+});
--- a/test/meeting-ends.test.ts
+++ b/test/meeting-ends.test.ts
@@ -173,7 +173,10 @@
   world.runCycle();
   const placed = world.term.jobs.get(JOB)!.attemptsByTask.get(0)![0]!.machine;
   // A quarantined machine is returned at once if it is empty.
-  world.machine(placed).condition.quarantined = true;
+  const { now } = world;
+  world.machine(placed).condition.quarantine = {
+    since: now, failedAt: now, probeFrom: Infinity, failedProbes: 0,
+  }; // prettier-ignore
   assert.ok(!world.parts.capacity.machinesToRemove().includes(placed));
   assert.equal(world.machine(placed).state, 'ready');
   await world.run(1);
--- a/test/support/failing-fleet.ts
+++ b/test/support/failing-fleet.ts
@@ -1,5 +1,6 @@
 /** Simulated workers on faulty machines, and tasks of jobs that were submitted with a mistake. */
-import type { TaskStatus } from '../../src/wire/workers.js';
+import type { Command, TaskStatus } from '../../src/wire/workers.js';
+import { attemptKey } from '../../src/workers/attempt.js';
 import { Fleet, Worker } from './simulated-fleet.js';
 
 /** A worker that fails tasks: those of mistaken jobs, and all that it starts while its machine is faulty. */
@@ -8,7 +9,7 @@
   failsAfterS: number | null = null;
   /** How many starts the machine has failed because it was faulty. */
   wastedStarts = 0;
-  private readonly runs = new Map<TaskStatus, { startedAt: number; machineFailsAfterS: number }>();
+  private readonly runs = new Map<string, { startedAt: number; machineFailsAfterS: number }>();
 
   constructor(
     id: string,
@@ -24,8 +25,14 @@
     for (const task of this.tasks.values()) if (task.state !== 'ended') this.advance(task);
   }
 
+  /** Records a start: only what it starts while it is faulty fails. */
+  started({ job, index, attempt }: Command): void {
+    const run = { startedAt: this.fleet.now, machineFailsAfterS: this.failsAfterS ?? Infinity };
+    this.runs.set(attemptKey(job, index, attempt), run);
+  }
+
   private advance(task: TaskStatus): void {
-    const run = this.runOf(task);
+    const run = this.runs.get(attemptKey(task.job, task.index, task.attempt))!;
     const ranS = this.fleet.now - run.startedAt;
     const { failsAfterS, runS } = this.failingFleet;
     if (ranS >= run.machineFailsAfterS) {
@@ -34,15 +41,6 @@
     } else if (ranS >= (failsAfterS.get(task.job) ?? Infinity)) this.end(task, 'error');
     else if (ranS >= (runS.get(task.job) ?? Infinity)) this.end(task, 'done');
   }
-
-  private runOf(task: TaskStatus): { startedAt: number; machineFailsAfterS: number } {
-    let run = this.runs.get(task);
-    if (run === undefined) {
-      run = { startedAt: this.fleet.now, machineFailsAfterS: this.failsAfterS ?? Infinity };
-      this.runs.set(task, run);
-    }
-    return run;
-  }
 }
 
 /** A fleet whose tasks fail or are done after a while. */
@@ -57,6 +55,12 @@
     return new FailingWorker(id, this, zone);
   }
 
+  /** See `Fleet.noteStart`. */
+  override noteStart(on: Worker, command: Command): void {
+    super.noteStart(on, command);
+    (on as FailingWorker).started(command);
+  }
+
   /** Adds a machine. */
   override add(id: string, zone = 'z1'): FailingWorker {
     return super.add(id, zone) as FailingWorker;
--- a/test/support/leader-world.ts
+++ b/test/support/leader-world.ts
@@ -3,7 +3,7 @@
  */
 import type { CloudClient } from '../../src/cloud/client.js';
 import type { Settings } from '../../src/config/settings.js';
-import type { JobSpec } from '../../src/jobs/types.js';
+import type { JobSpec, MachineType } from '../../src/jobs/types.js';
 import { LatencyHistograms } from '../../src/latency-histograms.js';
 import type { CapacityManager } from '../../src/leader/capacity/capacity-manager.js';
 import { Leader } from '../../src/leader/leader.js';
@@ -49,6 +49,8 @@
   fleet?: Fleet;
   /** Times that replace those of the settings. */
   workers?: Partial<Settings['workers']>;
+  /** The type of all machines; absent: `g8`. */
+  machineType?: MachineType;
 }
 
 /** A leader with a store and a fleet. `failOver` replaces the leader by a new one. */
@@ -77,7 +79,7 @@
     Object.assign(this.settings.workers, options.workers);
     this.fleet = options.fleet ?? new Fleet(this.settings.workers.lease_s);
     this.settings.teams.set('t', { name: 't', cores: 0, coresMax: 0, gpus: 0, gpusMax });
-    this.store.put(records.MACHINE_TYPES, [g8]);
+    this.store.put(records.MACHINE_TYPES, [options.machineType ?? g8]);
     this.failOver();
   }
 
