Fix: a job that had failed on three machines was kept from them, and from new ones, for ever

What callers saw: a job whose tasks failed on three faulty machines was never started again after these worked, while they had room, nor was a machine asked of the cloud for it; its user waited until another machine came by chance. Cause: an unproven job that failed on three machines is suspect: it avoids them, runs one task at a time and is no demand. A retry delay of six leases is 91.5 s at the longest lease, above the 90 s that a job may wait. Change: a suspect job avoids a machine for four leases after its failure there, its delay ends after four, and its failures lapse once it has not failed for twelve, after which it is demand again. Since it may now return to machines, all its tasks share one delay that doubles. Why it works: whatever machine has room, the job is tried there within four leases, and one run that outlives its failures by a lease ends the suspicion. Tests: failure-evidence, 'a job that failed on three faulty machines...' (two), failed before.

--- a/src/jobs/live-job.ts
+++ b/src/jobs/live-job.ts
@@ -7,6 +7,7 @@
 import { chunkCount } from './chunks.js';
 import { JobProgress, type ProgressLayout } from './progress.js';
 import { placementKeyOf } from './placement-key.js';
+import { RetryDelay } from './retry-delay.js';
 import type { TaskFailure } from './task-failure.js';
 import type { JobSpec, Priority } from './types.js';
 
@@ -19,11 +20,6 @@
  */
 export type JobPhase = 'active' | 'closing' | 'closed';
 
-interface RetryDelay {
-  failures: number;
-  notBefore: number;
-}
-
 /** An accepted job as its leader sees it: tasks that are done, running, or waiting to be started. */
 export class LiveJob {
   /** What the user asked for, with the highest priority among this job and the jobs that depend on it. */
@@ -42,6 +38,8 @@
   readonly failures = new Map<string, TaskFailure>();
   /** Whether any of its tasks is done. */
   hasDoneTask = false;
+  /** Delay of the whole job while it is suspect, see `JobHealth`. */
+  readonly suspectRetry = new RetryDelay();
   /** Longest run, in seconds, of a task that has ended without a failure. */
   longestRunS = 0;
   isLong = false;
@@ -137,10 +135,9 @@
 
   /** Delays the next attempt of a task after a failure: longer after each failure. */
   delayRetry(index: number, now: number, initialS: number, maxS: number): void {
-    const delay = this.retries.get(index) ?? { failures: 0, notBefore: 0 };
-    delay.notBefore = now + Math.min(maxS, initialS * 2 ** delay.failures);
-    delay.failures++;
-    this.retries.set(index, delay);
+    let delay = this.retries.get(index);
+    if (delay === undefined) this.retries.set(index, (delay = new RetryDelay()));
+    delay.failed(now, initialS, maxS);
   }
 
   /** Marks a task as done; false: it was done already. */
--- a/src/leader/attempts/job-health.ts
+++ b/src/leader/attempts/job-health.ts
@@ -8,12 +8,16 @@
 
 /** A job that failed on this many machines, and that is not proven, is suspect; the machines are not. */
 export const SUSPECT_JOB_MIN_MACHINES = 3;
+/** How long a failure counts, against a job or a machine, in leases. */
+export const FAILURE_WINDOW_LEASES = 12;
+/** Leases after which a suspect job may use a machine again on which it failed. */
+const RETRIAL_LEASES = 4;
 /** Leases by which a task must have outlived a failure to prove that the job does not always fail by then. */
 const PROVING_MARGIN_LEASES = 1;
 
 /** Dependencies of `JobHealth`. */
 export interface JobHealthOptions {
-  leaseS: number;
+  workers: { report_s: number; lease_s: number };
   machines: ReadonlyMap<string, Machine>;
   clock: Clock;
 }
@@ -43,7 +47,7 @@
   /** Whether tasks of the job are known to outlive a failure after a run of `ranS`, or to be done. */
   isProvenBeyond(job: LiveJob, ranS: number): boolean {
     if (job.hasDoneTask) return true;
-    const minRunS = ranS + this.options.leaseS * PROVING_MARGIN_LEASES;
+    const minRunS = ranS + this.options.workers.lease_s * PROVING_MARGIN_LEASES;
     if (job.longestRunS >= minRunS) return true;
     for (const attempt of job.activeAttempts())
       if (this.observedRunS(attempt) >= minRunS) return true;
@@ -52,11 +56,40 @@
 
   /** Whether the job is the likely cause of its failures, not the machines: its tasks fail wherever they start. */
   isSuspect(job: LiveJob): boolean {
-    if (job.failures.size < SUSPECT_JOB_MIN_MACHINES) return false;
-    const longestFailedRunS = Math.max(...[...job.failures.values()].map(({ ranS }) => ranS));
-    if (!this.isProvenBeyond(job, longestFailedRunS)) return true;
-    job.failures.clear();
-    return false;
+    this.dropOldFailures(job);
+    const isSuspect =
+      job.failures.size >= SUSPECT_JOB_MIN_MACHINES &&
+      !this.isProvenBeyond(job, longestFailedRunS(job));
+    if (!isSuspect) job.suspectRetry.forgetFailures();
+    return isSuspect;
+  }
+
+  /** Delays all tasks of a suspect job, of which another one has failed. */
+  delaySuspect(job: LiveJob): void {
+    const { report_s, lease_s } = this.options.workers;
+    const maxS = lease_s * RETRIAL_LEASES;
+    job.suspectRetry.failed(this.options.clock.now(), report_s / 2, maxS);
+  }
+
+  /** How many tasks of a suspect job may start now: it runs one at a time. */
+  startableTasks(job: LiveJob): number {
+    if (this.options.clock.now() < job.suspectRetry.notBefore) return 0;
+    return Math.max(0, 1 - job.activeAttemptCount);
+  }
+
+  /** Machines on which a suspect job failed so recently that it is not tried there again. */
+  machinesToAvoid(job: LiveJob): Set<string> {
+    const since = this.options.clock.now() - this.options.workers.lease_s * RETRIAL_LEASES;
+    const recent = [...job.failures].filter(([, { at }]) => at > since);
+    return new Set(recent.map(([machine]) => machine));
+  }
+
+  /** Failures count until the job has not failed for a while. One that goes on failing is tried all the same. */
+  private dropOldFailures({ failures }: LiveJob): void {
+    const windowStart =
+      this.options.clock.now() - this.options.workers.lease_s * FAILURE_WINDOW_LEASES;
+    for (const { at } of failures.values()) if (at >= windowStart) return;
+    failures.clear();
   }
 
   /** For how long an attempt has provably run: until the latest message of its machine. */
@@ -68,5 +101,8 @@
   }
 }
 
+const longestFailedRunS = (job: LiveJob): number =>
+  Math.max(...[...job.failures.values()].map(({ ranS }) => ranS));
+
 /** Whether a task ended without a failure of its own or of its gang. */
 const isSoundExit = ({ cause }: Attempt): boolean => cause === 'done' || cause === 'stopped';
--- a/src/leader/attempts/machine-health.ts
+++ b/src/leader/attempts/machine-health.ts
@@ -14,7 +14,7 @@
 /** How often the cordon of a machine doubles, at most. */
 const MAX_CORDON_DOUBLINGS = 10;
 /** Longest retry delay of a task whose job fails on every machine, in leases. */
-const MAX_RETRY_DELAY_LEASES = 6;
+const MAX_RETRY_DELAY_LEASES = 4;
 
 /** Dependencies of `MachineHealth`. */
 export interface MachineHealthOptions {
@@ -72,7 +72,10 @@
     const maxDelayS = lease_s * (jobSuspect ? MAX_RETRY_DELAY_LEASES : 1);
     job.delayRetry(attempt.index, failure.at, report_s / 2, maxDelayS);
     this.logFailure(job, attempt, failure, jobSuspect);
-    if (jobSuspect) return;
+    if (jobSuspect) {
+      jobHealth.delaySuspect(job);
+      return;
+    }
     this.cordon(machine, report_s * 2);
     quarantine.failureCounted(machine, attempt, {
       ...failure,
--- a/src/leader/attempts/machine-quarantine.ts
+++ b/src/leader/attempts/machine-quarantine.ts
@@ -6,10 +6,8 @@
 import type { Attempt } from '../../workers/attempt.js';
 import type { Machine } from '../../workers/machine.js';
 import type { CountedFailure, Quarantine } from '../../workers/machine-condition.js';
-import { SUSPECT_JOB_MIN_MACHINES, type JobHealth } from './job-health.js';
+import { FAILURE_WINDOW_LEASES, SUSPECT_JOB_MIN_MACHINES, type JobHealth } from './job-health.js';
 
-/** How long a failure counts against a machine that is not quarantined, in leases. */
-const FAILURE_WINDOW_LEASES = 12;
 /** A machine is faulty from this many recent failures; those of a job that is not proven count as one. */
 const QUARANTINE_MIN_FAILURES = 2;
 /** Leases from a failure or a probe to the next probe. Waiting jobs need the machine if its fault is over. */
@@ -145,6 +143,7 @@
     return false;
   }
 
+  /** Failures of a machine that is not quarantined count for a while only. */
   private dropOldFailures(machine: Machine): void {
     const windowStart = this.options.clock.now() - this.options.leaseS * FAILURE_WINDOW_LEASES;
     for (const [task, { at }] of machine.condition.taskFailures)
--- a/src/leader/scheduling/job-placement.ts
+++ b/src/leader/scheduling/job-placement.ts
@@ -140,8 +140,10 @@
     isSuspect: boolean,
   ): number[] {
     const allowed = Math.min(cycle.usages.remainingTasks(job.spec), maxTasks);
-    const limit = isSuspect ? Math.min(allowed, 1 - job.activeAttemptCount) : allowed;
-    return job.pendingTasks(cycle.now, Math.max(0, limit));
+    const limit = isSuspect
+      ? Math.min(allowed, this.term.jobHealth.startableTasks(job))
+      : Math.max(0, allowed);
+    return job.pendingTasks(cycle.now, limit);
   }
 
   private search(
@@ -156,7 +158,7 @@
       job,
       constraints: {
         zones: taskCountsByZone(this.term, job),
-        avoid: isSuspect ? new Set(job.failures.keys()) : undefined,
+        avoid: isSuspect ? this.term.jobHealth.machinesToAvoid(job) : undefined,
         mayUse,
       },
       // A gap on an ordinary machine costs nothing, so best-effort work uses it as readily as spot.
--- a/test/failure-evidence.test.ts
+++ b/test/failure-evidence.test.ts
@@ -181,3 +181,66 @@
     assert.ok(wastedStarts <= wastedBefore + probes, `${name}: ${wastedStarts}`);
   }
 });
+
+// Guards against: a job that failed on three machines was kept from them for ever, and waited beside them.
+test('a job that failed on three faulty machines runs there once their fault is over', async () => {
+  for (const times of WORKER_TIMES) {
+    for (const kind of KINDS) {
+      for (const faultLeases of [0.5, 60]) {
+        const { world, fleet } = await worldWithReplicas(times, ['a', 'b', 'c']);
+        for (const id of fleet.workers.keys()) fleet.worker(id).failsAfterS = 0.3;
+        world.submitJob({ id: WAITING, kind, tasks: 3, gpus: 2, priority: 0 });
+        await world.run(times.lease_s * faultLeases);
+        for (const id of fleet.workers.keys()) fleet.worker(id).failsAfterS = null;
+        await world.run(MAX_WAIT_S);
+        const message = `lease ${times.lease_s} s, ${kind}, faulty for ${faultLeases} leases`;
+        assert.equal(fleet.running(WAITING), 3, message);
+        assert.deepEqual(fleet.violations, [], message);
+      }
+    }
+  }
+});
+
+// Guards against: no machine was added for a job that failed on three faulty machines, which others fill now.
+test('a job that failed on three faulty machines is demand once its failures have lapsed', async () => {
+  for (const times of WORKER_TIMES) {
+    const { world, fleet } = await worldWithReplicas(times, ['a', 'b', 'c']);
+    for (const id of fleet.workers.keys()) fleet.worker(id).failsAfterS = 0.3;
+    world.submitJob({ id: WAITING, kind: 'service', tasks: 3, gpus: 2, priority: 0 });
+    await world.run(times.lease_s / 2);
+    for (const id of fleet.workers.keys()) fleet.worker(id).failsAfterS = null;
+    world.submitJob({ id: FIRST, kind: 'service', tasks: 9, priority: 0 });
+    await world.run(times.lease_s * 3);
+    assert.equal(fleet.running(FIRST), 9);
+    await world.run(times.lease_s * 10);
+    const demand = world.parts.capacity.demand.map(({ spec }) => spec.id);
+    assert.deepEqual(demand, [WAITING], `lease ${times.lease_s} s`);
+  }
+});
+
+/** Leases for which a job goes on failing; how often its delay doubles; leases between two starts then. */
+const MISTAKE_LEASES = 60;
+const RETRY_DOUBLINGS = 7;
+const RETRY_GAP_LEASES = 4;
+
+// Guards against: failures of a job with a mistake count against machines each time that earlier ones have lapsed.
+test('a job that fails everywhere for long quarantines no machine, and others run beside it', async () => {
+  for (const times of WORKER_TIMES) {
+    const machines = ['a', 'b', 'c', 'd', 'e'];
+    const setup = await worldWithReplicas(times, machines);
+    const { world, fleet } = setup;
+    const tasks = 5;
+    fleet.failsAfterS.set(MISTAKEN, 0);
+    world.submitJob({ id: MISTAKEN, kind: 'service', tasks, priority: 0 });
+    for (let i = 0; i < MISTAKE_LEASES; i++) {
+      await world.run(times.lease_s);
+      const quarantined = machines.filter((id) => world.machine(id).condition.quarantined);
+      assert.deepEqual(quarantined, [], `lease ${times.lease_s} s, after ${i + 1} leases`);
+    }
+    let starts = 0;
+    for (let i = 0; i < tasks; i++) starts += fleet.starts.get(`${MISTAKEN}/${i}`) ?? 0;
+    const maxStarts = tasks + RETRY_DOUBLINGS + MISTAKE_LEASES / RETRY_GAP_LEASES;
+    assert.ok(starts <= maxStarts, `lease ${times.lease_s} s: ${starts} starts`);
+    await assertServed(setup, { id: WAITING, tasks: 5, gpus: 2 }, `lease ${times.lease_s} s`);
+  }
+});
