Fix: cordons and retry delays grew with failures that were long past

What callers saw: a machine that carries replicas only was kept idle for three leases, 30 to 46 s, after its agent restarted once, and a replica that failed once waited for a lease, however long both had worked before. Cause: the count by which a cordon doubles was cleared by a task that is done, which a service never is, and that of a task's retry delay only when the task was done. The count of cordons also made placements there dearer, for ever. Evidence: in injected time, after the eighth restart, or the fifth failure, each 20 leases after the one before, the replica did not run within eight heartbeats; after the first it did. Change: one Backoff serves cordons, tasks and suspect jobs, in place of two of their own; after twelve leases without a failure the next one counts as the first. Tests: failure-evidence, 'a machine whose agent restarted long ago...' and 'a replica that ran for long...', failed before.

--- a/src/jobs/live-job.ts
+++ b/src/jobs/live-job.ts
@@ -1,3 +1,4 @@
+import { Backoff, type BackoffTimes } from '../backoff.js';
 import { IllegalTransitionError } from '../illegal-transition.js';
 import type { Attempt } from '../workers/attempt.js';
 import { occupiesCapacity } from '../workers/attempt.js';
@@ -7,7 +8,6 @@
 import { chunkCount } from './chunks.js';
 import { JobProgress, type ProgressLayout } from './progress.js';
 import { placementKeyOf } from './placement-key.js';
-import { RetryDelay } from './retry-delay.js';
 import type { TaskFailure } from './task-failure.js';
 import type { JobSpec, Priority } from './types.js';
 
@@ -39,7 +39,7 @@
   /** Whether any of its tasks is done. */
   hasDoneTask = false;
   /** Delay of the whole job while it is suspect, see `JobHealth`. */
-  readonly suspectRetry = new RetryDelay();
+  readonly suspectRetry = new Backoff();
   /** Longest run, in seconds, of a task that has ended without a failure. */
   longestRunS = 0;
   isLong = false;
@@ -47,7 +47,7 @@
   isGuaranteed = false;
   private firstUntried = 0;
   private readonly requeued = new Set<number>();
-  private readonly retries = new Map<number, RetryDelay>();
+  private readonly retries = new Map<number, Backoff>();
   private readonly lastAttemptNumbers = new Map<number, number>();
   /** The revision as of which its tasks may start. */
   readonly readyRevision: number;
@@ -134,10 +134,10 @@
   }
 
   /** Delays the next attempt of a task after a failure: longer after each failure. */
-  delayRetry(index: number, now: number, initialS: number, maxS: number): void {
-    let delay = this.retries.get(index);
-    if (delay === undefined) this.retries.set(index, (delay = new RetryDelay()));
-    delay.failed(now, initialS, maxS);
+  delayRetry(index: number, now: number, times: BackoffTimes): void {
+    let backoff = this.retries.get(index);
+    if (backoff === undefined) this.retries.set(index, (backoff = new Backoff()));
+    backoff.failed(now, times);
   }
 
   /** Marks a task as done; false: it was done already. */
@@ -199,7 +199,7 @@
     for (const index of this.requeued) {
       if (tasks.length >= limit) return tasks;
       if (this.attemptsByTask.has(index) || this.done.has(index)) continue;
-      if ((this.retries.get(index)?.notBefore ?? 0) > now) continue;
+      if ((this.retries.get(index)?.until ?? 0) > now) continue;
       tasks.push(index);
     }
     while (
--- a/src/leader/attempts/job-health.ts
+++ b/src/leader/attempts/job-health.ts
@@ -17,7 +17,7 @@
 
 /** Dependencies of `JobHealth`. */
 export interface JobHealthOptions {
-  workers: { report_s: number; lease_s: number };
+  leaseS: number;
   machines: ReadonlyMap<string, Machine>;
   clock: Clock;
 }
@@ -47,7 +47,7 @@
   /** Whether tasks of the job are known to outlive a failure after a run of `ranS`, or to be done. */
   isProvenBeyond(job: LiveJob, ranS: number): boolean {
     if (job.hasDoneTask) return true;
-    const minRunS = ranS + this.options.workers.lease_s * PROVING_MARGIN_LEASES;
+    const minRunS = ranS + this.options.leaseS * PROVING_MARGIN_LEASES;
     if (job.longestRunS >= minRunS) return true;
     for (const attempt of job.activeAttempts())
       if (this.observedRunS(attempt) >= minRunS) return true;
@@ -64,30 +64,22 @@
     return isSuspect;
   }
 
-  /** Delays all tasks of a suspect job, of which another one has failed. */
-  delaySuspect(job: LiveJob): void {
-    const { report_s, lease_s } = this.options.workers;
-    const maxS = lease_s * RETRIAL_LEASES;
-    job.suspectRetry.failed(this.options.clock.now(), report_s / 2, maxS);
-  }
-
   /** How many tasks of a suspect job may start now: it runs one at a time. */
   startableTasks(job: LiveJob): number {
-    if (this.options.clock.now() < job.suspectRetry.notBefore) return 0;
+    if (this.options.clock.now() < job.suspectRetry.until) return 0;
     return Math.max(0, 1 - job.activeAttemptCount);
   }
 
   /** Machines on which a suspect job failed so recently that it is not tried there again. */
   machinesToAvoid(job: LiveJob): Set<string> {
-    const since = this.options.clock.now() - this.options.workers.lease_s * RETRIAL_LEASES;
+    const since = this.options.clock.now() - this.options.leaseS * RETRIAL_LEASES;
     const recent = [...job.failures].filter(([, { at }]) => at > since);
     return new Set(recent.map(([machine]) => machine));
   }
 
   /** Failures count until the job has not failed for a while. One that goes on failing is tried all the same. */
   private dropOldFailures({ failures }: LiveJob): void {
-    const windowStart =
-      this.options.clock.now() - this.options.workers.lease_s * FAILURE_WINDOW_LEASES;
+    const windowStart = this.options.clock.now() - this.options.leaseS * FAILURE_WINDOW_LEASES;
     for (const { at } of failures.values()) if (at >= windowStart) return;
     failures.clear();
   }
--- a/src/leader/attempts/machine-health.ts
+++ b/src/leader/attempts/machine-health.ts
@@ -1,18 +1,17 @@
 /** Rates machines and jobs by their failed tasks. */
 
+import type { BackoffTimes } from '../../backoff.js';
 import type { Clock } from '../../clock.js';
 import type { LiveJob } from '../../jobs/live-job.js';
 import type { TaskFailure } from '../../jobs/task-failure.js';
 import type { Log } from '../../log.js';
 import type { Attempt } from '../../workers/attempt.js';
 import type { Machine } from '../../workers/machine.js';
-import type { JobHealth } from './job-health.js';
+import { FAILURE_WINDOW_LEASES, type JobHealth } from './job-health.js';
 import type { MachineQuarantine } from './machine-quarantine.js';
 
 /** Longest cordon of a machine, in leases. */
 const MAX_CORDON_LEASES = 3;
-/** How often the cordon of a machine doubles, at most. */
-const MAX_CORDON_DOUBLINGS = 10;
 /** Longest retry delay of a task whose job fails on every machine, in leases. */
 const MAX_RETRY_DELAY_LEASES = 4;
 
@@ -29,23 +28,24 @@
 export class MachineHealth {
   constructor(private readonly options: MachineHealthOptions) {}
 
-  /** Places nothing new on a machine for a time that doubles with each call; a success there resets it. */
-  cordon(machine: Machine, firstS: number): void {
-    const maxS = this.options.workers.lease_s * MAX_CORDON_LEASES;
-    machine.condition.cordonedUntil = Math.max(
-      machine.condition.cordonedUntil,
-      this.options.clock.now() + Math.min(maxS, firstS * 2 ** machine.condition.cordonCount),
-    );
-    machine.condition.cordonCount = Math.min(
-      machine.condition.cordonCount + 1,
-      MAX_CORDON_DOUBLINGS,
+  /** Places nothing new on a machine for a time that doubles with each call; a success or time resets it. */
+  cordon(machine: Machine, initialS: number): void {
+    machine.condition.cordon.failed(
+      this.options.clock.now(),
+      this.backoffTimes(initialS, MAX_CORDON_LEASES),
     );
   }
 
+  private backoffTimes(initialS: number, maxLeases: number): BackoffTimes {
+    const { lease_s } = this.options.workers;
+    const forgetAfterS = lease_s * FAILURE_WINDOW_LEASES;
+    return { initialS, maxS: lease_s * maxLeases, forgetAfterS };
+  }
+
   /** Handles a task that ended without being done. */
   taskFailed(machine: Machine, job: LiveJob, attempt: Attempt): void {
     const now = this.options.clock.now();
-    const { report_s, lease_s } = this.options.workers;
+    const { report_s } = this.options.workers;
     switch (attempt.cause) {
       case 'error':
         this.taskErred(machine, job, attempt);
@@ -56,7 +56,7 @@
         break;
       case 'unknown':
         // The worker did not find the job's description, which may not have reached it yet.
-        job.delayRetry(attempt.index, now, report_s, lease_s * MAX_RETRY_DELAY_LEASES);
+        job.delayRetry(attempt.index, now, this.backoffTimes(report_s, MAX_RETRY_DELAY_LEASES));
         break;
       default:
         break;
@@ -65,15 +65,16 @@
 
   private taskErred(machine: Machine, job: LiveJob, attempt: Attempt): void {
     const { jobHealth, quarantine } = this.options;
-    const { report_s, lease_s } = this.options.workers;
+    const { report_s } = this.options.workers;
     const failure = jobHealth.taskFailed(job, attempt);
     // A job that fails on every machine is no evidence against the machines.
     const jobSuspect = jobHealth.isSuspect(job);
-    const maxDelayS = lease_s * (jobSuspect ? MAX_RETRY_DELAY_LEASES : 1);
-    job.delayRetry(attempt.index, failure.at, report_s / 2, maxDelayS);
+    const maxDelayLeases = jobSuspect ? MAX_RETRY_DELAY_LEASES : 1;
+    const times = this.backoffTimes(report_s / 2, maxDelayLeases);
+    job.delayRetry(attempt.index, failure.at, times);
     this.logFailure(job, attempt, failure, jobSuspect);
     if (jobSuspect) {
-      jobHealth.delaySuspect(job);
+      job.suspectRetry.failed(failure.at, times);
       return;
     }
     this.cordon(machine, report_s * 2);
--- a/src/leader/capacity/free-capacity.ts
+++ b/src/leader/capacity/free-capacity.ts
@@ -10,6 +10,7 @@
 import { TeamUsages } from '../../scheduler/quota.js';
 import { occupiesCapacity } from '../../workers/attempt.js';
 import type { Machine } from '../../workers/machine.js';
+import { FAILURE_WINDOW_LEASES } from '../attempts/job-health.js';
 import type { Term } from '../term/term.js';
 
 /** Properties of a machine that are constant within a scheduling cycle; shared by all copies of its free capacity. */
@@ -98,6 +99,9 @@
 /** While no more than this share of the image cache was fetched, certainly nothing was evicted. */
 const NO_EVICTION_CACHE_SHARE = 0.8;
 
+/** Cost of a placement on a machine for each of its recent cordons, in seconds. */
+const PENALTY_S_PER_FAILURE = 1;
+
 interface MachineEntry {
   changeCount: number;
   type: MachineType;
@@ -179,10 +183,14 @@
   /** Copies of the capacities of all usable machines, for a scheduling cycle to allocate from. */
   capacities(usable: (machine: Machine) => boolean): FreeCapacity[] {
     const out: FreeCapacity[] = [];
+    const { lease_s } = this.term.context.settings.workers;
+    const windowStart = this.term.now - lease_s * FAILURE_WINDOW_LEASES;
     for (const machine of this.term.machines.values()) {
       if (!usable(machine)) continue;
       const entry = this.entry(machine);
-      if (entry !== null) out.push(entry.capacity.copy(machine.condition.cordonCount));
+      if (entry === null) continue;
+      const penaltyS = machine.condition.cordon.failuresSince(windowStart) * PENALTY_S_PER_FAILURE;
+      out.push(entry.capacity.copy(penaltyS));
     }
     if (this.entries.size > this.term.machines.size * 2) {
       for (const id of [...this.entries.keys()]) {
--- a/src/leader/scheduling/machine-eligibility.ts
+++ b/src/leader/scheduling/machine-eligibility.ts
@@ -30,7 +30,7 @@
     // Answers to direct commands do not count: a worker that reaches no controller still sends them
     // while its lease expires.
     now - machine.lastHeartbeatAt < report_s * MAX_HEARTBEAT_AGE_INTERVALS &&
-    now >= machine.condition.cordonedUntil
+    now >= machine.condition.cordon.until
   );
 }
 
--- a/src/leader/term/statistics.ts
+++ b/src/leader/term/statistics.ts
@@ -12,7 +12,7 @@
   counts.machines_quarantined = 0;
   for (const machine of term.machines.values()) {
     add(`machines_${machine.state}`);
-    if (machine.condition.cordonedUntil > term.now) add('machines_cordoned');
+    if (machine.condition.cordon.until > term.now) add('machines_cordoned');
     if (machine.condition.quarantined) add('machines_quarantined');
     for (const attempt of machine.attempts.values())
       if (occupiesCapacity(attempt)) add(`attempts_${attempt.state}`);
--- a/src/leader/term/term.ts
+++ b/src/leader/term/term.ts
@@ -36,7 +36,7 @@
     const { workers } = settings;
     const { jobs, machines } = this;
     const leaseS = workers.lease_s;
-    const jobHealth = new JobHealth({ workers, machines, clock });
+    const jobHealth = new JobHealth({ leaseS, machines, clock });
     const quarantine = new MachineQuarantine({ leaseS, machines, jobs, jobHealth, clock, log });
     const health = new MachineHealth({ workers, jobHealth, quarantine, clock, log });
     this.jobHealth = jobHealth;
--- a/src/workers/machine-condition.ts
+++ b/src/workers/machine-condition.ts
@@ -1,3 +1,4 @@
+import { Backoff } from '../backoff.js';
 import type { TaskFailure } from '../jobs/task-failure.js';
 
 /** A task's failure that counts against the machine on which it ran. */
@@ -21,13 +22,8 @@
 
 /** What failed tasks indicate about a machine: whether it is cordoned for a while, or quarantined. */
 export class MachineCondition {
-  /**
-   * No new work before this time, since a task failed or a start was refused here, or the agent restarted; seconds of
-   * the steady clock.
-   */
-  cordonedUntil = -Infinity;
-  /** Number of cordons since the last success, up to a limit; each doubles the time of the next one. */
-  cordonCount = 0;
+  /** No new work before it ends, since a task failed or a start was refused here, or the agent restarted. */
+  readonly cordon = new Backoff();
   /** Failures of tasks here recently and since the last success, by `job/index`. */
   readonly taskFailures = new Map<string, CountedFailure>();
   /** Set while it counts as faulty: it gets no new work but probes, and is returned once it is empty. */
@@ -41,7 +37,7 @@
   /** A task succeeded here: earlier failures no longer count. */
   taskSucceeded(): void {
     this.taskFailures.clear();
-    this.cordonCount = 0;
+    this.cordon.forgetFailures();
     this.quarantine = null;
   }
 }
--- a/test/failure-evidence.test.ts
+++ b/test/failure-evidence.test.ts
@@ -244,3 +244,41 @@
     await assertServed(setup, { id: WAITING, tasks: 5, gpus: 2 }, `lease ${times.lease_s} s`);
   }
 });
+
+/** Failures so far apart that none is recent when the next one comes. */
+const SEPARATE_FAILURES = 8;
+const SEPARATION_LEASES = 20;
+/** A task is placed again once a short delay is over, and runs a few heartbeats later. */
+const SOON_HEARTBEATS = 8;
+
+// Guards against: each failure of a machine without finite tasks doubled the time for which the next one kept it idle.
+test('a machine whose agent restarted long ago is used as soon after a restart as at first', async () => {
+  for (const times of WORKER_TIMES) {
+    const setup = await worldWithReplicas(times, ['a']);
+    const { world, fleet } = setup;
+    for (let i = 0; i < SEPARATE_FAILURES; i++) {
+      await world.run(times.lease_s * SEPARATION_LEASES);
+      fleet.worker('a').tasks.clear();
+      fleet.worker('a').agentEpoch++;
+    }
+    await world.run(times.report_s * SOON_HEARTBEATS);
+    assert.equal(fleet.running(STANDING), 1, `lease ${times.lease_s} s`);
+  }
+});
+
+// Guards against: a replica's failures doubled the delay of its next start, however long it had run in between.
+test('a replica that ran for long between its failures is restarted as soon as after the first', async () => {
+  for (const times of WORKER_TIMES) {
+    const { world, fleet } = await worldWithReplicas(times, ['a', 'b', 'c', 'd']);
+    world.submitJob({ id: WAITING, kind: 'service', priority: 0 });
+    for (let i = 0; i < SEPARATE_FAILURES; i++) {
+      await world.run(times.lease_s * SEPARATION_LEASES);
+      const message = `lease ${times.lease_s} s, failure ${i + 1}`;
+      assert.equal(fleet.running(WAITING), 1, message);
+      for (const worker of fleet.workers.values())
+        for (const task of worker.running(WAITING)) worker.end(task, 'error');
+      await world.run(times.report_s * SOON_HEARTBEATS);
+      assert.equal(fleet.running(WAITING), 1, message);
+    }
+  }
+});
--- a/test/replica.test.ts
+++ b/test/replica.test.ts
@@ -121,7 +121,7 @@
   live.removeAttempt(attempt);
   assert.deepEqual(live.pendingTasks(0, 9), [0, 1]);
   assert.equal(live.nextNumber(0, 50), 51, 'attempt numbers are never reused');
-  live.delayRetry(0, 0, 1, 10);
+  live.delayRetry(0, 0, { initialS: 1, maxS: 10, forgetAfterS: 100 });
   assert.deepEqual(live.pendingTasks(0.5, 9), [1], 'not immediately after a failure');
   assert.deepEqual(live.pendingTasks(2, 9), [0, 1]);
   live.markDone(0, 3);
