Fix: a faulty machine was excused by tasks that it had started before its fault

What callers saw: a machine that failed all that it started got more tasks to fail while older ones were done there: starts were wasted on it, and the jobs waited for their retries. Cause: any task that is done cleared the failures of its machine and the count of its cordons, although one that had started before them says nothing of what the machine does with a new one. Change: only a task that was placed after the latest failure releases a machine. Test: failure-evidence, 'a machine that completes older tasks...', failed before.

--- a/src/leader/attempts/machine-quarantine.ts
+++ b/src/leader/attempts/machine-quarantine.ts
@@ -79,7 +79,7 @@
   /** Handles a task that is done on a machine. */
   taskDone(machine: Machine, attempt: Attempt): void {
     // A faulty machine may still complete what it had started before.
-    if (machine.condition.quarantined && attempt.createdAt <= latestFailureAt(machine)) return;
+    if (attempt.createdAt <= latestFailureAt(machine)) return;
     this.release(machine, 'a task is done');
   }
 
--- a/test/failure-evidence.test.ts
+++ b/test/failure-evidence.test.ts
@@ -282,3 +282,27 @@
     }
   }
 });
+
+// Guards against: tasks that a faulty machine had started before its fault excused its failures when they were done.
+test('a machine that completes older tasks gets nothing more once it has failed two new ones', async () => {
+  for (const times of WORKER_TIMES) {
+    const setup = await worldWithReplicas(times, ['a', 'b', 'c']);
+    const { world, fleet } = setup;
+    const submit = (number: number, runLeases: number): void => {
+      fleet.runS.set(`wk-${number}`, times.lease_s * runLeases);
+      world.submitJob({ id: `wk-${number}` });
+    };
+    for (let i = 0; i < 6; i++) submit(300_000 + i, 0.3 + i / 1.5);
+    await world.run(times.report_s * 3);
+    const faulty = fleet.worker('a');
+    faulty.failsAfterS = 0.3;
+    const wastedStarts: number[] = [];
+    for (let i = 0; i < 25; i++) {
+      submit(400_000 + i, 1);
+      await world.run(times.lease_s / 5);
+      if (faulty.wastedStarts >= 2) wastedStarts.push(faulty.wastedStarts);
+    }
+    assert.ok(wastedStarts.length > 5, `lease ${times.lease_s} s`);
+    assert.equal(wastedStarts.at(-1), wastedStarts[0], `lease ${times.lease_s} s`);
+  }
+});
