--- a/test/failure-evidence.test.ts
+++ b/test/failure-evidence.test.ts
@@ -2,44 +2,27 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { JobSpec } from '../src/jobs/types.js';
-import { g8 } from './helpers.js';
-import { FailingFleet } from './support/failing-fleet.js';
-import { LeaderWorld } from './support/leader-world.js';
+import {
+  failingWorld,
+  MAX_WAIT_S,
+  WORKER_TIMES,
+  type FailingWorld,
+  type WorkerTimes,
+} from './support/failing-world.js';
 
 const STANDING = 'wk-000001';
 const MISTAKEN = 'wk-000002';
 const WAITING = 'wk-000003';
-/** Longest time that a job may wait once the failures are over, in seconds: the users' rule. */
-const MAX_WAIT_S = 90;
-/** Times of the deployments: the shortest and the longest lease. */
-const WORKER_TIMES = [
-  { report_s: 1, lease_s: 10, cancel_s: 30 },
-  { report_s: 2.5, lease_s: 15.25, cancel_s: 40.25 },
-];
-
-/** The deployments' machines take this long to boot, in seconds. */
-const MACHINE_TYPE = { ...g8, bootS: 25 };
-const GPUS_MAX = 1000;
-
-type WorkerTimes = (typeof WORKER_TIMES)[number];
-
-interface FailingWorld {
-  world: LeaderWorld;
-  fleet: FailingFleet;
-}
-
 /** A leader and machines on each of which one replica stands and three GPUs are free. */
 async function worldWithReplicas(times: WorkerTimes, machines: string[]): Promise<FailingWorld> {
-  const fleet = new FailingFleet(times.lease_s);
-  const world = new LeaderWorld(GPUS_MAX, { fleet, workers: times, machineType: MACHINE_TYPE });
-  for (const id of machines) fleet.add(id);
-  await world.run(times.report_s);
+  const setup = await failingWorld(times, machines);
+  const { world, fleet } = setup;
   world.submitJob({
     id: STANDING, kind: 'service', tasks: machines.length, gpus: 5, cores: 1, priority: 0,
   }); // prettier-ignore
   await world.run(times.report_s * 2);
   assert.equal(fleet.running(STANDING), machines.length);
-  return { world, fleet };
+  return setup;
 }
 
 /** Submits a job and asserts that all of its tasks run, or are done, within the time of the users' rule. */
@@ -306,3 +289,39 @@
     assert.equal(wastedStarts.at(-1), wastedStarts[0], `lease ${times.lease_s} s`);
   }
 });
+
+// Guards against: one mistaken service went from machine to machine and took a whole fleet out of use.
+test('a service that fails everywhere leaves a fleet of ten machines in use while it goes on', async () => {
+  for (const times of WORKER_TIMES) {
+    const setup = await worldWithReplicas(times, [...'abcdefghij']);
+    const { world, fleet } = setup;
+    fleet.failsAfterS.set(MISTAKEN, times.lease_s * 1.2);
+    world.submitJob({ id: MISTAKEN, kind: 'service', tasks: 5, priority: 0 });
+    await world.run(times.lease_s * 10);
+    const message = `lease ${times.lease_s} s`;
+    await assertServed(setup, { id: WAITING, tasks: 10, gpus: 2, priority: 3 }, message);
+  }
+});
+
+// Guards against: failures of a job with a mistake and those of a faulty machine are taken for each other.
+test('a faulty machine is told from a job with a mistake while both fail tasks', async () => {
+  for (const times of WORKER_TIMES) {
+    for (const failsAfterLeases of [0, 1.2]) {
+      const { world, fleet } = await worldWithReplicas(times, ['a', 'b', 'c', 'faulty']);
+      fleet.worker('faulty').failsAfterS = 0.3;
+      fleet.failsAfterS.set(MISTAKEN, times.lease_s * failsAfterLeases);
+      world.submitJob({ id: MISTAKEN, kind: 'service', tasks: 4, priority: 0 });
+      for (let i = 0; i < 30; i++) {
+        const id = `wk-${500_000 + i}`;
+        fleet.runS.set(id, times.lease_s);
+        world.submitJob({ id, tasks: 8 });
+        await world.run(times.lease_s);
+      }
+      const quarantined = [...fleet.workers.keys()].filter(
+        (id) => world.machine(id).condition.quarantined,
+      );
+      const message = `lease ${times.lease_s} s, fails after ${failsAfterLeases} leases`;
+      assert.deepEqual(quarantined, ['faulty'], message);
+    }
+  }
+});
--- a/test/meeting-random.test.ts
+++ b/test/meeting-random.test.ts
@@ -9,6 +9,7 @@
 import type { Heartbeat, TaskStatus } from '../src/wire/workers.js';
 import type { Machine } from '../src/workers/machine.js';
 import { LeaderWorld } from './support/leader-world.js';
+import { randomFrom } from './support/seeded-random.js';
 import type { Worker } from './support/simulated-fleet.js';
 
 const SIMULATIONS = 60;
@@ -20,17 +21,6 @@
 const GPUS_MAX = 20;
 const CANCEL_S = 6;
 
-/** A seeded generator of random numbers from 0 to 1 (mulberry32). */
-function randomFrom(seed: number): () => number {
-  let state = seed;
-  return () => {
-    state = (state + 0x6d2b79f5) | 0;
-    let t = Math.imul(state ^ (state >>> 15), state | 1);
-    t ^= t + Math.imul(t ^ (t >>> 7), t | 61);
-    return ((t ^ (t >>> 14)) >>> 0) / 2 ** 32;
-  };
-}
-
 interface Job {
   kind: JobKind;
   tasks: number;
--- a/test/support/failing-fleet.ts
+++ b/test/support/failing-fleet.ts
@@ -25,6 +25,12 @@
     for (const task of this.tasks.values()) if (task.state !== 'ended') this.advance(task);
   }
 
+  /** The machine works again; what it has started before does not fail any more either. */
+  endFaults(): void {
+    this.failsAfterS = null;
+    for (const run of this.runs.values()) run.machineFailsAfterS = Infinity;
+  }
+
   /** Records a start: only what it starts while it is faulty fails. */
   started({ job, index, attempt }: Command): void {
     const run = { startedAt: this.fleet.now, machineFailsAfterS: this.failsAfterS ?? Infinity };
