--- a/src/controller/http-router.ts
+++ b/src/controller/http-router.ts
@@ -31,6 +31,7 @@
 export class HttpRouter {
   constructor(private readonly options: HttpRouterOptions) {}
 
+  /** Answers a request of a user, a worker or an operator. */
   handle(message: Message): Reply | Promise<Reply> {
     const { forwarder, metrics, subsystemView } = this.options;
     const to = route(message.method, message.target);
--- a/src/leader/writes/record-writer.ts
+++ b/src/leader/writes/record-writer.ts
@@ -7,7 +7,7 @@
 import * as records from '../../store/records.js';
 import type { ActiveSubsystems } from '../../subsystems/active-subsystems.js';
 import type { Operation, Precondition } from '../../wire/key-value-store.js';
-import { DueWrites, LATER } from './due-writes.js';
+import { DueWrites, LATER, type DueWrite } from './due-writes.js';
 import { RecordWrites, type RecordWrite } from './record-writes.js';
 import type { Term } from '../term/term.js';
 
@@ -94,30 +94,21 @@
       await sleep(writeBudget.secondsUntil(1));
       return true;
     }
-    const maxOperations = Math.min(
-      this.options.store.operationsPerTransaction,
-      Math.floor(writeBudget.available),
-    );
-    // Deferrable writes leave half of the write budget's capacity to writes that become due next.
-    const maxDeferrableOperations = Math.min(
-      maxOperations,
-      Math.floor(writeBudget.available - writeBudget.capacity / 2),
-    );
+    const batch = this.startBatch(due);
+    if (batch.length === 0) return false;
+    writeBudget.forceTake(batch.reduce((sum, write) => sum + 1 + write.alsoOperations.length, 0));
+    await this.commitBatch(batch);
+    return true;
+  }
+
+  /** Encodes and starts the first due writes, as many as fit into a transaction and the write budget. */
+  private startBatch(due: DueWrite[]): RecordWrite[] {
     const batch: RecordWrite[] = [];
     let bytes = ENVELOPE_BYTES;
     let operations = 0;
     for (const entry of due) {
       operations += entry.operations ?? 1;
-      // A group of deferrable operations that exceeds their share is written once the budget is full; otherwise it
-      // would wait forever.
-      const mayUseFullBudget =
-        batch.length === 0 &&
-        writeBudget.available >= writeBudget.capacity * NEARLY_FULL_BUDGET_SHARE;
-      if (
-        operations >
-        (entry.urgency >= LATER && !mayUseFullBudget ? maxDeferrableOperations : maxOperations)
-      )
-        break;
+      if (operations > this.maxOperations(entry, batch.length === 0)) break;
       // Encoded only now, since for writes that are not in this batch only the order matters.
       const write = entry.encode();
       if (bytes + write.bytes > MAX_TRANSACTION_BYTES) break;
@@ -125,10 +116,20 @@
       write.started();
       batch.push(write);
     }
-    if (batch.length === 0) return false;
-    writeBudget.forceTake(batch.reduce((sum, write) => sum + 1 + write.alsoOperations.length, 0));
-    await this.commitBatch(batch);
-    return true;
+    return batch;
+  }
+
+  /** How many operations a transaction may have with this write. */
+  private maxOperations({ urgency }: DueWrite, isFirst: boolean): number {
+    const { writeBudget, operationsPerTransaction } = this.options.store;
+    const { available, capacity } = writeBudget;
+    const maxOperations = Math.min(operationsPerTransaction, Math.floor(available));
+    // A group of deferrable operations that exceeds their share is written once the budget is full; otherwise it
+    // would wait forever.
+    const mayUseFullBudget = isFirst && available >= capacity * NEARLY_FULL_BUDGET_SHARE;
+    if (urgency < LATER || mayUseFullBudget) return maxOperations;
+    // Deferrable writes leave half of the write budget's capacity to writes that become due next.
+    return Math.min(maxOperations, Math.floor(available - capacity / 2));
   }
 
   private async commitBatch(batch: RecordWrite[]): Promise<void> {
