Fix: after a failure late in a run, a machine that works again took one task in four leases

What callers saw: on a machine whose fault was over, and which had failed tasks after a long run, a job that waited behind the first probe waited for more than 90 s beside room. Cause: the machine is released only when a task has outlived its failures, and until then it took a probe in four leases, however well the one before ran. Evidence: in injected time, replicas that the machine had failed after six leases: 5 of 6 ran 90 s after the fault. Change: once a probe has run for a lease, others may follow it. Test: failure-evidence, 'a machine that failed tasks of a proven service...', failed before with the longer run.

--- a/src/leader/attempts/machine-quarantine.ts
+++ b/src/leader/attempts/machine-quarantine.ts
@@ -87,7 +87,8 @@
   review(): void {
     for (const machine of this.observed) {
       const { condition } = machine;
-      if (this.hasOutlivedFailures(machine)) this.release(machine, 'a task outlived its failures');
+      if (this.hasProbeRunFor(machine, longestFailedRunS(machine) + this.provingMarginS))
+        this.release(machine, 'a task outlived its failures');
       else if (!condition.quarantined) this.dropOldFailures(machine);
       const isForgotten = this.options.machines.get(machine.id) !== machine;
       if (isForgotten || (condition.taskFailures.size === 0 && !condition.quarantined))
@@ -109,11 +110,13 @@
     }
   }
 
-  /** Quarantined machines on which a probe may be started now. */
+  /** Quarantined machines on which a probe may be started now. One that runs well lets others follow. */
   machinesToProbe(): Machine[] {
     const now = this.options.clock.now();
-    return [...this.observed].filter(({ condition: { quarantine } }) => {
-      return quarantine !== null && now >= quarantine.probeFrom;
+    return [...this.observed].filter((machine) => {
+      const { quarantine } = machine.condition;
+      if (quarantine === null) return false;
+      return now >= quarantine.probeFrom || this.hasProbeRunFor(machine, this.provingMarginS);
     });
   }
 
@@ -132,10 +135,13 @@
     return provenJobFailures + unprovenJobs.size >= QUARANTINE_MIN_FAILURES;
   }
 
-  /** Whether a task that was placed after the latest failure has outlived all of them. */
-  private hasOutlivedFailures(machine: Machine): boolean {
+  private get provingMarginS(): number {
+    return this.options.leaseS * PROVING_MARGIN_LEASES;
+  }
+
+  /** Whether a task that was placed after the latest failure has run for so long. */
+  private hasProbeRunFor(machine: Machine, minRunS: number): boolean {
     const failedAt = latestFailureAt(machine);
-    const minRunS = longestFailedRunS(machine) + this.options.leaseS * PROVING_MARGIN_LEASES;
     for (const attempt of machine.attempts.values()) {
       if (attempt.createdAt <= failedAt || attempt.state !== 'running') continue;
       if (this.options.jobHealth.observedRunS(attempt) >= minRunS) return true;
--- a/test/failure-evidence.test.ts
+++ b/test/failure-evidence.test.ts
@@ -124,15 +124,18 @@
 // Guards against: failures of a job that runs well elsewhere kept a machine out of use when its fault was over.
 test('a machine that failed tasks of a proven service gets its replicas again', async () => {
   for (const times of WORKER_TIMES) {
-    const { world, fleet } = await worldWithReplicas(times, ['a', 'b']);
-    fleet.worker('b').failsAfterS = 0.3;
-    world.submitJob({ id: WAITING, kind: 'service', tasks: 6, priority: 0 });
-    await world.run(times.lease_s * 6);
-    assert.equal(fleet.running(WAITING), 3);
-    assert.ok(world.machine('b').condition.quarantined);
-    fleet.worker('b').failsAfterS = null;
-    await world.run(MAX_WAIT_S);
-    assert.equal(fleet.running(WAITING), 6, `lease ${times.lease_s} s`);
+    for (const failsAfterLeases of [0.03, 6]) {
+      const { world, fleet } = await worldWithReplicas(times, ['a', 'b']);
+      fleet.worker('b').failsAfterS = times.lease_s * failsAfterLeases;
+      world.submitJob({ id: WAITING, kind: 'service', tasks: 6, priority: 0 });
+      await world.run(times.lease_s * 14);
+      assert.equal(fleet.running(WAITING), 3);
+      assert.ok(world.machine('b').condition.quarantined);
+      fleet.worker('b').endFaults();
+      await world.run(MAX_WAIT_S);
+      const message = `lease ${times.lease_s} s, failed after ${failsAfterLeases} leases`;
+      assert.equal(fleet.running(WAITING), 6, message);
+    }
   }
 });
 
