--- a/review/stand-ins-2/machines.mjs
+++ b/review/stand-ins-2/machines.mjs
@@ -78,6 +78,7 @@
       await sleep(0.02);
       if (now() - this.renewedAt <= this.fleet.leaseS) continue;
       this.fleet.record.add('lease expired', { bench: this.id, tasks: this.tasks.size });
+      this.fleet.expired.push({ at: now(), bench: this.id, tasks: this.tasks.size });
       for (const task of this.tasks.values()) this.leave(task, 'lease');
       this.tasks.clear();
       this.shift++;
@@ -174,8 +175,13 @@
     )
       return;
     this.images.add(mould);
-    task.on = true;
     this.changed = true;
+    if (task.job.completed.has(task.index)) {
+      // The result of a completed task is kept.
+      Object.assign(task, { temper: 'ended', cause: 'done' });
+      return;
+    }
+    task.on = true;
     if (task.job.submission.form === 'group') {
       task.temper = 'gathering';
       this.fleet.onMachine(this, task, via);
@@ -254,6 +260,8 @@
     /** Calls to the cloud that change something, in order. */
     this.calls = [];
     this.tasksRemoved = [];
+    /** Leases that ran out. */
+    this.expired = [];
   }
 
   /** Each controller has a port of its own, so that the record shows who sent a call. */
