--- a/review/stand-ins-2/machines.mjs
+++ b/review/stand-ins-2/machines.mjs
@@ -260,6 +260,8 @@
     /** Calls to the cloud that change something, in order. */
     this.calls = [];
     this.tasksRemoved = [];
+    /** Rental requests that got no machine. */
+    this.refused = 0;
     /** Leases that ran out. */
     this.expired = [];
   }
@@ -294,7 +296,10 @@
     const number = Math.min(body.number, this.most - this.workers.size);
     this.calls.push({ at: now(), node, call: 'rent', hire: body.hire });
     this.record.add('rental', { node, ...body, given: Math.max(0, number) });
-    if (number <= 0) return [503, { error: 'no capacity' }];
+    if (number <= 0) {
+      this.refused++;
+      return [503, { error: 'no capacity' }];
+    }
     const ids = [];
     for (let i = 0; i < number; i++)
       ids.push(this.addMachine({ type: body.casting, zone: body.yard, spot: body.loaner }));
