--- a/review/stand-ins-2/base.mjs
+++ b/review/stand-ins-2/base.mjs
@@ -5,7 +5,7 @@
 import http from 'node:http';
 import { createServer } from 'node:net';
 import { performance } from 'node:perf_hooks';
-import { setTimeout as startTimer } from 'node:timers';
+import { clearTimeout, setTimeout as startTimer } from 'node:timers';
 import { URL } from 'node:url';
 
 /** Seconds of the steady clock since the start of this process. */
@@ -90,7 +90,6 @@
       clearTimeout(timer);
       resolve(result);
     };
-    const { clearTimeout } = globalThis;
     request = http.request(
       { host: '127.0.0.1', port, method, path, headers, agent },
       (response) => {
--- a/review/stand-ins-2/cluster.mjs
+++ b/review/stand-ins-2/cluster.mjs
@@ -6,6 +6,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import process from 'node:process';
+import { clearTimeout, setTimeout } from 'node:timers';
 import { freePorts, oneConnection, now, Record, send, sleep, until } from './base.mjs';
 import { Fleet } from './machines.mjs';
 import { Store } from './store.mjs';
@@ -312,7 +313,7 @@
 export async function runCase(folder, options, play) {
   const trouble = process.env.TROUBLE !== '0';
   const cluster = new Cluster(folder, options);
-  const limit = globalThis.setTimeout(() => {
+  const limit = setTimeout(() => {
     cluster.record.add('out of time');
     process.exit(2);
   }, 118_000);
@@ -327,7 +328,7 @@
     cluster.record.add('could not run', { error: String(error?.stack ?? error) });
     process.stdout.write(`could not run: ${String(error)}\n`);
   }
-  globalThis.clearTimeout(limit);
+  clearTimeout(limit);
   cluster.close();
   process.exit(code);
 }
--- a/review/stand-ins-2/machines.mjs
+++ b/review/stand-ins-2/machines.mjs
@@ -20,10 +20,6 @@
     this.lastSentAt = -Infinity;
     this.renewedAt = now();
     this.agent = oneConnection();
-    /** Reports go nowhere while this is set; direct commands arrive. */
-    this.mute = false;
-    /** Hook: `onDirect(body)` may resolve late, as a delayed message does; the sender gets no answer then. */
-    this.onDirect = null;
   }
 
   async start() {
@@ -47,20 +43,12 @@
     }; // prettier-ignore
   }
 
-  async direct(path, text) {
+  direct(path, text) {
     if (path === '/status') return [200, this.report()];
-    const body = JSON.parse(text);
-    if (this.onDirect !== null) {
-      const answered = await this.onDirect(body);
-      if (answered === false) {
-        this.direct2(body);
-        return null;
-      }
-    }
-    return this.direct2(body);
+    return this.takeDirect(JSON.parse(text));
   }
 
-  direct2(body) {
+  takeDirect(body) {
     if (this.gone) return null;
     if (body.hallmark === undefined || body.shift === undefined) return [400, {}];
     if (body.hallmark < this.hallmark || body.shift !== this.shift) {
@@ -95,10 +83,6 @@
       while (!this.gone && now() < due && !(this.changed && now() >= this.lastSentAt + LEAST_GAP_S))
         await sleep(0.01);
       if (this.gone) return;
-      if (this.mute) {
-        await sleep(0.05);
-        continue;
-      }
       await this.sendReport();
     }
   }
@@ -252,14 +236,12 @@
     this.servers = [];
     this.ports = [];
     this.limit = new Limit(rps, 2);
-    this.down = false;
     /** What is on machines: by piece, the workers that have it. */
     this.present = new Map();
     this.violations = [];
     this.starts = [];
     /** Calls to the cloud that change something, in order. */
     this.calls = [];
-    this.tasksRemoved = [];
     /** Rental requests that got no machine. */
     this.refused = 0;
     /** Leases that ran out. */
@@ -281,7 +263,6 @@
   }
 
   async handle(node, method, url, text) {
-    if (this.down) return [503, { error: 'trouble' }];
     if (!this.limit.take(1)) return [429, {}];
     const path = url.pathname;
     if (path === '/machine_types') return [200, { castings: [this.type] }];
@@ -326,7 +307,6 @@
       if (worker === undefined) continue;
       const tasks = [...worker.tasks.values()].filter((task) => task.on).map((task) => task.piece);
       this.record.add('returned', { node, bench: id, tasks });
-      this.tasksRemoved.push(...tasks);
       worker.end('returned');
       this.workers.delete(id);
     }
--- a/review/stand-ins-2/store.mjs
+++ b/review/stand-ins-2/store.mjs
@@ -1,7 +1,7 @@
 /** Stand-in of the state service, by PROTOCOL "Controller nodes -> state service". */
 
 import { Buffer } from 'node:buffer';
-import { clearInterval, setInterval } from 'node:timers';
+import { clearInterval, clearTimeout, setInterval, setTimeout } from 'node:timers';
 import { closeServer, Limit, now, serve, toJson } from './base.mjs';
 
 const KEPT_CHANGES = 10_000;
@@ -32,11 +32,7 @@
     this.waiting = new Set();
     this.servers = [];
     this.ports = [];
-    /** Hook: `beforeCommit(node, body)` may return a promise that delays the transaction. */
-    this.beforeCommit = null;
     this.tooMany = 0;
-    /** Size of the largest answer to `GET /changes`. */
-    this.largestAnswer = 0;
     this.timer = setInterval(() => this.expire(), 20);
   }
 
@@ -96,7 +92,6 @@
     const path = url.pathname;
     if (path === '/commit') {
       const body = parseBody(text);
-      if (this.beforeCommit !== null) await this.beforeCommit(node, body);
       return this.commit(body, Buffer.byteLength(text));
     }
     if (path === '/grants') {
@@ -152,11 +147,7 @@
       if (!held) {
         const log = this.changesAfter(after, prefix);
         if (log.length > 0 || now() >= end) {
-          const answer = { ledger: this.revision, log };
-          const bytes = log.length > 100 ? Buffer.byteLength(toJson(answer)) : 0;
-          this.largestAnswer = Math.max(this.largestAnswer, bytes);
-          if (bytes > 1024 * 1024) this.record.add('large answer', { node, bytes, block: end });
-          return [200, answer];
+          return [200, { ledger: this.revision, log }];
         }
       }
       await this.pause(held ? 0.05 : Math.min(0.5, Math.max(0.001, end - now())));
@@ -167,10 +158,10 @@
     return new Promise((resolve) => {
       const resume = () => {
         this.waiting.delete(resume);
-        globalThis.clearTimeout(timer);
+        clearTimeout(timer);
         resolve();
       };
-      const timer = globalThis.setTimeout(resume, seconds * 1000);
+      const timer = setTimeout(resume, seconds * 1000);
       this.waiting.add(resume);
     });
   }
