--- a/review/stand-ins-2/base.mjs
+++ b/review/stand-ins-2/base.mjs
@@ -83,7 +83,10 @@
     const headers =
       text === undefined
         ? {}
-        : { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) };
+        : {
+            'content-type': 'application/json',
+            'content-length': Buffer.byteLength(text),
+          };
     let timer = null;
     let request = null;
     const finish = (result) => {
--- a/review/stand-ins-2/cluster.mjs
+++ b/review/stand-ins-2/cluster.mjs
@@ -105,10 +105,23 @@
     this.children = [];
     this.gates = { store: [], peer: new Map() };
     this.scratch = mkdtempSync(join(tmpdir(), 'review-'));
-    const { state, cloud, type, leaseS, reportS, bootS, most } = this.options;
-    this.store = new Store({ limits: state, nodes: this.names.length, record: this.record });
+    const { state, cloud, type, leaseS, reportS, gangWaitS, bootS, most } = this.options;
+    this.store = new Store({
+      limits: state,
+      nodes: this.names.length,
+      record: this.record,
+    });
     this.fleet = new Fleet({
-      ...{ record: this.record, type, lagS: cloud.lagS, rps: cloud.rps, leaseS, reportS, bootS },
+      ...{
+        record: this.record,
+        type,
+        lagS: cloud.lagS,
+        rps: cloud.rps,
+        leaseS,
+        reportS,
+        gangWaitS,
+        bootS,
+      },
       ...{ nodeNames: this.names, most },
     });
     process.on('exit', () => this.killAll());
@@ -258,7 +271,12 @@
   async submit(i, submission, timeoutS = 5, agent = undefined) {
     const answer = await this.ask(i, 'POST', '/submissions', submission, timeoutS, agent);
     this.record.add('submission', {
-      ...{ node: i, ref: submission.ref, status: answer.status, temper: answer.body?.temper },
+      ...{
+        node: i,
+        ref: submission.ref,
+        status: answer.status,
+        temper: answer.body?.temper,
+      },
     });
     return answer;
   }
@@ -276,13 +294,23 @@
 
   async poll(i, ref, agent = undefined) {
     const answer = await this.ask(i, 'GET', `/submissions/${ref}`, undefined, 2, agent);
-    this.record.add('poll', { node: i, ref, status: answer.status, ...answer.body });
+    this.record.add('poll', {
+      node: i,
+      ref,
+      status: answer.status,
+      ...answer.body,
+    });
     return answer;
   }
 
   async withdraw(i, ref) {
     const answer = await this.ask(i, 'POST', `/submissions/${ref}/withdraw`, {}, 5);
-    this.record.add('withdraw', { node: i, ref, status: answer.status, ...answer.body });
+    this.record.add('withdraw', {
+      node: i,
+      ref,
+      status: answer.status,
+      ...answer.body,
+    });
     return answer;
   }
 
@@ -325,7 +353,9 @@
     cluster.record.add('result', { trouble, code, broken });
     process.stdout.write(`${code === 1 ? 'broken' : 'held'}: ${broken.join('; ')}\n`);
   } catch (error) {
-    cluster.record.add('could not run', { error: String(error?.stack ?? error) });
+    cluster.record.add('could not run', {
+      error: String(error?.stack ?? error),
+    });
     process.stdout.write(`could not run: ${String(error)}\n`);
   }
   clearTimeout(limit);
--- a/review/stand-ins-2/machines.mjs
+++ b/review/stand-ins-2/machines.mjs
@@ -14,6 +14,8 @@
     this.hallmark = 0;
     this.tasks = new Map();
     this.images = new Set();
+    /** Fetches under way: by image, the tasks that wait for it. */
+    this.fetches = new Map();
     this.gone = false;
     this.nodeIndex = 0;
     this.changed = false;
@@ -52,7 +54,10 @@
     if (this.gone) return null;
     if (body.hallmark === undefined || body.shift === undefined) return [400, {}];
     if (body.hallmark < this.hallmark || body.shift !== this.shift) {
-      this.fleet.record.add('direct refused', { bench: this.id, hallmark: body.hallmark });
+      this.fleet.record.add('direct refused', {
+        bench: this.id,
+        hallmark: body.hallmark,
+      });
       return [409, this.report()];
     }
     if (body.hallmark > this.hallmark) this.changed = true;
@@ -65,9 +70,17 @@
     while (!this.gone) {
       await sleep(0.02);
       if (now() - this.renewedAt <= this.fleet.leaseS) continue;
-      this.fleet.record.add('lease expired', { bench: this.id, tasks: this.tasks.size });
-      this.fleet.expired.push({ at: now(), bench: this.id, tasks: this.tasks.size });
+      this.fleet.record.add('lease expired', {
+        bench: this.id,
+        tasks: this.tasks.size,
+      });
+      this.fleet.expired.push({
+        at: now(),
+        bench: this.id,
+        tasks: this.tasks.size,
+      });
       for (const task of this.tasks.values()) this.leave(task, 'lease');
+      this.fetches.clear();
       this.tasks.clear();
       this.shift++;
       this.tally = 0;
@@ -149,15 +162,22 @@
     void this.fetch(task, via);
   }
 
+  /** A machine fetches an image once for all tasks that need it. */
   async fetch(task, via) {
     const { mould, image_gb: gb } = task.job.submission;
-    if (!this.images.has(mould)) await sleep(gb / this.fleet.fetchGbPerS);
-    if (
-      this.gone ||
-      task.temper !== 'pulling' ||
-      this.tasks.get(`${task.piece}#${task.pour}`) !== task
-    )
-      return;
+    if (!this.images.has(mould)) {
+      let fetch = this.fetches.get(mould);
+      if (fetch === undefined) {
+        const seconds = gb / (this.fleet.fetchGbPerS * this.fleet.speedOf(this));
+        fetch = { waiting: new Set(), done: sleep(seconds) };
+        this.fetches.set(mould, fetch);
+      }
+      fetch.waiting.add(task);
+      await fetch.done;
+      if (this.fetches.get(mould) === fetch) this.fetches.delete(mould);
+    }
+    const present = this.tasks.get(`${task.piece}#${task.pour}`) === task;
+    if (this.gone || task.temper !== 'pulling' || !present) return;
     this.images.add(mould);
     this.changed = true;
     if (task.job.completed.has(task.index)) {
@@ -170,6 +190,9 @@
       task.temper = 'gathering';
       this.fleet.onMachine(this, task, via);
       this.fleet.startGang(task);
+      void sleep(this.fleet.gangWaitS).then(() => {
+        if (task.on && task.temper === 'gathering') this.finish(task, 'alone');
+      });
       return;
     }
     task.temper = 'running';
@@ -199,7 +222,23 @@
     this.finish(task, 'halted');
   }
 
+  /** The machine gives a fetch up when no task waits for it any more. */
+  giveUpFetch(task) {
+    const { mould } = task.job.submission;
+    const fetch = this.fetches.get(mould);
+    fetch?.waiting.delete(task);
+    if (fetch?.waiting.size !== 0) return;
+    this.fetches.delete(mould);
+    this.fleet.fetchesGivenUp.push({ at: now(), bench: this.id });
+    this.fleet.record.add('fetch given up', {
+      bench: this.id,
+      mould,
+      piece: task.piece,
+    });
+  }
+
   finish(task, cause, saved = false) {
+    if (task.temper === 'pulling') this.giveUpFetch(task);
     Object.assign(task, { temper: 'ended', cause, saved });
     this.changed = true;
     this.leave(task, cause);
@@ -224,8 +263,30 @@
 
 /** The cloud with its machines, and what is checked on each start: the rules of the page. */
 export class Fleet {
-  constructor({ record, type, lagS, rps, leaseS, reportS, nodeNames, bootS, most = 64 }) {
-    Object.assign(this, { record, type, lagS, rps, leaseS, reportS, nodeNames, bootS, most });
+  constructor({
+    record,
+    type,
+    lagS,
+    rps,
+    leaseS,
+    reportS,
+    gangWaitS,
+    nodeNames,
+    bootS,
+    most = 64,
+  }) {
+    Object.assign(this, {
+      record,
+      type,
+      lagS,
+      rps,
+      leaseS,
+      reportS,
+      gangWaitS,
+      nodeNames,
+      bootS,
+      most,
+    });
     this.total = { cores: type.cores, gpus: type.gpus, mem_gb: type.mem_gb };
     this.fetchGbPerS = type.pull_gb_per_s;
     this.workers = new Map();
@@ -240,6 +301,11 @@
     this.present = new Map();
     this.violations = [];
     this.starts = [];
+    /** Fetches that machines gave up, and tasks that left a machine, with the cause. */
+    this.fetchesGivenUp = [];
+    this.exits = [];
+    /** A machine's rate of fetching, as a share of the rate of its type. */
+    this.speedOf = () => 1;
     /** Calls to the cloud that change something, in order. */
     this.calls = [];
     /** Rental requests that got no machine. */
@@ -283,7 +349,13 @@
     }
     const ids = [];
     for (let i = 0; i < number; i++)
-      ids.push(this.addMachine({ type: body.casting, zone: body.yard, spot: body.loaner }));
+      ids.push(
+        this.addMachine({
+          type: body.casting,
+          zone: body.yard,
+          spot: body.loaner,
+        }),
+      );
     this.rentals.set(body.hire, ids);
     return [200, { benches: ids }];
   }
@@ -318,7 +390,12 @@
     const benches = [...this.workers.values()]
       .filter((worker) => worker.id > after && now() - worker.rentedAt > this.lagS)
       .map((worker) => ({
-        ...{ ref: worker.id, addr: worker.addr ?? '', casting: worker.type, yard: worker.zone },
+        ...{
+          ref: worker.id,
+          addr: worker.addr ?? '',
+          casting: worker.type,
+          yard: worker.zone,
+        },
         ...{ loaner: worker.spot, temper: worker.up ? 'running' : 'booting' },
         age_s: now() - worker.rentedAt,
       }));
@@ -343,9 +420,14 @@
     const holders = this.present.get(task.piece);
     holders?.delete(worker);
     if (holders?.size === 0) this.present.delete(task.piece);
+    this.exits.push({ at: now(), piece: task.piece, bench: worker.id, cause });
     if (cause === 'done') task.job.completed.add(task.index);
     if (task.job.submission.pieces <= 100)
-      this.record.add('task left machine', { bench: worker.id, piece: task.piece, cause });
+      this.record.add('task left machine', {
+        bench: worker.id,
+        piece: task.piece,
+        cause,
+      });
   }
 
   startGang({ job, pour }) {
