--- a/review/stand-ins-2/cluster.mjs
+++ b/review/stand-ins-2/cluster.mjs
@@ -341,6 +341,11 @@
 export async function runCase(folder, options, play) {
   const trouble = process.env.TROUBLE !== '0';
   const cluster = new Cluster(folder, options);
+  // A fault of the script itself must not pass for a broken rule.
+  process.on('uncaughtException', (error) => {
+    cluster.record.add('could not run', { error: String(error?.stack ?? error) });
+    process.exit(2);
+  });
   const limit = setTimeout(() => {
     cluster.record.add('out of time');
     process.exit(2);
--- a/review/stand-ins-2/machines.mjs
+++ b/review/stand-ins-2/machines.mjs
@@ -47,6 +47,7 @@
 
   direct(path, text) {
     if (path === '/status') return [200, this.report()];
+    if (path !== '/do') return [404, {}];
     return this.takeDirect(JSON.parse(text));
   }
 
