--- a/src/controller/composition.ts
+++ b/src/controller/composition.ts
@@ -145,6 +145,7 @@
         this.terms.leader?.onCancelled(storedJob);
       },
       onLeaderChange: () => {
+        this.logLeader();
         this.election.wake();
         void this.acknowledgements.acknowledgeLeader();
       },
@@ -153,6 +154,14 @@
     };
   }
 
+  private logLeader(): void {
+    const { leader, applied } = this.replica;
+    this.options.log.info(
+      { leader: leader?.node ?? null, token: leader?.revision ?? null, revision: applied },
+      'leader read from the store',
+    );
+  }
+
   private requestPathParts(): Pick<
     Composition,
     'incarnation' | 'store' | 'replica' | 'replicaSync' | 'peers' | 'cancellations' | 'versions'
--- a/src/leader/attempts/command-dispatcher.ts
+++ b/src/leader/attempts/command-dispatcher.ts
@@ -34,9 +34,11 @@
     term.machinesToCommand.delete(machine.id);
     if (commands.every((command) => command.kind === 'forget')) return;
     const { agentEpoch, token } = machine;
+    term.commandLog.sending(machine, commands, 'direct');
     machine.markSent(commands, 'direct', term.now);
     const { outcome, heartbeat } = await channel.send({ token, agentEpoch, commands });
     if (this.stopped) return;
+    term.commandLog.answered(machine, token, outcome);
     machine.applyDirectOutcome(commands, outcome, agentEpoch, term.now, token);
     if (heartbeat?.machine === machine.id)
       term.reconcile(machine, machine.applyHeartbeat(heartbeat, 'direct-answer', term.now));
--- a/src/leader/attempts/fencing.ts
+++ b/src/leader/attempts/fencing.ts
@@ -20,7 +20,7 @@
     term.machinesToWrite.add(machine.id);
     term.machinesFencedAnew++;
     const { id, token } = machine;
-    term.context.log.debug({ machine: id, token }, 'machine fenced again: direct start unanswered');
+    term.context.log.info({ machine: id, token }, 'machine fenced again: direct start unanswered');
   }
 }
 
--- a/src/leader/attempts/heartbeat-reconciler.ts
+++ b/src/leader/attempts/heartbeat-reconciler.ts
@@ -63,7 +63,7 @@
       return;
     }
     job.addAttempt(attempt);
-    if (job.isGang) this.stopper.stopAll(job, 0);
+    if (job.isGang) this.stopper.stopAll(job, 0, 'unclaimed');
   }
 
   private dismiss(machine: Machine, attempt: Attempt, message: string): void {
@@ -71,7 +71,7 @@
       { machine: machine.id, job: attempt.job, index: attempt.index },
       message,
     );
-    this.stopper.dismiss(attempt);
+    this.stopper.dismiss(attempt, 'unclaimed');
   }
 
   private recordImageUse(machine: Machine, attempt: Attempt, now: number): void {
@@ -141,7 +141,7 @@
   private stopRestOfGang(job: LiveJob, attempt: Attempt): void {
     for (const other of [...job.activeAttempts()]) {
       if (other.number === attempt.number && other.stopRequest === null)
-        this.stopper.stop(other, 0);
+        this.stopper.stop(other, 0, 'gang-lost-a-task');
     }
   }
 
@@ -155,7 +155,7 @@
     else job.unstoredEnds.push(attempt);
     job.removeAttempt(attempt);
     for (const other of [...(job.attemptsByTask.get(attempt.index) ?? [])])
-      this.stopper.stop(other, 0);
+      this.stopper.stop(other, 0, 'done-elsewhere');
   }
 
   /** The cloud is about to reclaim the machine: stops its tasks with time to save. */
@@ -163,7 +163,7 @@
     for (const attempt of [...machine.attempts.values()]) {
       const job = this.term.jobs.get(attempt.job);
       if (job === undefined || !occupiesCapacity(attempt) || attempt.stopRequest !== null) continue;
-      this.stopper.stopGracefully(job, attempt);
+      this.stopper.stopGracefully(job, attempt, 'reclaimed');
     }
   }
 }
--- a/src/leader/heartbeat-answerer.ts
+++ b/src/leader/heartbeat-answerer.ts
@@ -72,6 +72,7 @@
   private takeDueCommands(machine: Machine): Command[] {
     const { term } = this;
     const commands = machine.dueCommands((attempt) => term.mayStart(attempt), true);
+    term.commandLog.sending(machine, commands, 'heartbeat');
     machine.markSent(commands, 'heartbeat', term.now);
     term.machinesToCommand.delete(machine.id);
     return commands;
--- a/src/leader/leader.ts
+++ b/src/leader/leader.ts
@@ -272,6 +272,7 @@
       ...this.scheduler.waitingJobs.statistics(),
       ...this.capacity.scaleOutStatistics(),
       ...this.cancelledAttempts.statistics(),
+      ...this.term.commandLog.statistics(),
       ...this.subsystems.statistics(),
     };
   }
--- a/src/leader/scheduling/preemptor.ts
+++ b/src/leader/scheduling/preemptor.ts
@@ -227,8 +227,8 @@
     for (const { job, attempt } of victims) {
       // Stopping one task of a gang stops all its current attempts, so attempts that ended are skipped.
       if (!occupiesCapacity(attempt) || attempt.stopRequest !== null) continue;
-      if (allowsSaving) this.term.stopGracefully(job, attempt);
-      else this.term.stopImmediately(job, attempt);
+      if (allowsSaving) this.term.stopGracefully(job, attempt, 'preempted');
+      else this.term.stopImmediately(job, attempt, 'preempted');
     }
     return true;
   }
--- a/src/leader/scheduling/replica-migrations.ts
+++ b/src/leader/scheduling/replica-migrations.ts
@@ -193,7 +193,7 @@
     this.recentMigrations.push({ at: now, class: job.spec.class });
     const until = now + this.term.context.settings.workers.report_s * reservationHeartbeats;
     this.reservations.set(`${attempt.job}/${attempt.index}`, { to, until });
-    this.term.stopAttempt(attempt, 0);
+    this.term.stopAttempt(attempt, 0, 'migrated');
   }
 
   private replicasByClass(): Map<string, number> {
--- a/src/leader/term/failover.ts
+++ b/src/leader/term/failover.ts
@@ -33,7 +33,7 @@
     machine.addClaim(attempt);
     const liveJob = term.jobs.get(job);
     if (liveJob !== undefined && !liveJob.done.has(index)) liveJob.addAttempt(attempt);
-    else stopper.dismiss(attempt);
+    else stopper.dismiss(attempt, 'job-closed');
   }
   term.machines.set(id, machine);
 }
--- a/src/leader/term/subsystem-view.ts
+++ b/src/leader/term/subsystem-view.ts
@@ -135,7 +135,7 @@
     const attempt = live?.attemptsByTask.get(index)?.find((attempt) => attempt.number === number);
     if (live === undefined || attempt === undefined) return;
     if (attempt.stopRequest === null && attempt.state !== 'saving') return;
-    term.stopImmediately(live, attempt);
+    term.stopImmediately(live, attempt, 'subsystem');
   }
 
   /** See `TermView.freeCapacities`. */
--- a/src/leader/term/term.ts
+++ b/src/leader/term/term.ts
@@ -2,7 +2,7 @@
 
 import { LiveJob } from '../../jobs/live-job.js';
 import { isStoredCancelled, type StoredJob } from '../../store/stored-job.js';
-import { advanceAttempt, type Attempt } from '../../workers/attempt.js';
+import { advanceAttempt, type Attempt, type StopReason } from '../../workers/attempt.js';
 import type { HeartbeatChanges } from '../../workers/heartbeat-changes.js';
 import type { Machine } from '../../workers/machine.js';
 import { AttemptStopper } from '../attempts/attempt-stopper.js';
@@ -10,6 +10,7 @@
 import { restoreMachine, readyJobs } from './failover.js';
 import { LeaseExpiry } from '../attempts/lease-expiry.js';
 import { JobHealth } from '../attempts/job-health.js';
+import { CommandLog } from '../attempts/command-log.js';
 import { MachineHealth } from '../attempts/machine-health.js';
 import { MachineQuarantine } from '../attempts/machine-quarantine.js';
 import { progressLayout } from '../writes/progress-layout.js';
@@ -26,6 +27,7 @@
 export class Term extends TermState {
   readonly jobHealth: JobHealth;
   readonly quarantine: MachineQuarantine;
+  readonly commandLog = new CommandLog(this);
   private readonly stopper: AttemptStopper;
   private readonly reconciler: HeartbeatReconciler;
   private readonly leaseExpiry: LeaseExpiry;
@@ -106,9 +108,10 @@
     advanceAttempt(attempt, 'claimed', this.now);
     const job = this.jobs.get(attempt.job);
     if (attempt.stopRequest !== null || job === undefined || job.phase !== 'active') {
+      const reason = attempt.stopRequest?.reason ?? 'job-closed';
       attempt.stopRequest = null;
-      this.stopper.stop(attempt, 0);
-      if (job?.isGang === true && job.phase === 'active') this.stopper.stopAll(job, 0);
+      this.stopper.stop(attempt, 0, reason);
+      if (job?.isGang === true && job.phase === 'active') this.stopper.stopAll(job, 0, reason);
       return;
     }
     this.machinesToCommand.add(attempt.machine);
@@ -127,18 +130,18 @@
   }
 
   /** See `AttemptStopper.stop`. */
-  stopAttempt(attempt: Attempt, graceS: number): void {
-    this.stopper.stop(attempt, graceS);
+  stopAttempt(attempt: Attempt, graceS: number, reason: StopReason): void {
+    this.stopper.stop(attempt, graceS, reason);
   }
 
   /** Stops a task, or its gang, with the time that it needs to save. */
-  stopGracefully(job: LiveJob, attempt: Attempt): void {
-    this.stopper.stopGracefully(job, attempt);
+  stopGracefully(job: LiveJob, attempt: Attempt, reason: StopReason): void {
+    this.stopper.stopGracefully(job, attempt, reason);
   }
 
   /** Stops a task, or its gang, without saving: work since the last checkpoint is lost. */
-  stopImmediately(job: LiveJob, attempt: Attempt): void {
-    this.stopper.stopImmediately(job, attempt);
+  stopImmediately(job: LiveJob, attempt: Attempt, reason: StopReason): void {
+    this.stopper.stopImmediately(job, attempt, reason);
   }
 
   // Machines
--- a/src/workers/attempt.ts
+++ b/src/workers/attempt.ts
@@ -45,6 +45,18 @@
   gone: [],
 };
 
+/** Why an attempt is to end. */
+export type StopReason =
+  | 'cancelled'
+  | 'done-elsewhere'
+  | 'gang-lost-a-task'
+  | 'job-closed'
+  | 'migrated'
+  | 'preempted'
+  | 'reclaimed'
+  | 'subsystem'
+  | 'unclaimed';
+
 /** An attempt to run one task on one machine; times in seconds of the steady clock. */
 export interface Attempt {
   job: string;
@@ -71,8 +83,8 @@
   unansweredToken: number | null;
   cause: ExitCause | null;
   saved: boolean;
-  /** The requested stop: when it was requested, its grace period, and when the command was sent. Null: none. */
-  stopRequest: { at: number; graceS: number; sentAt: number | null } | null;
+  /** The requested stop: when and why, its grace period, and when the command was sent. Null: none. */
+  stopRequest: { at: number; graceS: number; sentAt: number | null; reason: StopReason } | null;
   /** Its end has been processed and stored: the worker may forget it. */
   settled: boolean;
   createdAt: number;
--- a/test/meeting-random.test.ts
+++ b/test/meeting-random.test.ts
@@ -77,7 +77,7 @@
     const live = [...world.term.jobs.values()].filter((job) => job.activeAttemptCount > 0);
     if (this.chance(0.01) && live.length > 0) {
       const job = this.pick(live);
-      world.term.stopGracefully(job, this.pick([...job.activeAttempts()]));
+      world.term.stopGracefully(job, this.pick([...job.activeAttempts()]), 'preempted');
     }
   }
 
--- a/test/meeting-waiting.test.ts
+++ b/test/meeting-waiting.test.ts
@@ -33,7 +33,7 @@
     world.sendDirect('a').unanswered();
     assert.equal(world.fleet.running(JOB), 0, name);
     const job = world.term.jobs.get(JOB)!;
-    world.term.stopGracefully(job, [...job.activeAttempts()][0]!);
+    world.term.stopGracefully(job, [...job.activeAttempts()][0]!, 'preempted');
     world.fleet.add('b');
     await world.run(MAX_WAIT_S);
     assert.equal(world.fleet.running(JOB), job.spec.tasks, name);
@@ -71,7 +71,7 @@
     assert.equal(world.fleet.running(JOB), job.spec.tasks, name);
     // The task is stopped, as by preemption. Another machine has capacity, but the image is cached on this one.
     world.fleet.add('b');
-    world.term.stopGracefully(job, [...job.activeAttempts()][0]!);
+    world.term.stopGracefully(job, [...job.activeAttempts()][0]!, 'preempted');
     await world.run(MAX_WAIT_S);
     assert.equal(world.fleet.running(JOB), job.spec.tasks, name);
     assert.deepEqual(world.fleet.violations, [], name);
