--- a/test/support/control-plane-world.ts
+++ b/test/support/control-plane-world.ts
@@ -12,6 +12,7 @@
 import type { Command, Heartbeat } from '../../src/wire/workers.js';
 import { attemptKey } from '../../src/workers/attempt.js';
 import { g8, settingsText } from '../helpers.js';
+import { DirectNetwork } from './direct-network.js';
 import { MemoryStore } from './memory-store.js';
 import type { HeartbeatLoop } from './heartbeat-loop.js';
 import { LEADER_TTL_LEASES, SimulatedController } from './simulated-controller.js';
@@ -40,14 +41,6 @@
   readByAll: boolean;
 }
 
-/** Direct commands to a worker whose delivery is delayed. */
-interface DelayedCommand {
-  worker: Worker;
-  token: number;
-  agentEpoch: number;
-  commands: Command[];
-}
-
 const CONTROLLERS = 3;
 /** Simulation steps per heartbeat interval; each controller runs once in each step. */
 const STEPS_PER_HEARTBEAT = 10;
@@ -68,6 +61,8 @@
   storeOutage = false;
   /** Ids of accepted jobs, in the order of acceptance. */
   readonly accepted: string[] = [];
+  /** GPUs of each task of a job, by job id. */
+  private readonly gpusPerTask = new Map<string, number>();
   /** When the cancellation of a job was first confirmed to a user, by job id. */
   readonly confirmedAt = new Map<string, number>();
   readonly omittedStops: OmittedStop[] = [];
@@ -77,7 +72,7 @@
   deliverBeforeAnswer = (): void => undefined;
   /** Whether new direct commands are delayed until `deliverHeldBack`. */
   delaysDirectCommands = false;
-  private readonly delayedCommands: DelayedCommand[] = [];
+  readonly directNetwork = new DirectNetwork();
   private readonly unconfirmed = new Set<string>();
   private leaderKeyUntil = -Infinity;
 
@@ -156,7 +151,9 @@
   /** Stores a job as accepted. */
   submitJob(over: Partial<JobSpec>): void {
     this.store.accept(over, this.wallMs());
-    if (over.id !== undefined) this.accepted.push(over.id);
+    if (over.id === undefined) return;
+    this.accepted.push(over.id);
+    this.gpusPerTask.set(over.id, over.gpus ?? 1);
   }
 
   /** Stores a cancellation. It counts as confirmed to the user as soon as any controller may confirm it. */
@@ -200,7 +197,7 @@
   ): Promise<Reply | null> {
     const sentAt = this.now;
     const controller = this.controller(node);
-    if (worker.heartbeatsLost || !controller.isRunning) return null;
+    if (worker.heartbeatsLost || worker.hangs || !controller.isRunning) return null;
     const reply = await controller.handler.handle(encodeHeartbeat(heartbeat));
     // Other messages can reach the worker before this answer does.
     this.deliverBeforeAnswer();
@@ -238,18 +235,18 @@
   takeDirect(id: string, token: number, epoch: number, commands: Command[]): Heartbeat | null {
     const worker = this.fleet.workers.get(id);
     if (worker === undefined) return null;
-    if (this.delaysDirectCommands) {
-      this.delayedCommands.push({ worker, token, agentEpoch: epoch, commands });
+    const message = { worker, token, agentEpoch: epoch, commands };
+    if (this.delaysDirectCommands || worker.hangs) {
+      this.directNetwork.delayed.push(message);
       return null;
     }
-    return worker.inboundLost ? null : worker.takeDirect(token, epoch, commands);
+    return worker.inboundLost ? null : this.directNetwork.deliver(message);
   }
 
   /** Delivers all delayed direct commands. */
   deliverDelayedCommands(): void {
     this.fleet.violations.push(...this.lateStarts());
-    for (const { worker, token, agentEpoch, commands } of this.delayedCommands.splice(0))
-      worker.takeDirect(token, agentEpoch, commands);
+    this.directNetwork.deliverDelayed();
   }
 
   // Invariants
@@ -263,7 +260,7 @@
   /** Delayed starts of cancelled tasks that workers would still execute later than `cancel_s` after the confirmation. */
   lateStarts(): string[] {
     const late: string[] = [];
-    for (const { worker, token, agentEpoch, commands } of this.delayedCommands) {
+    for (const { worker, token, agentEpoch, commands } of this.directNetwork.delayed) {
       if (token < worker.token || agentEpoch !== worker.agentEpoch) continue;
       for (const { kind, job, index, attempt } of commands) {
         const confirmedAt = this.confirmedAt.get(job) ?? Infinity;
@@ -277,11 +274,14 @@
     return late;
   }
 
-  /** A violation if more tasks run than the quota allows; each task uses one GPU. */
+  /** A violation if running tasks use more GPUs than the quota allows. */
   overQuota(): string[] {
     if (this.gpusMax === 0) return [];
-    const running = this.accepted.reduce((sum, id) => sum + this.fleet.running(id), 0);
-    return running <= this.gpusMax ? [] : [`${running} tasks run, at most ${this.gpusMax} allowed`];
+    const used = this.accepted.reduce(
+      (sum, id) => sum + this.fleet.running(id) * this.gpusPerTask.get(id)!,
+      0,
+    );
+    return used <= this.gpusMax ? [] : [`${used} GPUs are used, at most ${this.gpusMax} allowed`];
   }
 
   /** Cancelled tasks that still run later than `cancel_s` after the confirmation. */
--- a/test/support/simulated-fleet.ts
+++ b/test/support/simulated-fleet.ts
@@ -11,6 +11,10 @@
   inboundLost = false;
   /** Its heartbeats are lost; direct commands reach it. */
   heartbeatsLost = false;
+  /** It executes and sends nothing; direct commands to it wait. */
+  hangs = false;
+  /** It has no room: each start is refused and reported as ended. */
+  refusesStarts = false;
   reclaimNoticeS: number | null = null;
   spot = false;
   answeredAt: number;
@@ -37,6 +41,11 @@
   /** Ends all tasks and begins a new agent epoch if the lease has expired. */
   tick(): void {
     if (this.fleet.now - this.answeredAt <= this.fleet.leaseS) return;
+    this.restart();
+  }
+
+  /** Forgets all tasks and begins a new agent epoch. */
+  restart(): void {
     this.tasks.clear();
     this.agentEpoch++;
     this.answeredAt = this.fleet.now;
@@ -65,12 +74,18 @@
       if (command.kind === 'forget' && task?.state === 'ended') this.tasks.delete(key);
       if (command.kind === 'stop' && task !== undefined) this.stop(task, command.graceS);
       if (command.kind !== 'start' || task !== undefined) continue;
-      this.fleet.noteStart(this, command);
-      const { job, index, attempt } = command;
-      this.tasks.set(key, { job, index, attempt, state: 'running', cause: null, saved: false });
+      this.begin(key, command);
     }
   }
 
+  private begin(key: string, command: Command): void {
+    const { job, index, attempt } = command;
+    const task: TaskStatus = { job, index, attempt, state: 'running', cause: null, saved: false };
+    if (this.refusesStarts) this.end(task, 'full');
+    else this.fleet.noteStart(this, command);
+    this.tasks.set(key, task);
+  }
+
   /** Stops a task without saving its progress. */
   protected stop(task: TaskStatus, _graceS: number): void {
     this.end(task, 'stopped');
