Fix: a late copy of an answered start ran a task again after its machine had forgotten it

Cause: a check in one path and not in another. A worker that has forgotten an attempt starts it again, while token and agent epoch match. Starts that were never answered were refused by a higher token before their attempt was forgotten. An answered start was taken for used up, though an answer ends neither the message's token nor its epoch.

Change: an attempt remembers the token of its direct start, answered or not (directStartToken in place of unansweredToken). A message has a worker forget the attempt only with a token above it; worker takes both together. Where such a token is needed, the answer to the next heartbeat gives it, with the forgets: no commit, since a start goes directly only with a token below its claim's revision. Only answers raise it: in a direct message it could overtake an answer, which the worker would drop with its renewal; and not while a direct message is in flight, which would be refused. A machine that shows any token of the term stays trusted, so nothing waits for the raised one. The tick's own fencing of unanswered starts is gone: the same answer does it.

Why it works: at every moment a worker knows the attempt, or has seen a higher token than its direct start's, or is in a later epoch. design.md, 'Copies of commands'.

The other random searches judge repeatable starts as well.

Tests changed: the direct messages of LeaderWorld and meeting-random carry the machine's token, as the program's do, not the term's. One scenario of renewals-of-cancelled asked for the state 'fencing' after a raised token, which is not entered any more; it asks for the higher token at the worker now.

--- a/src/leader/attempts/command-dispatcher.ts
+++ b/src/leader/attempts/command-dispatcher.ts
@@ -39,7 +39,7 @@
     const { outcome, heartbeat } = await channel.send({ token, agentEpoch, commands });
     if (this.stopped) return;
     term.commandLog.answered(machine, token, outcome);
-    machine.applyDirectOutcome(commands, outcome, agentEpoch, term.now, token);
+    machine.applyDirectOutcome(commands, outcome, term.now);
     if (heartbeat?.machine === machine.id)
       term.reconcile(machine, machine.applyHeartbeat(heartbeat, 'direct-answer', term.now));
     if (term.machinesToCommand.has(machine.id)) this.onMoreDue();
--- a/src/leader/attempts/start-permission.ts
+++ b/src/leader/attempts/start-permission.ts
@@ -18,7 +18,7 @@
 
 /**
  * The same for a start that is sent directly to the worker. It may arrive at any later time, so there must be a higher
- * token of this term that makes the worker refuse it then, without a commit: see `fenceUnanswered`. If there is none,
+ * token of this term that makes the worker refuse it then, without a commit: see `fenceDirectStarts`. If there is none,
  * the start goes with the answer to the next heartbeat, which is never carried out late.
  */
 export function mayStartDirectly(term: TermState, attempt: Attempt): boolean {
--- a/src/leader/heartbeat-answerer.ts
+++ b/src/leader/heartbeat-answerer.ts
@@ -35,6 +35,8 @@
       machine.lastHeartbeat.cache(heartbeat, body);
     }
     const isFenced = this.applyHeartbeat(machine, heartbeat);
+    // Only here: a higher token in a direct message could overtake an answer, which the worker would then drop.
+    if (!repeated) term.fenceDirectStarts(machine);
     const due = isFenced ? this.takeDueCommands(machine) : [];
     if (!repeated) machine.leaseRenewed(term.now);
     // The answer stops cancelled tasks even if the machine has not shown this term's token. Otherwise successive
@@ -57,7 +59,7 @@
     return !term.returnedMachines.has(machine);
   }
 
-  /** Applies a heartbeat. Returns whether it is new and shows the machine's token of this term. */
+  /** Applies a heartbeat. Returns whether it is new and shows a token of this term. */
   private applyHeartbeat(machine: Machine, heartbeat: Heartbeat): boolean {
     const { term } = this;
     // The token may be higher if this term has fenced and forgotten the machine, or if a substitute has fenced it.
@@ -66,7 +68,7 @@
     if (changes.stale) return false;
     term.reconcile(machine, changes);
     const isTrusted = machine.state === 'ready' || machine.state === 'returning';
-    return isTrusted && heartbeat.token === machine.token;
+    return isTrusted && machine.isOfTerm(heartbeat.token);
   }
 
   private takeDueCommands(machine: Machine): Command[] {
--- a/src/leader/leader.ts
+++ b/src/leader/leader.ts
@@ -213,7 +213,6 @@
     this.log.tick();
     this.capacity.consolidate();
     this.scheduler.waitingJobs.tick();
-    this.term.fenceUnanswered();
     splitOversizedProgress(this.term);
     // Before garbage collection, so that subsystems still see what has just ended.
     this.subsystems.tick();
--- a/src/leader/term/statistics.ts
+++ b/src/leader/term/statistics.ts
@@ -19,6 +19,7 @@
   }
   counts.machines_coming = capacity.provisioner.pending.size;
   counts.machines_fenced_anew = term.machinesFencedAnew;
+  counts.tokens_raised = term.tokensRaised;
   counts.jobs_open = term.jobs.size;
   counts.demand_tasks = capacity.demand.reduce((sum, demand) => sum + demand.tasks, 0);
   return counts;
--- a/src/leader/term/term-state.ts
+++ b/src/leader/term/term-state.ts
@@ -53,6 +53,8 @@
   machinesLost = 0;
   /** How often a machine was given a higher token because of an unanswered direct start. */
   machinesFencedAnew = 0;
+  /** How often a machine was given a higher token for any reason. */
+  tokensRaised = 0;
   /** Machines with commands that should not wait for the next heartbeat. */
   readonly machinesToCommand = new Set<string>();
   readonly timeOfDay: TermTimeOfDay;
--- a/src/leader/term/term.ts
+++ b/src/leader/term/term.ts
@@ -6,7 +6,7 @@
 import type { HeartbeatChanges } from '../../workers/heartbeat-changes.js';
 import type { Machine } from '../../workers/machine.js';
 import { AttemptStopper } from '../attempts/attempt-stopper.js';
-import { fenceUnanswered, isLaterToken } from '../attempts/fencing.js';
+import { fenceDirectStarts, isLaterToken } from '../attempts/fencing.js';
 import { restoreMachine, readyJobs } from './failover.js';
 import { LeaseExpiry } from '../attempts/lease-expiry.js';
 import { JobHealth } from '../attempts/job-health.js';
@@ -161,9 +161,9 @@
     this.leaseExpiry.loseMachine(machine);
   }
 
-  /** See `fenceUnanswered` in attempts/fencing. */
-  fenceUnanswered(): void {
-    fenceUnanswered(this);
+  /** See `fenceDirectStarts` in attempts/fencing. */
+  fenceDirectStarts(machine: Machine): void {
+    fenceDirectStarts(this, machine);
   }
 
   /** Whether a token is above all known revisions of this term, and so may be a later leader's. */
--- a/src/workers/attempt.ts
+++ b/src/workers/attempt.ts
@@ -77,10 +77,10 @@
   /** A direct message with the start is in flight. */
   sendingDirectly: boolean;
   /**
-   * Token of a direct message with the start that was not answered: it may arrive at any time in its agent
-   * epoch, unless the worker has seen a higher token. Null: there is none.
+   * Token of the direct message that carried the start. Answered or not, a copy of it may arrive at any time in its
+   * agent epoch, and is carried out unless the worker knows the attempt or has seen a higher token. Null: there is none.
    */
-  unansweredToken: number | null;
+  directStartToken: number | null;
   cause: ExitCause | null;
   saved: boolean;
   /** The requested stop: when and why, its grace period, and when the command was sent. Null: none. */
@@ -116,7 +116,7 @@
     agentEpoch: null,
     sentInHeartbeat: null,
     sendingDirectly: false,
-    unansweredToken: null,
+    directStartToken: null,
     cause: null,
     saved: false,
     stopRequest: null,
--- a/src/workers/machine-attempts.ts
+++ b/src/workers/machine-attempts.ts
@@ -8,7 +8,7 @@
   occupiesCapacity,
   type Attempt,
 } from './attempt.js';
-import { dueCommands } from './due-commands.js';
+import { dueCommands, isForgetDue, type DueCommandsOptions } from './due-commands.js';
 import { noChanges, type HeartbeatChanges } from './heartbeat-changes.js';
 
 /**
@@ -32,14 +32,17 @@
   agentEpoch = 0;
   /** Number of the last fenced heartbeat of this epoch; answers to direct commands are not included. */
   fencedSequence = 0;
+  /** Fencing token of commands to it: the term's token, or a higher one of the term; see `fenceDirectStarts`. */
+  token: number;
+  private directMessagesInFlight = 0;
 
   constructor(
     readonly id: string,
-    /**
-     * Fencing token of commands to it: the term's token, or a higher one of the term; see `fenceUnanswered`.
-     */
-    public token: number,
-  ) {}
+    /** The token of the term: a worker that shows it, or a higher one of the term, refuses all earlier leaders. */
+    protected readonly termToken: number,
+  ) {
+    this.token = termToken;
+  }
 
   /** Records a change on the machine. */
   markChanged(): void {
@@ -47,25 +50,39 @@
   }
 
   /**
-   * Whether an unanswered start prevents a task from ending or being forgotten: one that may still arrive,
-   * because no higher token was given since.
+   * The token of the latest direct start that the worker must refuse before a task can be settled: the start may not have
+   * arrived yet, and its task has to end. Null: there is none.
    */
-  isBlockedByUnansweredStart(): boolean {
-    for (const attempt of this.attempts.values()) {
-      if (attempt.unansweredToken === null || attempt.sendingDirectly) continue;
-      if (attempt.unansweredToken < this.token) continue;
-      if (attempt.stopRequest !== null || attempt.state === 'ended') return true;
-    }
-    return false;
+  unansweredStartToRefuse(): number | null {
+    return this.latestDirectStart(
+      ({ state, stopRequest }) => state === 'sent' && stopRequest !== null,
+    );
   }
 
   /**
-   * The worker has shown the machine's token: starts that were sent with a lower one will not be carried out.
+   * The token of the latest direct start that the worker must refuse before it may forget an attempt. Null: there is none,
+   * or a direct message is in flight, which the worker would refuse too.
    */
-  protected clearUnansweredStarts(): void {
+  startToRefuseBeforeForgetting(): number | null {
+    return this.directMessagesInFlight > 0 ? null : this.latestDirectStart(isForgetDue);
+  }
+
+  /** The highest token of direct starts that the worker may still carry out. Null: there is none. */
+  private latestDirectStart(concerns: (attempt: Attempt) => boolean): number | null {
+    let latest: number | null = null;
+    for (const attempt of this.attempts.values()) {
+      const { directStartToken: token, sendingDirectly } = attempt;
+      if (token === null || token < this.token || sendingDirectly || !concerns(attempt)) continue;
+      latest = Math.max(latest ?? token, token);
+    }
+    return latest;
+  }
+
+  /** The worker has shown this token: it refuses all direct starts that were sent with a lower one. */
+  protected clearRefusedStarts(shownToken: number): void {
     for (const attempt of this.attempts.values()) {
-      if (attempt.unansweredToken !== null && attempt.unansweredToken < this.token)
-        attempt.unansweredToken = null;
+      if (attempt.directStartToken !== null && attempt.directStartToken < shownToken)
+        attempt.directStartToken = null;
     }
   }
 
@@ -134,7 +151,7 @@
    * carried out.
    */
   private revertRejectedStart(attempt: Attempt, now: number, changes: HeartbeatChanges): void {
-    if (attempt.sendingDirectly || attempt.unansweredToken !== null) return;
+    if (attempt.sendingDirectly || attempt.directStartToken !== null) return;
     if (attempt.sentInHeartbeat !== null && this.fencedSequence <= attempt.sentInHeartbeat) return;
     advanceAttempt(attempt, 'claimed', now);
     attempt.rejectedStarts++;
@@ -183,12 +200,16 @@
   }
 
   /** The commands due now; see `dueCommands`. */
-  dueCommands(mayStart: (attempt: Attempt) => boolean, repeatSent: boolean): Command[] {
-    return dueCommands(this.attempts, mayStart, repeatSent);
+  dueCommands(
+    mayStart: DueCommandsOptions['mayStart'],
+    repeatSent: DueCommandsOptions['repeatSent'],
+  ): Command[] {
+    return dueCommands(this.attempts, { token: this.token, mayStart, repeatSent });
   }
 
   /** Records that commands are sent with the answer to a heartbeat, or directly to the worker. */
   markSent(commands: Command[], via: 'heartbeat' | 'direct', now: number): void {
+    if (via === 'direct') this.directMessagesInFlight++;
     for (const command of commands) {
       const attempt = this.attempts.get(attemptKey(command.job, command.index, command.attempt));
       if (attempt === undefined) continue;
@@ -206,18 +227,14 @@
     if (via === 'heartbeat') attempt.sentInHeartbeat = this.fencedSequence;
     else {
       attempt.sendingDirectly = true;
+      attempt.directStartToken = this.token;
       attempt.sentInHeartbeat = null;
     }
   }
 
-  /** Applies the outcome of a direct message that carried this epoch and token. */
-  applyDirectOutcome(
-    commands: Command[],
-    outcome: DirectOutcome,
-    agentEpoch: number,
-    now: number,
-    token = this.token,
-  ): void {
+  /** Applies the outcome of a direct message. */
+  applyDirectOutcome(commands: Command[], outcome: DirectOutcome, now: number): void {
+    this.directMessagesInFlight--;
     for (const command of commands) {
       const attempt = this.attempts.get(attemptKey(command.job, command.index, command.attempt));
       if (attempt === undefined) continue;
@@ -225,14 +242,16 @@
         attempt.stopRequest.sentAt = null;
       if (command.kind !== 'start') continue;
       attempt.sendingDirectly = false;
-      if (outcome === 'unknown' && attempt.agentEpoch === agentEpoch)
-        attempt.unansweredToken = token;
-      if (outcome === 'refused' && attempt.state === 'sent' && attempt.unansweredToken === null) {
-        advanceAttempt(attempt, 'claimed', now);
-      }
+      if (outcome === 'refused' && attempt.state === 'sent') this.startRefused(attempt, now);
     }
   }
 
+  /** The start was refused, as any copy will be: tokens and agent epochs only rise. */
+  private startRefused(attempt: Attempt, now: number): void {
+    advanceAttempt(attempt, 'claimed', now);
+    attempt.directStartToken = null;
+  }
+
   /** Whether any attempt occupies capacity here. */
   hasActiveAttempts(): boolean {
     for (const attempt of this.attempts.values()) if (occupiesCapacity(attempt)) return true;
--- a/src/workers/machine.ts
+++ b/src/workers/machine.ts
@@ -92,11 +92,16 @@
     return true;
   }
 
-  /** Gives the machine a higher token; it is trusted again once it shows this token. */
+  /** Gives the machine a higher token of the term. */
   raiseToken(token: number): void {
     if (token <= this.token) return;
     this.token = token;
-    if (this.state === 'ready') this.changeState('fencing');
+    this.markChanged();
+  }
+
+  /** Whether a worker that shows this token has taken one of this term, and none of a later one. */
+  isOfTerm(token: number): boolean {
+    return token >= this.termToken && token <= this.token;
   }
 
   /**
@@ -128,13 +133,13 @@
     if (heartbeat.agentEpoch > this.agentEpoch) this.beginEpoch(heartbeat, now, changes);
     this.updateIdentity(heartbeat, now);
     if (this.state === 'silent') this.changeState('fencing');
-    if (heartbeat.token !== this.token) {
-      // Not fenced: commands of an older leader may still be carried out after this heartbeat.
+    if (!this.isOfTerm(heartbeat.token)) {
+      // Not fenced: commands of another leader may still be carried out after this heartbeat.
       this.changeState('fencing');
       return changes;
     }
     this.changeState('ready');
-    this.clearUnansweredStarts();
+    this.clearRefusedStarts(heartbeat.token);
     if (origin === 'heartbeat') this.fencedSequence = heartbeat.sequence;
     const reportedKeys = this.applyTasks(heartbeat.tasks, now, changes);
     this.applyAbsences(reportedKeys, origin, now, changes);
--- a/test/machine-evidence.test.ts
+++ b/test/machine-evidence.test.ts
@@ -172,7 +172,7 @@
   // Packets delayed by a network partition are delivered later. The start must not be taken for lost, and the worker must
   // not forget an attempt that it started, or the delayed start would run it again.
   const { machine, attempt, commands } = machineWithDirectStart();
-  machine.applyDirectOutcome(commands, 'unknown', 1, 2);
+  machine.applyDirectOutcome(commands, 'unknown', 2);
   machine.applyHeartbeat(makeHeartbeat({ sequence: 11 }), 'heartbeat', 3);
   assert.equal(attempt.state, 'sent');
   assert.deepEqual(
@@ -197,7 +197,7 @@
 
 test('a direct start that provably was not carried out can be sent again', () => {
   const { machine, attempt, commands } = machineWithDirectStart();
-  machine.applyDirectOutcome(commands, 'refused', 1, 2);
+  machine.applyDirectOutcome(commands, 'refused', 2);
   assert.equal(attempt.state, 'claimed');
 });
 
--- a/test/meeting-random.test.ts
+++ b/test/meeting-random.test.ts
@@ -132,19 +132,18 @@
     const worker = world.fleet.workers.get(machine.id)!;
     const commands = machine.dueCommands((attempt) => world.term.mayStart(attempt), false);
     if (commands.every((command) => command.kind === 'forget')) return;
-    const { agentEpoch } = machine;
-    const { token } = world;
+    const { agentEpoch, token } = machine;
     machine.markSent(commands, 'direct', world.now);
     const delivery = worker.inboundLost ? 'lost' : hasFaults ? this.random() : 'answered';
     if (delivery === 'lost' || Number(delivery) > 0.85) {
-      machine.applyDirectOutcome(commands, 'unknown', agentEpoch, world.now);
+      machine.applyDirectOutcome(commands, 'unknown', world.now);
     } else if (Number(delivery) > 0.7) {
       this.delay(this.random() * 8, () => void worker.takeDirect(token, agentEpoch, commands));
-      machine.applyDirectOutcome(commands, 'unknown', agentEpoch, world.now);
+      machine.applyDirectOutcome(commands, 'unknown', world.now);
     } else {
       const heartbeat = worker.takeDirect(token, agentEpoch, commands);
       const result = Number(delivery) > 0.6 ? 'unknown' : heartbeat === null ? 'refused' : 'done';
-      machine.applyDirectOutcome(commands, result, agentEpoch, world.now);
+      machine.applyDirectOutcome(commands, result, world.now);
       if (result === 'unknown') return;
       world.term.reconcile(
         machine,
--- a/test/renewals-of-cancelled.test.ts
+++ b/test/renewals-of-cancelled.test.ts
@@ -219,8 +219,9 @@
     await world.runUntil(25);
     world.cancel(OTHER_JOB);
     await cancelWithoutDirect(world);
-    assert.equal(termOf(world, 'n-2').machines.get(MACHINE)!.state, 'fencing');
+    const { token } = worker;
     await exchangeAt(world, worker, [26.5]);
+    assert.ok(worker.token > token, 'the same answer refuses the start that is in flight');
   },
   'the same heartbeat again through another controller, after the first answer was lost': async (
     world,
@@ -364,7 +365,7 @@
 
 /**
  * Found by a review of the paths on which a command is delayed. Only a higher token prevents the start from being
- * carried out, and in an outage none can be stored: one is needed that requires no commit, see `fenceUnanswered`.
+ * carried out, and in an outage none can be stored: one is needed that requires no commit, see `fenceDirectStarts`.
  */
 test('a direct start that is held back beyond cancel_s in an outage does not start a cancelled task', async () => {
   const { world, worker } = await startService();
--- a/test/support/direct-network.ts
+++ b/test/support/direct-network.ts
@@ -17,6 +17,8 @@
   readonly delayed: DirectMessage[] = [];
   /** Messages that were carried out, and of which a worker may still carry out a copy. */
   private carriedOut: DirectMessage[] = [];
+  /** Starts that copies have caused. */
+  readonly startsByCopies: string[] = [];
 
   /** Delivers a message. Returns the worker's answer; null: it refused the message. */
   deliver(message: DirectMessage): Heartbeat | null {
@@ -33,7 +35,9 @@
 
   /** Delivers a copy of each message that was carried out and that `selects` accepts; nobody waits for an answer. */
   deliverCopies(selects: (message: DirectMessage, index: number) => boolean = () => true): void {
-    for (const { worker, token, agentEpoch, commands } of this.repeatable().filter(selects))
+    const copies = this.repeatable().filter(selects);
+    this.startsByCopies.push(...startsAgain(copies));
+    for (const { worker, token, agentEpoch, commands } of copies)
       worker.takeDirect(token, agentEpoch, commands);
   }
 
@@ -46,17 +50,7 @@
 
   /** Starts that a worker would carry out again if a copy of their message arrived now. */
   repeatableStarts(): string[] {
-    return this.repeatable().flatMap(({ worker, token, commands }) =>
-      commands
-        .filter(
-          ({ kind, job, index, attempt }) =>
-            kind === 'start' && !worker.tasks.has(attemptKey(job, index, attempt)),
-        )
-        .map(
-          ({ job, index, attempt }) =>
-            `start of ${attemptKey(job, index, attempt)} on ${worker.id}, token ${token}`,
-        ),
-    );
+    return startsAgain(this.repeatable());
   }
 
   /** Carried-out messages that their workers still accept. Tokens and agent epochs only rise, so the rest is dropped. */
@@ -67,3 +61,17 @@
     return this.carriedOut;
   }
 }
+
+/** The starts in these messages that their workers would carry out now. */
+const startsAgain = (messages: readonly DirectMessage[]): string[] =>
+  messages.flatMap(({ worker, token, commands }) =>
+    commands
+      .filter(
+        ({ kind, job, index, attempt }) =>
+          kind === 'start' && !worker.tasks.has(attemptKey(job, index, attempt)),
+      )
+      .map(
+        ({ job, index, attempt }) =>
+          `start of ${attemptKey(job, index, attempt)} on ${worker.id}, token ${token}`,
+      ),
+  );
--- a/test/support/leader-world.ts
+++ b/test/support/leader-world.ts
@@ -15,6 +15,7 @@
 import type { Subsystem } from '../../src/subsystems/subsystem.js';
 import { TimeOfDay } from '../../src/time-of-day.js';
 import type { Machine } from '../../src/workers/machine.js';
+import type { DirectOutcome } from '../../src/workers/machine-attempts.js';
 import { g8, settings } from '../helpers.js';
 import { fake } from './fake.js';
 import { MemoryStore, type StoreMode } from './memory-store.js';
@@ -190,16 +191,25 @@
   }
 
   /** Sends the due direct commands; the caller determines whether they arrive and are answered. */
-  sendDirect(id: string): { arrive(): void; unanswered(): void } {
+  sendDirect(id: string): { arrive(): void; unanswered(): void; answered(): DirectOutcome } {
     const machine = this.machine(id);
     const worker = this.fleet.workers.get(id)!;
     const commands = machine.dueCommands((attempt) => this.term.mayStartDirectly(attempt), false);
-    const { agentEpoch } = machine;
-    const { token } = this;
+    const { agentEpoch, token } = machine;
     machine.markSent(commands, 'direct', this.now);
     return {
       arrive: () => void worker.takeDirect(token, agentEpoch, commands),
-      unanswered: () => machine.applyDirectOutcome(commands, 'unknown', agentEpoch, this.now),
+      answered: () => {
+        const heartbeat = worker.takeDirect(token, agentEpoch, commands);
+        const outcome = heartbeat === null ? 'refused' : 'done';
+        machine.applyDirectOutcome(commands, outcome, this.now);
+        if (heartbeat !== null) {
+          const changes = machine.applyHeartbeat(heartbeat, 'direct-answer', this.now);
+          this.term.reconcile(machine, changes);
+        }
+        return outcome;
+      },
+      unanswered: () => machine.applyDirectOutcome(commands, 'unknown', this.now),
     };
   }
 
--- a/test/support/scenario-search.ts
+++ b/test/support/scenario-search.ts
@@ -31,6 +31,8 @@
   assert.deepEqual(world.overdueTasks(), []);
   assert.deepEqual(world.overQuota(), []);
   assert.deepEqual(world.fleet.violations, []);
+  assert.deepEqual(world.directNetwork.repeatableStarts(), []);
+  assert.deepEqual(world.directNetwork.startsByCopies, []);
 }
 
 /** Advances time and checks the invariants regularly. */
