--- a/test/support/heartbeat-loop.ts
+++ b/test/support/heartbeat-loop.ts
@@ -13,6 +13,8 @@
    * machines of the incident did not do it.
    */
   reportsNewToken: boolean;
+  /** A change of its tasks makes the worker send its next heartbeat early, as the protocol specifies. */
+  reportsTaskChanges?: boolean;
 }
 
 /** Sends the heartbeats of one worker as simulated time passes. */
@@ -20,6 +22,8 @@
   private nextAt: number;
   private reportedToken = 0;
   private tokenReportedAt = -Infinity;
+  private sentAt = -Infinity;
+  private reportedChanges = 0;
 
   constructor(
     private readonly world: ControlPlaneWorld,
@@ -33,7 +37,9 @@
   /** Sends a heartbeat if one is due. */
   async step(): Promise<void> {
     const { world, worker } = this;
-    if (world.now < this.nextAt) return;
+    if (world.now < this.nextAt && !this.hasChangeToReport()) return;
+    this.sentAt = world.now;
+    this.reportedChanges = worker.taskChanges;
     const { node, alive } = world.controllers[this.controllerIndex]!;
     const sentAt = world.now;
     const reply = await world.exchangeHeartbeat(worker, node);
@@ -45,6 +51,15 @@
     else this.tryNext(sentAt);
   }
 
+  private hasChangeToReport(): boolean {
+    const { world, worker, options } = this;
+    return (
+      options.reportsTaskChanges === true &&
+      worker.taskChanges !== this.reportedChanges &&
+      world.now >= this.sentAt + MIN_HEARTBEAT_GAP_S
+    );
+  }
+
   private onAccepted(sentAt: number): void {
     const { worker, world, options } = this;
     const { reportS, leaseS } = world.times;
--- a/test/support/simulated-fleet.ts
+++ b/test/support/simulated-fleet.ts
@@ -18,6 +18,8 @@
   reclaimNoticeS: number | null = null;
   spot = false;
   answeredAt: number;
+  /** Number of changes of its tasks. */
+  taskChanges = 0;
   readonly tasks = new Map<string, TaskStatus>();
 
   constructor(
@@ -46,6 +48,7 @@
 
   /** Forgets all tasks and begins a new agent epoch. */
   restart(): void {
+    this.taskChanges++;
     this.tasks.clear();
     this.agentEpoch++;
     this.answeredAt = this.fleet.now;
@@ -71,7 +74,10 @@
     for (const command of commands) {
       const key = attemptKey(command.job, command.index, command.attempt);
       const task = this.tasks.get(key);
-      if (command.kind === 'forget' && task?.state === 'ended') this.tasks.delete(key);
+      if (command.kind === 'forget' && task?.state === 'ended') {
+        this.taskChanges++;
+        this.tasks.delete(key);
+      }
       if (command.kind === 'stop' && task !== undefined) this.stop(task, command.graceS);
       if (command.kind !== 'start' || task !== undefined) continue;
       this.begin(key, command);
@@ -83,6 +89,7 @@
     const task: TaskStatus = { job, index, attempt, state: 'running', cause: null, saved: false };
     if (this.refusesStarts) this.end(task, 'full');
     else this.fleet.noteStart(this, command);
+    this.taskChanges++;
     this.tasks.set(key, task);
   }
 
@@ -94,6 +101,7 @@
   /** Ends a task. */
   end(task: TaskStatus, cause: TaskStatus['cause']): void {
     if (task.state === 'ended') return;
+    this.taskChanges++;
     task.state = 'ended';
     task.cause = cause;
   }
