Fix: a task that ran again after its reported end was told to be forgotten, never stopped

What callers saw: the task of the incident stayed on two machines until a copy of an earlier stop happened to arrive, 3.9 s later. At 50.58 and 53.42 s the leader had its first machine forget an attempt that ran there, which a worker does not do.

Cause: evidence disregarded. The machine had forgotten the attempt and started it again between two heartbeats, so the leader never saw one without it. A heartbeat that shows an ended attempt as running was passed over (applyTasks): for the leader it stayed ended.

Change: the known attempt is over, and the one that is reported counts as unclaimed: it is stopped if its task is done, its job is over or another attempt has its task, as any attempt that no record claims; else it is adopted.

Why it works: heartbeats are taken in the order of agent epoch and number, so what a newer one shows runs now.

--- a/src/workers/machine-attempts.ts
+++ b/src/workers/machine-attempts.ts
@@ -96,12 +96,12 @@
     for (const task of tasks) {
       const key = attemptKey(task.job, task.index, task.attempt);
       reportedKeys.add(key);
-      const attempt = this.attempts.get(key) ?? this.addUnclaimed(key, task, now, changes);
+      const attempt =
+        this.reportedAttempt(key, task, now, changes) ?? this.addUnclaimed(key, task, now, changes);
       attempt.agentEpoch = this.agentEpoch;
       attempt.cause = task.cause;
       attempt.saved = task.saved;
       if (attempt.state === 'claiming' || attempt.state === 'gone') continue;
-      if (attempt.state === 'ended' && task.state !== 'ended') continue;
       if (!advanceAttempt(attempt, task.state, now)) continue;
       this.markChanged();
       (task.state === 'ended' ? changes.exited : changes.changed).push(attempt);
@@ -109,6 +109,19 @@
     return reportedKeys;
   }
 
+  /** The known attempt of a reported task. Undefined: none, or it had ended and runs again, which nothing has claimed. */
+  private reportedAttempt(
+    key: string,
+    task: TaskStatus,
+    now: number,
+    changes: HeartbeatChanges,
+  ): Attempt | undefined {
+    const attempt = this.attempts.get(key);
+    if (attempt?.state !== 'ended' || task.state === 'ended') return attempt;
+    this.endAttempt(attempt, now, changes);
+    return undefined;
+  }
+
   private addUnclaimed(
     key: string,
     task: TaskStatus,
--- a/test/late-copies.test.ts
+++ b/test/late-copies.test.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { JobSpec } from '../src/jobs/types.js';
+import { attemptKey } from '../src/workers/attempt.js';
 import { ControlPlaneWorld, INCIDENT_TIMES } from './support/control-plane-world.js';
 import { HeartbeatLoop } from './support/heartbeat-loop.js';
 import { LeaderWorld } from './support/leader-world.js';
@@ -251,3 +252,31 @@
   assert.equal(world.sendDirect('a').answered(), 'done');
   assert.equal(worker.running(URGENT_JOB).length, 1);
 });
+
+test('a task that its machine reports as running again after its end does not stay beside its next attempt', async () => {
+  const cases = [
+    { cause: 'done', isNextPlaced: false, running: 0 },
+    { cause: 'stopped', isNextPlaced: false, running: 1 },
+    { cause: 'stopped', isNextPlaced: true, running: 1 },
+  ] as const;
+  for (const { cause, isNextPlaced, running } of cases) {
+    const world = new LeaderWorld();
+    const first = world.fleet.add('a');
+    await world.run(1);
+    world.submitJob({ id: JOB, gpus: 8 });
+    await world.run(1);
+    const again = { ...first.running(JOB)[0]! };
+    first.end(first.running(JOB)[0]!, cause);
+    world.exchangeHeartbeat(first);
+    if (isNextPlaced) world.runCycle();
+    await world.writeAll();
+    // Whatever made the machine start it again: the leader has not seen a heartbeat without it.
+    first.tasks.set(attemptKey(again.job, again.index, again.attempt), again);
+    await world.run(4);
+    assert.equal(
+      world.fleet.running(JOB),
+      running,
+      `${cause}, next attempt placed: ${isNextPlaced}`,
+    );
+  }
+});
