--- a/test/late-copies.test.ts
+++ b/test/late-copies.test.ts
@@ -16,7 +16,7 @@
 class LateCopiesWorld extends ControlPlaneWorld {
   constructor() {
     super(INCIDENT_TIMES);
-    for (const { node } of this.controllers) this.controller(node).isCandidate = node === 'n-2';
+    for (const controller of this.controllers) controller.isCandidate = controller.node === 'n-2';
   }
 
   /** Adds a machine that sends heartbeats. */
--- a/test/support/heartbeat-loop.ts
+++ b/test/support/heartbeat-loop.ts
@@ -38,10 +38,10 @@
   async step(): Promise<void> {
     const { world, worker } = this;
     if (world.now < this.nextAt && !this.hasChangeToReport()) return;
-    this.sentAt = world.now;
-    this.reportedChanges = worker.taskChanges;
     const { node, alive } = world.controllers[this.controllerIndex]!;
     const sentAt = world.now;
+    this.sentAt = sentAt;
+    this.reportedChanges = worker.taskChanges;
     const reply = await world.exchangeHeartbeat(worker, node);
     if (reply === null) {
       // A crashed process refuses the connection at once; otherwise the worker waits for the timeout.
